--- /dev/null
+++ b/rules.go
@@ -0,0 +1,108 @@
+package filbertford
+
+import "time"
+
+// Rules are the settings that govern one job, resolved from the settings tree
+// for its team, service and job kind. The zero Rules bound nothing.
+type Rules struct {
+	maxTasks   int
+	maxQueue   int
+	quota      int
+	burst      int
+	timeout    time.Duration
+	maxTimeout time.Duration
+	lease      time.Duration
+	weight     float64
+	spill      float64
+}
+
+// WithMaxTasks returns a copy of r with the most tasks that a job may have.
+func (r Rules) WithMaxTasks(n int) Rules {
+	r.maxTasks = n
+	return r
+}
+
+// WithMaxQueue returns a copy of r with the most tasks that may wait at a
+// daemon.
+func (r Rules) WithMaxQueue(n int) Rules {
+	r.maxQueue = n
+	return r
+}
+
+// WithQuota returns a copy of r with the number of tasks that the team may have
+// waiting and running in a data centre, and how many more for a short burst.
+func (r Rules) WithQuota(quota, burst int) Rules {
+	r.quota, r.burst = quota, burst
+	return r
+}
+
+// WithTimeouts returns a copy of r with the timeout of a job that states none
+// and the longest that a job may state.
+func (r Rules) WithTimeouts(usual, longest time.Duration) Rules {
+	r.timeout, r.maxTimeout = usual, longest
+	return r
+}
+
+// WithLease returns a copy of r with the lease of a daemon's tasks at a target.
+func (r Rules) WithLease(d time.Duration) Rules {
+	r.lease = d
+	return r
+}
+
+// WithMessageWeight returns a copy of r with the weight of wasted messages
+// against response time, 0 to 1.
+func (r Rules) WithMessageWeight(w float64) Rules {
+	r.weight = w
+	return r
+}
+
+// WithSpill returns a copy of r with the wait, in multiples of the round trip
+// to another data centre, from which on a job is better started there. Zero
+// keeps jobs where they arrive.
+func (r Rules) WithSpill(factor float64) Rules {
+	r.spill = factor
+	return r
+}
+
+// MaxTasks returns the most tasks that a job may have, 0 for no bound.
+func (r Rules) MaxTasks() int { return r.maxTasks }
+
+// MaxQueue returns the most tasks that may wait at a daemon, 0 for no bound.
+func (r Rules) MaxQueue() int { return r.maxQueue }
+
+// Quota returns how many tasks of the team may wait and run in a data centre,
+// 0 for no bound.
+func (r Rules) Quota() int { return r.quota }
+
+// Burst returns by how many tasks a team may exceed its quota for a short time.
+func (r Rules) Burst() int { return r.burst }
+
+// Timeout returns the timeout of a job that states none.
+func (r Rules) Timeout() time.Duration { return r.timeout }
+
+// MaxTimeout returns the longest timeout that a job may state.
+func (r Rules) MaxTimeout() time.Duration { return r.maxTimeout }
+
+// Lease returns how long a target lets a daemon's tasks run without a renewal.
+func (r Rules) Lease() time.Duration { return r.lease }
+
+// MessageWeight returns the weight of wasted messages against response time.
+func (r Rules) MessageWeight() float64 { return r.weight }
+
+// Spill returns the wait, in round trips to another data centre, from which on
+// a job is better started there.
+func (r Rules) Spill() float64 { return r.spill }
+
+// Settings is one version of the settings tree, as a daemon uses it.
+type Settings interface {
+	// Version returns the version of the tree.
+	Version() uint64
+	// Rules returns the rules for a job, or false if the tree knows no such
+	// team, service or job kind. An empty kind asks for the service's own.
+	Rules(team, service, kind string) (Rules, bool)
+	// Draining reports whether operators want the target to get no new work.
+	Draining(target TargetID) bool
+	// Authorized reports whether the caller's key is good for the team. A tree
+	// that holds no key for a team takes any.
+	Authorized(team, key string) bool
+}
