--- a/policy.go
+++ b/policy.go
@@ -9,6 +9,8 @@
 	left    int
 	tasks   int
 	waited  time.Duration
+	queue   int
+	tries   int
 }
 
 // NewNeed returns the need of a task of a job that has tasks tasks of which
@@ -18,6 +20,21 @@
 	return Need{service: service, size: size, left: left, tasks: tasks, waited: waited}
 }
 
+// WithQueue returns a copy of n with the number of waiting tasks, this one
+// included, that go before or with the job's last one: those of the jobs of
+// lesser rank and of the job itself.
+func (n Need) WithQueue(tasks int) Need {
+	n.queue = tasks
+	return n
+}
+
+// WithTries returns a copy of n with the number of starts of the task that are
+// proven not to have happened.
+func (n Need) WithTries(tries int) Need {
+	n.tries = tries
+	return n
+}
+
 // Service returns the service that runs the task.
 func (n Need) Service() string { return n.service }
 
@@ -33,12 +50,20 @@
 // Waited returns the time since the job was accepted.
 func (n Need) Waited() time.Duration { return n.waited }
 
+// Queue returns how many waiting tasks go before or with the job's last one,
+// zero if that is not known.
+func (n Need) Queue() int { return n.queue }
+
+// Tries returns how many starts of the task are proven not to have happened.
+func (n Need) Tries() int { return n.tries }
+
 // Candidate is a target as a daemon believes it to be.
 type Candidate struct {
 	id    TargetID
 	slots int
 	mine  int
 	free  int
+	heard time.Time
 }
 
 // NewCandidate returns a live target with the given slots, of which this
@@ -47,6 +72,13 @@
 	return Candidate{id: id, slots: slots, mine: mine, free: free}
 }
 
+// WithHeard returns a copy of c with the time of the target's last reply, from
+// which the number of free slots derives.
+func (c Candidate) WithHeard(t time.Time) Candidate {
+	c.heard = t
+	return c
+}
+
 // ID returns the target's name.
 func (c Candidate) ID() TargetID { return c.id }
 
@@ -56,9 +88,13 @@
 // Mine returns how many slots this daemon's tasks use.
 func (c Candidate) Mine() int { return c.mine }
 
-// Free returns how many slots are believed to be free.
+// Free returns how many slots are believed to be free: what the target told
+// last, less the daemon's starts since then. It may be negative.
 func (c Candidate) Free() int { return c.free }
 
+// Heard returns the time of the target's last reply, zero if there was none.
+func (c Candidate) Heard() time.Time { return c.heard }
+
 // Observation is what a daemon saw of one start.
 type Observation struct {
 	target  TargetID
@@ -154,9 +190,12 @@
 	Admit(now time.Time, j Job, r Rules, l Load) Verdict
 	// Rank orders waiting jobs: the job with the least rank goes first.
 	Rank(n Need) float64
-	// Place picks one of the candidates, which have a slot believed to be free
-	// and serve the task's service. It returns the index, or false if the task
-	// should wait.
+	// Place picks one of the candidates: all live targets that serve the task's
+	// service, also those without a free slot, best in the same order each time.
+	// The policy knows by itself which of them to pass over. It returns the
+	// index, or false if the task should wait; the daemon may then offer the
+	// next job, and asks again after the next end of a start or a few
+	// milliseconds.
 	Place(now time.Time, n Need, candidates []Candidate) (int, bool)
 	// Observe learns from the end of a start.
 	Observe(now time.Time, o Observation)
