--- /dev/null
+++ b/fbbound/clairvoyant.go
@@ -0,0 +1,203 @@
+package fbbound
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+	"time"
+)
+
+// Never is the response time of a job that no target serves.
+const Never = time.Duration(math.MaxInt64)
+
+// A decision plans for this many waiting tasks at most: some for each slot and
+// some more, so that small systems plan far enough too.
+const (
+	lookAheadPerSlot = 2
+	lookAheadMore    = 64
+)
+
+// Clairvoyant returns the response time of each job, in the order given, under
+// a list schedule that knows all run times and speeds. Whenever a job arrives
+// or a slot becomes free, the waiting jobs are gone through in the order of
+// their remaining work times their ideal response time, and each task, longest
+// first, is planned on the slot that ends it earliest, also if that slot is
+// still busy; the tasks whose slot is free start. The plan is made anew each
+// time (earliest finish time list scheduling; Topcuoglu et al., HEFT, 2002,
+// with the order of Smith's rule).
+//
+// It is a good schedule, not a bound: another one may do better.
+func Clairvoyant(jobs []Job, targets []Target, rtt time.Duration) []time.Duration {
+	s := newSchedule(jobs, targets, rtt)
+	s.run()
+	return s.response
+}
+
+// work is a waiting job of a schedule.
+type work struct {
+	job   int
+	tasks []time.Duration
+	left  time.Duration
+	ideal float64
+}
+
+func (w *work) rank() float64 { return w.left.Seconds() * w.ideal }
+
+type schedule struct {
+	jobs     []Job
+	targets  []Target
+	rtt      time.Duration
+	slots    int
+	free     [][]time.Duration
+	plan     [][]time.Duration
+	soonest  []int
+	order    []int
+	waiting  []*work
+	ends     endHeap
+	response []time.Duration
+}
+
+func newSchedule(jobs []Job, targets []Target, rtt time.Duration) *schedule {
+	s := &schedule{jobs: jobs, targets: targets, rtt: rtt, response: make([]time.Duration, len(jobs))}
+	for _, t := range targets {
+		s.slots += t.slots
+		s.free = append(s.free, make([]time.Duration, t.slots))
+		s.plan = append(s.plan, make([]time.Duration, t.slots))
+		s.soonest = append(s.soonest, 0)
+	}
+	for i := range jobs {
+		s.order = append(s.order, i)
+	}
+	slices.SortStableFunc(s.order, func(a, b int) int { return cmp.Compare(jobs[a].arrival, jobs[b].arrival) })
+	return s
+}
+
+// run goes from event to event until all jobs have arrived and started.
+func (s *schedule) run() {
+	for len(s.order) > 0 || len(s.waiting) > 0 {
+		now := s.next()
+		for len(s.ends) > 0 && s.ends[0] <= now {
+			heap.Pop(&s.ends)
+		}
+		for len(s.order) > 0 && s.jobs[s.order[0]].arrival <= now {
+			s.arrive(s.order[0])
+			s.order = s.order[1:]
+		}
+		s.dispatch(now)
+	}
+}
+
+// next returns the time of the next arrival or, if tasks wait, the next end.
+func (s *schedule) next() time.Duration {
+	at := Never
+	if len(s.order) > 0 {
+		at = s.jobs[s.order[0]].arrival
+	}
+	if len(s.ends) > 0 {
+		at = min(at, s.ends[0])
+	}
+	return at
+}
+
+func (s *schedule) arrive(i int) {
+	j := s.jobs[i]
+	ideal, ok := Ideal(j, s.targets, s.rtt)
+	switch {
+	case !ok:
+		s.response[i] = Never
+	case len(j.tasks) == 0:
+		s.response[i] = s.rtt
+	default:
+		tasks := slices.Clone(j.tasks)
+		slices.SortFunc(tasks, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+		s.waiting = append(s.waiting, &work{job: i, tasks: tasks, left: j.Work(), ideal: ideal.Seconds()})
+	}
+}
+
+// dispatch plans the waiting tasks and starts those whose slot is free.
+func (s *schedule) dispatch(now time.Duration) {
+	open := s.copyPlan(now)
+	slices.SortStableFunc(s.waiting, func(a, b *work) int { return cmp.Compare(a.rank(), b.rank()) })
+	budget := lookAheadPerSlot*s.slots + lookAheadMore
+	for _, w := range s.waiting {
+		kept := w.tasks[:0]
+		for _, size := range w.tasks {
+			if open == 0 || budget == 0 || !s.place(now, w, size, &open) {
+				kept = append(kept, size)
+			}
+			budget = max(budget-1, 0)
+		}
+		w.tasks = kept
+		if open == 0 || budget == 0 {
+			break
+		}
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *work) bool { return len(w.tasks) == 0 })
+}
+
+// copyPlan resets the plan to what runs now and returns the number of open
+// slots.
+func (s *schedule) copyPlan(now time.Duration) int {
+	open := 0
+	for t, free := range s.free {
+		copy(s.plan[t], free)
+		s.soonest[t] = earliest(free)
+		for _, at := range free {
+			if at <= now {
+				open++
+			}
+		}
+	}
+	return open
+}
+
+// place plans one task and reports whether it starts now.
+func (s *schedule) place(now time.Duration, w *work, size time.Duration, open *int) bool {
+	target, slot, end := -1, 0, Never
+	for t, plan := range s.plan {
+		if !s.targets[t].Serves(s.jobs[w.job].service) || len(plan) == 0 {
+			continue
+		}
+		k := s.soonest[t]
+		if e := max(plan[k], now) + s.targets[t].run(size); e < end {
+			target, slot, end = t, k, e
+		}
+	}
+	begins := s.plan[target][slot] <= now
+	s.plan[target][slot] = end
+	s.soonest[target] = earliest(s.plan[target])
+	if !begins {
+		return false
+	}
+	*open--
+	s.free[target][slot] = end
+	heap.Push(&s.ends, end)
+	w.left -= size
+	s.response[w.job] = max(s.response[w.job], end-s.jobs[w.job].arrival+s.rtt)
+	return true
+}
+
+func earliest(at []time.Duration) int {
+	best := 0
+	for i, d := range at {
+		if d < at[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// endHeap is a min-heap of the times at which running tasks end.
+type endHeap []time.Duration
+
+func (h endHeap) Len() int           { return len(h) }
+func (h endHeap) Less(i, j int) bool { return h[i] < h[j] }
+func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap) Push(x any)        { *h = append(*h, x.(time.Duration)) }
+func (h *endHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
