Caller library with safe resubmission

Cause: callers need one library that mints IDs, follows retry-after and resubmits without running a job twice. Change: package fbclient. A pure course decides what follows from each delivery; the same ID is kept while a delivery's outcome is open, a new one is minted only after not-run, or after delivery-started-nothing for a single delivery.

--- /dev/null
+++ b/fbclient/client_test.go
@@ -0,0 +1,270 @@
+package fbclient_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbclient"
+)
+
+// script is a transport that plays one reply after the other and keeps the IDs
+// that it was sent.
+type script struct {
+	replies []string
+	ids     []string
+	times   []time.Time
+}
+
+const (
+	complete = `{"id":"ID","code":"FB1000","class":"complete","results":[{"output":1,"target":"t1"}]}`
+	crossed  = `{"id":"other","code":"FB1000","class":"complete","results":[{"output":1,"target":"t1"}]}`
+	partial  = `{"id":"ID","code":"FB1000","class":"complete","results":[]}`
+	full     = `{"id":"ID","code":"FB3001","class":"not-run","retry_after_ms":300}`
+	never    = `{"id":"ID","code":"FB3003","class":"not-run"}`
+	gone     = `{"id":"ID","code":"FB4006","class":"delivery-started-nothing"}`
+	bad      = `{"id":"ID","code":"FB4001","class":"delivery-started-nothing"}`
+	broken   = "broken"
+	refused  = "refused"
+)
+
+func (s *script) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Path == "/v1/token" {
+		token := filbertford.NewToken(7, 0, "nordnes", "127.0.0.1:7101")
+		return reply(fmt.Sprintf(`{"token":%q}`, token)), nil
+	}
+	if r.GetBody != nil {
+		return nil, errors.New("the body can be had again")
+	}
+	if len(s.replies) == 0 {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	next := s.replies[0]
+	s.replies = s.replies[1:]
+	if next == refused {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	id := r.Header.Get("Idempotency-Key")
+	s.ids = append(s.ids, id)
+	s.times = append(s.times, time.Now())
+	if next == broken {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return reply(strings.ReplaceAll(next, "ID", id)), nil
+}
+
+func reply(body string) *http.Response {
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func oneTask() filbertford.Job {
+	return filbertford.NewJob("depot", "ordering", filbertford.NewTask([]byte(`{"sku":"a<b"}`), time.Millisecond))
+}
+
+func TestSubmitRetriesSafely(t *testing.T) {
+	type result struct {
+		Code       filbertford.Code
+		IDs        int
+		Deliveries int
+	}
+	tests := map[string]struct {
+		replies []string
+		want    result
+		err     error
+	}{
+		"complete":                       {[]string{complete}, result{"FB1000", 1, 1}, nil},
+		"broken, same ID":                {[]string{broken, broken, complete}, result{"FB1000", 1, 3}, nil},
+		"crossed answer, same ID":        {[]string{crossed, complete}, result{"FB1000", 1, 2}, nil},
+		"partial answer, same ID":        {[]string{partial, complete}, result{"FB1000", 1, 2}, nil},
+		"not run, new ID":                {[]string{full, complete}, result{"FB1000", 2, 2}, nil},
+		"not run after a break, new ID":  {[]string{broken, full, complete}, result{"FB1000", 2, 3}, nil},
+		"can never run":                  {[]string{never}, result{"FB3003", 1, 1}, nil},
+		"owner gone, first delivery":     {[]string{gone, complete}, result{"FB1000", 2, 2}, nil},
+		"owner gone, second delivery":    {[]string{broken, gone, complete}, result{"FB2004", 1, 2}, nil},
+		"malformed":                      {[]string{bad, complete}, result{"FB4001", 1, 1}, nil},
+		"malformed, second delivery":     {[]string{broken, bad, complete}, result{"FB2004", 1, 2}, nil},
+		"dial refused is not a delivery": {[]string{refused, gone, complete}, result{"FB1000", 2, 2}, nil},
+		"nothing sent":                   {[]string{refused, refused, refused, refused}, result{"", 0, 0}, fbclient.ErrNotSent},
+		"refused to the end":             {[]string{full, full, full, full}, result{"FB3001", 4, 4}, nil},
+		"broken to the end":              {[]string{broken, broken, broken, broken}, result{"FB2004", 1, 4}, fbclient.ErrOutcomeUnknown},
+		"no reply before the deadline":   {[]string{}, result{"FB2004", 1, 1}, fbclient.ErrOutcomeUnknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{replies: tt.replies}
+				c, err := fbclient.New([]string{"http://a", "http://b"}, fbclient.WithTransport(s), fbclient.WithAttempts(4))
+				if err != nil {
+					t.Fatal(err)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				a, trace, err := c.SubmitTraced(ctx, oneTask())
+				if !errors.Is(err, tt.err) {
+					t.Errorf("error %v, want %v", err, tt.err)
+				}
+				got := result{Code: a.Code(), IDs: trace.IDs(), Deliveries: trace.Deliveries()}
+				if diff := cmp.Diff(tt.want, got); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+func TestSubmitComesBackWhenTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{replies: []string{full, complete}}
+		c, err := fbclient.New([]string{"http://a"}, fbclient.WithTransport(s), fbclient.WithBackoff(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Submit(t.Context(), oneTask()); err != nil {
+			t.Fatal(err)
+		}
+		if got := s.times[1].Sub(s.times[0]); got != 300*time.Millisecond {
+			t.Errorf("came back after %v, want 300ms", got)
+		}
+		s.replies = []string{full, complete}
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		a, err := c.Submit(ctx, oneTask())
+		if a.Code() != filbertford.CodeOverloaded || err != nil || ctx.Err() != nil {
+			t.Errorf("got %s, %v, want the refusal before the deadline", a.Code(), err)
+		}
+	})
+}
+
+func TestRetryBudgetBoundsRefusedJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{}
+		c, err := fbclient.New([]string{"http://a"}, fbclient.WithTransport(s))
+		if err != nil {
+			t.Fatal(err)
+		}
+		const jobs = 500
+		for range jobs {
+			s.replies = []string{full, full, full, full, full, full, full, full}
+			if _, err := c.Submit(t.Context(), oneTask()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if most := jobs + 100 + jobs/5; len(s.ids) > most {
+			t.Errorf("%d deliveries for %d jobs, want at most %d", len(s.ids), jobs, most)
+		}
+	})
+}
+
+// TestBrokenConnectionIsOneDelivery breaks a kept-alive connection after the
+// request was read, where http.Transport would replay a request that carries an
+// Idempotency-Key and a body that can be had again.
+func TestBrokenConnectionIsOneDelivery(t *testing.T) {
+	var posts atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token := filbertford.NewToken(7, 0, "nordnes", "127.0.0.1:7101")
+		if r.URL.Path == "/v1/token" {
+			fmt.Fprintf(w, `{"token":%q}`, token)
+			return
+		}
+		n := posts.Add(1)
+		id := r.Header.Get("Idempotency-Key")
+		_, _ = io.Copy(io.Discard, r.Body)
+		if n == 2 {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_ = conn.Close()
+			return
+		}
+		text := complete
+		if n > 2 {
+			text = gone
+		}
+		_, _ = io.WriteString(w, strings.ReplaceAll(text, "ID", id))
+	}))
+	defer server.Close()
+	c, err := fbclient.New([]string{server.URL})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if a, err := c.Submit(t.Context(), oneTask()); a.Code() != filbertford.CodeComplete || err != nil {
+		t.Fatalf("first job: %s, %v", a.Code(), err)
+	}
+	a, trace, _ := c.SubmitTraced(t.Context(), oneTask())
+	if a.Code() != filbertford.CodeOutcomeUnknown || trace.IDs() != 1 {
+		t.Errorf("job whose delivery broke: %s under %d IDs, want unknown under 1", a.Code(), trace.IDs())
+	}
+	if got, want := int(posts.Load()), 1+trace.Deliveries(); got != want {
+		t.Errorf("the daemon saw %d requests, the client counted %d", got, want)
+	}
+}
+
+func TestStatusAndCancel(t *testing.T) {
+	id, err := filbertford.ParseID("order-17")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/jobs/order-17" || r.Header.Get("Authorization") != "Bearer k" {
+			t.Errorf("request for %s with %q", r.URL.Path, r.Header.Get("Authorization"))
+		}
+		answer := map[string]any{"id": id.String(), "code": "FB2003", "class": "failed"}
+		if r.Method == http.MethodGet {
+			answer = map[string]any{"id": id.String(), "state": "over", "answer": answer}
+		}
+		_ = json.NewEncoder(w).Encode(answer)
+	}))
+	defer server.Close()
+	c, err := fbclient.New([]string{"http://127.0.0.1:1", server.URL}, fbclient.WithKey("k"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	s, err := c.Status(t.Context(), id)
+	if err != nil || s.State() != filbertford.StateOver || s.Answer().Code() != filbertford.CodeCancelled {
+		t.Errorf("Status = %s %s, %v", s.State(), s.Answer().Code(), err)
+	}
+	a, err := c.Cancel(t.Context(), id)
+	if err != nil || a.Code() != filbertford.CodeCancelled {
+		t.Errorf("Cancel = %s, %v", a.Code(), err)
+	}
+}
+
+func ExampleClient_Submit() {
+	daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/token" {
+			fmt.Fprintf(w, `{"token":%q}`, filbertford.NewToken(7, 0, "nordnes", "127.0.0.1:7101"))
+			return
+		}
+		_, _ = io.WriteString(w, strings.ReplaceAll(complete, "ID", r.Header.Get("Idempotency-Key")))
+	}))
+	defer daemon.Close()
+
+	client, err := fbclient.New([]string{daemon.URL})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer client.Close()
+	job := filbertford.NewJob("depot", "ordering", filbertford.NewTask([]byte(`{"sku": "cadmium-red"}`), 60*time.Millisecond))
+	answer, err := client.Submit(context.Background(), job)
+	fmt.Println(answer.Code(), len(answer.Results()), err)
+	// Output: FB1000 1 <nil>
+}
--- /dev/null
+++ b/fbclient/endpoint.go
@@ -0,0 +1,159 @@
+package fbclient
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford"
+)
+
+// endpointRest is how long an endpoint that could not be reached is passed
+// over while others can be.
+const endpointRest = time.Second
+
+// endpoint is a daemon's address with the newest owner token it gave. A job
+// that goes to the endpoint whose token its ID carries needs no forwarding.
+type endpoint struct {
+	base string
+
+	mu     sync.Mutex
+	token  filbertford.Token
+	given  time.Time
+	failed time.Time
+}
+
+// keepToken remembers a token that an answer carried. Text that is not a token
+// is ignored.
+func (e *endpoint) keepToken(text string, now time.Time) {
+	t, err := filbertford.ParseToken(text)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.token, e.given, e.failed = t, now, time.Time{}
+}
+
+// dropToken forgets a token that a daemon refused.
+func (e *endpoint) dropToken(t filbertford.Token) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.token.String() == t.String() {
+		e.token = filbertford.Token{}
+	}
+}
+
+// freshToken returns the kept token if it is younger than age.
+func (e *endpoint) freshToken(now time.Time, age time.Duration) (filbertford.Token, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.token, !e.token.IsZero() && now.Sub(e.given) < age
+}
+
+func (e *endpoint) markFailed(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failed = now
+}
+
+func (e *endpoint) resting(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.failed.IsZero() && now.Sub(e.failed) < endpointRest
+}
+
+// pick returns the next endpoint, passing over those that failed lately unless
+// all did.
+func (c *Client) pick() *endpoint {
+	now := time.Now()
+	first := int(c.next.Add(1) - 1)
+	for i := range c.endpoints {
+		e := c.endpoints[(first+i)%len(c.endpoints)]
+		if !e.resting(now) {
+			return e
+		}
+	}
+	return c.endpoints[first%len(c.endpoints)]
+}
+
+// mint returns a new ID from a live token of the endpoint.
+func (c *Client) mint(ctx context.Context, e *endpoint) (filbertford.SubmissionID, error) {
+	t, ok := e.freshToken(time.Now(), c.tokenAge)
+	if !ok {
+		var err error
+		if t, err = c.fetchToken(ctx, e); err != nil {
+			return filbertford.SubmissionID{}, err
+		}
+	}
+	id, err := filbertford.MintID(t, rand.Text())
+	return id, eris.Wrap(err, "mint a submission ID")
+}
+
+// fetchToken asks the endpoint for a token.
+func (c *Client) fetchToken(ctx context.Context, e *endpoint) (filbertford.Token, error) {
+	resp, err := c.get(ctx, e, "/v1/token")
+	if err != nil {
+		return filbertford.Token{}, err
+	}
+	defer closeBody(resp)
+	body, err := c.readBody(resp.Body)
+	if err != nil {
+		return filbertford.Token{}, err
+	}
+	t, err := decodeToken(body)
+	if err != nil {
+		return filbertford.Token{}, eris.Wrapf(err, "token from %s, status %d", e.base, resp.StatusCode)
+	}
+	e.keepToken(t.String(), time.Now())
+	return t, nil
+}
+
+// get sends a request without a body.
+func (c *Client) get(ctx context.Context, e *endpoint, path string) (*http.Response, error) {
+	return c.bodyless(ctx, http.MethodGet, e, path)
+}
+
+func (c *Client) bodyless(ctx context.Context, method string, e *endpoint, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, e.base+path, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "make a request")
+	}
+	c.authorize(req)
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		e.markFailed(time.Now())
+		return nil, eris.Wrapf(err, "%s %s", method, e.base+path)
+	}
+	return resp, nil
+}
+
+func (c *Client) authorize(req *http.Request) {
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+}
+
+// readBody reads a body whole, up to the size limit.
+func (c *Client) readBody(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, c.maxAnswer+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "read the answer")
+	}
+	if int64(len(body)) > c.maxAnswer {
+		return nil, eris.Wrapf(ErrBadAnswer, "the answer is longer than %d bytes", c.maxAnswer)
+	}
+	return body, nil
+}
+
+// closeBody reads the rest of a small body, so that the connection can be used
+// again, and closes it.
+func closeBody(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, 4<<10)
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/fbclient/submit.go
@@ -0,0 +1,268 @@
+package fbclient
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbevent"
+)
+
+// Submit sends a job and returns its answer. Any answer of a daemon, a refusal
+// too, comes with a nil error. Submit resubmits and follows the daemons' word
+// on when to come back until the context ends or the retries are used up.
+//
+// An error of ErrNotSent means that the job did not run; one of
+// ErrOutcomeUnknown that it may have.
+func (c *Client) Submit(ctx context.Context, j filbertford.Job) (filbertford.Answer, error) {
+	a, _, err := c.SubmitTraced(ctx, j)
+	return a, err
+}
+
+// SubmitTraced is Submit and tells what it took besides.
+func (c *Client) SubmitTraced(ctx context.Context, j filbertford.Job) (filbertford.Answer, Trace, error) {
+	body, err := encodeJob(j)
+	if err != nil {
+		return filbertford.Answer{}, Trace{}, err
+	}
+	c.budget.earn()
+	s := &submission{client: c, body: body, tasks: len(j.Tasks())}
+	a, err := s.run(ctx)
+	return a, s.trace, err
+}
+
+// Status returns what the owner of a submission knows of it.
+func (c *Client) Status(ctx context.Context, id filbertford.SubmissionID) (filbertford.Status, error) {
+	body, err := c.ask(ctx, http.MethodGet, id)
+	if err != nil {
+		return filbertford.Status{}, err
+	}
+	return decodeStatus(body, id.String())
+}
+
+// Cancel cancels a submission and returns the owner's answer.
+func (c *Client) Cancel(ctx context.Context, id filbertford.SubmissionID) (filbertford.Answer, error) {
+	body, err := c.ask(ctx, http.MethodDelete, id)
+	if err != nil {
+		return filbertford.Answer{}, err
+	}
+	return decodeAnswer(body, id.String(), anyTasks)
+}
+
+// ask sends a request about a submission to one endpoint after the other until
+// one replies.
+func (c *Client) ask(ctx context.Context, method string, id filbertford.SubmissionID) ([]byte, error) {
+	var last error
+	for range c.endpoints {
+		e := c.pick()
+		resp, err := c.bodyless(ctx, method, e, "/v1/jobs/"+url.PathEscape(id.String()))
+		if err != nil {
+			last = err
+			continue
+		}
+		body, err := c.readBody(resp.Body)
+		closeBody(resp)
+		if err == nil {
+			e.keepToken(resp.Header.Get(headerToken), time.Now())
+			return body, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+// submission is the input and output of one job's course.
+type submission struct {
+	client *Client
+	body   []byte
+	tasks  int
+	course course
+	id     filbertford.SubmissionID
+	trace  Trace
+	err    error
+}
+
+// run sends the job until its course ends.
+func (s *submission) run(ctx context.Context) (filbertford.Answer, error) {
+	next := step{action: actionRemint}
+	backoff := s.client.backoff
+	for attempt := range s.client.attempts {
+		if attempt > 0 {
+			if next.refused && !s.client.budget.spend() {
+				break
+			}
+			pause := next.wait + jitter(backoff)
+			if !wait(ctx, pause) {
+				break
+			}
+			backoff = min(2*backoff, maxBackoff)
+		}
+		if next = s.attempt(ctx, next.action); next.action == actionFinish {
+			return next.answer, nil
+		}
+	}
+	return s.giveUp(ctx, next.answer)
+}
+
+// giveUp returns the answer that stands when the job is not sent again.
+func (s *submission) giveUp(ctx context.Context, last filbertford.Answer) (filbertford.Answer, error) {
+	cause := s.err
+	if ctx.Err() != nil {
+		cause = ctx.Err()
+	}
+	switch last.Code() {
+	case "":
+		return filbertford.Answer{}, errors.Join(ErrNotSent, cause)
+	case filbertford.CodeOutcomeUnknown:
+		return last, errors.Join(ErrOutcomeUnknown, cause)
+	default:
+		return last, nil
+	}
+}
+
+// attempt sends the job once.
+func (s *submission) attempt(ctx context.Context, act action) step {
+	e := s.client.pick()
+	if act == actionRemint {
+		id, err := s.client.mint(ctx, e)
+		if err != nil {
+			s.err = err
+			return step{action: actionRemint}
+		}
+		s.id = id
+	}
+	s.course.deliver()
+	a, sent, err := s.client.deliver(ctx, e, s.id, s.body, s.tasks)
+	if !sent {
+		s.err = err
+		return s.course.notSent()
+	}
+	s.note(act)
+	if err != nil {
+		s.err = err
+		s.log(fbevent.DeliveryLost, "id", s.id, "endpoint", e.base, "error", err)
+		return s.course.lost()
+	}
+	if refusesToken(a.Code()) {
+		e.dropToken(s.id.Token())
+	}
+	next := s.course.answered(a)
+	if next.action != actionFinish {
+		s.log(fbevent.DeliveryRefused, "id", s.id, "endpoint", e.base, "code", a.Code(), "retry_after", a.RetryAfter())
+	}
+	return next
+}
+
+// note counts a delivery that left.
+func (s *submission) note(act action) {
+	s.trace.deliveries++
+	if act == actionRemint {
+		s.trace.ids++
+	}
+	s.trace.id = s.id
+}
+
+func (s *submission) log(e fbevent.Event, keyvals ...any) {
+	if s.client.logger != nil {
+		e.Log(s.client.logger, keyvals...)
+	}
+}
+
+// deliver sends the job once and reads its answer. It reports whether the
+// request may have left.
+func (c *Client) deliver(ctx context.Context, e *endpoint, id filbertford.SubmissionID, body []byte, tasks int) (filbertford.Answer, bool, error) {
+	if err := ctx.Err(); err != nil {
+		return filbertford.Answer{}, false, err
+	}
+	req, err := c.newDelivery(ctx, e, id, body)
+	if err != nil {
+		return filbertford.Answer{}, false, err
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		e.markFailed(time.Now())
+		return filbertford.Answer{}, !neverDialled(err), eris.Wrapf(err, "POST %s", e.base)
+	}
+	defer closeBody(resp)
+	answer, err := c.readBody(resp.Body)
+	if err != nil {
+		return filbertford.Answer{}, true, err
+	}
+	if got := resp.Header.Get(headerSubmission); got != "" && got != id.String() {
+		return filbertford.Answer{}, true, eris.Wrapf(ErrBadAnswer, "answer of %q instead of %q", got, id)
+	}
+	a, err := decodeAnswer(answer, id.String(), tasks)
+	if err != nil {
+		return filbertford.Answer{}, true, eris.Wrapf(err, "status %d from %s", resp.StatusCode, e.base)
+	}
+	e.keepToken(resp.Header.Get(headerToken), time.Now())
+	return a, true, nil
+}
+
+// newDelivery returns the request that submits the job. It leaves GetBody
+// unset: a body that can't be had again keeps http.Transport from sending the
+// request twice by itself when a kept-alive connection breaks, which it would
+// do for any request with an Idempotency-Key.
+func (c *Client) newDelivery(ctx context.Context, e *endpoint, id filbertford.SubmissionID, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/v1/jobs", io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, eris.Wrap(err, "make a request")
+	}
+	req.ContentLength = int64(len(body))
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerID, id.String())
+	c.authorize(req)
+	return req, nil
+}
+
+// neverDialled reports whether the error says that there was no connection to
+// send the request on.
+func neverDialled(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// refusesToken reports whether no more IDs should be minted from the token.
+func refusesToken(code filbertford.Code) bool {
+	switch code {
+	case filbertford.CodeBadToken, filbertford.CodeFutureToken, filbertford.CodeTooOld,
+		filbertford.CodeOwnerGone, filbertford.CodeOwnerUnreached, filbertford.CodeLeaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// jitter returns a duration between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	if d <= 1 {
+		return d
+	}
+	return d/2 + rand.N(d/2)
+}
+
+// wait waits for d and reports whether it passed before the context ended. It
+// returns at once if the context's deadline comes first.
+func wait(ctx context.Context, d time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
+		return false
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/fbclient/wire.go
@@ -0,0 +1,167 @@
+package fbclient
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford"
+)
+
+// Headers of the caller interface.
+const (
+	headerID         = "Idempotency-Key"
+	headerToken      = "Filbertford-Token"
+	headerSubmission = "Filbertford-Submission"
+)
+
+// anyTasks tells decodeAnswer that the number of tasks is not known.
+const anyTasks = -1
+
+type wireTask struct {
+	Args   json.RawMessage `json:"args,omitempty"`
+	SizeMS int64           `json:"size_ms,omitempty"`
+}
+
+type wireJob struct {
+	Team       string     `json:"team"`
+	Service    string     `json:"service"`
+	Kind       string     `json:"kind,omitempty"`
+	TimeoutMS  int64      `json:"timeout_ms,omitempty"`
+	Idempotent bool       `json:"idempotent"`
+	Tasks      []wireTask `json:"tasks"`
+}
+
+type wireResult struct {
+	Output json.RawMessage `json:"output"`
+	Target string          `json:"target"`
+}
+
+type wireAnswer struct {
+	ID           string       `json:"id"`
+	Code         string       `json:"code"`
+	Class        string       `json:"class"`
+	Detail       string       `json:"detail"`
+	RetryAfterMS int64        `json:"retry_after_ms"`
+	Results      []wireResult `json:"results"`
+}
+
+type wireStatus struct {
+	ID     string      `json:"id"`
+	State  string      `json:"state"`
+	Answer *wireAnswer `json:"answer"`
+}
+
+type wireToken struct {
+	Token string `json:"token"`
+}
+
+// encodeJob returns the body that submits a job.
+func encodeJob(j filbertford.Job) ([]byte, error) {
+	w := wireJob{
+		Team:       j.Team(),
+		Service:    j.Service(),
+		Kind:       j.Kind(),
+		TimeoutMS:  milliseconds(j.Timeout()),
+		Idempotent: j.Idempotent(),
+		Tasks:      make([]wireTask, 0, len(j.Tasks())),
+	}
+	for i, t := range j.Tasks() {
+		if len(t.Args()) > 0 && !json.Valid(t.Args()) {
+			return nil, eris.Wrapf(ErrBadJob, "the arguments of task %d are not JSON", i)
+		}
+		w.Tasks = append(w.Tasks, wireTask{Args: t.Args(), SizeMS: milliseconds(t.Size())})
+	}
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(w); err != nil {
+		return nil, eris.Wrap(err, "encode the job")
+	}
+	return buf.Bytes(), nil
+}
+
+// decodeAnswer reads the answer of a submission of the given number of tasks.
+// It returns ErrBadAnswer unless the answer is that submission's and whole.
+func decodeAnswer(body []byte, id string, tasks int) (filbertford.Answer, error) {
+	var w wireAnswer
+	if err := json.Unmarshal(body, &w); err != nil {
+		return filbertford.Answer{}, eris.Wrap(ErrBadAnswer, err.Error())
+	}
+	return w.answer(id, tasks)
+}
+
+// decodeStatus reads what an owner knows of a submission.
+func decodeStatus(body []byte, id string) (filbertford.Status, error) {
+	var w wireStatus
+	if err := json.Unmarshal(body, &w); err != nil {
+		return filbertford.Status{}, eris.Wrap(ErrBadAnswer, err.Error())
+	}
+	if w.ID != id {
+		return filbertford.Status{}, eris.Wrapf(ErrBadAnswer, "status of %q instead of %q", w.ID, id)
+	}
+	state := filbertford.State(w.State)
+	switch state {
+	case filbertford.StateRunning:
+		return filbertford.NewStatus(state, filbertford.Answer{}), nil
+	case filbertford.StateOver, filbertford.StateUnknown:
+	default:
+		return filbertford.Status{}, eris.Wrapf(ErrBadAnswer, "unknown state %q", w.State)
+	}
+	if w.Answer == nil {
+		return filbertford.Status{}, eris.Wrapf(ErrBadAnswer, "state %s without an answer", state)
+	}
+	a, err := w.Answer.answer(id, anyTasks)
+	return filbertford.NewStatus(state, a), err
+}
+
+func decodeToken(body []byte) (filbertford.Token, error) {
+	var w wireToken
+	if err := json.Unmarshal(body, &w); err != nil {
+		return filbertford.Token{}, eris.Wrap(ErrBadAnswer, err.Error())
+	}
+	t, err := filbertford.ParseToken(w.Token)
+	return t, eris.Wrap(err, "read the token")
+}
+
+func (w wireAnswer) answer(id string, tasks int) (filbertford.Answer, error) {
+	code := filbertford.Code(w.Code)
+	switch {
+	case w.ID != id:
+		return filbertford.Answer{}, eris.Wrapf(ErrBadAnswer, "answer of %q instead of %q", w.ID, id)
+	case w.Code == "":
+		return filbertford.Answer{}, eris.Wrap(ErrBadAnswer, "no result code")
+	case known(code) && w.Class != string(code.Class()):
+		return filbertford.Answer{}, eris.Wrapf(ErrBadAnswer, "code %s with class %q", code, w.Class)
+	case w.RetryAfterMS < 0:
+		return filbertford.Answer{}, eris.Wrapf(ErrBadAnswer, "retry_after_ms is %d", w.RetryAfterMS)
+	}
+	if code != filbertford.CodeComplete {
+		if len(w.Results) > 0 {
+			return filbertford.Answer{}, eris.Wrapf(ErrBadAnswer, "code %s with %d results", code, len(w.Results))
+		}
+		wait := min(w.RetryAfterMS, math.MaxInt64/int64(time.Millisecond))
+		return filbertford.NewRefusal(code, w.Detail).WithRetryAfter(time.Duration(wait) * time.Millisecond), nil
+	}
+	if tasks != anyTasks && len(w.Results) != tasks {
+		return filbertford.Answer{}, eris.Wrapf(ErrBadAnswer, "%d results for %d tasks", len(w.Results), tasks)
+	}
+	results := make([]filbertford.Result, 0, len(w.Results))
+	for _, r := range w.Results {
+		results = append(results, filbertford.NewResult(r.Output, filbertford.TargetID(r.Target)))
+	}
+	return filbertford.NewComplete(results), nil
+}
+
+func known(code filbertford.Code) bool {
+	_, ok := filbertford.Codes()[code]
+	return ok
+}
+
+// milliseconds rounds up, so that a positive duration stays positive.
+func milliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/fbclient/wire_test.go
@@ -0,0 +1,115 @@
+package fbclient
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/filbertford/filbertford"
+)
+
+func TestDecodeAnswer(t *testing.T) {
+	tests := map[string]struct {
+		body string
+		ok   bool
+	}{
+		"complete":           {`{"id":"a","code":"FB1000","class":"complete","results":[{"output":1},{"output":2}]}`, true},
+		"refused":            {`{"id":"a","code":"FB3001","class":"not-run","retry_after_ms":5}`, true},
+		"code of the future": {`{"id":"a","code":"FB2999","class":"failed"}`, true},
+		"other submission":   {`{"id":"b","code":"FB1000","class":"complete","results":[{"output":1},{"output":2}]}`, false},
+		"partial":            {`{"id":"a","code":"FB1000","class":"complete","results":[{"output":1}]}`, false},
+		"failed with result": {`{"id":"a","code":"FB2001","class":"failed","results":[{"output":1}]}`, false},
+		"class of another":   {`{"id":"a","code":"FB2001","class":"not-run"}`, false},
+		"negative retry":     {`{"id":"a","code":"FB3001","class":"not-run","retry_after_ms":-5}`, false},
+		"no code":            {`{"id":"a"}`, false},
+		"cut":                {`{"id":"a","code":"FB10`, false},
+		"two answers":        {`{"id":"a","code":"FB2001","class":"failed"}{}`, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := decodeAnswer([]byte(tt.body), "a", 2)
+			if (err == nil) != tt.ok || err != nil && !errors.Is(err, ErrBadAnswer) {
+				t.Errorf("decodeAnswer gave %v", err)
+			}
+		})
+	}
+}
+
+func FuzzDecodeAnswer(f *testing.F) {
+	f.Add([]byte(`{"id":"a","code":"FB1000","class":"complete","results":[{"output":{"x":[1]},"target":"t1"}]}`))
+	f.Add([]byte(`{"id":"a","code":"FB3001","class":"not-run","retry_after_ms":9223372036854775807}`))
+	f.Add([]byte(`{"id":"a","code":"FB2004","class":"failed","detail":"\ud800"}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a, err := decodeAnswer(body, "a", 1)
+		if err != nil {
+			return
+		}
+		if whole := len(a.Results()) == 1; whole != (a.Code() == filbertford.CodeComplete) {
+			t.Errorf("code %s with %d results", a.Code(), len(a.Results()))
+		}
+		if a.RetryAfter() < 0 {
+			t.Errorf("retry after %v", a.RetryAfter())
+		}
+	})
+}
+
+func FuzzDecodeStatus(f *testing.F) {
+	f.Add([]byte(`{"id":"a","state":"running"}`))
+	f.Add([]byte(`{"id":"a","state":"over","answer":{"id":"a","code":"FB2001","class":"failed"}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s, err := decodeStatus(body, "a")
+		if err == nil && s.State() != filbertford.StateRunning && s.Answer().Code() == "" {
+			t.Errorf("state %s without an answer", s.State())
+		}
+	})
+}
+
+// TestCourseNeverRunsTwice drives a course against an owner that loses requests
+// and replies, delivers late, refuses and disappears.
+func TestCourseNeverRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c course
+		ran := make(map[int]bool)
+		id := 0
+		var final step
+		for range 12 {
+			c.deliver()
+			switch rapid.SampledFrom([]string{"dial", "lost", "lost after run", "complete", "refused", "busy", "gone"}).Draw(t, "event") {
+			case "dial":
+				final = c.notSent()
+			case "lost":
+				final = c.lost()
+			case "lost after run":
+				ran[id] = true
+				final = c.lost()
+			case "complete":
+				ran[id] = true
+				final = c.answered(filbertford.NewComplete(nil))
+			case "refused":
+				if ran[id] {
+					final = c.answered(filbertford.NewComplete(nil))
+					break
+				}
+				final = c.answered(filbertford.NewRefusal(filbertford.CodeOverloaded, "").WithRetryAfter(1))
+			case "busy":
+				final = c.answered(filbertford.NewRefusal(filbertford.CodeBusy, "").WithRetryAfter(1))
+			case "gone":
+				final = c.answered(filbertford.NewRefusal(filbertford.CodeOwnerGone, ""))
+			}
+			if final.action == actionFinish {
+				break
+			}
+			if final.action == actionRemint {
+				if ran[id] {
+					t.Fatal("new ID for a job that ran")
+				}
+				id++
+			}
+		}
+		if final.action == actionFinish && ran[id] && final.answer.Code().Class() != filbertford.ClassFailed &&
+			final.answer.Code() != filbertford.CodeComplete {
+			t.Fatalf("job that ran is answered %s", final.answer.Code())
+		}
+	})
+}
