Stand-ins and clients of the platform and the targets

Found on the way: echo's Bind refuses a body without a content type, so the stand-in decodes JSON itself.

--- /dev/null
+++ b/fbplatform/table.go
@@ -0,0 +1,86 @@
+package fbplatform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford"
+)
+
+type readRequest struct {
+	Keys []string `json:"keys"`
+}
+
+type readReply struct {
+	Rows []row `json:"rows"`
+}
+
+type commitRequest struct {
+	Writes []row `json:"writes"`
+}
+
+type row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+// Read returns the rows of the keys in their order.
+func (c *Client) Read(ctx context.Context, keys ...string) ([]filbertford.Row, error) {
+	body, err := json.Marshal(readRequest{Keys: keys})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode read")
+	}
+	status, reply, err := c.do(ctx, http.MethodPost, "/table/read", body)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, unexpected(status)
+	}
+	return parseRows(reply, keys)
+}
+
+// Commit applies all writes or none.
+func (c *Client) Commit(ctx context.Context, writes ...filbertford.Write) error {
+	r := commitRequest{Writes: make([]row, 0, len(writes))}
+	for _, w := range writes {
+		r.Writes = append(r.Writes, row{Key: w.Key(), Value: w.Value(), Version: w.Version()})
+	}
+	body, err := json.Marshal(r)
+	if err != nil {
+		return eris.Wrap(err, "encode commit")
+	}
+	status, _, err := c.do(ctx, http.MethodPost, "/table/commit", body)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusConflict:
+		return filbertford.ErrConflict
+	case status != http.StatusOK:
+		return unexpected(status)
+	}
+	return nil
+}
+
+// parseRows reads the reply to a read and checks that it answers for the keys.
+func parseRows(reply []byte, keys []string) ([]filbertford.Row, error) {
+	var r readReply
+	if err := json.Unmarshal(reply, &r); err != nil {
+		return nil, unavailable(err)
+	}
+	if len(r.Rows) != len(keys) {
+		return nil, eris.Wrapf(filbertford.ErrUnavailable, "%d rows in the reply to %d keys", len(r.Rows), len(keys))
+	}
+	rows := make([]filbertford.Row, 0, len(keys))
+	for i, have := range r.Rows {
+		if have.Key != keys[i] {
+			return nil, eris.Wrapf(filbertford.ErrUnavailable, "row %d has key %q in place of %q", i, have.Key, keys[i])
+		}
+		rows = append(rows, filbertford.NewRow(have.Key, have.Value, have.Version))
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/fbplatform/vms.go
@@ -0,0 +1,102 @@
+package fbplatform
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford"
+)
+
+// Limits of a VM list.
+const (
+	// MaxVMs is the largest number of VMs in a list.
+	MaxVMs = 100_000
+	// MaxSlots is the largest number of slots or connections of a VM.
+	MaxSlots = 1 << 16
+)
+
+type vmsReply struct {
+	VMs []vm `json:"vms"`
+}
+
+type vm struct {
+	ID         string   `json:"id"`
+	Role       string   `json:"role"`
+	State      string   `json:"state"`
+	DataCentre string   `json:"data_centre"`
+	Address    string   `json:"address"`
+	Rack       string   `json:"rack"`
+	Slots      int      `json:"slots"`
+	Conns      int      `json:"conns"`
+	Services   []string `json:"services"`
+}
+
+// VMs returns the live and leaving VMs.
+func (c *Client) VMs(ctx context.Context) ([]filbertford.VM, error) {
+	status, reply, err := c.do(ctx, http.MethodGet, "/vms", nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, unexpected(status)
+	}
+	return parseVMs(reply)
+}
+
+// parseVMs reads a VM list. A list with a malformed VM or with two of one name
+// is refused as a whole, so that the last good list stays in use.
+func parseVMs(reply []byte) ([]filbertford.VM, error) {
+	var r vmsReply
+	if err := json.Unmarshal(reply, &r); err != nil {
+		return nil, unavailable(err)
+	}
+	if r.VMs == nil || len(r.VMs) > MaxVMs {
+		return nil, eris.Wrapf(filbertford.ErrUnavailable, "VM list is missing or has %d VMs, at most %d are allowed", len(r.VMs), MaxVMs)
+	}
+	vms := make([]filbertford.VM, 0, len(r.VMs))
+	seen := make(map[string]bool, len(r.VMs))
+	for i, v := range r.VMs {
+		if err := v.check(); err != nil {
+			return nil, eris.Wrapf(filbertford.ErrUnavailable, "VM %d of the list: %v", i, err)
+		}
+		if seen[v.ID] {
+			return nil, eris.Wrapf(filbertford.ErrUnavailable, "VM %q stands twice in the list", v.ID)
+		}
+		seen[v.ID] = true
+		vms = append(vms, v.decode())
+	}
+	return vms, nil
+}
+
+// check returns what is wrong with the VM, or nil.
+func (v vm) check() error {
+	role, state := filbertford.Role(v.Role), filbertford.VMState(v.State)
+	switch {
+	case v.ID == "":
+		return eris.New("id is empty")
+	case role != filbertford.RoleEntry && role != filbertford.RoleTarget:
+		return eris.Errorf("role %q of %q is neither entry nor target", v.Role, v.ID)
+	case state != filbertford.VMLive && state != filbertford.VMLeaving:
+		return eris.Errorf("state %q of %q is neither live nor leaving", v.State, v.ID)
+	case v.Slots < 0 || v.Slots > MaxSlots:
+		return eris.Errorf("slots %d of %q are not in 0 to %d", v.Slots, v.ID, MaxSlots)
+	case v.Conns < 0 || v.Conns > MaxSlots:
+		return eris.Errorf("conns %d of %q are not in 0 to %d", v.Conns, v.ID, MaxSlots)
+	}
+	if _, _, err := net.SplitHostPort(v.Address); err != nil {
+		return eris.Errorf("address %q of %q is not host:port", v.Address, v.ID)
+	}
+	return nil
+}
+
+func (v vm) decode() filbertford.VM {
+	return filbertford.NewVM(filbertford.VMID(v.ID), filbertford.Role(v.Role), filbertford.DataCentre(v.DataCentre), v.Address).
+		WithState(filbertford.VMState(v.State)).
+		WithRack(v.Rack).
+		WithCapacity(v.Slots, v.Conns).
+		WithServices(v.Services...)
+}
--- /dev/null
+++ b/fbstand/http.go
@@ -0,0 +1,62 @@
+package fbstand
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+)
+
+// maxBody is the size of the largest request body in bytes.
+const maxBody = 8 << 20
+
+// newEcho returns an echo instance that bounds bodies and logs nothing.
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.Use(limitBody)
+	return e
+}
+
+// limitBody bounds the size of request bodies.
+func limitBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r := c.Request()
+		r.Body = http.MaxBytesReader(c.Response(), r.Body, maxBody)
+		return next(c)
+	}
+}
+
+// decode reads the JSON body of a request, whatever its content type.
+func decode(c echo.Context, into any) error {
+	if err := json.NewDecoder(c.Request().Body).Decode(into); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	return nil
+}
+
+// cutConnection writes raw bytes to the request's connection and closes it.
+func cutConnection(c echo.Context, raw []byte) error {
+	conn, _, err := c.Response().Hijack()
+	if err != nil {
+		return err
+	}
+	_, writeErr := conn.Write(raw)
+	if err := conn.Close(); err != nil {
+		return err
+	}
+	return writeErr
+}
+
+// rawReply returns the bytes of a reply with a JSON body.
+func rawReply(status int, body any) ([]byte, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n",
+		status, http.StatusText(status), len(b))
+	return append([]byte(head), b...), nil
+}
--- /dev/null
+++ b/fbstand/platform.go
@@ -0,0 +1,156 @@
+package fbstand
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// Platform is a stand-in for the platform's table service, object store and VM
+// list.
+type Platform struct {
+	lag time.Duration
+
+	mu       sync.Mutex
+	faults   PlatformFaults
+	rows     map[string]filbertford.Row
+	objects  map[string][]byte
+	vms      map[filbertford.VMID]filbertford.VM
+	pending  []vmChange
+	counters PlatformCounters
+}
+
+// vmChange is a change of the VM list that doesn't show yet.
+type vmChange struct {
+	due  time.Time
+	id   filbertford.VMID
+	vm   filbertford.VM
+	gone bool
+}
+
+// NewPlatform returns an empty platform whose VM list shows each change after
+// the lag.
+func NewPlatform(lag time.Duration) *Platform {
+	return &Platform{
+		lag:     lag,
+		rows:    make(map[string]filbertford.Row),
+		objects: make(map[string][]byte),
+		vms:     make(map[filbertford.VMID]filbertford.VM),
+	}
+}
+
+// SetFaults replaces the faults that the platform shows.
+func (p *Platform) SetFaults(f PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Counters returns what the platform has counted so far.
+func (p *Platform) Counters() PlatformCounters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counters
+}
+
+// PutVM adds a VM to the list or replaces the one of its name.
+func (p *Platform) PutVM(vm filbertford.VM) {
+	p.changeVM(vmChange{due: time.Now().Add(p.lag), id: vm.ID(), vm: vm})
+}
+
+// RemoveVM takes a VM off the list.
+func (p *Platform) RemoveVM(id filbertford.VMID) {
+	p.changeVM(vmChange{due: time.Now().Add(p.lag), id: id, gone: true})
+}
+
+// Seed adds VMs to the list that show at once.
+func (p *Platform) Seed(vms ...filbertford.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, vm := range vms {
+		p.vms[vm.ID()] = vm
+	}
+}
+
+func (p *Platform) currentFaults() PlatformFaults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+func (p *Platform) changeVM(c vmChange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending = append(p.pending, c)
+}
+
+// shownVMs returns the list as it shows now, in the order of the names.
+func (p *Platform) shownVMs() []filbertford.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters.vmReads++
+	now := time.Now()
+	for len(p.pending) > 0 && !p.pending[0].due.After(now) {
+		c := p.pending[0]
+		p.pending = p.pending[1:]
+		if c.gone {
+			delete(p.vms, c.id)
+			continue
+		}
+		p.vms[c.id] = c.vm
+	}
+	return slices.SortedFunc(maps.Values(p.vms), func(a, b filbertford.VM) int {
+		return cmp.Compare(a.ID(), b.ID())
+	})
+}
+
+func (p *Platform) read(keys []string) []filbertford.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters.reads++
+	rows := make([]filbertford.Row, 0, len(keys))
+	for _, key := range keys {
+		row, ok := p.rows[key]
+		if !ok {
+			row = filbertford.NewRow(key, nil, 0)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// commit applies all writes, or none and returns false.
+func (p *Platform) commit(writes []filbertford.Write) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range writes {
+		if p.rows[w.Key()].Version() != w.Version() {
+			p.counters.conflicts++
+			return false
+		}
+	}
+	p.counters.writes++
+	for _, w := range writes {
+		p.rows[w.Key()] = filbertford.NewRow(w.Key(), w.Value(), w.Version()+1)
+	}
+	return true
+}
+
+func (p *Platform) putObject(key string, data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters.objectWrites++
+	p.objects[key] = data
+}
+
+func (p *Platform) object(key string) ([]byte, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters.objectReads++
+	data, ok := p.objects[key]
+	return data, ok
+}
--- /dev/null
+++ b/fbstand/platform_http.go
@@ -0,0 +1,227 @@
+package fbstand
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/filbertford/filbertford"
+)
+
+type readRequest struct {
+	Keys []string `json:"keys"`
+}
+
+type readReply struct {
+	Rows []row `json:"rows"`
+}
+
+type commitRequest struct {
+	Writes []row `json:"writes"`
+}
+
+type row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+type vmsReply struct {
+	VMs []vm `json:"vms"`
+}
+
+type vm struct {
+	ID         string   `json:"id"`
+	Role       string   `json:"role"`
+	State      string   `json:"state"`
+	DataCentre string   `json:"data_centre"`
+	Address    string   `json:"address"`
+	Rack       string   `json:"rack,omitempty"`
+	Slots      int      `json:"slots,omitempty"`
+	Conns      int      `json:"conns,omitempty"`
+	Services   []string `json:"services,omitempty"`
+}
+
+type platformFaultsRequest struct {
+	Down        bool  `json:"down"`
+	SlowMS      int64 `json:"slow_ms"`
+	LoseReplies bool  `json:"lose_replies"`
+}
+
+type platformCountersReply struct {
+	Reads        int `json:"reads"`
+	Writes       int `json:"writes"`
+	Conflicts    int `json:"conflicts"`
+	ObjectReads  int `json:"object_reads"`
+	ObjectWrites int `json:"object_writes"`
+	VMReads      int `json:"vm_reads"`
+}
+
+// Handler returns the handler of the platform's requests and fault switches.
+func (p *Platform) Handler() http.Handler {
+	e := newEcho()
+	e.POST("/table/read", p.handleRead, p.faulty)
+	e.POST("/table/commit", p.handleCommit, p.faulty)
+	e.PUT("/objects/*", p.handlePutObject, p.faulty)
+	e.GET("/objects/*", p.handleObject, p.faulty)
+	e.GET("/vms", p.handleVMs, p.faulty)
+	e.POST("/vms", p.handlePutVM)
+	e.DELETE("/vms/:id", p.handleRemoveVM)
+	e.POST("/faults/platform", p.handleFaults)
+	e.GET("/counters", p.handleCounters)
+	return e
+}
+
+// faulty wraps a handler in the faults that the platform shows.
+func (p *Platform) faulty(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		f := p.currentFaults()
+		if f.down {
+			return echo.NewHTTPError(http.StatusServiceUnavailable, "down")
+		}
+		// A caller that gives up doesn't call its request back, so the delay
+		// doesn't end with the request's context.
+		time.Sleep(f.slow)
+		if !f.loseReplies {
+			return next(c)
+		}
+		kept := c.Response().Writer
+		c.Response().Writer = &lostWriter{header: make(http.Header)}
+		err := next(c)
+		c.Response().Writer = kept
+		c.Response().Committed = false
+		if err != nil {
+			return err
+		}
+		return cutConnection(c, nil)
+	}
+}
+
+func (p *Platform) handleRead(c echo.Context) error {
+	var r readRequest
+	if err := decode(c, &r); err != nil {
+		return err
+	}
+	var reply readReply
+	for _, have := range p.read(r.Keys) {
+		reply.Rows = append(reply.Rows, row{Key: have.Key(), Value: have.Value(), Version: have.Version()})
+	}
+	return c.JSON(http.StatusOK, reply)
+}
+
+func (p *Platform) handleCommit(c echo.Context) error {
+	var r commitRequest
+	if err := decode(c, &r); err != nil {
+		return err
+	}
+	writes := make([]filbertford.Write, 0, len(r.Writes))
+	for _, w := range r.Writes {
+		writes = append(writes, filbertford.NewWrite(w.Key, w.Value, w.Version))
+	}
+	if !p.commit(writes) {
+		return c.JSON(http.StatusConflict, struct{}{})
+	}
+	return c.JSON(http.StatusOK, struct{}{})
+}
+
+func (p *Platform) handlePutObject(c echo.Context) error {
+	data, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return err
+	}
+	p.putObject(c.Param("*"), data)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Platform) handleObject(c echo.Context) error {
+	data, ok := p.object(c.Param("*"))
+	if !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, data)
+}
+
+func (p *Platform) handleVMs(c echo.Context) error {
+	reply := vmsReply{VMs: []vm{}}
+	for _, have := range p.shownVMs() {
+		reply.VMs = append(reply.VMs, encodeVM(have))
+	}
+	return c.JSON(http.StatusOK, reply)
+}
+
+func (p *Platform) handlePutVM(c echo.Context) error {
+	var r vm
+	if err := decode(c, &r); err != nil {
+		return err
+	}
+	if r.ID == "" || r.Address == "" {
+		return echo.NewHTTPError(http.StatusBadRequest, "a VM needs an id and an address")
+	}
+	p.PutVM(r.decode())
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Platform) handleRemoveVM(c echo.Context) error {
+	p.RemoveVM(filbertford.VMID(c.Param("id")))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Platform) handleFaults(c echo.Context) error {
+	var r platformFaultsRequest
+	if err := decode(c, &r); err != nil {
+		return err
+	}
+	p.SetFaults(PlatformFaults{
+		down:        r.Down,
+		slow:        time.Duration(r.SlowMS) * time.Millisecond,
+		loseReplies: r.LoseReplies,
+	})
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Platform) handleCounters(c echo.Context) error {
+	n := p.Counters()
+	return c.JSON(http.StatusOK, platformCountersReply{
+		Reads:        n.reads,
+		Writes:       n.writes,
+		Conflicts:    n.conflicts,
+		ObjectReads:  n.objectReads,
+		ObjectWrites: n.objectWrites,
+		VMReads:      n.vmReads,
+	})
+}
+
+func encodeVM(v filbertford.VM) vm {
+	return vm{
+		ID:         string(v.ID()),
+		Role:       string(v.Role()),
+		State:      string(v.State()),
+		DataCentre: string(v.DataCentre()),
+		Address:    v.Address(),
+		Rack:       v.Rack(),
+		Slots:      v.Slots(),
+		Conns:      v.Conns(),
+		Services:   v.Services(),
+	}
+}
+
+func (v vm) decode() filbertford.VM {
+	out := filbertford.NewVM(filbertford.VMID(v.ID), filbertford.Role(v.Role), filbertford.DataCentre(v.DataCentre), v.Address)
+	if v.State != "" {
+		out = out.WithState(filbertford.VMState(v.State))
+	}
+	return out.WithRack(v.Rack).WithCapacity(v.Slots, v.Conns).WithServices(v.Services...)
+}
+
+// lostWriter takes a reply that nobody gets.
+type lostWriter struct {
+	header http.Header
+}
+
+func (w *lostWriter) Header() http.Header { return w.header }
+
+func (w *lostWriter) Write(b []byte) (int, error) { return len(b), nil }
+
+func (w *lostWriter) WriteHeader(int) {}
--- /dev/null
+++ b/fbstand/target_http.go
@@ -0,0 +1,229 @@
+package fbstand
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// defaultRun is how long a task runs that states no run time.
+const defaultRun = 5 * time.Millisecond
+
+// wrongID is the ID in the replies of a target with that fault.
+const wrongID = "another-start"
+
+// refusal tells why a target doesn't start a task.
+type refusal string
+
+const (
+	refusedNot     refusal = ""
+	refusedNoSlot  refusal = "no-slot"
+	refusedLeaving refusal = "leaving"
+)
+
+type startRequest struct {
+	ID      string   `json:"id"`
+	Owner   string   `json:"owner"`
+	Service string   `json:"service"`
+	Args    taskArgs `json:"args"`
+	LeaseMS int64    `json:"lease_ms"`
+}
+
+func (r startRequest) lease() time.Duration {
+	return time.Duration(r.LeaseMS) * time.Millisecond
+}
+
+type taskArgs struct {
+	RunMS *float64        `json:"run_ms"`
+	Echo  json.RawMessage `json:"echo"`
+	Fail  bool            `json:"fail"`
+	Work  string          `json:"work"`
+}
+
+func (a taskArgs) run() time.Duration {
+	if a.RunMS == nil {
+		return defaultRun
+	}
+	return time.Duration(*a.RunMS * float64(time.Millisecond))
+}
+
+type startReply struct {
+	ID     string      `json:"id"`
+	Status string      `json:"status"`
+	Output *taskOutput `json:"output,omitempty"`
+	Detail string      `json:"detail,omitempty"`
+	RanUS  int64       `json:"ran_us,omitempty"`
+	Free   int         `json:"free"`
+}
+
+type taskOutput struct {
+	Echo   json.RawMessage `json:"echo"`
+	Target string          `json:"target"`
+}
+
+type stopRequest struct {
+	IDs []string `json:"ids"`
+}
+
+type renewRequest struct {
+	Owner   string `json:"owner"`
+	LeaseMS int64  `json:"lease_ms"`
+}
+
+type freeReply struct {
+	Free int `json:"free"`
+}
+
+type targetFaultsRequest struct {
+	FailAll    bool    `json:"fail_all"`
+	SlowFactor float64 `json:"slow_factor"`
+	Freeze     bool    `json:"freeze"`
+	Leaving    bool    `json:"leaving"`
+	Cut        Cut     `json:"cut"`
+	WrongID    bool    `json:"wrong_id"`
+	Twice      bool    `json:"twice"`
+}
+
+type targetCountersReply struct {
+	Starts   int            `json:"starts"`
+	Repeats  int            `json:"repeats"`
+	Refusals int            `json:"refusals"`
+	Stops    int            `json:"stops"`
+	Renewals int            `json:"renewals"`
+	Running  int            `json:"running"`
+	Works    map[string]int `json:"works"`
+}
+
+// Handler returns the handler of the target's requests and fault switches.
+func (t *Target) Handler() http.Handler {
+	e := newEcho()
+	e.POST("/v1/start", t.handleStart)
+	e.POST("/v1/stop", t.handleStop)
+	e.POST("/v1/renew", t.handleRenew)
+	e.POST("/faults/target", t.handleFaults)
+	e.GET("/counters", t.handleCounters)
+	return e
+}
+
+func (t *Target) handleStart(c echo.Context) error {
+	var r startRequest
+	if err := decode(c, &r); err != nil {
+		return err
+	}
+	faults := t.thawed()
+	if faults.cut == CutBefore {
+		return cutConnection(c, nil)
+	}
+	k, refused := t.begin(r)
+	if refused != refusedNot {
+		return c.JSON(http.StatusServiceUnavailable, startReply{ID: r.ID, Status: string(refused), Free: t.free()})
+	}
+	if faults.cut == CutAfterStart {
+		err := cutConnection(c, nil)
+		t.execute(k, r, faults)
+		return err
+	}
+	return t.reply(c, t.execute(k, r, faults))
+}
+
+// execute runs the task to its end and returns the reply to the start.
+func (t *Target) execute(k *task, r startRequest, faults TargetFaults) startReply {
+	begun := time.Now()
+	ended := endedDone
+	if !faults.failAll {
+		ended = t.run(k, t.scaled(r.Args.run(), faults))
+	}
+	reply := startReply{ID: r.ID, Status: string(ended), RanUS: time.Since(begun).Microseconds(), Free: t.end(k)}
+	switch {
+	case ended == endedStopped:
+		reply.Detail = "stopped or lease ran out"
+	case faults.failAll || r.Args.Fail:
+		reply.Status = "task-failed"
+		reply.Detail = "the task was asked to fail"
+	default:
+		reply.Output = &taskOutput{Echo: r.Args.Echo, Target: string(t.id)}
+	}
+	return reply
+}
+
+// scaled returns how long a task of run time d takes here.
+func (t *Target) scaled(d time.Duration, f TargetFaults) time.Duration {
+	factor := t.speed
+	if f.slowFactor > 0 {
+		factor *= f.slowFactor
+	}
+	return time.Duration(float64(d) * factor)
+}
+
+// reply answers a start whose task has ended, as the faults of now demand.
+func (t *Target) reply(c echo.Context, r startReply) error {
+	faults := t.thawed()
+	if faults.wrongID {
+		r.ID = wrongID
+	}
+	if faults.cut != CutReply && !faults.twice {
+		return c.JSON(http.StatusOK, r)
+	}
+	raw, err := rawReply(http.StatusOK, r)
+	if err != nil {
+		return err
+	}
+	if faults.cut == CutReply {
+		return cutConnection(c, raw[:len(raw)-len(raw)/4])
+	}
+	return cutConnection(c, append(raw, raw...))
+}
+
+func (t *Target) handleStop(c echo.Context) error {
+	var r stopRequest
+	if err := decode(c, &r); err != nil {
+		return err
+	}
+	t.thawed()
+	return c.JSON(http.StatusOK, freeReply{Free: t.stop(r.IDs)})
+}
+
+func (t *Target) handleRenew(c echo.Context) error {
+	var r renewRequest
+	if err := decode(c, &r); err != nil {
+		return err
+	}
+	t.thawed()
+	free := t.renew(r.Owner, time.Duration(r.LeaseMS)*time.Millisecond)
+	return c.JSON(http.StatusOK, freeReply{Free: free})
+}
+
+func (t *Target) handleFaults(c echo.Context) error {
+	var r targetFaultsRequest
+	if err := decode(c, &r); err != nil {
+		return err
+	}
+	if !r.Cut.valid() {
+		return echo.NewHTTPError(http.StatusBadRequest, `cut must be "", "before", "after-start" or "reply"`)
+	}
+	t.SetFaults(TargetFaults{
+		failAll:    r.FailAll,
+		slowFactor: r.SlowFactor,
+		freeze:     r.Freeze,
+		leaving:    r.Leaving,
+		cut:        r.Cut,
+		wrongID:    r.WrongID,
+		twice:      r.Twice,
+	})
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (t *Target) handleCounters(c echo.Context) error {
+	n := t.Counters()
+	return c.JSON(http.StatusOK, targetCountersReply{
+		Starts:   n.starts,
+		Repeats:  n.repeats,
+		Refusals: n.refusals,
+		Stops:    n.stops,
+		Renewals: n.renewals,
+		Running:  n.running,
+		Works:    n.works,
+	})
+}
--- /dev/null
+++ b/fbtarget/codec.go
@@ -0,0 +1,106 @@
+package fbtarget
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford"
+)
+
+// maxControlReply is the size of the largest reply to a stop or renewal, in
+// bytes.
+const maxControlReply = 64 << 10
+
+type startRequest struct {
+	ID      filbertford.StartID `json:"id"`
+	Owner   string              `json:"owner"`
+	Service string              `json:"service"`
+	Args    json.RawMessage     `json:"args,omitempty"`
+	LeaseMS int64               `json:"lease_ms"`
+}
+
+type startReply struct {
+	ID     filbertford.StartID `json:"id"`
+	Status filbertford.Outcome `json:"status"`
+	Output json.RawMessage     `json:"output"`
+	Detail string              `json:"detail"`
+	RanUS  int64               `json:"ran_us"`
+	Free   *int                `json:"free"`
+}
+
+type stopRequest struct {
+	IDs []filbertford.StartID `json:"ids"`
+}
+
+type renewRequest struct {
+	Owner   string `json:"owner"`
+	LeaseMS int64  `json:"lease_ms"`
+}
+
+func encode(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	return b, eris.Wrap(err, "encode request to target")
+}
+
+func encodeStart(s filbertford.Start) ([]byte, error) {
+	return encode(startRequest{
+		ID:      s.ID(),
+		Owner:   s.Owner().String(),
+		Service: s.Service(),
+		Args:    s.Args(),
+		LeaseMS: s.Lease().Milliseconds(),
+	})
+}
+
+// decodeReply reads the reply to the start of the ID. Whatever is not a valid
+// reply to it gives OutcomeUnknown.
+func decodeReply(id filbertford.StartID, status int, body []byte) filbertford.Report {
+	var r startReply
+	if err := json.Unmarshal(body, &r); err != nil {
+		return unknown(eris.Wrapf(err, "reply of status %d", status))
+	}
+	if err := r.check(id, status); err != nil {
+		return unknown(err)
+	}
+	report := filbertford.NewReport(r.Status).
+		WithDetail(r.Detail).
+		WithRan(time.Duration(r.RanUS) * time.Microsecond).
+		WithFree(*r.Free)
+	if r.Status == filbertford.OutcomeDone {
+		report = report.WithOutput(r.Output)
+	}
+	return report
+}
+
+// check returns why the reply is not valid for the start, or nil.
+func (r startReply) check(id filbertford.StartID, status int) error {
+	switch {
+	case r.ID != id:
+		return eris.Errorf("reply to start %q in place of %q", r.ID, id)
+	case r.Free == nil || *r.Free < 0:
+		return eris.New("reply without the number of free slots")
+	case r.RanUS < 0 || r.RanUS > int64(maxRan/time.Microsecond):
+		return eris.Errorf("run time of %d us in the reply", r.RanUS)
+	case !allowed(status, r.Status):
+		return eris.Errorf("reply of status %d says %q", status, r.Status)
+	}
+	return nil
+}
+
+// maxRan is the longest run time that a reply may claim.
+const maxRan = 24 * time.Hour
+
+// allowed reports whether a reply of the HTTP status may tell the outcome.
+func allowed(status int, o filbertford.Outcome) bool {
+	switch o {
+	case filbertford.OutcomeDone, filbertford.OutcomeTaskFailed, filbertford.OutcomeStopped:
+		return status == http.StatusOK
+	case filbertford.OutcomeNoSlot, filbertford.OutcomeLeaving:
+		return status == http.StatusServiceUnavailable
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/fbtarget/conn.go
@@ -0,0 +1,82 @@
+package fbtarget
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// errSealed is returned by writes to a connection that was given up.
+var errSealed = eris.New("connection was given up")
+
+// conn is a connection that knows whether the current request was written to.
+// The Transport's writer may still run when a round trip has failed; sealing
+// the connection settles whether any byte of the request can have left.
+type conn struct {
+	net.Conn
+	mu      sync.Mutex
+	sealed  bool
+	written bool
+}
+
+// Write passes b on unless the connection is sealed.
+func (c *conn) Write(b []byte) (int, error) {
+	if !c.mark() {
+		return 0, errSealed
+	}
+	return c.Conn.Write(b)
+}
+
+// mark notes that a write is about to happen, or returns false if it must not.
+func (c *conn) mark() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return false
+	}
+	c.written = true
+	return true
+}
+
+// begin notes that a new request has the connection to itself.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written = false
+}
+
+// seal closes the connection, makes all later writes fail and reports whether
+// any byte of the request may have left before. A nil conn has sent nothing.
+func (c *conn) seal() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	c.sealed = true
+	written := c.written
+	c.mu.Unlock()
+	// The connection is given up, so that an error of its end tells nothing.
+	_ = c.Close()
+	return written
+}
+
+// newTransport returns a Transport with up to conns connections to a host.
+func newTransport(conns int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		DisableCompression:  true,
+		IdleConnTimeout:     idleTimeout,
+		MaxConnsPerHost:     conns,
+		MaxIdleConnsPerHost: conns,
+	}
+}
