--- /dev/null
+++ b/fbtree/codec.go
@@ -0,0 +1,60 @@
+package fbtree
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// MaxDelta is the length in bytes of the longest encoded list of changes.
+const MaxDelta = 4 << 20
+
+// ErrBadDelta is returned for an encoded list of changes that can't be read.
+var ErrBadDelta = eris.New("malformed list of changes")
+
+// wireChange is a change as it is sent and stored.
+type wireChange struct {
+	Op    Op     `json:"op"`
+	Path  string `json:"path"`
+	Key   string `json:"key,omitempty"`
+	Value string `json:"value,omitempty"`
+}
+
+// EncodeChanges returns the changes in the form that DecodeChanges reads.
+func EncodeChanges(changes []Change) []byte {
+	wire := make([]wireChange, len(changes))
+	for i, c := range changes {
+		wire[i] = wireChange{Op: c.op, Path: c.path.String(), Key: c.key, Value: c.value}
+	}
+	// A slice of strings can always be marshalled.
+	out, _ := json.Marshal(wire)
+	return out
+}
+
+// DecodeChanges reads a list of changes. It returns an error that wraps
+// ErrBadDelta if the data is not one. Whether the changes fit a tree shows when
+// they are applied.
+func DecodeChanges(data []byte) ([]Change, error) {
+	if len(data) > MaxDelta {
+		return nil, eris.Wrapf(ErrBadDelta, "%d bytes; want at most %d", len(data), MaxDelta)
+	}
+	var wire []wireChange
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&wire); err != nil {
+		return nil, eris.Wrap(ErrBadDelta, err.Error())
+	}
+	if decoder.More() {
+		return nil, eris.Wrap(ErrBadDelta, "more data after the list")
+	}
+	changes := make([]Change, len(wire))
+	for i, w := range wire {
+		p, err := ParsePath(w.Path)
+		if err != nil {
+			return nil, eris.Wrapf(ErrBadDelta, "change %d: path %q", i, w.Path)
+		}
+		changes[i] = Change{op: w.Op, path: p, key: w.Key, value: w.Value}
+	}
+	return changes, nil
+}
--- /dev/null
+++ b/fbtree/path.go
@@ -0,0 +1,129 @@
+package fbtree
+
+import (
+	"errors"
+	"strings"
+)
+
+// MaxName is the length in bytes of the longest name of a team, service, job
+// kind or VM.
+const MaxName = 64
+
+// VMs is the name of the branch that holds the settings of VMs. No team can
+// have it.
+const VMs = "vms"
+
+// ErrBadPath is returned for a path that is not well formed.
+var ErrBadPath = errors.New("malformed path: want /, /TEAM, /TEAM/SERVICE, /TEAM/SERVICE/KIND or /vms/NAME, " +
+	"with names of 1 to 64 letters, digits, '-', '_' and '.' that begin with a letter or digit")
+
+// Level is the kind of node that a path leads to.
+type Level string
+
+// The levels of the tree.
+const (
+	LevelOrganisation Level = "organisation"
+	LevelTeam         Level = "team"
+	LevelService      Level = "service"
+	LevelKind         Level = "kind"
+	LevelVM           Level = "vm"
+)
+
+// Path leads to a node of the tree. The zero Path leads to the organisation.
+type Path struct {
+	text string
+}
+
+// NewPath returns the path of the names, which must be valid: a team, a service
+// of the team and a job kind of the service.
+func NewPath(names ...string) (Path, error) {
+	return ParsePath(strings.Join(names, "/"))
+}
+
+// ParsePath reads a path such as /depot/ordering. The leading slash may be left
+// out.
+func ParsePath(s string) (Path, error) {
+	s = strings.TrimPrefix(s, "/")
+	if s == "" {
+		return Path{}, nil
+	}
+	names := strings.Split(s, "/")
+	for _, name := range names {
+		if !validName(name) {
+			return Path{}, ErrBadPath
+		}
+	}
+	isVM := names[0] == VMs
+	if isVM && len(names) != 2 || len(names) > 3 {
+		return Path{}, ErrBadPath
+	}
+	return Path{text: s}, nil
+}
+
+// String returns the path with its leading slash.
+func (p Path) String() string { return "/" + p.text }
+
+// Level returns the level of the node that the path leads to.
+func (p Path) Level() Level {
+	if p.text == "" {
+		return LevelOrganisation
+	}
+	if strings.HasPrefix(p.text, VMs+"/") {
+		return LevelVM
+	}
+	switch strings.Count(p.text, "/") {
+	case 0:
+		return LevelTeam
+	case 1:
+		return LevelService
+	default:
+		return LevelKind
+	}
+}
+
+// Parent returns the path of the node above. The organisation and VMs have
+// none; their parent is the organisation.
+func (p Path) Parent() Path {
+	i := strings.LastIndexByte(p.text, '/')
+	if i < 0 || p.Level() == LevelVM {
+		return Path{}
+	}
+	return Path{text: p.text[:i]}
+}
+
+// Name returns the last name of the path, empty for the organisation.
+func (p Path) Name() string {
+	return p.text[strings.LastIndexByte(p.text, '/')+1:]
+}
+
+// Contains reports whether q is p or lies below it.
+func (p Path) Contains(q Path) bool {
+	if p.text == "" {
+		return q.Level() != LevelVM
+	}
+	return q.text == p.text || strings.HasPrefix(q.text, p.text+"/")
+}
+
+// Compare orders paths so that a node comes before those below it.
+func (p Path) Compare(q Path) int {
+	// A slash sorts before every byte that a name may hold.
+	return strings.Compare(sortable(p.text), sortable(q.text))
+}
+
+func sortable(s string) string { return strings.ReplaceAll(s, "/", "\x00") }
+
+func validName(s string) bool {
+	if s == "" || len(s) > MaxName || strings.IndexByte("-_.", s[0]) >= 0 {
+		return false
+	}
+	for i := range len(s) {
+		if !nameByte(s[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func nameByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.'
+}
--- /dev/null
+++ b/fbtree/resolve.go
@@ -0,0 +1,120 @@
+package fbtree
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/filbertford/filbertford"
+)
+
+// jobTreeLevels lists the levels that rules are inherited along, from the top.
+var jobTreeLevels = []Level{LevelOrganisation, LevelTeam, LevelService, LevelKind}
+
+// build makes a tree of checked nodes. It returns the problems that show only
+// where several settings meet.
+func build(nodes map[Path]node) (*Tree, Problems) {
+	if _, ok := nodes[Path{}]; !ok {
+		nodes[Path{}] = node{}
+	}
+	t := &Tree{
+		nodes:    nodes,
+		rules:    make(map[address]filbertford.Rules, len(nodes)),
+		callers:  make(map[string]map[hash]struct{}),
+		draining: make(map[filbertford.TargetID]struct{}),
+	}
+	if len(nodes) > MaxNodes {
+		reason := fmt.Sprintf("%d nodes; a tree may have 1 to %d", len(nodes), MaxNodes)
+		return nil, Problems{{path: "/", reason: reason}}
+	}
+	byLevel := make(map[Level][]Path, len(jobTreeLevels))
+	for p, n := range nodes {
+		byLevel[p.Level()] = append(byLevel[p.Level()], p)
+		t.index(p, n)
+	}
+	var problems Problems
+	for _, level := range jobTreeLevels {
+		for _, p := range byLevel[level] {
+			problems = append(problems, t.resolve(p)...)
+		}
+	}
+	slices.SortFunc(problems, func(a, b Problem) int { return strings.Compare(a.path, b.path) })
+	return t, problems
+}
+
+// index records the settings that are not rules.
+func (t *Tree) index(p Path, n node) {
+	if v, ok := n[KeyCallerKeys]; ok {
+		hashes := make(map[hash]struct{}, len(v.hashes))
+		for _, h := range v.hashes {
+			hashes[h.sum] = struct{}{}
+		}
+		t.callers[p.Name()] = hashes
+	}
+	if n[KeyState].text == StateDraining {
+		t.draining[filbertford.TargetID(p.Name())] = struct{}{}
+	}
+}
+
+// resolve records the rules of the node, whose parent is resolved already.
+func (t *Tree) resolve(p Path) Problems {
+	r := defaultRules
+	if p.Level() != LevelOrganisation {
+		parent, ok := t.rules[p.Parent().address()]
+		if !ok {
+			return Problems{{path: p.String(), reason: fmt.Sprintf("there is no %s %s above it", p.Parent().Level(), p.Parent())}}
+		}
+		r = parent
+	}
+	for name, v := range t.nodes[p] {
+		if apply := registry[keyIndex[name]].apply; apply != nil {
+			r = apply(r, v)
+		}
+	}
+	t.rules[p.address()] = r
+	return checkRules(p, t.nodes[p], r)
+}
+
+// checkRules returns the problems of settings that contradict each other, at
+// the node where the contradiction begins.
+func checkRules(p Path, n node, r filbertford.Rules) Problems {
+	_, own := n[KeyTimeout]
+	_, ownMax := n[KeyMaxTimeout]
+	if r.Timeout() <= r.MaxTimeout() || !own && !ownMax {
+		return nil
+	}
+	reason := fmt.Sprintf("want at most max-timeout, which is %v here", r.MaxTimeout())
+	return Problems{{path: p.String(), key: KeyTimeout, value: r.Timeout().String(), reason: reason}}
+}
+
+// address returns what the rules of the node are looked up by.
+func (p Path) address() address {
+	var names [3]string
+	rest := p.text
+	for i := range names {
+		var more bool
+		names[i], rest, more = strings.Cut(rest, "/")
+		if !more {
+			break
+		}
+	}
+	return address{names[0], names[1], names[2]}
+}
+
+// defaultRules holds the defaults of all keys.
+var defaultRules = resolveDefaults()
+
+func resolveDefaults() filbertford.Rules {
+	var r filbertford.Rules
+	for _, k := range registry {
+		if k.apply == nil {
+			continue
+		}
+		v, err := k.parse(k.usual)
+		if err != nil {
+			panic(fmt.Sprintf("default of %s: %v", k.name, err))
+		}
+		r = k.apply(r, v)
+	}
+	return r
+}
--- /dev/null
+++ b/fbtree/value.go
@@ -0,0 +1,157 @@
+package fbtree
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// mask stands for a secret value in messages.
+const mask = "(hidden)"
+
+// value is a checked value. Its text is in canonical form. A number holds an
+// int, a float or the nanoseconds of a duration.
+type value struct {
+	text   string
+	number float64
+	hashes []namedHash
+}
+
+// namedHash is the hash of a secret, with the name of its holder or without.
+type namedHash struct {
+	name string
+	sum  [sha256.Size]byte
+}
+
+func (v value) duration() time.Duration { return time.Duration(v.number) }
+
+// limits are the bounds of a key's values.
+type limits struct {
+	low, high float64
+	words     []string
+}
+
+func between(low, high float64) limits { return limits{low: low, high: high} }
+
+func lasting(low, high time.Duration) limits {
+	return limits{low: float64(low), high: float64(high)}
+}
+
+func oneOf(words ...string) limits { return limits{words: words} }
+
+func (l limits) holds(n float64) bool { return n >= l.low && n <= l.high }
+
+func (l limits) describe(k Key) string {
+	switch k.typ {
+	case TypeDuration:
+		return fmt.Sprintf("%v to %v", time.Duration(l.low), time.Duration(l.high))
+	case TypeWord:
+		return strings.Join(l.words, " or ")
+	case TypeHashes:
+		if k.named {
+			return fmt.Sprintf("up to %d times NAME:HASH, each hash of 64 hexadecimal digits", MaxHashes)
+		}
+		return fmt.Sprintf("up to %d hashes of 64 hexadecimal digits", MaxHashes)
+	default:
+		return formatNumber(l.low) + " to " + formatNumber(l.high)
+	}
+}
+
+// formatNumber writes a number without an exponent, as people read it.
+func formatNumber(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+
+// parse reads a value of the key. Its error tells the allowed range.
+func (k Key) parse(text string) (value, error) {
+	v, ok := k.read(strings.TrimSpace(text))
+	if !ok {
+		return value{}, fmt.Errorf("want %s, %s", article(k.typ), k.Range())
+	}
+	return v, nil
+}
+
+func article(t Type) string {
+	if t == TypeInt {
+		return "an int"
+	}
+	return "a " + string(t)
+}
+
+func (k Key) read(text string) (value, bool) {
+	switch k.typ {
+	case TypeInt:
+		n, err := strconv.ParseInt(text, 10, 64)
+		return value{text: strconv.FormatInt(n, 10), number: float64(n)}, err == nil && k.limits.holds(float64(n))
+	case TypeFloat:
+		n, err := strconv.ParseFloat(text, 64)
+		n += 0 // Negative zero becomes zero.
+		return value{text: formatNumber(n), number: n}, err == nil && k.limits.holds(n)
+	case TypeDuration:
+		d, err := time.ParseDuration(text)
+		return value{text: d.String(), number: float64(d)}, err == nil && k.limits.holds(float64(d))
+	case TypeWord:
+		return value{text: text}, slices.Contains(k.limits.words, text)
+	default:
+		return readHashes(text, k.named)
+	}
+}
+
+// readHashes reads hashes separated by commas. The canonical text is sorted and
+// holds each hash once.
+func readHashes(text string, named bool) (value, bool) {
+	var hashes []namedHash
+	for item := range strings.SplitSeq(text, ",") {
+		h, err := readHash(strings.TrimSpace(item), named)
+		if err != nil {
+			return value{}, false
+		}
+		hashes = append(hashes, h)
+	}
+	slices.SortFunc(hashes, func(a, b namedHash) int { return strings.Compare(a.String(), b.String()) })
+	hashes = slices.Compact(hashes)
+	texts := make([]string, len(hashes))
+	for i, h := range hashes {
+		texts[i] = h.String()
+	}
+	return value{text: strings.Join(texts, ","), hashes: hashes}, len(hashes) <= MaxHashes
+}
+
+var errBadHash = errors.New("not a hash")
+
+func readHash(item string, named bool) (namedHash, error) {
+	var h namedHash
+	if named {
+		name, rest, ok := strings.Cut(item, ":")
+		if !ok || !validName(name) {
+			return namedHash{}, errBadHash
+		}
+		h.name = name
+		item = rest
+	}
+	sum, err := hex.DecodeString(item)
+	if err != nil || len(sum) != len(h.sum) {
+		return namedHash{}, errBadHash
+	}
+	copy(h.sum[:], sum)
+	return h, nil
+}
+
+// String returns the hash as it stands in the tree.
+func (h namedHash) String() string {
+	text := hex.EncodeToString(h.sum[:])
+	if h.name == "" {
+		return text
+	}
+	return h.name + ":" + text
+}
+
+// Hash returns the hash of a caller's or operator's key as it stands in the
+// tree.
+func Hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- a/rules.go
+++ b/rules.go
@@ -14,6 +14,8 @@
 	lease      time.Duration
 	weight     float64
 	spill      float64
+	objective  float64
+	within     time.Duration
 }
 
 // WithMaxTasks returns a copy of r with the most tasks that a job may have.
@@ -64,6 +66,14 @@
 	return r
 }
 
+// WithObjective returns a copy of r with the service-level objective: the share
+// of jobs, 0 to 1, that are to be answered complete within a time. A share of 0
+// means that there is none.
+func (r Rules) WithObjective(share float64, within time.Duration) Rules {
+	r.objective, r.within = share, within
+	return r
+}
+
 // MaxTasks returns the most tasks that a job may have, 0 for no bound.
 func (r Rules) MaxTasks() int { return r.maxTasks }
 
@@ -93,6 +103,10 @@
 // a job is better started there.
 func (r Rules) Spill() float64 { return r.spill }
 
+// Objective returns the share of jobs that are to be answered complete, and the
+// time within which. A share of 0 means that there is no objective.
+func (r Rules) Objective() (share float64, within time.Duration) { return r.objective, r.within }
+
 // Settings is one version of the settings tree, as a daemon uses it.
 type Settings interface {
 	// Version returns the version of the tree.
