--- /dev/null
+++ b/fbload/run.go
@@ -0,0 +1,289 @@
+package fbload
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbclient"
+	"github.com/filbertford/filbertford/fbevent"
+)
+
+// Submitter submits a job. *fbclient.Client is one.
+type Submitter interface {
+	SubmitTraced(ctx context.Context, j filbertford.Job) (filbertford.Answer, fbclient.Trace, error)
+}
+
+// Limits of a load.
+const (
+	// grace is how long a job is waited for beyond its timeout.
+	grace = 10 * time.Second
+	// progressEvery is the time from one line of progress to the next.
+	progressEvery = 5 * time.Second
+	// settle is the wait before the last counters are read, so that stops and
+	// renewals that are still on their way count too.
+	settle = 200 * time.Millisecond
+)
+
+// Load is a load to be run. Its With methods return changed copies.
+type Load struct {
+	label       string
+	mix         Mix
+	rate        float64
+	seed        uint64
+	length      time.Duration
+	warmUp      time.Duration
+	bursts      bool
+	moments     []Moment
+	platform    string
+	operations  []string
+	clairvoyant bool
+}
+
+// NewLoad returns a load of the mix at a share of the targets' capacity for the
+// given time. The platform and the operations listeners are URLs.
+func NewLoad(m Mix, rate float64, length time.Duration, platform string, operations []string) Load {
+	return Load{mix: m, rate: rate, length: length, platform: platform, operations: operations, seed: 1, clairvoyant: true}
+}
+
+// WithLabel returns a copy of l whose result carries the label, such as the
+// name of a policy.
+func (l Load) WithLabel(label string) Load {
+	l.label = label
+	return l
+}
+
+// WithSeed returns a copy of l that draws from the seed.
+func (l Load) WithSeed(seed uint64) Load {
+	l.seed = seed
+	return l
+}
+
+// WithWarmUp returns a copy of l whose measures leave out the jobs that are due
+// before d.
+func (l Load) WithWarmUp(d time.Duration) Load {
+	l.warmUp = d
+	return l
+}
+
+// WithBursts returns a copy of l with or without bursts.
+func (l Load) WithBursts(bursts bool) Load {
+	l.bursts = bursts
+	return l
+}
+
+// WithMoments returns a copy of l with what happens on the way.
+func (l Load) WithMoments(moments ...Moment) Load {
+	l.moments = slices.SortedStableFunc(slices.Values(moments), func(a, b Moment) int { return cmp.Compare(a.at, b.at) })
+	return l
+}
+
+// WithoutClairvoyant returns a copy of l that computes no clairvoyant schedule.
+func (l Load) WithoutClairvoyant() Load {
+	l.clairvoyant = false
+	return l
+}
+
+// outcome is what became of one job.
+type outcome struct {
+	answer     filbertford.Answer
+	deliveries int
+	ids        int
+	err        error
+	// late is by how much the job was sent after it was due.
+	late time.Duration
+	// response is the time from when the job was due to its answer.
+	response time.Duration
+}
+
+// Run runs the load and returns what was measured.
+func (l Load) Run(ctx context.Context, client Submitter, logger *log.Logger) (Result, error) {
+	b := newBench(l.platform, l.operations)
+	targets, err := b.targets(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	trip, err := b.calibrate(ctx, targets)
+	if err != nil {
+		return Result{}, err
+	}
+	r := &runner{load: l, bench: b, client: client, logger: logger, targets: targets, trip: trip, prefix: rand.Text()}
+	r.draw()
+	if err := r.run(ctx); err != nil {
+		return Result{}, err
+	}
+	return r.result(), nil
+}
+
+// runner is one run of a load.
+type runner struct {
+	load    Load
+	bench   *bench
+	client  Submitter
+	logger  *log.Logger
+	targets []target
+	trip    time.Duration
+	prefix  string
+
+	capacity float64
+	jobs     []Job
+	outcomes []outcome
+	sent     atomic.Int64
+	over     atomic.Int64
+
+	messages counters
+	daemons  counters
+	works    map[string]int
+}
+
+// draw computes the capacity and draws the workload.
+func (r *runner) draw() {
+	r.capacity = capacityOf(r.load.mix.service, r.targets)
+	perJob := r.load.mix.meanWork().Seconds()
+	share := rateOver(r.load.rate, r.load.moments)
+	rate := func(at time.Duration) float64 { return share(at) * r.capacity / perJob }
+	r.jobs = Workload(r.load.mix, r.load.seed, r.load.length, r.load.bursts, rate)
+	r.outcomes = make([]outcome, len(r.jobs))
+}
+
+// run sends the jobs and reads the counters before and after.
+func (r *runner) run(ctx context.Context) error {
+	before, _, err := r.bench.targetCounts(ctx, r.targets)
+	if err != nil {
+		return err
+	}
+	daemonsBefore, err := r.bench.daemonCounts(ctx)
+	if err != nil {
+		fbevent.CountersMissing.Log(r.logger, "error", err)
+	}
+	fbevent.LoadStarted.Log(r.logger, "mix", r.load.mix.name, "jobs", len(r.jobs), "rate", r.load.rate,
+		"targets", len(r.targets), "capacity", fmt.Sprintf("%.1f", r.capacity), "for", r.load.length)
+	r.send(ctx)
+	if err := ctx.Err(); err != nil {
+		return eris.Wrap(err, "the load was broken off")
+	}
+	time.Sleep(settle)
+	after, works, err := r.bench.targetCounts(ctx, r.targets)
+	if err != nil {
+		return err
+	}
+	r.messages, r.works = after.minus(before), works
+	if daemonsBefore == nil {
+		return nil
+	}
+	daemonsAfter, err := r.bench.daemonCounts(ctx)
+	if err != nil {
+		fbevent.CountersMissing.Log(r.logger, "error", err)
+		return nil
+	}
+	r.daemons = daemonsAfter.minus(daemonsBefore)
+	return nil
+}
+
+// send submits each job at its moment and waits for all answers.
+func (r *runner) send(ctx context.Context) {
+	start := time.Now()
+	aside, stop := context.WithCancel(ctx)
+	var beside errgroup.Group
+	beside.Go(func() error { r.switchFaults(aside, start); return nil })
+	beside.Go(func() error { r.progress(aside, start); return nil })
+	var g errgroup.Group
+	for i, j := range r.jobs {
+		if !sleepUntil(ctx, start.Add(j.due)) {
+			break
+		}
+		r.sent.Add(1)
+		g.Go(func() error {
+			r.submit(ctx, i, start)
+			r.over.Add(1)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	stop()
+	_ = beside.Wait()
+}
+
+// submit sends one job and keeps what became of it.
+func (r *runner) submit(ctx context.Context, i int, start time.Time) {
+	due := start.Add(r.jobs[i].due)
+	job := r.job(i)
+	ctx, cancel := context.WithTimeout(ctx, job.Timeout()+grace)
+	defer cancel()
+	late := time.Since(due)
+	a, trace, err := r.client.SubmitTraced(ctx, job)
+	r.outcomes[i] = outcome{
+		answer:     a,
+		deliveries: trace.Deliveries(),
+		ids:        trace.IDs(),
+		err:        err,
+		late:       late,
+		response:   time.Since(due),
+	}
+}
+
+// job returns the i-th job as it is submitted.
+func (r *runner) job(i int) filbertford.Job {
+	m, j := r.load.mix, r.jobs[i]
+	k := m.kinds[j.kind]
+	tasks := make([]filbertford.Task, len(j.tasks))
+	for n, t := range j.tasks {
+		args := fmt.Sprintf(`{"run_ms":%d,"work":%q}`, t.run.Milliseconds(), r.work(i, n))
+		tasks[n] = filbertford.NewTask([]byte(args), t.declared)
+	}
+	return filbertford.NewJob(m.team, m.service, tasks...).
+		WithKind(k.name).WithTimeout(k.timeout).WithIdempotent(k.idempotent)
+}
+
+// work names the n-th task of the i-th job for the targets' counters.
+func (r *runner) work(i, n int) string { return fmt.Sprintf("%s-%d-%d", r.prefix, i, n) }
+
+// switchFaults applies the moments until the context ends. Whatever is still
+// switched on then is left as it is.
+func (r *runner) switchFaults(ctx context.Context, start time.Time) {
+	for _, m := range r.load.moments {
+		if !sleepUntil(ctx, start.Add(m.at)) {
+			return
+		}
+		hit, err := r.bench.switchFault(ctx, m, r.targets)
+		if err != nil {
+			fbevent.FaultFailed.Log(r.logger, "moment", m, "error", err)
+			continue
+		}
+		fbevent.FaultSwitched.Log(r.logger, "moment", m, "on", hit)
+	}
+}
+
+// progress logs how far the load is until the context ends.
+func (r *runner) progress(ctx context.Context, start time.Time) {
+	for n := 1; sleepUntil(ctx, start.Add(time.Duration(n)*progressEvery)); n++ {
+		fbevent.LoadProgress.Log(r.logger, "at", time.Duration(n)*progressEvery, "sent", r.sent.Load(),
+			"answered", r.over.Load(), "of", len(r.jobs))
+	}
+}
+
+// sleepUntil waits for a moment and reports whether it came before the context
+// ended.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
