--- /dev/null
+++ b/fbapi/wire.go
@@ -0,0 +1,146 @@
+package fbapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+	"unicode/utf8"
+
+	"github.com/filbertford/filbertford"
+)
+
+// maxTasks is the most tasks that a request may hold, whatever the settings.
+const maxTasks = 4096
+
+// maxName is the length of the longest team, service or kind in bytes.
+const maxName = 64
+
+// jobRequest is the body of a submission.
+type jobRequest struct {
+	Team       string        `json:"team"`
+	Service    string        `json:"service"`
+	Kind       string        `json:"kind"`
+	TimeoutMS  int64         `json:"timeout_ms"`
+	Idempotent bool          `json:"idempotent"`
+	Tasks      []taskRequest `json:"tasks"`
+}
+
+type taskRequest struct {
+	Args   json.RawMessage `json:"args"`
+	SizeMS int64           `json:"size_ms"`
+}
+
+// jobAnswer is the body of an answer.
+type jobAnswer struct {
+	ID           string       `json:"id,omitempty"`
+	Code         string       `json:"code"`
+	Class        string       `json:"class"`
+	Text         string       `json:"text"`
+	Detail       string       `json:"detail,omitempty"`
+	RetryAfterMS int64        `json:"retry_after_ms,omitempty"`
+	Results      []taskResult `json:"results,omitempty"`
+}
+
+type taskResult struct {
+	Output json.RawMessage `json:"output"`
+	Target string          `json:"target"`
+}
+
+// jobStatus is the body of a status.
+type jobStatus struct {
+	ID     string     `json:"id"`
+	State  string     `json:"state"`
+	Answer *jobAnswer `json:"answer,omitempty"`
+}
+
+// tokenReply is the body of a token.
+type tokenReply struct {
+	Token string `json:"token"`
+}
+
+// requestError is a request that can't be taken.
+type requestError struct {
+	code   filbertford.Code
+	detail string
+}
+
+func (e requestError) Error() string { return string(e.code) + ": " + e.detail }
+
+func malformed(format string, args ...any) error {
+	return requestError{filbertford.CodeMalformed, fmt.Sprintf(format, args...)}
+}
+
+// decodeJob reads the body of a submission.
+func decodeJob(body []byte) (filbertford.Job, error) {
+	if !utf8.Valid(body) {
+		return filbertford.Job{}, malformed("the body is not valid UTF-8")
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	var r jobRequest
+	if err := dec.Decode(&r); err != nil {
+		return filbertford.Job{}, malformed("the body is not a job: %v", err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return filbertford.Job{}, malformed("the body goes on after the job")
+	}
+	return r.job()
+}
+
+// job checks the request's values.
+func (r jobRequest) job() (filbertford.Job, error) {
+	for field, name := range map[string]string{"team": r.Team, "service": r.Service, "kind": r.Kind} {
+		if len(name) > maxName {
+			return filbertford.Job{}, malformed("%s is longer than %d bytes", field, maxName)
+		}
+	}
+	if len(r.Tasks) > maxTasks {
+		return filbertford.Job{}, requestError{filbertford.CodeTooLarge, fmt.Sprintf("%d tasks are more than %d", len(r.Tasks), maxTasks)}
+	}
+	timeout, ok := millis(r.TimeoutMS)
+	if !ok {
+		return filbertford.Job{}, malformed("timeout_ms is %d, not within 0 to %d", r.TimeoutMS, maxMillis)
+	}
+	tasks := make([]filbertford.Task, len(r.Tasks))
+	for i, t := range r.Tasks {
+		size, ok := millis(t.SizeMS)
+		if !ok {
+			return filbertford.Job{}, malformed("size_ms of task %d is %d, not within 0 to %d", i, t.SizeMS, maxMillis)
+		}
+		tasks[i] = filbertford.NewTask(t.Args, size)
+	}
+	return filbertford.NewJob(r.Team, r.Service, tasks...).
+		WithKind(r.Kind).
+		WithTimeout(timeout).
+		WithIdempotent(r.Idempotent), nil
+}
+
+// maxMillis is the longest time in a request, a day in milliseconds.
+const maxMillis = 24 * 60 * 60 * 1000
+
+func millis(n int64) (time.Duration, bool) {
+	return time.Duration(n) * time.Millisecond, n >= 0 && n <= maxMillis
+}
+
+// encodeAnswer returns the body of an answer.
+func encodeAnswer(id string, a filbertford.Answer) jobAnswer {
+	out := jobAnswer{
+		ID:           id,
+		Code:         string(a.Code()),
+		Class:        string(a.Code().Class()),
+		Text:         a.Code().Text(),
+		Detail:       a.Detail(),
+		RetryAfterMS: roundUp(a.RetryAfter(), time.Millisecond),
+	}
+	for _, r := range a.Results() {
+		out.Results = append(out.Results, taskResult{Output: r.Output(), Target: string(r.Target())})
+	}
+	return out
+}
+
+// roundUp returns how many units cover the duration.
+func roundUp(d, unit time.Duration) int64 {
+	return int64((d + unit - 1) / unit)
+}
--- /dev/null
+++ b/fbconfig/config.go
@@ -0,0 +1,181 @@
+package fbconfig
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Config holds the settings of a daemon's file, each within its allowed range.
+type Config struct {
+	values map[string]string
+}
+
+// Problem is one thing that is wrong with a settings file.
+type Problem struct {
+	file    string
+	section string
+	key     string
+	reason  string
+}
+
+// Error names the file, the section, the key and the reason.
+func (p Problem) Error() string {
+	if p.section == "" {
+		return fmt.Sprintf("%s: %s", p.file, p.reason)
+	}
+	return fmt.Sprintf("%s: section [%s], key %q: %s", p.file, p.section, p.key, p.reason)
+}
+
+// Problems is everything that is wrong with a settings file.
+type Problems []Problem
+
+// Error lists the problems, one a line.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads a settings file. The name "" stands for the embedded defaults.
+// Overrides, of the form section.key=value, go before the file. All that is
+// wrong is returned at once as Problems.
+func Load(file string, overrides ...string) (*Config, error) {
+	var text []byte
+	if file != "" {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, Problems{{file: file, reason: err.Error()}}
+		}
+		text = data
+	}
+	return Parse(file, text, overrides...)
+}
+
+// Parse reads the text of a settings file; the name is used in errors.
+func Parse(name string, text []byte, overrides ...string) (*Config, error) {
+	if name == "" {
+		name = "defaults"
+	}
+	file, err := ini.LoadSources(ini.LoadOptions{}, text)
+	if err != nil {
+		return nil, Problems{{file: name, reason: err.Error()}}
+	}
+	p := &parser{name: name, values: defaults()}
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			p.set(name, section.Name(), key.Name(), key.Value())
+		}
+	}
+	for _, o := range overrides {
+		p.override(o)
+	}
+	p.checkTogether()
+	if len(p.problems) > 0 {
+		return nil, p.problems
+	}
+	return &Config{values: p.values}, nil
+}
+
+// Text returns the text of a setting. It panics on a key that does not exist,
+// as do the other accessors.
+func (c *Config) Text(section, key string) string {
+	v, ok := c.values[section+"."+key]
+	if !ok {
+		panic("fbconfig: no setting " + section + "." + key)
+	}
+	return v
+}
+
+// List returns the items of a comma-separated setting.
+func (c *Config) List(section, key string) []string { return splitList(c.Text(section, key)) }
+
+// Int returns a whole number.
+func (c *Config) Int(section, key string) int {
+	n, err := strconv.Atoi(c.Text(section, key))
+	if err != nil {
+		panic("fbconfig: " + section + "." + key + " is not a number")
+	}
+	return n
+}
+
+// Duration returns a duration.
+func (c *Config) Duration(section, key string) time.Duration {
+	d, err := time.ParseDuration(c.Text(section, key))
+	if err != nil {
+		panic("fbconfig: " + section + "." + key + " is not a duration")
+	}
+	return d
+}
+
+// parser gathers values and problems.
+type parser struct {
+	name     string
+	values   map[string]string
+	problems Problems
+}
+
+func defaults() map[string]string {
+	out := make(map[string]string, len(keys))
+	for _, k := range keys {
+		out[k.section+"."+k.name] = k.usual
+	}
+	return out
+}
+
+func (p *parser) set(source, section, name, value string) {
+	for _, k := range keys {
+		if k.section != section || k.name != name {
+			continue
+		}
+		if err := k.validate(value); err != nil {
+			reason := fmt.Sprintf("%q %v (allowed: %s)", value, err, k.allowed)
+			p.problems = append(p.problems, Problem{source, section, name, reason})
+			return
+		}
+		p.values[section+"."+name] = value
+		return
+	}
+	p.problems = append(p.problems, Problem{source, section, name, "no such setting"})
+}
+
+func (p *parser) override(o string) {
+	path, value, ok := strings.Cut(o, "=")
+	section, name, dotted := strings.Cut(path, ".")
+	if !ok || !dotted {
+		p.problems = append(p.problems, Problem{file: "-set " + o, reason: "is not of the form section.key=value"})
+		return
+	}
+	p.set("-set", section, name, value)
+}
+
+// checkTogether finds settings that contradict each other.
+func (p *parser) checkTogether() {
+	if len(p.problems) > 0 {
+		return
+	}
+	c := Config{values: p.values}
+	if c.Duration("membership", "timeout") <= c.Duration("membership", "heartbeat") {
+		p.problems = append(p.problems, Problem{p.name, "membership", "timeout", "must be longer than heartbeat"})
+	}
+	if c.Duration("membership", "clock-drift") >= c.Duration("membership", "view-lease") {
+		p.problems = append(p.problems, Problem{p.name, "membership", "clock-drift", "must be shorter than view-lease"})
+	}
+	p.checkDataCentre(&c)
+}
+
+func (p *parser) checkDataCentre(c *Config) {
+	dc := c.Text("daemon", "data-centre")
+	for _, name := range c.List("daemon", "data-centres") {
+		if name == dc {
+			return
+		}
+	}
+	p.problems = append(p.problems, Problem{p.name, "daemon", "data-centres", "does not name data-centre " + strconv.Quote(dc)})
+}
--- /dev/null
+++ b/fbconfig/key.go
@@ -0,0 +1,169 @@
+package fbconfig
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Key describes one setting of the file.
+type Key struct {
+	section  string
+	name     string
+	usual    string
+	allowed  string
+	about    string
+	validate func(text string) error
+}
+
+// Section returns the section that the key stands in.
+func (k Key) Section() string { return k.section }
+
+// Name returns the key's name within its section.
+func (k Key) Name() string { return k.name }
+
+// Default returns the text that applies when the file has none.
+func (k Key) Default() string { return k.usual }
+
+// Allowed returns the allowed range with its unit.
+func (k Key) Allowed() string { return k.allowed }
+
+// About returns what the key governs.
+func (k Key) About() string { return k.about }
+
+// Keys returns all keys in the order of the documentation.
+func Keys() []Key { return keys }
+
+var keys = []Key{
+	textKey("daemon", "vm", "entry-1", "the name of the VM in the platform's list"),
+	textKey("daemon", "data-centre", "nordnes", "the data centre that the VM stands in"),
+	addressKey("daemon", "callers", "127.0.0.1:7100", "the listener for callers"),
+	addressKey("daemon", "peers", "127.0.0.1:7101", "the listener for other entry daemons; its address stands in owner tokens"),
+	addressKey("daemon", "operations", "127.0.0.1:7102", "the listener for operators and metrics"),
+	addressKey("daemon", "platform", "127.0.0.1:7000", "the platform's table service, object store and VM list"),
+	addressesKey("daemon", "seeds", "", "peer listeners that are known from the start, for a boot while the platform is out"),
+	textsKey("daemon", "data-centres", "nordnes,sandviken", "all data centres, the same at every daemon: they share the opaque keys"),
+	textKey("daemon", "operator-key", "", "the key that operators present at the operations listener; empty takes any on a loopback address only"),
+
+	intKey("limits", "max-body", "1048576", 1024, 64<<20, "bytes of a request body"),
+	intKey("limits", "max-header", "16384", 1024, 1<<20, "bytes of a request's headers"),
+	intKey("limits", "max-connections", "4096", 1, 1<<20, "connections of callers at one time"),
+	durationKey("limits", "read-timeout", "10s", time.Millisecond, time.Minute, "the time that a caller has to send a request"),
+	durationKey("limits", "idle-timeout", "2m", time.Second, time.Hour, "the time after which an idle connection is closed"),
+	intKey("limits", "max-submissions", "200000", 1, 10_000_000, "submission IDs remembered in full"),
+	intKey("limits", "max-answers", "33554432", 0, 1<<30, "bytes of results kept for resubmissions"),
+	intKey("limits", "max-events", "8192", 16, 1<<20, "events that wait for the control goroutine"),
+
+	durationKey("ownership", "epoch", "1m", time.Second, time.Hour, "the length of a token epoch"),
+	intKey("ownership", "horizon", "10", 1, 1440, "token epochs for which an ID is remembered after its own"),
+	intKey("ownership", "opaque-horizon", "1440", 1, 100_000, "token epochs for which an opaque key is remembered as used"),
+
+	durationKey("membership", "vm-poll", "2s", 10*time.Millisecond, time.Minute, "the time between two reads of the VM list"),
+	durationKey("membership", "heartbeat", "1s", 10*time.Millisecond, time.Minute, "the time between two heartbeats of a pair of daemons"),
+	durationKey("membership", "timeout", "5s", 20*time.Millisecond, 5*time.Minute, "the silence after which a daemon counts as unreachable"),
+	durationKey("membership", "view-lease", "3s", 50*time.Millisecond, time.Minute, "the time for which a confirmed view of opaque keys holds"),
+	durationKey("membership", "clock-drift", "100ms", 0, 10*time.Second, "the most that two clocks drift apart within a view lease"),
+
+	durationKey("settings", "poll", "1s", 10*time.Millisecond, time.Minute, "the time between two reads of the settings' head row"),
+	durationKey("settings", "request-timeout", "2s", 10*time.Millisecond, time.Minute, "the time that a request to the platform or a peer may take"),
+
+	durationKey("stop", "grace", "1s", 0, time.Minute, "the time between the loss of readiness and the end of first deliveries"),
+	durationKey("stop", "drain", "1m", time.Second, time.Hour, "the most that a stop waits for jobs in flight"),
+
+	choiceKey("policy", "name", "adaptive", []string{"adaptive", "random", "round-robin", "least-outstanding", "two-choices"}, "the placement policy"),
+	intKey("policy", "seed", "1", 0, 1<<31, "the seed of the policy's random choices"),
+	durationKey("policy", "tick", "10ms", time.Millisecond, time.Second, "the time between two looks at deadlines, leases and stop requests"),
+	intKey("policy", "target-connections", "16", 1, 64, "connections that this daemon opens to one target"),
+}
+
+func textKey(section, name, usual, about string) Key {
+	return Key{section, name, usual, "text of up to 255 bytes", about, func(s string) error {
+		if len(s) > 255 {
+			return fmt.Errorf("is longer than 255 bytes")
+		}
+		return nil
+	}}
+}
+
+func textsKey(section, name, usual, about string) Key {
+	k := textKey(section, name, usual, about)
+	k.allowed = "names with commas between"
+	return k
+}
+
+func addressKey(section, name, usual, about string) Key {
+	return Key{section, name, usual, "host:port", about, checkAddress}
+}
+
+func addressesKey(section, name, usual, about string) Key {
+	return Key{section, name, usual, "host:port with commas between", about, func(s string) error {
+		for _, a := range splitList(s) {
+			if err := checkAddress(a); err != nil {
+				return err
+			}
+		}
+		return nil
+	}}
+}
+
+func intKey(section, name, usual string, low, high int, about string) Key {
+	return Key{section, name, usual, fmt.Sprintf("%d to %d", low, high), about, func(s string) error {
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			return fmt.Errorf("is not a whole number")
+		}
+		if n < low || n > high {
+			return fmt.Errorf("is not within %d to %d", low, high)
+		}
+		return nil
+	}}
+}
+
+func durationKey(section, name, usual string, low, high time.Duration, about string) Key {
+	return Key{section, name, usual, fmt.Sprintf("%v to %v", low, high), about, func(s string) error {
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			return fmt.Errorf("is not a duration such as 250ms or 2s")
+		}
+		if d < low || d > high {
+			return fmt.Errorf("is not within %v to %v", low, high)
+		}
+		return nil
+	}}
+}
+
+func choiceKey(section, name, usual string, choices []string, about string) Key {
+	allowed := strings.Join(choices, ", ")
+	return Key{section, name, usual, allowed, about, func(s string) error {
+		for _, c := range choices {
+			if s == c {
+				return nil
+			}
+		}
+		return fmt.Errorf("is none of %s", allowed)
+	}}
+}
+
+func checkAddress(s string) error {
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || host == "" {
+		return fmt.Errorf("is not of the form host:port")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("has no port within 1 to 65535")
+	}
+	return nil
+}
+
+// splitList cuts a comma-separated list and drops empty items.
+func splitList(s string) []string {
+	var out []string
+	for item := range strings.SplitSeq(s, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			out = append(out, item)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/fbcore/submit.go
@@ -0,0 +1,230 @@
+package fbcore
+
+import (
+	"slices"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// submit takes a delivery of a submission that this daemon may own.
+func (c *Core) submit(now time.Time, e Submit) {
+	id := e.Delivery.ID()
+	if a, final := c.vet(now, id); final {
+		c.emit(Reply{Ref: e.Ref, Answer: a})
+		return
+	}
+	k := keyOf(id)
+	if s := c.table.subs[k]; s != nil {
+		c.repeat(e, s)
+		return
+	}
+	if code, ok := c.table.refused[k.fingerprint()]; ok {
+		c.stats.Repeated++
+		c.emit(Reply{Ref: e.Ref, Answer: filbertford.NewRefusal(code, "")})
+		return
+	}
+	c.first(now, e, k)
+}
+
+// vet decides on IDs that the table can't decide: forged, too old, of the
+// future, or those of a daemon that this one inherited from.
+func (c *Core) vet(now time.Time, id filbertford.SubmissionID) (filbertford.Answer, bool) {
+	if !id.Pinned() {
+		return filbertford.Answer{}, false
+	}
+	t := id.Token()
+	if t.Incarnation() != c.cfg.Incarnation {
+		return c.inheritedAnswer(id), true
+	}
+	if !c.cfg.Key.genuine(t) {
+		return filbertford.NewRefusal(filbertford.CodeBadToken, ""), true
+	}
+	if t.Epoch() > c.epoch(now) {
+		return filbertford.NewRefusal(filbertford.CodeFutureToken, ""), true
+	}
+	if t.Epoch() < c.oldest(now) {
+		return c.tooOld(id), true
+	}
+	return filbertford.Answer{}, false
+}
+
+// tooOld answers for an ID beyond the horizon, whose job may be running still.
+func (c *Core) tooOld(id filbertford.SubmissionID) filbertford.Answer {
+	if s := c.table.subs[keyOf(id)]; s != nil && s.job == nil {
+		return s.answer
+	}
+	return filbertford.NewRefusal(filbertford.CodeTooOld, "")
+}
+
+// repeat takes a delivery of an ID that is known already.
+func (c *Core) repeat(e Submit, s *submission) {
+	c.stats.Repeated++
+	if s.digest != e.Digest {
+		c.emit(Reply{Ref: e.Ref, Answer: filbertford.NewRefusal(filbertford.CodeIDReused, "")})
+		return
+	}
+	if s.job != nil {
+		c.wait(e.Ref, s)
+		return
+	}
+	c.emit(Reply{Ref: e.Ref, Answer: s.answer})
+}
+
+// first takes the first delivery of an ID.
+func (c *Core) first(now time.Time, e Submit, k subKey) {
+	if a, ok := c.claim(e, k); !ok {
+		c.emit(Reply{Ref: e.Ref, Answer: a})
+		return
+	}
+	job := e.Delivery.Job()
+	if a, ok := c.admit(now, job, e.Rules); !ok {
+		c.refuse(now, e.Ref, k, a)
+		return
+	}
+	s := &submission{key: k, team: job.Team(), digest: e.Digest}
+	c.table.add(s, c.generationOf(now, k))
+	c.wait(e.Ref, s)
+	c.accept(now, s, job, e.Rules)
+}
+
+// claim decides whether a first delivery may be taken at all. Its refusals
+// start nothing but are not remembered, so they say nothing of other
+// deliveries.
+func (c *Core) claim(e Submit, k subKey) (filbertford.Answer, bool) {
+	if c.table.len() >= c.cfg.MaxSubmissions || len(c.table.refused) >= refusalsPerSubmission*c.cfg.MaxSubmissions {
+		return filbertford.NewRefusal(filbertford.CodeBusy, "").WithRetryAfter(c.cfg.EpochLength), false
+	}
+	switch e.Claim {
+	case ClaimPinned, ClaimOwned:
+	case ClaimTooOld:
+		return filbertford.NewRefusal(filbertford.CodeTooOld, ""), false
+	case ClaimFuture:
+		return filbertford.NewRefusal(filbertford.CodeFutureToken, "the key's minting time is yet to come"), false
+	case ClaimUndecided:
+		return filbertford.NewRefusal(filbertford.CodeUndecided, ""), false
+	default:
+		return filbertford.NewRefusal(filbertford.CodeOwnerUnsure, "").WithRetryAfter(unsureRetry), false
+	}
+	if _, seen := c.table.spent[k.fingerprint()]; seen && k.opaque {
+		return filbertford.NewRefusal(filbertford.CodeTooOld, ""), false
+	}
+	return filbertford.Answer{}, true
+}
+
+// refusalsPerSubmission is how many refusals are remembered for each ID that
+// may be remembered in full; a refusal costs about a tenth of the memory.
+const refusalsPerSubmission = 8
+
+// unsureRetry is when a caller may come back with a key whose owner is unsure.
+const unsureRetry = time.Second
+
+// admit asks whether the job is accepted. Its refusals are true for the whole
+// submission.
+func (c *Core) admit(now time.Time, j filbertford.Job, r filbertford.Rules) (filbertford.Answer, bool) {
+	if c.stopping {
+		return filbertford.NewRefusal(filbertford.CodeLeaving, "").WithRetryAfter(leavingRetry), false
+	}
+	busy := c.teamBusy[j.Team()] + c.peerUse[j.Team()]
+	l := filbertford.NewLoad(c.waitingTasks, len(c.starts), c.slots(j.Service()), busy)
+	if l.Slots() == 0 && len(c.targetIDs) > 0 && !c.listed(j.Service()) {
+		return filbertford.NewRefusal(filbertford.CodeNeverRun, "no target serves "+j.Service()), false
+	}
+	if v := c.policy.Admit(now, j, r, l); !v.Admitted() {
+		return filbertford.NewRefusal(v.Code(), "").WithRetryAfter(v.RetryAfter()), false
+	}
+	return filbertford.Answer{}, true
+}
+
+// leavingRetry is when a caller may come back to the data centre after a
+// stopping daemon refused its job.
+const leavingRetry = 10 * time.Millisecond
+
+// listed reports whether any target, live or leaving, serves the service.
+func (c *Core) listed(service string) bool {
+	for _, t := range c.targets {
+		if t.listed && t.vm.Serves(service) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse answers that the submission was not run, and remembers it.
+func (c *Core) refuse(now time.Time, ref Ref, k subKey, a filbertford.Answer) {
+	c.check(a.Code().Class() == filbertford.ClassNotRun, InvariantNotRun)
+	c.stats.Refused++
+	c.table.refuse(k, a.Code(), c.generationOf(now, k))
+	c.emit(Reply{Ref: ref, Answer: a})
+}
+
+// generationOf returns the epoch with which a key is forgotten.
+func (c *Core) generationOf(now time.Time, k subKey) filbertford.Epoch {
+	if k.opaque {
+		return c.epoch(now)
+	}
+	return k.epoch
+}
+
+func (c *Core) wait(ref Ref, s *submission) {
+	s.waiters = append(s.waiters, ref)
+	c.waiters[ref] = s
+}
+
+// abandon forgets a delivery that nobody waits for any longer.
+func (c *Core) abandon(ref Ref) {
+	s := c.waiters[ref]
+	if s == nil {
+		return
+	}
+	delete(c.waiters, ref)
+	s.waiters = slices.DeleteFunc(s.waiters, func(r Ref) bool { return r == ref })
+}
+
+// cancel ends a submission at the request of its caller.
+func (c *Core) cancel(now time.Time, e Cancel) {
+	s, status := c.find(now, e.ID, e.Team)
+	if s != nil && s.job != nil {
+		a := filbertford.NewRefusal(filbertford.CodeCancelled, "")
+		c.finish(s.job, a)
+		c.emit(Reply{Ref: e.Ref, Answer: a})
+		return
+	}
+	c.emit(Reply{Ref: e.Ref, Answer: status.Answer()})
+}
+
+// query replies with what is known of a submission.
+func (c *Core) query(now time.Time, e Query) {
+	_, status := c.find(now, e.ID, e.Team)
+	c.emit(ReplyStatus{Ref: e.Ref, Status: status})
+}
+
+// find looks a submission up for a team that asks, any if empty.
+func (c *Core) find(now time.Time, id filbertford.SubmissionID, team string) (*submission, filbertford.Status) {
+	if a, final := c.vet(now, id); final {
+		return nil, statusOf(a)
+	}
+	k := keyOf(id)
+	s := c.table.subs[k]
+	if s != nil && team != "" && s.team != team {
+		s = nil
+	}
+	if s == nil {
+		if code, ok := c.table.refused[k.fingerprint()]; ok {
+			return nil, statusOf(filbertford.NewRefusal(code, ""))
+		}
+		return nil, statusOf(filbertford.NewRefusal(filbertford.CodeNotFound, ""))
+	}
+	if s.job != nil {
+		return s, filbertford.NewStatus(filbertford.StateRunning, filbertford.Answer{})
+	}
+	return s, filbertford.NewStatus(filbertford.StateOver, s.answer)
+}
+
+// statusOf returns the status of a submission that is not in the table.
+func statusOf(a filbertford.Answer) filbertford.Status {
+	if a.Code().Class() == filbertford.ClassNotStarted {
+		return filbertford.NewStatus(filbertford.StateUnknown, a)
+	}
+	return filbertford.NewStatus(filbertford.StateOver, a)
+}
--- /dev/null
+++ b/fbcore/target.go
@@ -0,0 +1,156 @@
+package fbcore
+
+import (
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// target is what the core knows of a target.
+type target struct {
+	vm      filbertford.VM
+	listed  bool
+	leaving bool // by its own word
+	mine    int
+	others  float64 // slots believed to be used by other daemons
+	starts  map[filbertford.StartID]*start
+	leased  time.Time // when the present lease was asked for
+	asked   time.Time // when a renewal was last asked for
+	stops   []filbertford.StartID
+}
+
+// start is one start of a task that has not ended.
+type start struct {
+	id     filbertford.StartID
+	job    *job
+	task   int
+	target *target
+	at     time.Time
+	lease  time.Duration
+}
+
+// eligible reports whether the target may get new work of the service.
+func (t *target) eligible(service string) bool {
+	return t.listed && !t.leaving && t.vm.State() == filbertford.VMLive && t.vm.Serves(service)
+}
+
+// free returns the number of slots believed to be free.
+func (t *target) free() int {
+	return t.vm.Slots() - t.mine - int(t.others+0.5)
+}
+
+// learn takes the number of free slots that the target told.
+func (t *target) learn(free int) {
+	t.others = max(0, float64(t.vm.Slots()-free-t.mine))
+}
+
+// setTargets takes a new list of targets. A target that is no longer listed is
+// kept until its last start has ended.
+func (c *Core) setTargets(vms []filbertford.VM) {
+	for _, t := range c.targets {
+		t.listed = false
+	}
+	for _, vm := range vms {
+		id := filbertford.TargetID(vm.ID())
+		t := c.targets[id]
+		if t == nil {
+			t = &target{starts: make(map[filbertford.StartID]*start)}
+			c.targets[id] = t
+			c.targetIDs = append(c.targetIDs, id)
+		}
+		if t.vm.Address() != vm.Address() {
+			t.leaving = false
+		}
+		t.vm, t.listed = vm, true
+	}
+	c.dropUnlisted()
+}
+
+func (c *Core) dropUnlisted() {
+	ids := c.targetIDs[:0]
+	for _, id := range c.targetIDs {
+		t := c.targets[id]
+		if !t.listed && len(t.starts) == 0 {
+			delete(c.targets, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	c.targetIDs = ids
+}
+
+// slots returns the number of slots at targets that may get work of the
+// service.
+func (c *Core) slots(service string) int {
+	n := 0
+	for _, t := range c.targets {
+		if t.eligible(service) {
+			n += t.vm.Slots()
+		}
+	}
+	return n
+}
+
+// candidates returns the targets with a slot believed to be free for the
+// service. The slice is used again by the next call.
+func (c *Core) candidates(service string) []filbertford.Candidate {
+	out := c.scratch[:0]
+	for _, id := range c.targetIDs {
+		t := c.targets[id]
+		if free := t.free(); free > 0 && t.eligible(service) {
+			out = append(out, filbertford.NewCandidate(id, t.vm.Slots(), t.mine, free))
+		}
+	}
+	c.scratch = out
+	return out
+}
+
+// fadeOthers lets the belief in other daemons' use of slots fade, because a
+// target that this daemon doesn't use tells it nothing.
+func (c *Core) fadeOthers(passed time.Duration) {
+	keep := 1 - min(1, float64(passed)/float64(othersMemory))
+	for _, t := range c.targets {
+		t.others *= keep
+	}
+}
+
+// keepLeases renews the leases that are a third old and gives up the starts
+// under leases that have lapsed.
+func (c *Core) keepLeases(now time.Time) {
+	for _, id := range c.targetIDs {
+		t := c.targets[id]
+		lease := t.shortestLease()
+		if lease == 0 {
+			continue
+		}
+		if now.Sub(t.leased) >= lease {
+			c.loseLease(now, t)
+			continue
+		}
+		if now.Sub(t.leased) >= lease/3 && now.Sub(t.asked) >= lease/3 {
+			t.asked = now
+			c.emit(RenewLease{Target: t.vm, Lease: lease})
+		}
+	}
+}
+
+// shortestLease returns the shortest lease of the target's starts, 0 if there
+// are none.
+func (t *target) shortestLease() time.Duration {
+	var shortest time.Duration
+	for _, s := range t.starts {
+		if shortest == 0 || s.lease < shortest {
+			shortest = s.lease
+		}
+	}
+	return shortest
+}
+
+// loseLease ends the starts at a target whose lease has lapsed: the target has
+// stopped them or is about to.
+func (c *Core) loseLease(now time.Time, t *target) {
+	lost := filbertford.NewReport(filbertford.OutcomeUnknown).WithDetail("the lease lapsed")
+	for _, s := range sortedStarts(t) {
+		c.startEnded(now, s.id, lost)
+	}
+}
--- /dev/null
+++ b/fbdaemon/control.go
@@ -0,0 +1,130 @@
+package fbdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbcore"
+	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fbmember"
+	"github.com/filbertford/filbertford/fbview"
+)
+
+// control is the state that only the control goroutine touches.
+type control struct {
+	d        *Daemon
+	core     *fbcore.Core
+	view     *fbview.View
+	dir      *fbmember.Directory
+	waiters  map[fbcore.Ref]chan<- outcome
+	lastRef  fbcore.Ref
+	vms      []filbertford.VM
+	drained  chan struct{}
+	lastView time.Time
+}
+
+// viewPeriod is the time between two looks at the view of opaque keys.
+const viewPeriod = 50 * time.Millisecond
+
+// run handles messages until the context ends.
+func (c *control) run(ctx context.Context) error {
+	ticks, stop := c.d.timer.Subscribe(c.d.tick)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks:
+			c.onTick(c.d.timer.Now())
+		case m := <-c.d.inbox:
+			m.handle(c, c.d.timer.Now())
+		}
+	}
+}
+
+func (c *control) onTick(now time.Time) {
+	c.drive(now, fbcore.Tick{})
+	c.publish(now)
+	if now.Sub(c.lastView) >= viewPeriod {
+		c.lastView = now
+		c.view.PeersChanged(c.livePeers(now), c.dir.Gone())
+		c.actOnView(c.view.Tick(now))
+	}
+}
+
+// publish makes what traffic goroutines read without asking.
+func (c *control) publish(now time.Time) {
+	token := c.core.Token(now)
+	if token.IsZero() {
+		c.d.token.Store(nil)
+		return
+	}
+	text := c.dir.Steer(now, c.core.Load())
+	if text == "" {
+		text = token.String()
+	}
+	if old := c.d.token.Load(); old == nil || *old != text {
+		c.d.token.Store(&text)
+	}
+}
+
+// drive hands an event to the core and carries the actions out.
+func (c *control) drive(now time.Time, e fbcore.Event) {
+	for _, a := range c.core.Handle(now, e) {
+		c.act(a)
+	}
+}
+
+func (c *control) act(a fbcore.Action) {
+	switch a := a.(type) {
+	case fbcore.Reply:
+		c.answer(a.Ref, outcome{answer: a.Answer})
+	case fbcore.ReplyStatus:
+		c.answer(a.Ref, outcome{status: a.Status})
+	case fbcore.StartTask:
+		c.d.startTask(a)
+	case fbcore.StopTasks:
+		c.d.stopTasks(a)
+	case fbcore.RenewLease:
+		c.d.renewLease(a)
+	case fbcore.Drained:
+		close(c.drained)
+	case fbcore.Violated:
+		fbevent.InvariantBroken.Log(c.d.log, "invariant", string(a.Invariant))
+		if c.d.onViolation != nil {
+			c.d.onViolation(a.Invariant)
+		}
+	}
+}
+
+// expect gives out a reference whose reply goes to the channel, which must
+// have room for it.
+func (c *control) expect(to chan<- outcome) fbcore.Ref {
+	c.lastRef++
+	c.waiters[c.lastRef] = to
+	return c.lastRef
+}
+
+func (c *control) answer(ref fbcore.Ref, o outcome) {
+	to := c.waiters[ref]
+	if to == nil {
+		return
+	}
+	delete(c.waiters, ref)
+	to <- o
+}
+
+// state returns what the daemon tells of itself.
+func (c *control) state(now time.Time) fbmember.State {
+	token := ""
+	if t := c.core.Token(now); !t.IsZero() {
+		token = t.String()
+	}
+	return fbmember.NewState(c.d.vm, c.d.incarnation, c.d.dataCentre, c.d.peerAddress).
+		WithStopping(c.core.Stopping()).
+		WithSettings(c.d.settings.Load().Version()).
+		WithLoad(c.core.Load(), token).
+		WithInherited(c.core.Inherited()).
+		WithTeams(c.core.TeamBusy())
+}
--- /dev/null
+++ b/fbdaemon/daemon.go
@@ -0,0 +1,199 @@
+package fbdaemon
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbconfig"
+	"github.com/filbertford/filbertford/fbcore"
+	"github.com/filbertford/filbertford/fbmember"
+	"github.com/filbertford/filbertford/fbpeer"
+	"github.com/filbertford/filbertford/fbpolicy"
+	"github.com/filbertford/filbertford/fbtree"
+	"github.com/filbertford/filbertford/fbview"
+)
+
+// Parts are what a daemon is connected to.
+type Parts struct {
+	// Timer is the timer service; it must be running.
+	Timer filbertford.Timer
+	// Table is the platform's table service.
+	Table filbertford.Table
+	// VMList is the platform's list of VMs.
+	VMList filbertford.VMList
+	// Starter and Stopper reach the targets.
+	Starter filbertford.Starter
+	Stopper filbertford.Stopper
+	// Peers reaches the other daemons.
+	Peers *fbpeer.Client
+	// Log takes the daemon's events.
+	Log *log.Logger
+	// Metrics takes the daemon's counters.
+	Metrics tally.Scope
+	// OnViolation, if not nil, is called on the control goroutine when an
+	// invariant does not hold.
+	OnViolation func(fbcore.Invariant)
+}
+
+// Daemon is an entry daemon.
+type Daemon struct {
+	vm          filbertford.VMID
+	incarnation filbertford.Incarnation
+	dataCentre  filbertford.DataCentre
+	dataCentres []filbertford.DataCentre
+	peerAddress string
+
+	timer       filbertford.Timer
+	table       filbertford.Table
+	vmList      filbertford.VMList
+	starter     filbertford.Starter
+	stopper     filbertford.Stopper
+	peers       *fbpeer.Client
+	log         *log.Logger
+	metrics     counters
+	onViolation func(fbcore.Invariant)
+
+	tick            time.Duration
+	vmPoll          time.Duration
+	heartbeatPeriod time.Duration
+	requestTimeout  time.Duration
+	stopGrace       time.Duration
+	drainTimeout    time.Duration
+
+	ctx     context.Context // ends when the last traffic must end
+	end     context.CancelFunc
+	traffic *errgroup.Group
+	inbox   chan message
+	control *control
+
+	settings     atomic.Pointer[fbtree.Tree]
+	token        atomic.Pointer[string]
+	haveVMs      atomic.Bool
+	haveSettings atomic.Bool
+	platformUp   atomic.Bool
+	leaving      atomic.Bool
+}
+
+// New returns a daemon with a new incarnation. It does nothing before Run.
+func New(cfg *fbconfig.Config, p Parts) (*Daemon, error) {
+	policy, err := fbpolicy.New(cfg.Text("policy", "name"), uint64(cfg.Int("policy", "seed")))
+	if err != nil {
+		return nil, eris.Wrap(err, "choosing the policy")
+	}
+	ctx, end := context.WithCancel(context.Background())
+	d := &Daemon{
+		vm:              filbertford.VMID(cfg.Text("daemon", "vm")),
+		incarnation:     filbertford.NewIncarnation(),
+		dataCentre:      filbertford.DataCentre(cfg.Text("daemon", "data-centre")),
+		peerAddress:     cfg.Text("daemon", "peers"),
+		timer:           p.Timer,
+		table:           p.Table,
+		vmList:          p.VMList,
+		starter:         p.Starter,
+		stopper:         p.Stopper,
+		peers:           p.Peers,
+		log:             p.Log,
+		metrics:         newCounters(p.Metrics),
+		onViolation:     p.OnViolation,
+		tick:            cfg.Duration("policy", "tick"),
+		vmPoll:          cfg.Duration("membership", "vm-poll"),
+		heartbeatPeriod: cfg.Duration("membership", "heartbeat"),
+		requestTimeout:  cfg.Duration("settings", "request-timeout"),
+		stopGrace:       cfg.Duration("stop", "grace"),
+		drainTimeout:    cfg.Duration("stop", "drain"),
+		ctx:             ctx,
+		end:             end,
+		traffic:         new(errgroup.Group),
+		inbox:           make(chan message, cfg.Int("limits", "max-events")),
+	}
+	for _, dc := range cfg.List("daemon", "data-centres") {
+		d.dataCentres = append(d.dataCentres, filbertford.DataCentre(dc))
+	}
+	d.platformUp.Store(true)
+	d.settings.Store(fbtree.Default())
+	d.haveSettings.Store(true)
+	d.control = newControl(d, cfg, policy)
+	return d, nil
+}
+
+func newControl(d *Daemon, cfg *fbconfig.Config, policy filbertford.Policy) *control {
+	core := fbcore.New(fbcore.Config{
+		Incarnation:    d.incarnation,
+		Key:            fbcore.NewKey(),
+		DataCentre:     d.dataCentre,
+		Address:        d.peerAddress,
+		Started:        d.timer.Now(),
+		EpochLength:    cfg.Duration("ownership", "epoch"),
+		HorizonEpochs:  filbertford.Epoch(cfg.Int("ownership", "horizon")),
+		SpentEpochs:    filbertford.Epoch(cfg.Int("ownership", "opaque-horizon")),
+		MaxSubmissions: cfg.Int("limits", "max-submissions"),
+		MaxAnswerBytes: cfg.Int("limits", "max-answers"),
+	}, policy)
+	horizon := cfg.Duration("ownership", "epoch") * time.Duration(cfg.Int("ownership", "horizon"))
+	opts := fbview.NewOptions().
+		WithPeriod(cfg.Duration("membership", "view-lease")).
+		WithHorizon(horizon)
+	return &control{
+		d:       d,
+		core:    core,
+		view:    fbview.NewView(opts, d.dataCentre, fbview.NewMember(d.incarnation, d.peerAddress)),
+		dir:     fbmember.NewDirectory(d.peerAddress, d.dataCentre, cfg.Duration("membership", "timeout"), cfg.List("daemon", "seeds")),
+		waiters: make(map[fbcore.Ref]chan<- outcome),
+		drained: make(chan struct{}),
+	}
+}
+
+// Incarnation returns the name of this run of the daemon.
+func (d *Daemon) Incarnation() filbertford.Incarnation { return d.incarnation }
+
+// Token returns the text of the owner token to mint new IDs from, empty while
+// the daemon stops.
+func (d *Daemon) Token() string {
+	if t := d.token.Load(); t != nil {
+		return *t
+	}
+	return ""
+}
+
+// Settings returns the settings in force.
+func (d *Daemon) Settings() *fbtree.Tree { return d.settings.Load() }
+
+// Attach adds the daemon's parts to a group: the control goroutine, the
+// membership and the peer service on the listener. When the group ends, the
+// daemon stops gracefully before its control goroutine does.
+func (d *Daemon) Attach(g *run.Group, peers net.Listener) {
+	d.attach(g, d.control.run)
+	d.attach(g, func(ctx context.Context) error { return d.every(ctx, d.vmPoll, d.pollVMs) })
+	d.attach(g, func(ctx context.Context) error { return d.every(ctx, d.heartbeatPeriod/heartbeatChecks, d.heartbeat) })
+	server := fbpeer.NewServer(peerService{d}, peerService{d}, settingsService{d})
+	d.attach(g, func(ctx context.Context) error { return server.Serve(ctx, peers) })
+}
+
+// heartbeatChecks is how often within a heartbeat period the daemon looks for
+// members that are due for one.
+const heartbeatChecks = 4
+
+func (d *Daemon) attach(g *run.Group, f func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// Stop ends the daemon's service gracefully. It returns when nothing is in
+// flight and the table was handed over, or when the drain timeout has passed.
+func (d *Daemon) Stop(ctx context.Context) { d.stop(ctx) }
+
+// Close ends what traffic is left and waits for its goroutines.
+func (d *Daemon) Close() error {
+	d.end()
+	_ = d.traffic.Wait()
+	return d.peers.Close()
+}
--- /dev/null
+++ b/fbdaemon/member.go
@@ -0,0 +1,119 @@
+package fbdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbcore"
+	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fbmember"
+)
+
+// pollVMs reads the platform's list. While it can't be read the daemon goes on
+// with what it last knew.
+func (d *Daemon) pollVMs(ctx context.Context) {
+	ask, cancel := context.WithTimeout(ctx, d.requestTimeout)
+	defer cancel()
+	vms, err := d.vmList.VMs(ask)
+	if err != nil {
+		d.platformState(false, err)
+		return
+	}
+	d.platformState(true, nil)
+	_ = d.send(ctx, vmsRead{vms})
+}
+
+// platformState logs when the platform comes and goes.
+func (d *Daemon) platformState(up bool, err error) {
+	if d.platformUp.Swap(up) == up {
+		return
+	}
+	if up {
+		fbevent.PlatformBack.Log(d.log)
+		return
+	}
+	fbevent.PlatformLost.Log(d.log, "error", err)
+}
+
+// vmsRead brings the platform's list to the control goroutine.
+type vmsRead struct{ vms []filbertford.VM }
+
+func (m vmsRead) handle(c *control, now time.Time) {
+	c.vms = m.vms
+	c.dir.SetVMs(now, m.vms)
+	c.setTargets(now)
+	c.d.haveVMs.Store(true)
+}
+
+// setTargets hands the targets of the data centre to the core, those that
+// operators drain as leaving.
+func (c *control) setTargets(now time.Time) {
+	settings := c.d.settings.Load()
+	var targets []filbertford.VM
+	for _, vm := range c.vms {
+		if vm.Role() != filbertford.RoleTarget || vm.DataCentre() != c.d.dataCentre {
+			continue
+		}
+		if settings.Draining(filbertford.TargetID(vm.ID())) {
+			vm = vm.WithState(filbertford.VMLeaving)
+		}
+		targets = append(targets, vm)
+	}
+	c.drive(now, fbcore.TargetsChanged{Targets: targets})
+}
+
+// heartbeat tells the daemons that have been silent for the period this
+// daemon's state, each in a goroutine of its own.
+func (d *Daemon) heartbeat(ctx context.Context) {
+	var due []string
+	var state fbmember.State
+	err := d.inquire(ctx, func(c *control, now time.Time) {
+		due = c.dir.Due(now, d.heartbeatPeriod)
+		state = c.state(now)
+		c.drive(now, fbcore.PeerUse{Teams: c.dir.PeerUse(now)})
+	})
+	if err != nil {
+		return
+	}
+	for _, address := range due {
+		d.traffic.Go(func() error {
+			d.beat(address, state)
+			return nil
+		})
+	}
+}
+
+func (d *Daemon) beat(address string, state fbmember.State) {
+	ctx, cancel := context.WithTimeout(d.ctx, d.requestTimeout)
+	defer cancel()
+	asked := d.timer.Now()
+	d.metrics.heartbeats.Inc(1)
+	reply, err := d.peers.Heartbeat(ctx, address, state)
+	if err != nil {
+		return
+	}
+	_ = d.send(d.ctx, memberAnswered{asked: asked, address: address, state: reply})
+}
+
+// memberAnswered brings the reply to a heartbeat to the control goroutine.
+type memberAnswered struct {
+	asked   time.Time
+	address string
+	state   fbmember.State
+}
+
+func (m memberAnswered) handle(c *control, now time.Time) {
+	c.dir.Answered(now, m.asked, m.address, m.state)
+}
+
+// memberHeard brings a heartbeat of another daemon to the control goroutine.
+type memberHeard struct {
+	state fbmember.State
+	reply chan fbmember.State
+}
+
+func (m memberHeard) handle(c *control, now time.Time) {
+	c.dir.Heard(now, m.state)
+	m.reply <- c.state(now)
+}
--- /dev/null
+++ b/fbdaemon/report.go
@@ -0,0 +1,55 @@
+package fbdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbcore"
+	"github.com/filbertford/filbertford/fbmember"
+)
+
+// Report is what a daemon knows at one moment, for operators.
+type Report struct {
+	now        time.Time
+	self       fbmember.State
+	members    []fbmember.Member
+	targets    []fbcore.TargetReport
+	platformUp bool
+}
+
+// Report returns what the daemon knows at present.
+func (d *Daemon) Report(ctx context.Context) (Report, error) {
+	var r Report
+	err := d.inquire(ctx, func(c *control, now time.Time) {
+		r = Report{
+			now:        now,
+			self:       c.state(now),
+			members:    c.dir.Members(),
+			targets:    c.core.Targets(),
+			platformUp: d.platformUp.Load(),
+		}
+	})
+	return r, err
+}
+
+// Now returns the time of the report.
+func (r Report) Now() time.Time { return r.now }
+
+// VM returns the daemon's VM.
+func (r Report) VM() filbertford.VMID { return r.self.VM() }
+
+// DataCentre returns where the daemon stands.
+func (r Report) DataCentre() filbertford.DataCentre { return r.self.DataCentre() }
+
+// Settings returns the settings version in force.
+func (r Report) Settings() uint64 { return r.self.Settings() }
+
+// PlatformUp reports whether the platform could last be reached.
+func (r Report) PlatformUp() bool { return r.platformUp }
+
+// Members returns the other daemons.
+func (r Report) Members() []fbmember.Member { return r.members }
+
+// Targets returns the targets of the data centre.
+func (r Report) Targets() []fbcore.TargetReport { return r.targets }
--- /dev/null
+++ b/fbdaemon/service.go
@@ -0,0 +1,70 @@
+package fbdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbcore"
+	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fbmember"
+	"github.com/filbertford/filbertford/fbpeer"
+)
+
+// peerService answers other daemons on behalf of a daemon.
+type peerService struct{ d *Daemon }
+
+var (
+	_ fbpeer.Owner  = peerService{}
+	_ fbpeer.Member = peerService{}
+)
+
+// Submit takes a delivery that another daemon forwarded.
+func (s peerService) Submit(ctx context.Context, owner filbertford.Incarnation, del filbertford.Delivery) filbertford.Answer {
+	return s.d.submit(ctx, owner, del, true)
+}
+
+// Cancel cancels a submission for another daemon.
+func (s peerService) Cancel(ctx context.Context, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Answer {
+	return s.d.cancel(ctx, id, team, true, owner)
+}
+
+// Status tells another daemon what is known of a submission.
+func (s peerService) Status(ctx context.Context, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Status {
+	return s.d.status(ctx, id, team, true, owner)
+}
+
+// Heartbeat takes another daemon's state and returns this one's.
+func (s peerService) Heartbeat(ctx context.Context, state fbmember.State) (fbmember.State, error) {
+	reply := make(chan fbmember.State, 1)
+	if err := s.d.send(ctx, memberHeard{state: state, reply: reply}); err != nil {
+		return fbmember.State{}, err
+	}
+	select {
+	case own := <-reply:
+		return own, nil
+	case <-ctx.Done():
+		return fbmember.State{}, ctx.Err()
+	}
+}
+
+// Inherit takes a part of the table of a daemon that stops.
+func (s peerService) Inherit(ctx context.Context, p fbcore.Part) error {
+	return s.d.inquire(ctx, func(c *control, now time.Time) {
+		c.drive(now, fbcore.Inherited{Part: p})
+		if p.Final() {
+			fbevent.TableInherited.Log(s.d.log, "from", p.Incarnation(), "submissions", len(p.Entries()))
+			c.dir.AskAll()
+		}
+	})
+}
+
+// ConfirmView replies to a question about the view of opaque keys.
+func (s peerService) ConfirmView(ctx context.Context, q fbpeer.ViewQuestion) (fbpeer.ViewPromise, error) {
+	var out fbpeer.ViewPromise
+	err := s.d.inquire(ctx, func(c *control, _ time.Time) {
+		p := c.view.PromiseAsked(q.Asker(), q.DataCentre(), q.Epoch(), q.Period())
+		out = fbpeer.NewViewPromise(p.Promised(), p.Epoch())
+	})
+	return out, err
+}
--- /dev/null
+++ b/fbdaemon/stop.go
@@ -0,0 +1,93 @@
+package fbdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertford/filbertford/fbcore"
+	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fbmember"
+)
+
+const (
+	// partEntries is the number of submissions in one part of a hand-over.
+	partEntries = 2000
+	// handOverTries is the number of heirs that are tried.
+	handOverTries = 3
+)
+
+// Ready reports whether the daemon takes jobs.
+func (d *Daemon) Ready() bool {
+	return d.haveVMs.Load() && d.haveSettings.Load() && !d.leaving.Load()
+}
+
+// stop ends the daemon's service: readiness goes first, then the first
+// deliveries, then, when nothing is in flight, the table goes to an heir.
+func (d *Daemon) stop(ctx context.Context) {
+	fbevent.DaemonStopping.Log(d.log)
+	d.leaving.Store(true)
+	d.pause(ctx, d.stopGrace)
+	ctx, cancel := context.WithTimeout(ctx, d.drainTimeout)
+	defer cancel()
+	err := d.inquire(ctx, func(c *control, now time.Time) {
+		c.view.Leave()
+		c.drive(now, fbcore.StopRequested{})
+	})
+	if err != nil {
+		return
+	}
+	select {
+	case <-d.control.drained:
+	case <-ctx.Done():
+		fbevent.StopDrainTimeout.Log(d.log, "waited", d.drainTimeout)
+		return
+	}
+	d.handOver(ctx)
+}
+
+// pause waits for a time or the end of the context.
+func (d *Daemon) pause(ctx context.Context, period time.Duration) {
+	if period <= 0 {
+		return
+	}
+	ticks, stop := d.timer.Subscribe(period)
+	defer stop()
+	select {
+	case <-ticks:
+	case <-ctx.Done():
+	}
+}
+
+// handOver passes the table to an heir. If no heir acknowledges all of it, the
+// outcome of the submissions becomes unknown.
+func (d *Daemon) handOver(ctx context.Context) {
+	for range handOverTries {
+		var heir fbmember.Member
+		var parts []fbcore.Part
+		var found bool
+		err := d.inquire(ctx, func(c *control, now time.Time) {
+			heir, found = c.dir.Heir(now)
+			parts = c.core.Parts(now, partEntries)
+		})
+		if err != nil || !found {
+			break
+		}
+		if err := d.handParts(ctx, heir.Address(), parts); err == nil {
+			fbevent.TableHandedOver.Log(d.log, "heir", heir.Address(), "parts", len(parts))
+			return
+		}
+	}
+	fbevent.HandOverFailed.Log(d.log)
+}
+
+func (d *Daemon) handParts(ctx context.Context, heir string, parts []fbcore.Part) error {
+	for _, p := range parts {
+		ask, cancel := context.WithTimeout(ctx, d.requestTimeout)
+		err := d.peers.Inherit(ask, heir, p)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/fbevent/daemon.go
+++ b/fbevent/daemon.go
@@ -13,5 +13,7 @@
 	TableHandedOver  = info("FE1009", "submissions were handed to the heir")
 	HandOverFailed   = warn("FE1010", "submissions could not be handed over; their outcome becomes unknown")
 	TableInherited   = info("FE1011", "submissions were inherited from a stopping daemon")
+	PlatformLost     = warn("FE1013", "platform can't be reached; the daemon goes on with what it last knew")
+	PlatformBack     = info("FE1014", "platform can be reached")
 	StopDrainTimeout = warn("FE1012", "daemon stops although jobs are still in flight")
 )
--- /dev/null
+++ b/fbmember/directory.go
@@ -0,0 +1,282 @@
+package fbmember
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// Directory is one daemon's knowledge of the others. It is used by one
+// goroutine.
+type Directory struct {
+	self    string
+	dc      filbertford.DataCentre
+	timeout time.Duration
+	members map[string]*Member
+	owners  map[filbertford.Incarnation]string
+	gone    []filbertford.Incarnation
+}
+
+// Member is another daemon as the directory knows it.
+type Member struct {
+	address string
+	listed  bool
+	seed    bool
+	leaving bool
+	heard   time.Time
+	asked   time.Time
+	state   State
+}
+
+// Address returns the address of the member's peer listener.
+func (m Member) Address() string { return m.address }
+
+// State returns what the member last told, the zero State if nothing.
+func (m Member) State() State { return m.state }
+
+// Heard returns when the member last answered, the zero time if never.
+func (m Member) Heard() time.Time { return m.heard }
+
+// Leaving reports whether the platform's list has the member as leaving.
+func (m Member) Leaving() bool { return m.leaving }
+
+// Condition tells how a member is.
+type Condition string
+
+// The conditions of a member.
+const (
+	ConditionLive     Condition = "live"
+	ConditionStopping Condition = "stopping"
+	ConditionSilent   Condition = "silent"
+)
+
+// silenceNoted is the silence from which on a member is shown as silent.
+const silenceNoted = 5 * time.Second
+
+// Silence returns how long the member has not been heard of, 0 if never.
+func (m Member) Silence(now time.Time) time.Duration {
+	if m.heard.IsZero() {
+		return 0
+	}
+	return now.Sub(m.heard)
+}
+
+// Condition returns how the member is.
+func (m Member) Condition(now time.Time) Condition {
+	switch {
+	case m.heard.IsZero() || m.Silence(now) >= silenceNoted:
+		return ConditionSilent
+	case m.state.stopping:
+		return ConditionStopping
+	}
+	return ConditionLive
+}
+
+// NewDirectory returns the directory of the daemon whose peer listener is at
+// the address. Seeds are addresses of members that are known from the start.
+// A member that has not answered for the timeout counts as unreachable.
+func NewDirectory(self string, dc filbertford.DataCentre, timeout time.Duration, seeds []string) *Directory {
+	d := &Directory{
+		self:    self,
+		dc:      dc,
+		timeout: timeout,
+		members: make(map[string]*Member),
+		owners:  make(map[filbertford.Incarnation]string),
+	}
+	for _, a := range seeds {
+		if a != self {
+			d.members[a] = &Member{address: a, seed: true}
+		}
+	}
+	return d
+}
+
+// SetVMs takes the platform's list. Members that it no longer holds are dropped
+// unless they still answer or are seeds.
+func (d *Directory) SetVMs(now time.Time, vms []filbertford.VM) {
+	for _, m := range d.members {
+		m.listed = false
+	}
+	for _, vm := range vms {
+		if vm.Role() != filbertford.RoleEntry || vm.Address() == d.self {
+			continue
+		}
+		m := d.members[vm.Address()]
+		if m == nil {
+			m = &Member{address: vm.Address()}
+			d.members[vm.Address()] = m
+		}
+		m.listed = true
+		m.leaving = vm.State() == filbertford.VMLeaving
+	}
+	for a, m := range d.members {
+		if !m.listed && !m.seed && !d.reachable(now, m) {
+			d.drop(a)
+		}
+	}
+}
+
+// Answered takes the state with which the daemon at the address replied to a
+// heartbeat. Another incarnation than before proves that the former one is gone
+// if it was known when the heartbeat was sent.
+func (d *Directory) Answered(now, asked time.Time, address string, s State) {
+	m := d.members[address]
+	if m == nil || s.address != address {
+		return
+	}
+	if former := m.state.incarnation; former != 0 && former != s.incarnation && m.heard.Before(asked) {
+		d.gone = append(d.gone, former)
+		d.forgetOwners(address)
+	}
+	d.take(now, m, s)
+}
+
+// Heard takes the state that a daemon told with a heartbeat of its own. An
+// incarnation that differs from the one known at the address is not taken on
+// its word: the address is asked next.
+func (d *Directory) Heard(now time.Time, s State) {
+	m := d.members[s.address]
+	if m == nil {
+		return
+	}
+	if former := m.state.incarnation; former != 0 && former != s.incarnation {
+		m.heard, m.asked = time.Time{}, time.Time{}
+		return
+	}
+	d.take(now, m, s)
+}
+
+// Gone returns the incarnations that were proved to be gone for good since the
+// last call.
+func (d *Directory) Gone() []filbertford.Incarnation {
+	gone := d.gone
+	d.gone = nil
+	return gone
+}
+
+// take keeps a member's state.
+func (d *Directory) take(now time.Time, m *Member, s State) {
+	m.state, m.heard = s, now
+	if _, inherited := d.owners[s.incarnation]; !inherited {
+		d.owners[s.incarnation] = s.address
+	}
+	for _, inc := range s.inherited {
+		d.owners[inc] = s.address
+	}
+}
+
+// Owner returns the address of the member that is the incarnation or answers
+// for it, or false if no member is known to.
+func (d *Directory) Owner(inc filbertford.Incarnation) (string, bool) {
+	a, ok := d.owners[inc]
+	return a, ok
+}
+
+// Known reports whether the address is that of a member, so that it may be
+// dialled.
+func (d *Directory) Known(address string) bool { return d.members[address] != nil }
+
+// Members returns all members in the order of their addresses.
+func (d *Directory) Members() []Member {
+	out := make([]Member, 0, len(d.members))
+	for _, m := range d.members {
+		out = append(out, *m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.address, b.address) })
+	return out
+}
+
+// Live returns the members of a data centre that answer, stopping ones
+// excluded.
+func (d *Directory) Live(now time.Time, dc filbertford.DataCentre) []Member {
+	return slices.DeleteFunc(d.Members(), func(m Member) bool {
+		return !d.reachable(now, &m) || m.state.stopping || m.state.dataCentre != dc
+	})
+}
+
+// Heir returns the live member of the data centre that should inherit from
+// this daemon: the least loaded one. It returns false if there is none.
+func (d *Directory) Heir(now time.Time) (Member, bool) {
+	live := d.Live(now, d.dc)
+	live = slices.DeleteFunc(live, func(m Member) bool { return m.leaving })
+	if len(live) == 0 {
+		return Member{}, false
+	}
+	return slices.MinFunc(live, func(a, b Member) int {
+		return cmp.Compare(a.state.load.Waiting()+a.state.load.Running(), b.state.load.Waiting()+b.state.load.Running())
+	}), true
+}
+
+// PeerUse returns the waiting and running tasks by team at the other daemons
+// of the data centre that answer.
+func (d *Directory) PeerUse(now time.Time) map[string]int {
+	out := make(map[string]int)
+	for _, m := range d.Live(now, d.dc) {
+		for team, n := range m.state.teams {
+			out[team] += n
+		}
+	}
+	return out
+}
+
+// steerRatio is by how much a daemon must be more loaded than another for jobs
+// to be steered there.
+const steerRatio = 2
+
+// Steer returns the token of the least loaded live member of the data centre if
+// new jobs are better minted for it than for this daemon of the given load, or
+// an empty text.
+func (d *Directory) Steer(now time.Time, own filbertford.Load) string {
+	if own.Waiting() == 0 {
+		return ""
+	}
+	best, least := "", own.Waiting()+own.Running()
+	for _, m := range d.Live(now, d.dc) {
+		l := m.state.load
+		if busy := l.Waiting() + l.Running(); busy*steerRatio < least && m.state.token != "" {
+			best, least = m.state.token, busy*steerRatio
+		}
+	}
+	return best
+}
+
+// Due returns the addresses that a heartbeat should be sent to now: a member
+// that has told nothing for the period in a heartbeat of its own. The more
+// recent of two heartbeats serves both sides, so a pair exchanges one a period.
+func (d *Directory) Due(now time.Time, period time.Duration) []string {
+	var out []string
+	for a, m := range d.members {
+		if now.Sub(m.heard) >= period && now.Sub(m.asked) >= period {
+			m.asked = now
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// AskAll makes a heartbeat due to every member.
+func (d *Directory) AskAll() {
+	for _, m := range d.members {
+		m.heard, m.asked = m.heard.Add(-d.timeout/2), time.Time{}
+	}
+}
+
+func (d *Directory) reachable(now time.Time, m *Member) bool {
+	return !m.heard.IsZero() && now.Sub(m.heard) < d.timeout
+}
+
+func (d *Directory) drop(address string) {
+	delete(d.members, address)
+	d.forgetOwners(address)
+}
+
+func (d *Directory) forgetOwners(address string) {
+	for inc, a := range d.owners {
+		if a == address {
+			delete(d.owners, inc)
+		}
+	}
+}
--- /dev/null
+++ b/fbmember/state.go
@@ -0,0 +1,89 @@
+package fbmember
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/filbertford/filbertford"
+)
+
+// State is what a daemon tells the others of itself with each heartbeat.
+type State struct {
+	vm          filbertford.VMID
+	incarnation filbertford.Incarnation
+	dataCentre  filbertford.DataCentre
+	address     string
+	stopping    bool
+	settings    uint64
+	load        filbertford.Load
+	token       string
+	inherited   []filbertford.Incarnation
+	teams       map[string]int
+}
+
+// NewState returns the state of a daemon whose peer listener is at the address.
+func NewState(vm filbertford.VMID, inc filbertford.Incarnation, dc filbertford.DataCentre, address string) State {
+	return State{vm: vm, incarnation: inc, dataCentre: dc, address: address}
+}
+
+// WithStopping returns a copy of s that tells whether a planned stop has begun.
+func (s State) WithStopping(stopping bool) State {
+	s.stopping = stopping
+	return s
+}
+
+// WithSettings returns a copy of s with the settings version in force.
+func (s State) WithSettings(version uint64) State {
+	s.settings = version
+	return s
+}
+
+// WithLoad returns a copy of s with the daemon's load and the token from which
+// new IDs can be minted to steer jobs to it.
+func (s State) WithLoad(l filbertford.Load, token string) State {
+	s.load, s.token = l, token
+	return s
+}
+
+// WithInherited returns a copy of s with the incarnations that the daemon
+// answers for beside its own.
+func (s State) WithInherited(incs []filbertford.Incarnation) State {
+	s.inherited = slices.Clone(incs)
+	return s
+}
+
+// WithTeams returns a copy of s with the waiting and running tasks by team.
+func (s State) WithTeams(teams map[string]int) State {
+	s.teams = maps.Clone(teams)
+	return s
+}
+
+// VM returns the daemon's VM.
+func (s State) VM() filbertford.VMID { return s.vm }
+
+// Incarnation returns the run of the daemon.
+func (s State) Incarnation() filbertford.Incarnation { return s.incarnation }
+
+// DataCentre returns where the daemon stands.
+func (s State) DataCentre() filbertford.DataCentre { return s.dataCentre }
+
+// Address returns the address of the peer listener.
+func (s State) Address() string { return s.address }
+
+// Stopping reports whether a planned stop has begun.
+func (s State) Stopping() bool { return s.stopping }
+
+// Settings returns the settings version in force.
+func (s State) Settings() uint64 { return s.settings }
+
+// Load returns the daemon's load.
+func (s State) Load() filbertford.Load { return s.load }
+
+// Token returns the text of an owner token, empty while the daemon stops.
+func (s State) Token() string { return s.token }
+
+// Inherited returns the incarnations that the daemon answers for.
+func (s State) Inherited() []filbertford.Incarnation { return s.inherited }
+
+// Teams returns the waiting and running tasks by team.
+func (s State) Teams() map[string]int { return s.teams }
--- /dev/null
+++ b/fbmetrics/reporter.go
@@ -0,0 +1,119 @@
+// Package fbmetrics keeps a process's metrics in memory, where the operations
+// listener reads them.
+package fbmetrics
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// reportPeriod is how often the scope hands its values to the reporter.
+const reportPeriod = time.Second
+
+// Reporter is a tally.StatsReporter that adds counters up and keeps the last
+// value of each gauge. Timers and histograms are kept as a count and a sum in
+// seconds.
+type Reporter struct {
+	mu     sync.Mutex
+	values map[string]float64
+	kinds  map[string]string
+}
+
+var _ tally.StatsReporter = (*Reporter)(nil)
+
+// NewScope returns a scope with its reporter. Closing it ends its reports.
+func NewScope() (tally.Scope, *Reporter, io.Closer) {
+	r := &Reporter{values: make(map[string]float64), kinds: make(map[string]string)}
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: r, OmitCardinalityMetrics: true}, reportPeriod)
+	return scope, r, closer
+}
+
+// Values returns a copy of all values.
+func (r *Reporter) Values() map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.values)
+}
+
+// WriteText writes the values in the text format of Prometheus.
+func (r *Reporter) WriteText(w io.Writer) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(r.values)) {
+		base, _, _ := strings.Cut(name, "{")
+		_, err := fmt.Fprintf(w, "# TYPE filbertford_%s %s\nfilbertford_%s %g\n", base, r.kinds[name], name, r.values[name])
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Capabilities implements tally.BaseStatsReporter.
+func (r *Reporter) Capabilities() tally.Capabilities { return r }
+
+// Reporting implements tally.Capabilities.
+func (r *Reporter) Reporting() bool { return true }
+
+// Tagging implements tally.Capabilities.
+func (r *Reporter) Tagging() bool { return true }
+
+// Flush implements tally.BaseStatsReporter.
+func (r *Reporter) Flush() {}
+
+// ReportCounter implements tally.StatsReporter.
+func (r *Reporter) ReportCounter(name string, tags map[string]string, value int64) {
+	r.add(label(name, tags), float64(value))
+}
+
+// ReportGauge implements tally.StatsReporter.
+func (r *Reporter) ReportGauge(name string, tags map[string]string, value float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := label(name, tags)
+	r.values[key], r.kinds[key] = value, "gauge"
+}
+
+// ReportTimer implements tally.StatsReporter.
+func (r *Reporter) ReportTimer(name string, tags map[string]string, interval time.Duration) {
+	r.add(label(name+"_count", tags), 1)
+	r.add(label(name+"_seconds", tags), interval.Seconds())
+}
+
+// ReportHistogramValueSamples implements tally.StatsReporter.
+func (r *Reporter) ReportHistogramValueSamples(name string, tags map[string]string, _ tally.Buckets, _, upper float64, samples int64) {
+	r.add(label(name+"_count", tags), float64(samples))
+	r.add(label(name+"_sum", tags), upper*float64(samples))
+}
+
+// ReportHistogramDurationSamples implements tally.StatsReporter.
+func (r *Reporter) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
+	r.add(label(name+"_count", tags), float64(samples))
+	r.add(label(name+"_seconds", tags), upper.Seconds()*float64(samples))
+}
+
+func (r *Reporter) add(key string, value float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.values[key] += value
+	r.kinds[key] = "counter"
+}
+
+// label returns the name with its tags in the order of their keys.
+func label(name string, tags map[string]string) string {
+	if len(tags) == 0 {
+		return name
+	}
+	pairs := make([]string, 0, len(tags))
+	for _, k := range slices.Sorted(maps.Keys(tags)) {
+		pairs = append(pairs, fmt.Sprintf("%s=%q", k, tags[k]))
+	}
+	return name + "{" + strings.Join(pairs, ",") + "}"
+}
--- /dev/null
+++ b/fbops/server.go
@@ -0,0 +1,154 @@
+package fbops
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/filbertford/filbertford/fbdaemon"
+	"github.com/filbertford/filbertford/fbmetrics"
+)
+
+// Daemon is the daemon that operators look at.
+type Daemon interface {
+	// Report returns what the daemon knows at present.
+	Report(ctx context.Context) (fbdaemon.Report, error)
+	// Ready reports whether the daemon takes jobs.
+	Ready() bool
+}
+
+// readTimeout is the time that an operator's client has to send a request.
+const readTimeout = 10 * time.Second
+
+// NewServer returns the HTTP server for operators, without a listener. Requests
+// must carry the key unless it is empty.
+func NewServer(d Daemon, m *fbmetrics.Reporter, key string) (*http.Server, *echo.Echo) {
+	h := handler{d: d, metrics: m}
+	e := echo.New()
+	e.HideBanner = true
+	e.Use(demand(key))
+	e.GET("/metrics", h.text)
+	e.GET("/metrics.json", h.values)
+	e.GET("/v1/settings", h.settings)
+	e.GET("/v1/vms", h.vms)
+	e.GET("/v1/targets", h.targets)
+	return &http.Server{Handler: e, ReadTimeout: readTimeout}, e
+}
+
+// demand refuses requests without the key.
+func demand(key string) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			got, _ := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+			if key != "" && subtle.ConstantTimeCompare([]byte(got), []byte(key)) != 1 {
+				return echo.NewHTTPError(http.StatusUnauthorized, "the operator key is missing or wrong")
+			}
+			return next(c)
+		}
+	}
+}
+
+// handler answers the requests of operators.
+type handler struct {
+	d       Daemon
+	metrics *fbmetrics.Reporter
+}
+
+func (h handler) text(c echo.Context) error {
+	c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+	return h.metrics.WriteText(c.Response())
+}
+
+func (h handler) values(c echo.Context) error { return c.JSON(http.StatusOK, h.metrics.Values()) }
+
+// settingsReply tells which settings are in force.
+type settingsReply struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"data_centre"`
+	Version    uint64 `json:"version"`
+	Ready      bool   `json:"ready"`
+	PlatformUp bool   `json:"platform_up"`
+}
+
+func (h handler) settings(c echo.Context) error {
+	r, err := h.d.Report(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, settingsReply{
+		VM:         string(r.VM()),
+		DataCentre: string(r.DataCentre()),
+		Version:    r.Settings(),
+		Ready:      h.d.Ready(),
+		PlatformUp: r.PlatformUp(),
+	})
+}
+
+// vmReply is a daemon as this daemon knows it.
+type vmReply struct {
+	VM          string `json:"vm"`
+	DataCentre  string `json:"data_centre"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+	State       string `json:"state"`
+	Settings    uint64 `json:"settings"`
+	Waiting     int    `json:"waiting"`
+	Running     int    `json:"running"`
+	SilentMS    int64  `json:"silent_ms"`
+}
+
+func (h handler) vms(c echo.Context) error {
+	r, err := h.d.Report(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	out := make([]vmReply, 0, len(r.Members()))
+	for _, m := range r.Members() {
+		s := m.State()
+		out = append(out, vmReply{
+			VM:          string(s.VM()),
+			DataCentre:  string(s.DataCentre()),
+			Address:     m.Address(),
+			Incarnation: s.Incarnation().String(),
+			State:       string(m.Condition(r.Now())),
+			Settings:    s.Settings(),
+			Waiting:     s.Load().Waiting(),
+			Running:     s.Load().Running(),
+			SilentMS:    m.Silence(r.Now()).Milliseconds(),
+		})
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+// targetReply is a target as this daemon knows it.
+type targetReply struct {
+	Target  string `json:"target"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+	Slots   int    `json:"slots"`
+	Mine    int    `json:"mine"`
+	Free    int    `json:"free"`
+}
+
+func (h handler) targets(c echo.Context) error {
+	r, err := h.d.Report(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	out := make([]targetReply, 0, len(r.Targets()))
+	for _, t := range r.Targets() {
+		out = append(out, targetReply{
+			Target:  string(t.VM().ID()),
+			Address: t.VM().Address(),
+			State:   string(t.State()),
+			Slots:   t.VM().Slots(),
+			Mine:    t.Mine(),
+			Free:    t.Free(),
+		})
+	}
+	return c.JSON(http.StatusOK, out)
+}
--- /dev/null
+++ b/fbpeer/client.go
@@ -0,0 +1,252 @@
+package fbpeer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbcore"
+	"github.com/filbertford/filbertford/fbmember"
+	"github.com/filbertford/filbertford/fbwire"
+)
+
+// Limits of the connections between daemons.
+const (
+	// MaxMessage is the size in bytes of the largest message.
+	MaxMessage = 64 << 20
+	// dialTimeout is the time that a connection may take to be made.
+	dialTimeout = time.Second
+	// idleTimeout is the time after which an unused connection is closed.
+	idleTimeout = time.Minute
+	// idlePerPeer is the number of unused connections kept to one daemon.
+	idlePerPeer = 64
+)
+
+// ErrUnreached is returned when nothing was sent to the other daemon.
+var ErrUnreached = eris.New("daemon could not be reached")
+
+// Settings is a version of the settings as daemons pass it on: the whole tree,
+// or the changes since the base version.
+type Settings struct {
+	have    uint64
+	base    uint64
+	version uint64
+	body    []byte
+	delta   bool
+}
+
+// NewSettings returns a version of the settings with its body. Have is the
+// newest version that the sender holds. For a delta, base is the version that
+// the changes apply to.
+func NewSettings(have, base, version uint64, body []byte, delta bool) Settings {
+	return Settings{have: have, base: base, version: version, body: body, delta: delta}
+}
+
+// Have returns the newest version that the sender holds.
+func (s Settings) Have() uint64 { return s.have }
+
+// Base returns the version that a delta applies to.
+func (s Settings) Base() uint64 { return s.base }
+
+// Version returns the version that the body leads to, 0 for none.
+func (s Settings) Version() uint64 { return s.version }
+
+// Body returns the tree or the changes.
+func (s Settings) Body() []byte { return s.body }
+
+// Delta reports whether the body holds changes to the base version.
+func (s Settings) Delta() bool { return s.delta }
+
+// ViewQuestion asks a member to promise that it uses no view of the opaque keys
+// newer than the epoch.
+type ViewQuestion struct {
+	dataCentre filbertford.DataCentre
+	epoch      uint64
+	asker      filbertford.Incarnation
+	period     time.Duration
+}
+
+// NewViewQuestion returns a question about a data centre's view.
+func NewViewQuestion(dc filbertford.DataCentre, epoch uint64, asker filbertford.Incarnation, period time.Duration) ViewQuestion {
+	return ViewQuestion{dataCentre: dc, epoch: epoch, asker: asker, period: period}
+}
+
+// DataCentre returns the data centre of the view.
+func (q ViewQuestion) DataCentre() filbertford.DataCentre { return q.dataCentre }
+
+// Epoch returns the view's epoch.
+func (q ViewQuestion) Epoch() uint64 { return q.epoch }
+
+// Asker returns the member that asks.
+func (q ViewQuestion) Asker() filbertford.Incarnation { return q.asker }
+
+// Period returns how long the promise is to hold.
+func (q ViewQuestion) Period() time.Duration { return q.period }
+
+// ViewPromise is a member's reply to a ViewQuestion.
+type ViewPromise struct {
+	promised bool
+	epoch    uint64
+}
+
+// NewViewPromise returns a reply with the epoch that the member uses.
+func NewViewPromise(promised bool, epoch uint64) ViewPromise {
+	return ViewPromise{promised: promised, epoch: epoch}
+}
+
+// Promised reports whether the member promised.
+func (p ViewPromise) Promised() bool { return p.promised }
+
+// Epoch returns the epoch of the view that the member uses.
+func (p ViewPromise) Epoch() uint64 { return p.epoch }
+
+// Client asks other daemons. Its methods may be called by many goroutines.
+type Client struct {
+	pool   *drpcpool.Pool[string, *drpcconn.Conn]
+	dialer net.Dialer
+}
+
+var _ filbertford.Peer = (*Client)(nil)
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{
+		pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+			Expiration:  idleTimeout,
+			KeyCapacity: idlePerPeer,
+		}),
+		dialer: net.Dialer{Timeout: dialTimeout},
+	}
+}
+
+// Close closes the unused connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+// Forward passes a delivery on. It answers CodeOwnerUnreached if nothing was
+// sent, and CodeOutcomeUnknown if the reply was lost.
+func (c *Client) Forward(ctx context.Context, address string, owner filbertford.Incarnation, d filbertford.Delivery) filbertford.Answer {
+	req := &fbwire.ForwardRequest{Owner: uint64(owner), Id: d.ID().String(), Job: jobToWire(d.Job())}
+	return answerOf(call(ctx, c, address, req, fbwire.DRPCPeerClient.Forward))
+}
+
+// Cancel asks the owner of a submission to cancel it. It answers as Forward
+// does.
+func (c *Client) Cancel(ctx context.Context, address string, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Answer {
+	req := &fbwire.SubmissionRequest{Owner: uint64(owner), Id: id.String(), Team: team}
+	return answerOf(call(ctx, c, address, req, fbwire.DRPCPeerClient.Cancel))
+}
+
+// Status asks the owner of a submission for what it knows.
+func (c *Client) Status(ctx context.Context, address string, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Status {
+	req := &fbwire.SubmissionRequest{Owner: uint64(owner), Id: id.String(), Team: team}
+	reply, err := call(ctx, c, address, req, fbwire.DRPCPeerClient.Status)
+	if err != nil {
+		return filbertford.NewStatus(filbertford.StateUnknown, filbertford.NewRefusal(filbertford.CodeOwnerUnreached, err.Error()))
+	}
+	return filbertford.NewStatus(filbertford.State(reply.GetState()), answerFromWire(reply.GetAnswer()))
+}
+
+// Heartbeat tells a daemon the sender's state and returns the daemon's own.
+func (c *Client) Heartbeat(ctx context.Context, address string, s fbmember.State) (fbmember.State, error) {
+	req := &fbwire.HeartbeatRequest{Sender: stateToWire(s)}
+	reply, err := call(ctx, c, address, req, fbwire.DRPCPeerClient.Heartbeat)
+	if err != nil {
+		return fbmember.State{}, err
+	}
+	return stateFromWire(reply.GetReceiver()), nil
+}
+
+// Inherit hands a part of a table to an heir.
+func (c *Client) Inherit(ctx context.Context, address string, p fbcore.Part) error {
+	reply, err := call(ctx, c, address, partToWire(p), fbwire.DRPCPeerClient.Inherit)
+	if err != nil {
+		return err
+	}
+	if !reply.GetAccepted() {
+		return eris.New("the heir did not accept")
+	}
+	return nil
+}
+
+// PushSettings passes a version on and returns what the daemon holds then.
+func (c *Client) PushSettings(ctx context.Context, address string, s Settings) (Settings, error) {
+	reply, err := call(ctx, c, address, settingsToWire(s), fbwire.DRPCPeerClient.PushSettings)
+	return settingsFromWire(reply), err
+}
+
+// PullSettings asks for the newest version, given the one at hand.
+func (c *Client) PullSettings(ctx context.Context, address string, have uint64) (Settings, error) {
+	reply, err := call(ctx, c, address, &fbwire.SettingsRequest{Have: have}, fbwire.DRPCPeerClient.PullSettings)
+	return settingsFromWire(reply), err
+}
+
+// ConfirmView asks a member for a promise.
+func (c *Client) ConfirmView(ctx context.Context, address string, q ViewQuestion) (ViewPromise, error) {
+	req := &fbwire.ConfirmViewRequest{
+		DataCentre: string(q.dataCentre),
+		Epoch:      q.epoch,
+		Asker:      uint64(q.asker),
+		PeriodUs:   q.period.Microseconds(),
+	}
+	reply, err := call(ctx, c, address, req, fbwire.DRPCPeerClient.ConfirmView)
+	return NewViewPromise(reply.GetPromised(), reply.GetEpoch()), err
+}
+
+// call makes one request on a connection of its own, since a drpc connection
+// carries one request at a time. It returns ErrUnreached if nothing was sent.
+func call[Q, R any](ctx context.Context, c *Client, address string, req Q, method func(fbwire.DRPCPeerClient, context.Context, Q) (R, error)) (R, error) {
+	var none R
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return none, err
+	}
+	reply, err := method(fbwire.NewDRPCPeerClient(conn), ctx, req)
+	if err != nil {
+		_ = conn.Close()
+		return none, eris.Wrapf(err, "asking %s", address)
+	}
+	c.pool.Put(address, conn)
+	return reply, nil
+}
+
+// connect returns an unused connection, or makes one.
+func (c *Client) connect(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	if conn, ok := c.pool.Take(address); ok {
+		return conn, nil
+	}
+	tr, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(ErrUnreached, err.Error())
+	}
+	return drpcconn.NewWithOptions(tr, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessage}}
+}
+
+func answerOf(reply *fbwire.AnswerReply, err error) filbertford.Answer {
+	switch {
+	case err == nil:
+		return answerFromWire(reply.GetAnswer())
+	case eris.Is(err, ErrUnreached):
+		return filbertford.NewRefusal(filbertford.CodeOwnerUnreached, err.Error())
+	default:
+		return filbertford.NewRefusal(filbertford.CodeOutcomeUnknown, err.Error())
+	}
+}
+
+func settingsToWire(s Settings) *fbwire.SettingsRequest {
+	return &fbwire.SettingsRequest{Have: s.have, Base: s.base, Version: s.version, Body: s.body, Delta: s.delta}
+}
+
+func settingsFromWire(w *fbwire.SettingsReply) Settings {
+	return NewSettings(w.GetHave(), w.GetBase(), w.GetVersion(), w.GetBody(), w.GetDelta())
+}
--- /dev/null
+++ b/fbpeer/server.go
@@ -0,0 +1,144 @@
+package fbpeer
+
+import (
+	"context"
+	"net"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbcore"
+	"github.com/filbertford/filbertford/fbmember"
+	"github.com/filbertford/filbertford/fbwire"
+)
+
+// Owner answers for submissions. An owner of incarnation 0 stands for whoever
+// owns the opaque key within the data centre.
+type Owner interface {
+	// Submit takes a delivery that another daemon forwarded.
+	Submit(ctx context.Context, owner filbertford.Incarnation, d filbertford.Delivery) filbertford.Answer
+	// Cancel cancels a submission for a team, any if empty.
+	Cancel(ctx context.Context, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Answer
+	// Status tells a team, any if empty, what is known of a submission.
+	Status(ctx context.Context, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Status
+}
+
+// Member takes part in the fleet of daemons.
+type Member interface {
+	// Heartbeat takes the sender's state and returns the daemon's own.
+	Heartbeat(ctx context.Context, s fbmember.State) (fbmember.State, error)
+	// Inherit takes a part of the table of a daemon that stops.
+	Inherit(ctx context.Context, p fbcore.Part) error
+	// ConfirmView replies to a question about the view of opaque keys.
+	ConfirmView(ctx context.Context, q ViewQuestion) (ViewPromise, error)
+}
+
+// SettingsHolder holds a version of the settings.
+type SettingsHolder interface {
+	// PushSettings takes a version and returns what is held then.
+	PushSettings(ctx context.Context, s Settings) (Settings, error)
+	// PullSettings returns the newest version for a daemon that has the given
+	// one.
+	PullSettings(ctx context.Context, have uint64) (Settings, error)
+}
+
+// Server answers other daemons.
+type Server struct {
+	owner    Owner
+	member   Member
+	settings SettingsHolder
+}
+
+var _ fbwire.DRPCPeerServer = (*Server)(nil)
+
+// NewServer returns a server that answers by way of the given parts.
+func NewServer(o Owner, m Member, s SettingsHolder) *Server {
+	return &Server{owner: o, member: m, settings: s}
+}
+
+// Serve answers requests until the context ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	mux := drpcmux.New()
+	if err := fbwire.DRPCRegisterPeer(mux, s); err != nil {
+		return eris.Wrap(err, "registering the peer service")
+	}
+	opts := drpcserver.Options{Manager: managerOptions()}
+	return drpcserver.NewWithOptions(mux, opts).Serve(ctx, l)
+}
+
+// Forward implements fbwire.DRPCPeerServer.
+func (s *Server) Forward(ctx context.Context, r *fbwire.ForwardRequest) (*fbwire.AnswerReply, error) {
+	id, err := filbertford.ParseID(r.GetId())
+	if err != nil {
+		return reply(filbertford.NewRefusal(filbertford.CodeMalformed, err.Error())), nil
+	}
+	d := filbertford.NewDelivery(id, jobFromWire(r.GetJob()))
+	return reply(s.owner.Submit(ctx, filbertford.Incarnation(r.GetOwner()), d)), nil
+}
+
+// Cancel implements fbwire.DRPCPeerServer.
+func (s *Server) Cancel(ctx context.Context, r *fbwire.SubmissionRequest) (*fbwire.AnswerReply, error) {
+	id, err := filbertford.ParseID(r.GetId())
+	if err != nil {
+		return reply(filbertford.NewRefusal(filbertford.CodeMalformed, err.Error())), nil
+	}
+	return reply(s.owner.Cancel(ctx, filbertford.Incarnation(r.GetOwner()), id, r.GetTeam())), nil
+}
+
+// Status implements fbwire.DRPCPeerServer.
+func (s *Server) Status(ctx context.Context, r *fbwire.SubmissionRequest) (*fbwire.StatusReply, error) {
+	id, err := filbertford.ParseID(r.GetId())
+	if err != nil {
+		a := filbertford.NewRefusal(filbertford.CodeMalformed, err.Error())
+		return &fbwire.StatusReply{State: string(filbertford.StateUnknown), Answer: answerToWire(a)}, nil
+	}
+	status := s.owner.Status(ctx, filbertford.Incarnation(r.GetOwner()), id, r.GetTeam())
+	return &fbwire.StatusReply{State: string(status.State()), Answer: answerToWire(status.Answer())}, nil
+}
+
+// Heartbeat implements fbwire.DRPCPeerServer.
+func (s *Server) Heartbeat(ctx context.Context, r *fbwire.HeartbeatRequest) (*fbwire.HeartbeatReply, error) {
+	state, err := s.member.Heartbeat(ctx, stateFromWire(r.GetSender()))
+	if err != nil {
+		return nil, err
+	}
+	return &fbwire.HeartbeatReply{Receiver: stateToWire(state)}, nil
+}
+
+// Inherit implements fbwire.DRPCPeerServer.
+func (s *Server) Inherit(ctx context.Context, r *fbwire.InheritRequest) (*fbwire.InheritReply, error) {
+	err := s.member.Inherit(ctx, partFromWire(r))
+	return &fbwire.InheritReply{Accepted: err == nil}, nil
+}
+
+// PushSettings implements fbwire.DRPCPeerServer.
+func (s *Server) PushSettings(ctx context.Context, r *fbwire.SettingsRequest) (*fbwire.SettingsReply, error) {
+	held, err := s.settings.PushSettings(ctx, NewSettings(r.GetHave(), r.GetBase(), r.GetVersion(), r.GetBody(), r.GetDelta()))
+	return settingsReply(held), err
+}
+
+// PullSettings implements fbwire.DRPCPeerServer.
+func (s *Server) PullSettings(ctx context.Context, r *fbwire.SettingsRequest) (*fbwire.SettingsReply, error) {
+	held, err := s.settings.PullSettings(ctx, r.GetHave())
+	return settingsReply(held), err
+}
+
+// ConfirmView implements fbwire.DRPCPeerServer.
+func (s *Server) ConfirmView(ctx context.Context, r *fbwire.ConfirmViewRequest) (*fbwire.ConfirmViewReply, error) {
+	q := NewViewQuestion(
+		filbertford.DataCentre(r.GetDataCentre()), r.GetEpoch(),
+		filbertford.Incarnation(r.GetAsker()), micros(r.GetPeriodUs()),
+	)
+	p, err := s.member.ConfirmView(ctx, q)
+	return &fbwire.ConfirmViewReply{Promised: p.Promised(), Epoch: p.Epoch()}, err
+}
+
+func reply(a filbertford.Answer) *fbwire.AnswerReply {
+	return &fbwire.AnswerReply{Answer: answerToWire(a)}
+}
+
+func settingsReply(s Settings) *fbwire.SettingsReply {
+	return &fbwire.SettingsReply{Have: s.have, Base: s.base, Version: s.version, Body: s.body, Delta: s.delta}
+}
--- a/peer.go
+++ b/peer.go
@@ -27,10 +27,12 @@
 	// Forward passes a delivery to the daemon at the address if it is, or is
 	// the heir of, the incarnation, and returns its answer.
 	Forward(ctx context.Context, address string, owner Incarnation, d Delivery) Answer
-	// Cancel asks the daemon to cancel a submission and returns its answer.
-	Cancel(ctx context.Context, address string, owner Incarnation, id SubmissionID) Answer
-	// Status asks the daemon for what it knows of a submission.
-	Status(ctx context.Context, address string, owner Incarnation, id SubmissionID) Status
+	// Cancel asks the daemon to cancel a submission of the team, any if empty,
+	// and returns its answer.
+	Cancel(ctx context.Context, address string, owner Incarnation, id SubmissionID, team string) Answer
+	// Status asks the daemon for what it knows of a submission of the team, any
+	// if empty.
+	Status(ctx context.Context, address string, owner Incarnation, id SubmissionID, team string) Status
 }
 
 // Status is what an owner knows of a submission.
