--- /dev/null
+++ b/fbview/hash.go
@@ -0,0 +1,51 @@
+package fbview
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/filbertford/filbertford"
+)
+
+// Owner returns the member that owns the key under the view, by rendezvous
+// hash (Thaler and Ravishankar, 1998): the member with the highest hash of the
+// key and its incarnation. It returns false if the view has no members. A
+// change of members moves only the keys of those that came or went.
+func (r Row) Owner(key string) (Member, bool) {
+	var owner Member
+	var best uint64
+	sum := xxhash.Sum64String(key)
+	for i, m := range r.members {
+		score := mix(sum, uint64(m.incarnation))
+		if i == 0 || score > best {
+			owner, best = m, score
+		}
+	}
+	return owner, len(r.members) > 0
+}
+
+// Home returns the data centre whose daemons own the key, by rendezvous hash
+// over the data centres, whose order does not matter. It returns an empty name
+// if there are none. Every daemon must use the same set: see docs/MODELS.md on
+// what a change of it takes.
+func Home(key string, dcs []filbertford.DataCentre) filbertford.DataCentre {
+	var home filbertford.DataCentre
+	var best uint64
+	sum := xxhash.Sum64String(key)
+	for i, dc := range dcs {
+		score := mix(sum, xxhash.Sum64String(string(dc)))
+		if i == 0 || score > best || score == best && dc < home {
+			home, best = dc, score
+		}
+	}
+	return home
+}
+
+// mix hashes the hash of a key with a number that stands for a place.
+func mix(key, place uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], key)
+	binary.LittleEndian.PutUint64(b[8:], place)
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/fbview/options.go
@@ -0,0 +1,122 @@
+package fbview
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	DefaultPeriod     = 12 * time.Second
+	DefaultHorizon    = 10 * time.Minute
+	DefaultSkew       = 30 * time.Second
+	DefaultClockError = time.Second
+	DefaultSettle     = 2 * time.Second
+)
+
+// DefaultDrift is the default of by how much two daemons' clocks may part, as a
+// share of the time that passes.
+const DefaultDrift = 0.02
+
+// Ranges of Options.
+const (
+	MinPeriod  = 100 * time.Millisecond
+	MaxPeriod  = 10 * time.Minute
+	MaxHorizon = 7 * 24 * time.Hour
+)
+
+// Options are the times that govern a view. All daemons of a data centre must
+// use the same drift, horizon, skew and clock error. The period may differ: the
+// row says which one is in force.
+type Options struct {
+	period     time.Duration
+	drift      float64
+	horizon    time.Duration
+	skew       time.Duration
+	clockError time.Duration
+	settle     time.Duration
+}
+
+// NewOptions returns the defaults.
+func NewOptions() Options {
+	return Options{
+		period:     DefaultPeriod,
+		drift:      DefaultDrift,
+		horizon:    DefaultHorizon,
+		skew:       DefaultSkew,
+		clockError: DefaultClockError,
+		settle:     DefaultSettle,
+	}
+}
+
+// WithPeriod returns a copy of o with the lease period that the views committed
+// by this daemon get. A confirmation is good for that period from when it was
+// asked for.
+func (o Options) WithPeriod(period time.Duration) Options {
+	o.period = period.Round(time.Millisecond)
+	return o
+}
+
+// WithDrift returns a copy of o with by how much two daemons' clocks may part,
+// as a share of the time that passes.
+func (o Options) WithDrift(share float64) Options {
+	o.drift = share
+	return o
+}
+
+// WithHorizon returns a copy of o with the time after which a caller no longer
+// resubmits a key.
+func (o Options) WithHorizon(d time.Duration) Options {
+	o.horizon = d
+	return o
+}
+
+// WithSkew returns a copy of o with how far a caller's clock may be ahead, and
+// how far the clocks of two daemons may differ.
+func (o Options) WithSkew(skew, clockError time.Duration) Options {
+	o.skew, o.clockError = skew, clockError
+	return o
+}
+
+// WithSettle returns a copy of o with how long a change of the live daemons
+// has to last before the view follows it.
+func (o Options) WithSettle(d time.Duration) Options {
+	o.settle = d
+	return o
+}
+
+// Period returns the lease period.
+func (o Options) Period() time.Duration { return o.period }
+
+// Horizon returns the time after which a caller no longer resubmits a key.
+func (o Options) Horizon() time.Duration { return o.horizon }
+
+// Validate returns an error that names the first option out of its range.
+func (o Options) Validate() error {
+	checks := []struct {
+		name        string
+		d, min, max time.Duration
+	}{
+		{"period", o.period, MinPeriod, MaxPeriod},
+		{"horizon", o.horizon, o.period, MaxHorizon},
+		{"skew", o.skew, 0, o.horizon},
+		{"clock error", o.clockError, 0, o.horizon},
+		{"settle", o.settle, 0, MaxPeriod},
+	}
+	for _, c := range checks {
+		if c.d < c.min || c.d > c.max {
+			return fmt.Errorf("view %s %v, want %v to %v", c.name, c.d, c.min, c.max)
+		}
+	}
+	if !(o.drift >= 0 && o.drift <= 1) {
+		return fmt.Errorf("view drift %v, want 0 to 1", o.drift)
+	}
+	return nil
+}
+
+// outlast returns how long to wait by this daemon's clock so that the time d is
+// over by any other.
+func (o Options) outlast(d time.Duration) time.Duration {
+	return d + time.Duration(math.Ceil(float64(d)*o.drift))
+}
--- /dev/null
+++ b/fbview/owner.go
@@ -0,0 +1,88 @@
+package fbview
+
+import "time"
+
+// Admission says what to do with an opaque key that is not remembered.
+type Admission struct {
+	verdict Verdict
+	owner   Member
+}
+
+// Verdict returns what this daemon may do.
+func (a Admission) Verdict() Verdict { return a.verdict }
+
+// Owner returns the member that owns the key, the zero Member if the view has
+// none.
+func (a Admission) Owner() Member { return a.owner }
+
+// Admit decides about a key that this daemon does not remember. Only
+// VerdictStart allows to record the key and start its job. The time must be
+// read from the clock for this call.
+func (v *View) Admit(key string, now time.Time) Admission {
+	owner, ok := v.Owner(key)
+	switch {
+	case !ok:
+		return Admission{verdict: VerdictUnsure}
+	case owner.incarnation != v.self.incarnation:
+		return Admission{verdict: VerdictElsewhere, owner: owner}
+	}
+	tenure, sure := v.Tenure(key, now)
+	if !sure {
+		return Admission{verdict: VerdictUnsure, owner: owner}
+	}
+	return Admission{verdict: v.opts.Decide(key, now, tenure), owner: owner}
+}
+
+// Owner returns the member that owns the key under the view in use, or false
+// if there is none.
+func (v *View) Owner(key string) (Member, bool) { return v.row.Owner(key) }
+
+// MayStart reports whether this daemon is the only one that may start the
+// key's job now.
+func (v *View) MayStart(key string, now time.Time) bool {
+	_, sure := v.Tenure(key, now)
+	return sure
+}
+
+// Tenure returns this daemon's tenure of the key, and whether it is in force:
+// the daemon owns the key, the former owner's time is over and the view is
+// confirmed.
+func (v *View) Tenure(key string, now time.Time) (Tenure, bool) {
+	if !v.Sure(now) || !v.owns(v.row, key) {
+		return Tenure{}, false
+	}
+	first := len(v.past) - 1
+	for first > 0 && v.owns(v.past[first-1].row, key) {
+		first--
+	}
+	begin := v.past[first]
+	if begin.row.epoch == 1 {
+		return FirstTenure(), true
+	}
+	t := NewTenure(begin.learned.Add(v.opts.outlast(begin.row.wait)))
+	return t, !now.Before(t.start)
+}
+
+// Sure reports whether this daemon is a member and was confirmed within the
+// last period.
+func (v *View) Sure(now time.Time) bool {
+	if v.peers.leaving || v.asked.IsZero() || !v.row.has(v.self.incarnation) {
+		return false
+	}
+	return within(v.asked, now, v.row.period)
+}
+
+// owns reports whether this daemon owns the key under the view.
+func (v *View) owns(r Row, key string) bool {
+	owner, ok := r.Owner(key)
+	return ok && owner.incarnation == v.self.incarnation
+}
+
+// within reports whether less than d has passed from the first time to the
+// second, by the monotonic clock and by the wall clock: the former may stand
+// still while a machine is suspended.
+func within(from, to time.Time, d time.Duration) bool {
+	steady := to.Sub(from)
+	wall := to.Round(0).Sub(from.Round(0))
+	return steady >= 0 && steady < d && wall < d
+}
--- /dev/null
+++ b/fbview/row.go
@@ -0,0 +1,204 @@
+package fbview
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// Limits of a view's row.
+const (
+	// MaxMembers is the largest number of members of a view.
+	MaxMembers = 256
+	// MaxAddress is the length of the longest address of a member, in bytes.
+	MaxAddress = 255
+	// MaxRow is the length of the longest row, in bytes.
+	MaxRow = MaxMembers * (MaxAddress + 64)
+)
+
+// ErrBadRow is wrapped by the errors of ParseRow.
+var ErrBadRow = errors.New("malformed view row")
+
+// Member is a daemon as a view names it.
+type Member struct {
+	incarnation filbertford.Incarnation
+	address     string
+}
+
+// NewMember returns a member with the address of its peer listener, host:port.
+func NewMember(inc filbertford.Incarnation, address string) Member {
+	return Member{incarnation: inc, address: address}
+}
+
+// Incarnation returns the member's incarnation.
+func (m Member) Incarnation() filbertford.Incarnation { return m.incarnation }
+
+// Address returns the address of the member's peer listener.
+func (m Member) Address() string { return m.address }
+
+// Row is the value of a view's row. The zero Row, of epoch 0, stands for the
+// view before the first, which has no members.
+type Row struct {
+	epoch   uint64
+	period  time.Duration
+	wait    time.Duration
+	members []Member
+}
+
+// NewRow returns the row of an epoch with its members in the order of their
+// incarnations, each incarnation and address once.
+func NewRow(epoch uint64, members ...Member) Row {
+	return Row{epoch: epoch, members: sorted(members)}
+}
+
+// WithPeriod returns a copy of r with the lease period of its members, and the
+// longest period of any earlier view that may still be in use. Both are whole
+// milliseconds.
+func (r Row) WithPeriod(period, wait time.Duration) Row {
+	r.period, r.wait = period, wait
+	return r
+}
+
+// Epoch returns the number of the view, from 1.
+func (r Row) Epoch() uint64 { return r.epoch }
+
+// Period returns how long a confirmation of the view is good for.
+func (r Row) Period() time.Duration { return r.period }
+
+// Wait returns for how long after the view's commit a member of an earlier one
+// may be confirmed, by that member's clock.
+func (r Row) Wait() time.Duration { return r.wait }
+
+// Members returns the members in the order of their incarnations. The caller
+// must not change them.
+func (r Row) Members() []Member { return r.members }
+
+// Member returns the member of the incarnation, or false if it is none.
+func (r Row) Member(inc filbertford.Incarnation) (Member, bool) {
+	i, ok := slices.BinarySearchFunc(r.members, inc, func(m Member, inc filbertford.Incarnation) int {
+		return cmp.Compare(m.incarnation, inc)
+	})
+	if !ok {
+		return Member{}, false
+	}
+	return r.members[i], true
+}
+
+// has reports whether the incarnation is a member.
+func (r Row) has(inc filbertford.Incarnation) bool {
+	_, ok := r.Member(inc)
+	return ok
+}
+
+// Key returns the key of the row that holds the view of a data centre.
+func Key(dc filbertford.DataCentre) string { return "view/" + string(dc) }
+
+type rowJSON struct {
+	Epoch    uint64       `json:"epoch"`
+	PeriodMS int64        `json:"period_ms"`
+	WaitMS   int64        `json:"wait_ms"`
+	Members  []memberJSON `json:"members"`
+}
+
+type memberJSON struct {
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+}
+
+// Bytes returns the row's value as it stands in the table service.
+func (r Row) Bytes() []byte {
+	out := rowJSON{
+		Epoch:    r.epoch,
+		PeriodMS: r.period.Milliseconds(),
+		WaitMS:   r.wait.Milliseconds(),
+		Members:  make([]memberJSON, len(r.members)),
+	}
+	for i, m := range r.members {
+		out.Members[i] = memberJSON{Incarnation: m.incarnation.String(), Address: m.address}
+	}
+	// Marshal can't fail for numbers and strings.
+	b, _ := json.Marshal(out)
+	return b
+}
+
+// ParseRow reads a row's value. Its errors wrap ErrBadRow and name the field
+// that is wrong with its allowed range.
+func ParseRow(b []byte) (Row, error) {
+	if len(b) > MaxRow {
+		return Row{}, fmt.Errorf("%w: %d bytes, want up to %d", ErrBadRow, len(b), MaxRow)
+	}
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	var in rowJSON
+	if err := dec.Decode(&in); err != nil {
+		return Row{}, fmt.Errorf("%w: %w", ErrBadRow, err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return Row{}, fmt.Errorf("%w: bytes after the end", ErrBadRow)
+	}
+	return in.row()
+}
+
+func (in rowJSON) row() (Row, error) {
+	if in.Epoch == 0 {
+		return Row{}, fmt.Errorf("%w: epoch 0, want at least 1", ErrBadRow)
+	}
+	for name, ms := range map[string]int64{"period_ms": in.PeriodMS, "wait_ms": in.WaitMS} {
+		if ms < MinPeriod.Milliseconds() || ms > MaxPeriod.Milliseconds() {
+			return Row{}, fmt.Errorf("%w: %s %d, want %d to %d", ErrBadRow, name, ms, MinPeriod.Milliseconds(), MaxPeriod.Milliseconds())
+		}
+	}
+	if len(in.Members) > MaxMembers {
+		return Row{}, fmt.Errorf("%w: %d members, want up to %d", ErrBadRow, len(in.Members), MaxMembers)
+	}
+	members := make([]Member, len(in.Members))
+	for i, m := range in.Members {
+		member, err := m.member()
+		if err != nil {
+			return Row{}, fmt.Errorf("%w: member %d: %w", ErrBadRow, i, err)
+		}
+		members[i] = member
+	}
+	row := NewRow(in.Epoch, members...).WithPeriod(millis(in.PeriodMS), millis(in.WaitMS))
+	if len(row.members) != len(members) {
+		return Row{}, fmt.Errorf("%w: an incarnation or address stands twice, want each once", ErrBadRow)
+	}
+	return row, nil
+}
+
+func (m memberJSON) member() (Member, error) {
+	inc, err := strconv.ParseUint(m.Incarnation, 16, 64)
+	if err != nil || inc == 0 {
+		return Member{}, fmt.Errorf("incarnation %q, want 1 to 16 hexadecimal digits, not 0", m.Incarnation)
+	}
+	if m.Address == "" || len(m.Address) > MaxAddress {
+		return Member{}, fmt.Errorf("address of %d bytes, want 1 to %d", len(m.Address), MaxAddress)
+	}
+	return NewMember(filbertford.Incarnation(inc), m.Address), nil
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// sorted returns the members in the order of their incarnations. Of those that
+// share an incarnation or an address the first in that order stays.
+func sorted(members []Member) []Member {
+	members = slices.Clone(members)
+	slices.SortStableFunc(members, func(a, b Member) int { return cmp.Compare(a.incarnation, b.incarnation) })
+	addresses := make(map[string]bool, len(members))
+	incarnations := make(map[filbertford.Incarnation]bool, len(members))
+	return slices.DeleteFunc(members, func(m Member) bool {
+		if addresses[m.address] || incarnations[m.incarnation] {
+			return true
+		}
+		addresses[m.address], incarnations[m.incarnation] = true, true
+		return false
+	})
+}
--- /dev/null
+++ b/fbview/view_test.go
@@ -0,0 +1,275 @@
+package fbview_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestViewStartsNoKeyTwice runs several daemons through drawn faults. At each
+// step at most one of them may start a key, none that is excluded, and no key
+// is started twice.
+func TestViewStartsNoKeyTwice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFaults(rt)
+		rt.Repeat(map[string]func(*rapid.T){
+			"":         f.check,
+			"run":      f.run,
+			"run on":   f.run,
+			"long run": f.longRun,
+			"hold":     f.hold,
+			"release":  f.release,
+			"drop":     f.drop,
+			"repeat":   f.repeat,
+			"time out": f.timeOut,
+			"store":    f.store,
+			"link":     f.link,
+			"isolate":  f.isolate,
+			"heal":     f.heal,
+			"pause":    f.pause,
+			"crash":    f.crash,
+			"boot":     f.boot,
+			"leave":    f.leave,
+			"observe":  f.observe,
+			"see all":  f.seeAll,
+			"submit":   f.submit,
+			"mint":     f.mint,
+		})
+	})
+}
+
+// faults draws what happens to a world.
+type faults struct {
+	*world
+	probes []string
+	keys   []string
+	rng    *rand.Rand
+}
+
+func newFaults(t *rapid.T) *faults {
+	f := &faults{world: newWorld(), rng: rand.New(rand.NewSource(rapid.Int64().Draw(t, "keys")))}
+	for i := range 8 {
+		f.probes = append(f.probes, fmt.Sprintf("order-%d", i))
+	}
+	f.keys = append(f.keys, f.probes...)
+	for i := range rapid.IntRange(1, 4).Draw(t, "daemons") {
+		f.bootAt(t, fmt.Sprintf("127.0.0.1:%d", 7101+i))
+	}
+	if rapid.Bool().Draw(t, "settled") {
+		f.seeAll(t)
+		f.longRun(t)
+	}
+	return f
+}
+
+func (f *faults) check(t *rapid.T) {
+	if err := f.world.check(f.probes); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *faults) pass(t *rapid.T, d time.Duration) {
+	f.world.run(d, func() { f.check(t) })
+}
+
+func (f *faults) run(t *rapid.T) {
+	f.pass(t, step*time.Duration(rapid.IntRange(1, 10).Draw(t, "steps")))
+}
+
+func (f *faults) longRun(t *rapid.T) {
+	f.pass(t, step*time.Duration(rapid.IntRange(10, 60).Draw(t, "steps")))
+}
+
+func (f *faults) message(t *rapid.T) *message {
+	if len(f.messages) == 0 {
+		t.Skip("no messages")
+	}
+	return rapid.SampledFrom(f.messages).Draw(t, "message")
+}
+
+// hold holds back what the ticks of one daemon have sent.
+func (f *faults) hold(t *rapid.T) {
+	n := f.node(t)
+	before := len(f.messages)
+	f.now += step
+	f.do(n, n.view.Tick(f.clock(n)))
+	for _, m := range f.messages[before:] {
+		m.held = true
+	}
+}
+
+func (f *faults) release(t *rapid.T) { f.message(t).held = false }
+
+func (f *faults) drop(t *rapid.T) {
+	m := f.message(t)
+	m.held, m.deliver = false, func() {}
+}
+
+func (f *faults) repeat(t *rapid.T) {
+	m := *f.message(t)
+	f.messages = append(f.messages, &m)
+}
+
+// timeOut delivers a message but keeps the reply back.
+func (f *faults) timeOut(t *rapid.T) {
+	m := f.message(t)
+	if !f.reaches(m.from, m.to) {
+		t.Skip("not reached")
+	}
+	before := len(f.messages)
+	deliver := m.deliver
+	m.held, m.deliver = false, func() {}
+	deliver()
+	for _, reply := range f.messages[before:] {
+		reply.held = true
+	}
+}
+
+func (f *faults) node(t *rapid.T) *node {
+	live := f.live()
+	if len(live) == 0 {
+		t.Skip("no daemon lives")
+	}
+	return rapid.SampledFrom(live).Draw(t, "daemon")
+}
+
+func (f *faults) store(t *rapid.T) { f.down = rapid.Bool().Draw(t, "down") }
+
+func (f *faults) link(t *rapid.T) {
+	a, b := f.node(t), f.node(t)
+	cut := rapid.Bool().Draw(t, "cut")
+	f.cut[[2]*node{a, b}], f.cut[[2]*node{b, a}] = cut, cut
+}
+
+func (f *faults) isolate(t *rapid.T) {
+	n := f.node(t)
+	n.storeCut = rapid.Bool().Draw(t, "cut")
+}
+
+func (f *faults) heal(*rapid.T) {
+	f.down = false
+	clear(f.cut)
+	for _, n := range f.nodes {
+		n.storeCut, n.paused = false, false
+	}
+}
+
+func (f *faults) pause(t *rapid.T) {
+	f.node(t).paused = rapid.Bool().Draw(t, "paused")
+}
+
+func (f *faults) crash(t *rapid.T) { f.node(t).dead = true }
+
+// boot starts a daemon at a new address or at that of a dead one.
+func (f *faults) boot(t *rapid.T) {
+	if len(f.live()) >= 4 {
+		t.Skip("enough daemons")
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", 7201+len(f.nodes))
+	for _, n := range f.nodes {
+		if n.dead && !f.used(n.self.Address()) && rapid.Bool().Draw(t, "same address") {
+			address = n.self.Address()
+			break
+		}
+	}
+	f.bootAt(t, address)
+}
+
+func (f *faults) used(address string) bool {
+	for _, n := range f.live() {
+		if n.self.Address() == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *faults) bootAt(t *rapid.T, address string) {
+	rate := rapid.Float64Range(-maxRate, maxRate).Draw(t, "rate")
+	offset := time.Duration(rapid.IntRange(-100, 100).Draw(t, "offset")) * time.Millisecond
+	period := rapid.SampledFrom([]time.Duration{time.Second, time.Second, 2 * time.Second}).Draw(t, "period")
+	f.world.boot(address, rate, offset, period)
+}
+
+func (f *faults) leave(t *rapid.T) { f.node(t).view.Leave() }
+
+// observe shows a daemon some of the others.
+func (f *faults) observe(t *rapid.T) {
+	f.world.observe(f.node(t), func(*node) bool { return rapid.Bool().Draw(t, "seen") })
+}
+
+// seeAll shows every daemon all that it reaches.
+func (f *faults) seeAll(*rapid.T) {
+	for _, n := range f.live() {
+		f.world.observe(n, func(*node) bool { return true })
+	}
+}
+
+func (f *faults) submit(t *rapid.T) {
+	key := rapid.SampledFrom(f.keys).Draw(t, "key")
+	for _, n := range f.live() {
+		if n.paused {
+			continue
+		}
+		if err := f.world.submit(n, key); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func (f *faults) mint(t *rapid.T) {
+	ahead := time.Duration(rapid.IntRange(-2000, 2000).Draw(t, "ahead")) * time.Millisecond
+	f.keys = append(f.keys, f.world.mint(f.rng, ahead))
+}
+
+// TestViewLives shows that without faults the daemons share all keys, and that
+// a restarted one gets its share back.
+func TestViewLives(t *testing.T) {
+	w := newWorld()
+	for i := range 3 {
+		w.boot(fmt.Sprintf("127.0.0.1:%d", 7101+i), 0, 0, time.Second)
+	}
+	settle := func() {
+		for _, n := range w.live() {
+			w.observe(n, func(*node) bool { return true })
+		}
+		w.run(4*time.Second, func() {})
+		for i := range 50 {
+			key := fmt.Sprintf("order-%d", i)
+			starters := 0
+			for _, n := range w.live() {
+				if n.view.MayStart(key, w.clock(n)) {
+					starters++
+				}
+			}
+			if starters != 1 {
+				t.Fatalf("%d daemons may start %s, want 1", starters, key)
+			}
+		}
+	}
+	settle()
+	w.nodes[0].dead = true
+	w.boot("127.0.0.1:7101", 0, 0, time.Second)
+	settle()
+	w.down = true
+	settle()
+	w.down = false
+	for _, n := range w.live() {
+		n.dead = true
+	}
+	for i := range 3 {
+		w.boot(fmt.Sprintf("127.0.0.1:%d", 7101+i), 0, 0, time.Second)
+	}
+	settle()
+	w.nodes[len(w.nodes)-1].view.Leave()
+	w.run(time.Second, func() {})
+	if !w.nodes[len(w.nodes)-1].view.Left() {
+		t.Error("daemon did not leave")
+	}
+	if row, _ := w.nodes[len(w.nodes)-2].view.Row(); len(row.Members()) != 2 {
+		t.Errorf("view %v, want two members", row)
+	}
+}
