Accept edits of the settings in the table service and spread them

An edit must be accepted exactly when the table service holds it. The head row is changed by compare-and-set in one transaction with a row that holds the edit and its reverse; rows of edits form a ring of 16,384, so the history is bounded without deletes. An edit carries the version that it was made from: edits that others accepted since are searched for its request ID, which recognises a retry after a lost reply, and for changes of the same settings, which is a conflict that names both values. Whole trees go to the object store every 128 versions; whoever writes one writes the same bytes.

Spread is the state machine of a daemon and Service runs it.

--- /dev/null
+++ b/fbsettings/service.go
@@ -0,0 +1,262 @@
+package fbsettings
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fbpeer"
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+const (
+	// tickPeriod is the period of HandleTick.
+	tickPeriod = 100 * time.Millisecond
+	// peerTimeout bounds a message to a peer.
+	peerTimeout = time.Second
+	// maxCalls is the greatest number of calls that are open at once. A call
+	// more is not made; the next tick makes up for it.
+	maxCalls = 16
+	// maxEvents is the number of events that wait for the control goroutine.
+	maxEvents = 64
+)
+
+// Links reach the other daemons. A *fbpeer.Client is one.
+type Links interface {
+	// PushSettings passes a version on and returns what the daemon holds then.
+	PushSettings(ctx context.Context, address string, s fbpeer.Settings) (fbpeer.Settings, error)
+	// PullSettings asks for the newest version, given the one at hand.
+	PullSettings(ctx context.Context, address string, have uint64) (fbpeer.Settings, error)
+}
+
+// Service runs the Spread of one daemon: one goroutine owns it, and others make
+// the calls that it asks for.
+type Service struct {
+	store   *Store
+	links   Links
+	timer   filbertford.Timer
+	log     *log.Logger
+	inForce func(*fbtree.Tree)
+	spread  *Spread
+	events  chan event
+	status  atomic.Pointer[Status]
+}
+
+// event is something that happened to the Spread at a time.
+type event func(now time.Time, s *Spread) []Action
+
+var _ fbpeer.SettingsHolder = (*Service)(nil)
+
+// NewService returns the service of the daemon whose peers reach it at the
+// address self. The function inForce is called with each version that comes into
+// force, in ascending order, from the goroutine that runs Run.
+func NewService(self string, store *Store, links Links, timer filbertford.Timer, l *log.Logger, inForce func(*fbtree.Tree)) *Service {
+	s := &Service{
+		store:   store,
+		links:   links,
+		timer:   timer,
+		log:     l,
+		inForce: inForce,
+		spread:  NewSpread(self),
+		events:  make(chan event, maxEvents),
+	}
+	s.status.Store(&Status{})
+	return s
+}
+
+// Run keeps the settings up to date until the context ends. It returns the
+// context's error.
+func (s *Service) Run(ctx context.Context) error {
+	ticks, stop := s.timer.Subscribe(tickPeriod)
+	defer stop()
+	var calls errgroup.Group
+	calls.SetLimit(maxCalls)
+	s.handle(ctx, &calls, tick)
+	for {
+		select {
+		case <-ctx.Done():
+			// No call returns an error, and all end with the context.
+			_ = calls.Wait()
+			return ctx.Err()
+		case <-ticks:
+			s.handle(ctx, &calls, tick)
+		case e := <-s.events:
+			s.handle(ctx, &calls, e)
+		}
+	}
+}
+
+// Status returns how far the settings are.
+func (s *Service) Status() Status { return *s.status.Load() }
+
+// SetMembers tells the live peers, without the daemon itself, with the versions
+// that their heartbeats told. It is to be called after each heartbeat.
+func (s *Service) SetMembers(ctx context.Context, members []Member) error {
+	return s.send(ctx, func(now time.Time, sp *Spread) []Action { return sp.HandleMembers(now, members) })
+}
+
+// PushSettings takes a version from a peer.
+func (s *Service) PushSettings(ctx context.Context, v fbpeer.Settings) (fbpeer.Settings, error) {
+	reply := make(chan Update, 1)
+	err := s.send(ctx, func(now time.Time, sp *Spread) []Action {
+		u, actions := sp.HandlePush(now, updateOf(v))
+		reply <- u
+		return actions
+	})
+	if err != nil {
+		return fbpeer.Settings{}, err
+	}
+	return receive(ctx, reply)
+}
+
+// PullSettings returns what a peer that has a version lacks.
+func (s *Service) PullSettings(ctx context.Context, have uint64) (fbpeer.Settings, error) {
+	return s.PushSettings(ctx, fbpeer.NewSettings(have, 0, 0, nil, false))
+}
+
+func tick(now time.Time, sp *Spread) []Action { return sp.HandleTick(now) }
+
+func receive(ctx context.Context, reply <-chan Update) (fbpeer.Settings, error) {
+	select {
+	case u := <-reply:
+		return settingsOf(u), nil
+	case <-ctx.Done():
+		return fbpeer.Settings{}, ctx.Err()
+	}
+}
+
+// send queues an event for the control goroutine.
+func (s *Service) send(ctx context.Context, e event) error {
+	select {
+	case s.events <- e:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// handle lets an event happen, publishes its effects and makes the calls that it
+// asks for.
+func (s *Service) handle(ctx context.Context, calls *errgroup.Group, e event) {
+	actions := e(s.timer.Now(), s.spread)
+	s.publish()
+	for _, a := range actions {
+		calls.TryGo(func() error {
+			s.call(ctx, a)
+			return nil
+		})
+	}
+}
+
+// publish makes a new version and a new status known.
+func (s *Service) publish() {
+	old := s.Status()
+	now := s.spread.Status()
+	if now == old {
+		return
+	}
+	s.status.Store(&now)
+	if now.version > old.version {
+		s.inForce(s.spread.Tree())
+		fbevent.SettingsInForce.Log(s.log, "version", now.version)
+	}
+	if s.spread.refused != "" && now.reason == s.spread.refused {
+		fbevent.SettingsUpdateRefused.Log(s.log, "version", now.version, "reason", now.reason)
+	}
+	switch {
+	case now.pollFailing && !old.pollFailing:
+		fbevent.SettingsPollFailing.Log(s.log, "version", now.version, "reason", now.reason)
+	case old.pollFailing && !now.pollFailing:
+		fbevent.SettingsPollMended.Log(s.log, "version", now.version)
+	}
+}
+
+// call does what an action asks for and queues the event that it ends in.
+func (s *Service) call(ctx context.Context, a Action) {
+	var e event
+	switch a.kind {
+	case ActionPoll:
+		e = s.poll(ctx)
+	case ActionLoad:
+		e = s.load(ctx, a.head)
+	case ActionInit:
+		e = s.init(ctx)
+	case ActionPush, ActionPull:
+		e = s.talk(ctx, a)
+	}
+	if e != nil {
+		// An event that can't be queued before the end is not needed.
+		_ = s.send(ctx, e)
+	}
+}
+
+func (s *Service) poll(ctx context.Context) event {
+	ctx, cancel := context.WithTimeout(ctx, PollTimeout)
+	defer cancel()
+	head, err := s.store.Head(ctx)
+	return func(now time.Time, sp *Spread) []Action {
+		if err != nil {
+			sp.HandlePollFailed(now, err.Error())
+			return nil
+		}
+		return sp.HandleHead(now, head)
+	}
+}
+
+func (s *Service) load(ctx context.Context, head Head) event {
+	ctx, cancel := context.WithTimeout(ctx, PollTimeout)
+	defer cancel()
+	tree, err := s.store.Load(ctx, head)
+	return func(now time.Time, sp *Spread) []Action {
+		if err != nil {
+			sp.HandleLoadFailed(now, err.Error())
+			return nil
+		}
+		return sp.HandleTree(now, tree)
+	}
+}
+
+func (s *Service) init(ctx context.Context) event {
+	ctx, cancel := context.WithTimeout(ctx, PollTimeout)
+	defer cancel()
+	err := s.store.Init(ctx)
+	return func(now time.Time, sp *Spread) []Action {
+		if err != nil {
+			sp.HandlePollFailed(now, err.Error())
+			return nil
+		}
+		return sp.HandleTick(now)
+	}
+}
+
+// talk sends a push or a pull. A peer that can't be reached needs no event.
+func (s *Service) talk(ctx context.Context, a Action) event {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var reply fbpeer.Settings
+	var err error
+	if a.kind == ActionPush {
+		reply, err = s.links.PushSettings(ctx, a.peer, settingsOf(a.update))
+	} else {
+		reply, err = s.links.PullSettings(ctx, a.peer, a.update.have)
+	}
+	if err != nil {
+		return nil
+	}
+	return func(now time.Time, sp *Spread) []Action {
+		return sp.HandleReply(now, a.peer, updateOf(reply))
+	}
+}
+
+func updateOf(v fbpeer.Settings) Update {
+	return NewUpdate(v.Have(), v.Base(), v.Version(), v.Body(), v.Delta())
+}
+
+func settingsOf(u Update) fbpeer.Settings {
+	return fbpeer.NewSettings(u.have, u.base, u.version, u.body, u.delta)
+}
--- /dev/null
+++ b/fbsettings/store.go
@@ -0,0 +1,248 @@
+package fbsettings
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+const (
+	// HistoryLength is the number of edits that the history keeps.
+	HistoryLength = 16_384
+	// SnapshotPeriod is the number of versions between two whole trees in the
+	// object store.
+	SnapshotPeriod = 128
+	// snapshotSlots is the number of whole trees that the object store keeps.
+	snapshotSlots = 16
+	// readBatch is the greatest number of rows that are read at once.
+	readBatch = 256
+)
+
+// Keys of the table service and of the object store.
+const (
+	headKey        = "settings-head"
+	entryPrefix    = "settings-entry-"
+	snapshotPrefix = "settings-snapshot-"
+)
+
+var (
+	// ErrForgotten is returned for a version that the history no longer holds.
+	ErrForgotten = eris.New("version is no longer in the history")
+	// ErrNoVersion is returned for a version that was never accepted.
+	ErrNoVersion = eris.New("no such version")
+)
+
+// Store reads and writes the settings in the platform's services. It is safe
+// for concurrent use.
+type Store struct {
+	table   filbertford.Table
+	objects filbertford.Objects
+	timer   filbertford.Timer
+	ring    uint64
+
+	mu   sync.Mutex
+	last *fbtree.Tree
+}
+
+// NewStore returns a store on the platform's services.
+func NewStore(table filbertford.Table, objects filbertford.Objects, timer filbertford.Timer) *Store {
+	return &Store{table: table, objects: objects, timer: timer, ring: HistoryLength}
+}
+
+// Head reads which version is the newest. It costs one read of one small row.
+func (s *Store) Head(ctx context.Context) (Head, error) {
+	rows, err := s.table.Read(ctx, headKey)
+	if err != nil {
+		return Head{}, eris.Wrap(err, "read head of settings")
+	}
+	if len(rows) != 1 {
+		return Head{}, eris.Wrapf(ErrMalformed, "%d rows for the head", len(rows))
+	}
+	row := rows[0]
+	if row.Version() == 0 {
+		return Head{}, nil
+	}
+	head, err := decodeHead(row.Value())
+	if err != nil {
+		return Head{}, err
+	}
+	if head.version != row.Version() {
+		return Head{}, eris.Wrapf(ErrMalformed, "head says version %d in row version %d", head.version, row.Version())
+	}
+	return head, nil
+}
+
+// Newest reads the newest version whole. Before the first edit that is the
+// default tree, version 0.
+func (s *Store) Newest(ctx context.Context) (*fbtree.Tree, error) {
+	head, err := s.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return s.Load(ctx, head)
+}
+
+// Load reads the tree of the head. It reads no more than the edits that came
+// after the tree that it returned last.
+func (s *Store) Load(ctx context.Context, head Head) (*fbtree.Tree, error) {
+	if head.version == 0 {
+		return fbtree.Default(), nil
+	}
+	if from := s.cached(head.version); from != nil {
+		tree, err := s.forward(ctx, from, head.version)
+		if err == nil {
+			s.keep(tree)
+			return tree, nil
+		}
+		if errors.Is(err, filbertford.ErrUnavailable) {
+			return nil, err
+		}
+	}
+	tree, err := s.fromSnapshot(ctx, head)
+	if err != nil {
+		return nil, err
+	}
+	s.keep(tree)
+	return tree, nil
+}
+
+// cached returns the tree that was loaded last if the version can be reached
+// from it cheaply.
+func (s *Store) cached(version uint64) *fbtree.Tree {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last == nil || s.last.Version() > version || version-s.last.Version() > 2*SnapshotPeriod {
+		return nil
+	}
+	return s.last
+}
+
+func (s *Store) keep(tree *fbtree.Tree) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last == nil || s.last.Version() < tree.Version() {
+		s.last = tree
+	}
+}
+
+// forward applies the edits after a tree up to a version.
+func (s *Store) forward(ctx context.Context, tree *fbtree.Tree, to uint64) (*fbtree.Tree, error) {
+	entries, err := s.Entries(ctx, tree.Version()+1, to)
+	if err != nil {
+		return nil, err
+	}
+	var changes []fbtree.Change
+	for _, e := range entries {
+		changes = append(changes, e.changes...)
+	}
+	next, err := tree.Apply(changes...)
+	if err != nil {
+		return nil, eris.Wrapf(err, "settings versions %d to %d", tree.Version()+1, to)
+	}
+	return next.WithVersion(to), nil
+}
+
+// At reads the tree of an older version that the history still holds.
+func (s *Store) At(ctx context.Context, version uint64) (*fbtree.Tree, error) {
+	tree, err := s.Newest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if version == 0 || version > tree.Version() {
+		return nil, eris.Wrapf(ErrNoVersion, "version %d; want 1 to %d", version, tree.Version())
+	}
+	return s.back(ctx, tree, version)
+}
+
+// back undoes the edits after a version.
+func (s *Store) back(ctx context.Context, tree *fbtree.Tree, to uint64) (*fbtree.Tree, error) {
+	entries, err := s.Entries(ctx, to+1, tree.Version())
+	if err != nil {
+		return nil, err
+	}
+	var changes []fbtree.Change
+	for i := len(entries) - 1; i >= 0; i-- {
+		changes = append(changes, entries[i].undo...)
+	}
+	older, err := tree.Apply(changes...)
+	if err != nil {
+		return nil, eris.Wrapf(err, "settings versions %d back to %d", tree.Version(), to)
+	}
+	return older.WithVersion(to), nil
+}
+
+// Entries reads the edits that made the versions from first to last, both
+// included. An empty range gives none. It returns ErrForgotten if one of them
+// has been overwritten.
+func (s *Store) Entries(ctx context.Context, first, last uint64) ([]Entry, error) {
+	if first == 0 || first > last {
+		return nil, nil
+	}
+	if last-first >= s.ring {
+		return nil, eris.Wrapf(ErrForgotten, "version %d; the history holds %d", first, s.ring)
+	}
+	entries := make([]Entry, 0, last-first+1)
+	for first <= last {
+		end := min(last, first+readBatch-1)
+		batch, err := s.readEntries(ctx, first, end)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, batch...)
+		first = end + 1
+	}
+	return entries, nil
+}
+
+func (s *Store) readEntries(ctx context.Context, first, last uint64) ([]Entry, error) {
+	var keys []string
+	for v := first; v <= last; v++ {
+		keys = append(keys, s.entryKey(v))
+	}
+	rows, err := s.table.Read(ctx, keys...)
+	if err != nil {
+		return nil, eris.Wrap(err, "read edits of settings")
+	}
+	if len(rows) != len(keys) {
+		return nil, eris.Wrapf(ErrMalformed, "%d rows for %d edits", len(rows), len(keys))
+	}
+	entries := make([]Entry, len(rows))
+	for i, row := range rows {
+		if entries[i], err = s.checkEntry(row, first+uint64(i)); err != nil {
+			return nil, err
+		}
+	}
+	return entries, nil
+}
+
+// checkEntry reads a row that must hold the edit of the version.
+func (s *Store) checkEntry(row filbertford.Row, version uint64) (Entry, error) {
+	if row.Version() == 0 {
+		return Entry{}, eris.Wrapf(ErrNoVersion, "version %d", version)
+	}
+	e, err := decodeEntry(row.Value())
+	if err != nil {
+		return Entry{}, err
+	}
+	if e.version > version && (e.version-version)%s.ring == 0 {
+		return Entry{}, eris.Wrapf(ErrForgotten, "version %d", version)
+	}
+	if e.version != version {
+		return Entry{}, eris.Wrapf(ErrMalformed, "row of version %d holds version %d", version, e.version)
+	}
+	return e, nil
+}
+
+// entryKey returns the key of the row that holds the edit of a version.
+func (s *Store) entryKey(version uint64) string {
+	return entryPrefix + strconv.FormatUint(version%s.ring, 10)
+}
+
+// entryWrites returns how often the row of a version was written before.
+func (s *Store) entryWrites(version uint64) uint64 { return (version - 1) / s.ring }
--- /dev/null
+++ b/fbsettings/update.go
@@ -0,0 +1,76 @@
+package fbsettings
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+// Update is what daemons tell each other of the settings: the version that the
+// sender has and, unless the body is empty, a version: whole, as INI text, or as
+// the changes from a base.
+type Update struct {
+	have    uint64
+	base    uint64
+	version uint64
+	body    []byte
+	delta   bool
+}
+
+// NewUpdate returns an update as it was received. The fields are those of
+// SettingsRequest and SettingsReply in fbwire/peer.proto.
+func NewUpdate(have, base, version uint64, body []byte, delta bool) Update {
+	return Update{have: have, base: base, version: version, body: body, delta: delta}
+}
+
+// Have returns the version in force at the sender, 0 for none.
+func (u Update) Have() uint64 { return u.have }
+
+// Base returns the version that a delta starts from.
+func (u Update) Base() uint64 { return u.base }
+
+// Version returns the version that the body gives.
+func (u Update) Version() uint64 { return u.version }
+
+// Body returns the tree or the changes, empty if the update has none.
+func (u Update) Body() []byte { return u.body }
+
+// Delta reports whether the body holds changes.
+func (u Update) Delta() bool { return u.delta }
+
+// delta is the changes between two versions.
+type delta struct {
+	base, version uint64
+	changes       []fbtree.Change
+}
+
+// readFull returns the tree of an update that is whole.
+func (u Update) readFull() (*fbtree.Tree, error) {
+	text, err := unpack(u.body)
+	if err != nil {
+		return nil, err
+	}
+	tree, err := fbtree.Parse(text)
+	if err != nil {
+		return nil, eris.Wrapf(err, "version %d", u.version)
+	}
+	return tree.WithVersion(u.version), nil
+}
+
+// readDelta returns the changes of an update and the tree that they make of the
+// base.
+func (u Update) readDelta(base *fbtree.Tree) (*fbtree.Tree, delta, error) {
+	text, err := unpack(u.body)
+	if err != nil {
+		return nil, delta{}, err
+	}
+	changes, err := fbtree.DecodeChanges(text)
+	if err != nil {
+		return nil, delta{}, err
+	}
+	tree, err := base.Apply(changes...)
+	if err != nil {
+		return nil, delta{}, eris.Wrapf(err, "version %d on %d", u.version, u.base)
+	}
+	return tree.WithVersion(u.version), delta{base: u.base, version: u.version, changes: changes}, nil
+}
