Command line and report

Change: package fbcommand with ffcli commands, exit codes by class and FILBERTFORD_ environment variables; package fbreport draws results of load side by side with gonum/plot. The client takes an ID that the caller chose, and reads refusals that a daemon gives before it has read the ID: these carry none and are accepted only if they say that the delivery started nothing.

--- a/fbclient/client.go
+++ b/fbclient/client.go
@@ -130,10 +130,7 @@
 func parseEndpoint(text string) (string, error) {
 	text = strings.TrimSpace(text)
 	u, err := url.Parse(text)
-	if err != nil {
-		return "", eris.Wrapf(err, "endpoint %q", text)
-	}
-	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
 		return "", eris.Errorf("endpoint %q is not a URL of the form http://host:port", text)
 	}
 	return strings.TrimRight(text, "/"), nil
--- a/fbclient/client_test.go
+++ b/fbclient/client_test.go
@@ -126,6 +126,42 @@
 	}
 }
 
+func TestSubmitAsKeepsTheID(t *testing.T) {
+	tests := map[string]struct {
+		replies []string
+		want    filbertford.Code
+	}{
+		"broken, then complete":   {[]string{broken, refused, complete}, "FB1000"},
+		"not run":                 {[]string{full, complete}, "FB3001"},
+		"nothing started":         {[]string{refused, gone, complete}, "FB4006"},
+		"broken, nothing started": {[]string{broken, gone, complete}, "FB2004"},
+	}
+	id, err := filbertford.ParseID("order-17")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{replies: tt.replies}
+				c, err := fbclient.New([]string{"http://a"}, fbclient.WithTransport(s))
+				if err != nil {
+					t.Fatal(err)
+				}
+				a, _, err := c.SubmitAs(t.Context(), id, oneTask())
+				if a.Code() != tt.want || err != nil {
+					t.Errorf("SubmitAs = %s, %v, want %s", a.Code(), err, tt.want)
+				}
+				for _, sent := range s.ids {
+					if sent != id.String() {
+						t.Errorf("sent under %q", sent)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestSubmitComesBackWhenTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{replies: []string{full, complete}}
@@ -227,6 +263,7 @@
 		}
 		answer := map[string]any{"id": id.String(), "code": "FB2003", "class": "failed"}
 		if r.Method == http.MethodGet {
+			delete(answer, "id")
 			answer = map[string]any{"id": id.String(), "state": "over", "answer": answer}
 		}
 		_ = json.NewEncoder(w).Encode(answer)
--- a/fbclient/course.go
+++ b/fbclient/course.go
@@ -32,6 +32,8 @@
 // course decides what follows from each delivery of one job. It has no input or
 // output of its own. The zero course has sent nothing.
 type course struct {
+	// fixed keeps the ID that the caller chose: no other is minted.
+	fixed bool
 	// sent counts the deliveries under the present ID that may have arrived.
 	sent int
 }
@@ -43,9 +45,12 @@
 // nothing was sent takes a new ID, from the token of the next endpoint.
 func (c *course) notSent() step {
 	c.sent--
-	if c.sent == 0 {
+	if c.sent == 0 && !c.fixed {
 		return step{action: actionRemint}
 	}
+	if c.sent == 0 {
+		return step{action: actionResend}
+	}
 	return step{action: actionResend, answer: outcomeUnknown("no daemon could be reached for a resubmission")}
 }
 
@@ -69,7 +74,7 @@
 
 // refusedAll follows the word that no task of the submission ran or will run.
 func (c *course) refusedAll(a filbertford.Answer) step {
-	if a.RetryAfter() <= 0 {
+	if a.RetryAfter() <= 0 || c.fixed {
 		return step{action: actionFinish, answer: a}
 	}
 	c.sent = 0
@@ -81,7 +86,7 @@
 func (c *course) startedNothing(a filbertford.Answer) step {
 	retry := mayPass(a)
 	if c.sent == 1 {
-		if !retry {
+		if !retry || c.fixed {
 			return step{action: actionFinish, answer: a}
 		}
 		c.sent = 0
--- a/fbclient/submit.go
+++ b/fbclient/submit.go
@@ -40,6 +40,20 @@
 	return a, s.trace, err
 }
 
+// SubmitAs sends a job under an ID that the caller chose, such as an opaque key
+// or the ID of an earlier submission, and under no other. A refusal is returned
+// as it is, since a refused ID is not run later.
+func (c *Client) SubmitAs(ctx context.Context, id filbertford.SubmissionID, j filbertford.Job) (filbertford.Answer, Trace, error) {
+	body, err := encodeJob(j)
+	if err != nil {
+		return filbertford.Answer{}, Trace{}, err
+	}
+	c.budget.earn()
+	s := &submission{client: c, body: body, tasks: len(j.Tasks()), id: id, course: course{fixed: true}}
+	a, err := s.run(ctx)
+	return a, s.trace, err
+}
+
 // Status returns what the owner of a submission knows of it.
 func (c *Client) Status(ctx context.Context, id filbertford.SubmissionID) (filbertford.Status, error) {
 	body, err := c.ask(ctx, http.MethodGet, id)
@@ -94,6 +108,9 @@
 // run sends the job until its course ends.
 func (s *submission) run(ctx context.Context) (filbertford.Answer, error) {
 	next := step{action: actionRemint}
+	if s.course.fixed {
+		next.action = actionResend
+	}
 	backoff := s.client.backoff
 	for attempt := range s.client.attempts {
 		if attempt > 0 {
@@ -146,7 +163,7 @@
 		s.err = err
 		return s.course.notSent()
 	}
-	s.note(act)
+	s.note()
 	if err != nil {
 		s.err = err
 		s.log(fbevent.DeliveryLost, "id", s.id, "endpoint", e.base, "error", err)
@@ -163,9 +180,9 @@
 }
 
 // note counts a delivery that left.
-func (s *submission) note(act action) {
+func (s *submission) note() {
 	s.trace.deliveries++
-	if act == actionRemint {
+	if s.trace.id != s.id {
 		s.trace.ids++
 	}
 	s.trace.id = s.id
--- a/fbclient/wire.go
+++ b/fbclient/wire.go
@@ -49,8 +49,9 @@
 	Results      []wireResult `json:"results"`
 }
 
+// wireStatus is a status, or the answer that refuses to tell one.
 type wireStatus struct {
-	ID     string      `json:"id"`
+	wireAnswer
 	State  string      `json:"state"`
 	Answer *wireAnswer `json:"answer"`
 }
@@ -100,6 +101,10 @@
 	if err := json.Unmarshal(body, &w); err != nil {
 		return filbertford.Status{}, eris.Wrap(ErrBadAnswer, err.Error())
 	}
+	if w.State == "" {
+		a, err := w.answer(id, anyTasks)
+		return filbertford.NewStatus(filbertford.StateUnknown, a), err
+	}
 	if w.ID != id {
 		return filbertford.Status{}, eris.Wrapf(ErrBadAnswer, "status of %q instead of %q", w.ID, id)
 	}
@@ -114,6 +119,9 @@
 	if w.Answer == nil {
 		return filbertford.Status{}, eris.Wrapf(ErrBadAnswer, "state %s without an answer", state)
 	}
+	if w.Answer.ID == "" {
+		w.Answer.ID = id
+	}
 	a, err := w.Answer.answer(id, anyTasks)
 	return filbertford.NewStatus(state, a), err
 }
@@ -127,10 +135,13 @@
 	return t, eris.Wrap(err, "read the token")
 }
 
+// answer checks the answer. A request that was refused before its ID was read
+// may be answered without one, if the answer says that it started nothing.
 func (w wireAnswer) answer(id string, tasks int) (filbertford.Answer, error) {
 	code := filbertford.Code(w.Code)
+	unread := w.ID == "" && code.Class() == filbertford.ClassNotStarted
 	switch {
-	case w.ID != id:
+	case w.ID != id && !unread:
 		return filbertford.Answer{}, eris.Wrapf(ErrBadAnswer, "answer of %q instead of %q", w.ID, id)
 	case w.Code == "":
 		return filbertford.Answer{}, eris.Wrap(ErrBadAnswer, "no result code")
--- a/fbclient/wire_test.go
+++ b/fbclient/wire_test.go
@@ -23,6 +23,8 @@
 		"class of another":   {`{"id":"a","code":"FB2001","class":"not-run"}`, false},
 		"negative retry":     {`{"id":"a","code":"FB3001","class":"not-run","retry_after_ms":-5}`, false},
 		"no code":            {`{"id":"a"}`, false},
+		"unread":             {`{"code":"FB4001","class":"delivery-started-nothing"}`, true},
+		"refused without ID": {`{"code":"FB3001","class":"not-run"}`, false},
 		"cut":                {`{"id":"a","code":"FB10`, false},
 		"two answers":        {`{"id":"a","code":"FB2001","class":"failed"}{}`, false},
 	}
--- /dev/null
+++ b/fbcommand/operations.go
@@ -0,0 +1,220 @@
+package fbcommand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+)
+
+// Bounds of a request to an operations listener.
+const (
+	operationsTimeout = 10 * time.Second
+	operationsMax     = 16 << 20
+)
+
+// operations is how a command reaches daemons as an operator.
+type operations struct {
+	listeners string
+	key       string
+	json      bool
+}
+
+func (o *operations) register(fs *flag.FlagSet) {
+	fs.StringVar(&o.listeners, "operations", defaultOperations, "`URLs` of the daemons' operations listeners, separated by commas")
+	fs.StringVar(&o.key, "operations-key", "", "the operator's `key`")
+	fs.BoolVar(&o.json, "json", false, "print JSON")
+}
+
+func newVMs(s Streams) *ffcli.Command {
+	return newListing(s, "vms", "/v1/vms", "Lists the entry daemons as each daemon knows them.")
+}
+
+func newTargets(s Streams) *ffcli.Command {
+	return newListing(s, "targets", "/v1/targets", "Lists the targets as each daemon knows them.")
+}
+
+// newListing returns a command that prints a list of every daemon's operations
+// listener.
+func newListing(s Streams, name, path, help string) *ffcli.Command {
+	var o operations
+	fs := newFlagSet(name, s)
+	o.register(fs)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "filbertford " + name + " [flags]",
+		ShortHelp:  help,
+		LongHelp: "The exit code is 1 if any daemon could not be asked; the others' lists are printed all the same.\n\n" +
+			example("filbertford "+name+" -operations http://127.0.0.1:7102,http://127.0.0.1:7112"),
+		FlagSet: fs,
+		Options: fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			return o.list(ctx, s, path)
+		},
+	}
+}
+
+// list prints the lists of all daemons. A daemon that doesn't answer is named
+// on the error output.
+func (o *operations) list(ctx context.Context, s Streams, path string) error {
+	var failed error
+	lists := make(map[string]json.RawMessage)
+	for _, base := range splitList(o.listeners) {
+		body, err := o.get(ctx, base+path)
+		if err != nil {
+			_, _ = fmt.Fprintf(s.err, "filbertford: %v\n", err)
+			failed = exitError{ExitError}
+			continue
+		}
+		lists[base] = body
+		if o.json {
+			continue
+		}
+		if err := printListing(s.out, base, body); err != nil {
+			return err
+		}
+	}
+	if o.json {
+		if err := printJSON(s.out, lists); err != nil {
+			return err
+		}
+	}
+	return failed
+}
+
+func (o *operations) get(ctx context.Context, url string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, operationsTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "make a request")
+	}
+	if o.key != "" {
+		req.Header.Set("Authorization", "Bearer "+o.key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "ask a daemon")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, operationsMax))
+	if err != nil {
+		return nil, eris.Wrapf(err, "read from %s", url)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("%s answered %s: %s", url, resp.Status, bytes.TrimSpace(body))
+	}
+	if !json.Valid(body) {
+		return nil, eris.Errorf("%s did not answer in JSON", url)
+	}
+	return body, nil
+}
+
+// printListing writes a JSON array of flat objects as a table, whose columns are
+// in the order of the objects' fields.
+func printListing(out io.Writer, heading string, body []byte) error {
+	columns, rows, err := readRows(body)
+	if err != nil {
+		return eris.Wrapf(err, "list of %s", heading)
+	}
+	if _, err := fmt.Fprintf(out, "%s\n", heading); err != nil {
+		return eris.Wrap(err, "write the list")
+	}
+	if len(rows) == 0 {
+		_, err := fmt.Fprintln(out, "  none")
+		return eris.Wrap(err, "write the list")
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	lines := [][]string{columns}
+	for _, row := range rows {
+		line := make([]string, len(columns))
+		for i, column := range columns {
+			line[i] = row[column]
+		}
+		lines = append(lines, line)
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintf(table, "  %s\n", strings.Join(line, "\t")); err != nil {
+			return eris.Wrap(err, "write the list")
+		}
+	}
+	return eris.Wrap(table.Flush(), "write the list")
+}
+
+// readRows returns the names of the objects' fields in the order of their first
+// appearance, and each object's fields as text.
+func readRows(body []byte) ([]string, []map[string]string, error) {
+	var objects []json.RawMessage
+	if err := json.Unmarshal(body, &objects); err != nil {
+		return nil, nil, eris.Wrap(err, "not an array of objects")
+	}
+	var columns []string
+	known := make(map[string]bool)
+	rows := make([]map[string]string, 0, len(objects))
+	for _, object := range objects {
+		row := make(map[string]string)
+		err := readFields(object, func(name string, value json.RawMessage) {
+			if !known[name] {
+				known[name] = true
+				columns = append(columns, name)
+			}
+			row[name] = cell(value)
+		})
+		if err != nil {
+			return nil, nil, err
+		}
+		rows = append(rows, row)
+	}
+	return columns, rows, nil
+}
+
+// readFields calls f with each field of an object in turn.
+func readFields(object []byte, f func(string, json.RawMessage)) error {
+	dec := json.NewDecoder(bytes.NewReader(object))
+	if open, err := dec.Token(); err != nil || open != json.Delim('{') {
+		return eris.New("not an array of objects")
+	}
+	for dec.More() {
+		name, err := dec.Token()
+		if err != nil {
+			return eris.Wrap(err, "read a field's name")
+		}
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return eris.Wrapf(err, "read the field %v", name)
+		}
+		f(name.(string), value)
+	}
+	return nil
+}
+
+// cell returns a value as the text of a table's cell: strings without quotes,
+// and without control characters, which come from another process.
+func cell(value json.RawMessage) string {
+	var text string
+	if json.Unmarshal(value, &text) != nil {
+		var compact bytes.Buffer
+		if json.Compact(&compact, value) != nil {
+			return string(value)
+		}
+		text = compact.String()
+	}
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return '?'
+		}
+		return r
+	}, text)
+}
--- /dev/null
+++ b/fbreport/page.go
@@ -0,0 +1,160 @@
+package fbreport
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"html/template"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford/fbload"
+)
+
+// Page returns an HTML page that shows the results side by side. Results of the
+// same mix, rate and moments share a section.
+func Page(title string, results []fbload.Result) ([]byte, error) {
+	page := pageData{Title: title}
+	for _, group := range groupResults(results) {
+		section, err := newSection(group)
+		if err != nil {
+			return nil, err
+		}
+		page.Sections = append(page.Sections, section)
+	}
+	var out bytes.Buffer
+	if err := pageTemplate.Execute(&out, page); err != nil {
+		return nil, eris.Wrap(err, "write the report")
+	}
+	return out.Bytes(), nil
+}
+
+// pageData is what the template shows.
+type pageData struct {
+	Title    string
+	Sections []section
+}
+
+type section struct {
+	Heading string
+	Rows    []row
+	Plots   []template.HTML
+}
+
+// row is one run of a section's table.
+type row struct {
+	Label                 string
+	Jobs, Accepted        int
+	Mean, P50, P99, P999  string
+	OverMean, OverP99     string
+	Misses, Lost, Goodput string
+	Refusals, RefusalP99  string
+	WastedPerJob, Wasted  string
+	Kinds                 string
+	Faults                string
+}
+
+// groupResults sorts the results by mix, moments and rate and groups them.
+func groupResults(results []fbload.Result) [][]fbload.Result {
+	sorted := slices.SortedStableFunc(slices.Values(results), func(a, b fbload.Result) int {
+		return cmp.Or(
+			cmp.Compare(a.Mix(), b.Mix()),
+			cmp.Compare(strings.Join(a.Moments(), " "), strings.Join(b.Moments(), " ")),
+			cmp.Compare(a.Rate(), b.Rate()),
+		)
+	})
+	var groups [][]fbload.Result
+	for i, r := range sorted {
+		if i == 0 || heading(r) != heading(sorted[i-1]) {
+			groups = append(groups, nil)
+		}
+		groups[len(groups)-1] = append(groups[len(groups)-1], r)
+	}
+	return groups
+}
+
+// heading names what the runs of a section have in common.
+func heading(r fbload.Result) string {
+	text := fmt.Sprintf("%s mix at %.0f %% of capacity", r.Mix(), 100*r.Rate())
+	if len(r.Moments()) > 0 {
+		text += ", " + strings.Join(r.Moments(), ", ")
+	}
+	return text
+}
+
+func newSection(results []fbload.Result) (section, error) {
+	s := section{Heading: heading(results[0])}
+	for _, r := range results {
+		s.Rows = append(s.Rows, newRow(r))
+	}
+	for _, draw := range []func([]fbload.Result) ([]byte, error){drawCurves, drawSeconds, drawWasted} {
+		svg, err := draw(results)
+		if err != nil {
+			return section{}, err
+		}
+		// The plots are drawn here from numbers and escaped labels.
+		s.Plots = append(s.Plots, template.HTML(svg))
+	}
+	return s, nil
+}
+
+func newRow(r fbload.Result) row {
+	ideal := r.OverIdeal()
+	out := row{
+		Label: labelOf(r), Jobs: r.Jobs(), Accepted: r.Accepted(),
+		Mean: decimals(ideal.Mean()), P50: decimals(ideal.P50()), P99: decimals(ideal.P99()), P999: decimals(ideal.P999()),
+		Misses: fmt.Sprint(r.DeadlineMisses()), Lost: decimals(r.LostPercent()), Goodput: decimals(100 * r.Goodput()),
+		Refusals: counts(r.Refusals()), RefusalP99: decimals(r.Refusal().P99()),
+		WastedPerJob: decimals(r.WastedPerJob()), Wasted: decimals(r.WastedPercent()), Kinds: counts(r.Wasted()),
+		OverMean: "–", OverP99: "–", Faults: "none",
+	}
+	if c, ok := r.Clairvoyant(); ok && c.Count() > 0 {
+		out.OverMean, out.OverP99 = decimals(ideal.Mean()/c.Mean()), decimals(ideal.P99()/c.P99())
+	}
+	if doubled, missing, untrue := r.Violations(); !r.Sound() {
+		out.Faults = fmt.Sprintf("twice %d, missing %d, untrue %d", doubled, missing, untrue)
+	}
+	return out
+}
+
+func labelOf(r fbload.Result) string { return cmp.Or(r.Label(), "unnamed") }
+
+func decimals(x float64) string { return fmt.Sprintf("%.3f", x) }
+
+// counts lists the counts that aren't zero.
+func counts[N int | float64](m map[string]N) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		if m[name] != 0 {
+			parts = append(parts, fmt.Sprintf("%s %v", name, m[name]))
+		}
+	}
+	return cmp.Or(strings.Join(parts, ", "), "–")
+}
+
+var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title><style>
+body { font: 15px sans-serif; margin: 2em; color: #222; }
+table { border-collapse: collapse; margin: 1em 0; }
+th, td { border-bottom: 1px solid #ccc; padding: 4px 10px; text-align: right; vertical-align: top; }
+th:first-child, td:first-child, td.text { text-align: left; }
+figure { display: inline-block; margin: 0 1em 1em 0; }
+</style></head><body>
+<h1>{{.Title}}</h1>
+<p>Response over ideal: the time from when a job was due to be sent to its whole answer, over its longest task on the
+fastest eligible target plus two round trips. Over clairvoyant: the same, over that of a list schedule that knows all run times and speeds.</p>
+{{range .Sections}}<h2>{{.Heading}}</h2>
+<table><tr><th rowspan="2">run</th><th rowspan="2">jobs</th><th rowspan="2">accepted</th><th colspan="4">response over ideal</th>
+<th colspan="2">over clairvoyant</th><th rowspan="2">deadline<br>misses</th><th rowspan="2">lost, %</th><th rowspan="2">goodput,<br>% of capacity</th>
+<th colspan="2">refusals</th><th colspan="3">wasted messages</th><th rowspan="2">violations</th></tr>
+<tr><th>mean</th><th>p50</th><th>p99</th><th>p99.9</th><th>mean</th><th>p99</th><th>by code</th><th>p99, ms</th><th>a job</th><th>% of all</th><th>by kind</th></tr>
+{{range .Rows}}<tr><td>{{.Label}}</td><td>{{.Jobs}}</td><td>{{.Accepted}}</td><td>{{.Mean}}</td><td>{{.P50}}</td><td>{{.P99}}</td><td>{{.P999}}</td>
+<td>{{.OverMean}}</td><td>{{.OverP99}}</td><td>{{.Misses}}</td><td>{{.Lost}}</td><td>{{.Goodput}}</td><td class="text">{{.Refusals}}</td><td>{{.RefusalP99}}</td>
+<td>{{.WastedPerJob}}</td><td>{{.Wasted}}</td><td class="text">{{.Kinds}}</td><td class="text">{{.Faults}}</td></tr>
+{{end}}</table>
+{{range .Plots}}<figure>{{.}}</figure>{{end}}
+{{end}}</body></html>
+`))
--- /dev/null
+++ b/fbreport/plot.go
@@ -0,0 +1,185 @@
+package fbreport
+
+import (
+	"bytes"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/filbertford/filbertford/fbload"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	barWidth   = 4 * vg.Millimeter
+)
+
+// drawCurves draws response over ideal by percentile. The axis of percentiles
+// spreads the tail: each step of nines is as wide as the one before.
+func drawCurves(results []fbload.Result) ([]byte, error) {
+	p := newPlot("Response over ideal by percentile", "percentile", "response / ideal")
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = ratioTicks{}
+	p.X.Tick.Marker = plot.ConstantTicks(percentileTicks(50, 90, 99, 99.9))
+	n := 0
+	for _, r := range results {
+		points := points(r.OverIdeal())
+		if len(points) == 0 {
+			continue
+		}
+		if err := addLine(p, labelOf(r), points, n); err != nil {
+			return nil, err
+		}
+		n++
+	}
+	if c, ok := results[0].Clairvoyant(); ok && len(points(c)) > 0 {
+		if err := addLine(p, "clairvoyant", points(c), n); err != nil {
+			return nil, err
+		}
+		n++
+	}
+	if n == 0 {
+		p.Y.Scale, p.Y.Tick.Marker = plot.LinearScale{}, plot.DefaultTicks{}
+	}
+	return svg(p)
+}
+
+// points places a summary's percentiles on the axis.
+func points(s fbload.Summary) plotter.XYs {
+	var out plotter.XYs
+	for _, point := range s.Points() {
+		if point[1] > 0 {
+			out = append(out, plotter.XY{X: nines(point[0]), Y: point[1]})
+		}
+	}
+	return out
+}
+
+// nines returns the place of a percentile on an axis of nines.
+func nines(percentile float64) float64 { return -math.Log10(1 - percentile/100) }
+
+func percentileTicks(percentiles ...float64) []plot.Tick {
+	ticks := make([]plot.Tick, len(percentiles))
+	for i, p := range percentiles {
+		ticks[i] = plot.Tick{Value: nines(p), Label: strconv.FormatFloat(p, 'g', -1, 64)}
+	}
+	return ticks
+}
+
+// ratioTicks marks an axis of ratios at 1, 2, 5, 10 and so on.
+type ratioTicks struct{}
+
+// Ticks implements plot.Ticker.
+func (ratioTicks) Ticks(low, high float64) []plot.Tick {
+	var ticks []plot.Tick
+	for decade := math.Pow(10, math.Floor(math.Log10(low))); decade <= high; decade *= 10 {
+		for _, digit := range []float64{1, 1.5, 2, 3, 5, 7} {
+			if v := digit * decade; v >= low && v <= high {
+				ticks = append(ticks, plot.Tick{Value: v, Label: strconv.FormatFloat(v, 'g', 3, 64)})
+			}
+		}
+	}
+	return ticks
+}
+
+// drawSeconds draws the mean response over ideal of each second's jobs.
+func drawSeconds(results []fbload.Result) ([]byte, error) {
+	p := newPlot("Mean response over ideal by second", "second", "response / ideal")
+	p.Y.Min = 0
+	for i, r := range results {
+		var line plotter.XYs
+		for second, ratio := range r.SecondsOverIdeal() {
+			if ratio > 0 {
+				line = append(line, plotter.XY{X: float64(second), Y: ratio})
+			}
+		}
+		if len(line) == 0 {
+			continue
+		}
+		if err := addLine(p, labelOf(r), line, i); err != nil {
+			return nil, err
+		}
+	}
+	return svg(p)
+}
+
+// drawWasted draws the wasted messages of a hundred jobs by kind.
+func drawWasted(results []fbload.Result) ([]byte, error) {
+	p := newPlot("Wasted messages by kind", "", "messages for 100 jobs")
+	kinds := make(map[string]bool)
+	for _, r := range results {
+		for kind, n := range r.Wasted() {
+			if n > 0 {
+				kinds[kind] = true
+			}
+		}
+	}
+	names := slices.Sorted(maps.Keys(kinds))
+	if len(names) == 0 {
+		return svg(p)
+	}
+	for i, r := range results {
+		values := make(plotter.Values, len(names))
+		for k, name := range names {
+			values[k] = 100 * r.Wasted()[name] / float64(max(r.Jobs(), 1))
+		}
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return nil, eris.Wrap(err, "draw bars")
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		bars.Offset = vg.Length(float64(i)-float64(len(results)-1)/2) * barWidth
+		p.Add(bars)
+		p.Legend.Add(labelOf(r), bars)
+	}
+	p.NominalX(names...)
+	return svg(p)
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+func addLine(p *plot.Plot, label string, points plotter.XYs, i int) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return eris.Wrapf(err, "draw the line of %s", label)
+	}
+	line.Color = plotutil.Color(i)
+	line.Dashes = plotutil.Dashes(i)
+	line.Width = vg.Points(1.5)
+	p.Add(line)
+	p.Legend.Add(label, line)
+	return nil
+}
+
+// svg draws a plot as an element that can stand in an HTML page.
+func svg(p *plot.Plot) ([]byte, error) {
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(c))
+	var out bytes.Buffer
+	if _, err := c.WriteTo(&out); err != nil {
+		return nil, eris.Wrap(err, "write a plot")
+	}
+	start := bytes.Index(out.Bytes(), []byte("<svg"))
+	if start < 0 {
+		return nil, eris.New("the plot holds no svg element")
+	}
+	return out.Bytes()[start:], nil
+}
