--- a/fbcommand/command_test.go
+++ b/fbcommand/command_test.go
@@ -28,6 +28,8 @@
 		switch {
 		case r.URL.Path == "/v1/token":
 			_, _ = fmt.Fprintf(w, `{"token":%q}`, filbertford.NewToken(7, 0, "nordnes", "127.0.0.1:7101"))
+		case r.URL.Path == "/readyz":
+			_, _ = io.WriteString(w, "ready\n")
 		case r.URL.Path == "/v1/targets":
 			_, _ = io.WriteString(w, `[{"target":"t1","free":3},{"target":"t2","free":0,"note":"a\u001b[2Jb"}]`)
 		case r.Method == http.MethodPost:
@@ -115,6 +117,13 @@
 	if code, out, errOut := runCommand(t, "", "submit"); code != 0 {
 		t.Errorf("exit code %d, output %s%s", code, out, errOut)
 	}
+	if code, out, _ := runCommand(t, "", "ready"); code != fbcommand.ExitError {
+		t.Errorf("exit code %d although a daemon is missing, output %s", code, out)
+	}
+	t.Setenv("FILBERTFORD_ENDPOINTS", url)
+	if code, out, errOut := runCommand(t, "", "ready"); code != 0 {
+		t.Errorf("exit code %d, output %s%s", code, out, errOut)
+	}
 }
 
 func TestUsageErrors(t *testing.T) {
@@ -148,7 +157,7 @@
 }
 
 func TestEveryCommandShowsAnExample(t *testing.T) {
-	for _, name := range []string{"submit", "status", "cancel", "vms", "targets", "load", "report"} {
+	for _, name := range []string{"submit", "status", "cancel", "ready", "vms", "targets", "load", "report"} {
 		t.Run(name, func(t *testing.T) {
 			code, _, errOut := runCommand(t, "", name, "-h")
 			if code != 0 || !strings.Contains(errOut, "EXAMPLE\n  filbertford "+name) && name != "submit" {
--- a/fbcommand/operations.go
+++ b/fbcommand/operations.go
@@ -43,6 +43,59 @@
 	return newListing(s, "targets", "/v1/targets", "Lists the targets as each daemon knows them.")
 }
 
+// readyPoll is the time between two questions of ready.
+const readyPoll = 50 * time.Millisecond
+
+func newReady(s Streams) *ffcli.Command {
+	var to access
+	fs := newFlagSet("ready", s)
+	to.register(fs)
+	patience := fs.Duration("wait", 0, "time to wait for all daemons to become ready")
+	return &ffcli.Command{
+		Name:       "ready",
+		ShortUsage: "filbertford ready [flags]",
+		ShortHelp:  "Tells whether the daemons take jobs.",
+		LongHelp: "The exit code is 0 if all of them do, else 1.\n\n" +
+			example("filbertford ready -endpoints http://127.0.0.1:7100,http://127.0.0.1:7110 -wait 10s"),
+		FlagSet: fs,
+		Options: fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, *patience+operationsTimeout)
+			defer cancel()
+			deadline := time.Now().Add(*patience)
+			for _, base := range splitList(to.endpoints) {
+				if err := awaitReady(ctx, base, deadline); err != nil {
+					return err
+				}
+				if _, err := fmt.Fprintf(s.out, "%s ready\n", base); err != nil {
+					return eris.Wrap(err, "write the result")
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// awaitReady asks a daemon until it is ready or the deadline is over.
+func awaitReady(ctx context.Context, base string, deadline time.Time) error {
+	for {
+		_, err := getBody(ctx, base+"/readyz", "")
+		if err == nil || !time.Now().Before(deadline) {
+			return err
+		}
+		timer := time.NewTimer(readyPoll)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
 // newListing returns a command that prints a list of every daemon's operations
 // listener.
 func newListing(s Streams, name, path, help string) *ffcli.Command {
@@ -94,15 +147,28 @@
 	return failed
 }
 
+// get returns the JSON that an operations listener holds at the URL.
 func (o *operations) get(ctx context.Context, url string) ([]byte, error) {
+	body, err := getBody(ctx, url, o.key)
+	if err != nil {
+		return nil, err
+	}
+	if !json.Valid(body) {
+		return nil, eris.Errorf("%s did not answer in JSON", url)
+	}
+	return body, nil
+}
+
+// getBody returns the body of an answer of status 200.
+func getBody(ctx context.Context, url, key string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, operationsTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "make a request")
 	}
-	if o.key != "" {
-		req.Header.Set("Authorization", "Bearer "+o.key)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -116,9 +182,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("%s answered %s: %s", url, resp.Status, bytes.TrimSpace(body))
 	}
-	if !json.Valid(body) {
-		return nil, eris.Errorf("%s did not answer in JSON", url)
-	}
 	return body, nil
 }
 
--- a/fbcommand/root.go
+++ b/fbcommand/root.go
@@ -105,6 +105,7 @@
 			newSubmit(s),
 			newStatus(s),
 			newCancel(s),
+			newReady(s),
 			newVMs(s),
 			newTargets(s),
 			newLoad(s),
--- a/fbload/mix.go
+++ b/fbload/mix.go
@@ -75,7 +75,7 @@
 		},
 	},
 	"atlas": {
-		name: "atlas", team: "atlas", service: "order",
+		name: "atlas", team: "atlas", service: "orders",
 		kinds: []Kind{
 			{"menu-check", 0.50, 2, 10, 50 * time.Millisecond, 400 * time.Millisecond, 0, 5 * time.Second, true},
 			{"event-quote", 0.35, 4, 20, 100 * time.Millisecond, time.Second, 0.01, 20 * time.Second, true},
