fbpolicy: adaptive policy with learnt speed, health, admission and quotas

Learns run times per size class and target, counts the other daemons' use from free-slot replies, waits for a faster target while that pays (bounded), quarantines targets that fail what runs elsewhere, bounds retries and probes, and refuses at the door by expected wait and team quota.

Root package: optional interface Standing with StandingChanges, so that a daemon can log what the policy makes of targets.

--- a/fbpolicy/adaptive.go
+++ b/fbpolicy/adaptive.go
@@ -7,44 +7,125 @@
 	"github.com/filbertford/filbertford"
 )
 
-// Adaptive is the default policy.
+// sweepPeriod is how often everything that changes with time alone is brought
+// up to date.
+const sweepPeriod = 100 * time.Millisecond
+
+// forgetTargets is the time without a reply after which a target that is not
+// in use is forgotten.
+const forgetTargets = 10 * time.Minute
+
+// Adaptive is the default policy. It learns how fast each target runs each
+// service, how many slots the other daemons use there, and which targets fail
+// what runs elsewhere. docs/POLICY.md tells the ways that were weighed.
 type Adaptive struct {
-	rng *rand.Rand
+	rng      *rand.Rand
+	seed     uint64
+	targets  map[filbertford.TargetID]*target
+	services map[string]*service
+	jobs     jobTable
+	quotas   map[string]*quota
+	retries  retryBudget
+	probes   probeBudget
+	caution  float64
+	swept    time.Time
+	changes  []filbertford.StandingChange
 }
 
-var _ filbertford.Policy = (*Adaptive)(nil)
+var (
+	_ filbertford.Policy   = (*Adaptive)(nil)
+	_ filbertford.Standing = (*Adaptive)(nil)
+)
 
 // NewAdaptive returns an adaptive policy that has seen nothing yet.
 func NewAdaptive(seed uint64) *Adaptive {
-	return &Adaptive{rng: newRand(seed)}
+	return &Adaptive{
+		rng:      newRand(seed),
+		seed:     seed,
+		targets:  make(map[filbertford.TargetID]*target),
+		services: make(map[string]*service),
+		jobs:     newJobTable(),
+		quotas:   make(map[string]*quota),
+		retries:  newRetryBudget(),
+		probes:   newProbeBudget(),
+		caution:  startCaution,
+	}
 }
 
-// Admit decides on a job that has just arrived.
-func (a *Adaptive) Admit(_ time.Time, j filbertford.Job, r filbertford.Rules, l filbertford.Load) filbertford.Verdict {
-	if v := checkSize(j, r); !v.Admitted() {
-		return v
+// Observe learns from the end of a start.
+func (a *Adaptive) Observe(now time.Time, o filbertford.Observation) {
+	a.sweep(now)
+	s := a.service(o.Service())
+	sp := s.speed(a.target(o.Target()))
+	sp.target.end(now, o.Took())
+	if o.Outcome() != filbertford.OutcomeUnknown && o.Outcome() != filbertford.OutcomeUnreached {
+		sp.target.replied = now
 	}
-	if r.MaxQueue() > 0 && l.Waiting()+len(j.Tasks()) > r.MaxQueue() {
-		return filbertford.NewRejection(filbertford.CodeOverloaded, minRetryAfter)
+	switch o.Outcome() {
+	case filbertford.OutcomeDone:
+		s.learn(now, sp, o.Size(), ranFor(o))
+		a.credit(now, s, sp, o)
+		a.refused(s, false)
+	case filbertford.OutcomeStopped:
+		s.learnAtLeast(now, sp, o.Size(), ranFor(o))
+	case filbertford.OutcomeTaskFailed, filbertford.OutcomeUnknown:
+		a.blame(now, s, sp, o)
+	case filbertford.OutcomeNoSlot:
+		a.refused(s, true)
+	case filbertford.OutcomeLeaving:
+		sp.target.hold(now, leavingHold)
+	case filbertford.OutcomeUnreached:
+		sp.target.unreached(now)
 	}
-	return filbertford.Verdict{}
 }
 
-// Rank puts jobs with little work left first.
-func (a *Adaptive) Rank(n filbertford.Need) float64 {
-	return float64(n.Left()) - n.Waited().Seconds()
+// ranFor returns how long the task ran, as far as that is known.
+func ranFor(o filbertford.Observation) time.Duration {
+	if o.Ran() > 0 {
+		return o.Ran()
+	}
+	return o.Took()
 }
 
-// Place picks the target with the most slots believed to be free.
-func (a *Adaptive) Place(now time.Time, _ filbertford.Need, candidates []filbertford.Candidate) (int, bool) {
-	best, found := 0, false
-	for i, c := range candidates {
-		if usable(now, c) && (!found || c.Free() > candidates[best].Free()) {
-			best, found = i, true
-		}
+func (a *Adaptive) target(id filbertford.TargetID) *target {
+	t, ok := a.targets[id]
+	if !ok {
+		t = newTarget(id, a.seed)
+		a.targets[id] = t
 	}
-	return best, found
+	return t
 }
 
-// Observe learns from the end of a start.
-func (a *Adaptive) Observe(time.Time, filbertford.Observation) {}
+func (a *Adaptive) service(name string) *service {
+	s, ok := a.services[name]
+	if !ok {
+		s = newService()
+		a.services[name] = s
+	}
+	return s
+}
+
+// sweep brings up to date what changes with time alone.
+func (a *Adaptive) sweep(now time.Time) {
+	past := now.Sub(a.swept)
+	if past < sweepPeriod {
+		return
+	}
+	if a.swept.IsZero() {
+		past = 0
+	}
+	a.swept = now
+	for id, t := range a.targets {
+		t.sweep(now)
+		if len(t.starts) == 0 && now.Sub(t.used) > forgetTargets {
+			delete(a.targets, id)
+			for _, s := range a.services {
+				s.forget(id)
+			}
+		}
+	}
+	for _, s := range a.services {
+		s.sweep(now, past)
+	}
+	a.review(now)
+}
