--- a/fbclient/client.go
+++ b/fbclient/client.go
@@ -51,6 +51,7 @@
 // Client submits jobs to entry daemons. It may be used by many goroutines.
 type Client struct {
 	endpoints []*endpoint
+	byHost    map[string]*endpoint
 	next      atomic.Uint32
 	transport http.RoundTripper
 	key       string
@@ -104,12 +105,13 @@
 		budget:    newBudget(),
 	}
 	for _, text := range endpoints {
-		base, err := parseEndpoint(text)
+		e, err := parseEndpoint(text)
 		if err != nil {
 			return nil, err
 		}
-		c.endpoints = append(c.endpoints, &endpoint{base: base})
+		c.endpoints = append(c.endpoints, e)
 	}
+	c.byHost = endpointsByHost(c.endpoints)
 	for _, option := range options {
 		option(c)
 	}
@@ -126,14 +128,27 @@
 	}
 }
 
-// parseEndpoint returns the endpoint's URL without a slash at its end.
-func parseEndpoint(text string) (string, error) {
+// parseEndpoint reads the endpoint's URL, less a slash at its end.
+func parseEndpoint(text string) (*endpoint, error) {
 	text = strings.TrimSpace(text)
 	u, err := url.Parse(text)
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-		return "", eris.Errorf("endpoint %q is not a URL of the form http://host:port", text)
+		return nil, eris.Errorf("endpoint %q is not a URL of the form http://host:port", text)
 	}
-	return strings.TrimRight(text, "/"), nil
+	return &endpoint{base: strings.TrimRight(text, "/"), host: u.Hostname()}, nil
+}
+
+// endpointsByHost returns the endpoints whose host no other endpoint has.
+func endpointsByHost(endpoints []*endpoint) map[string]*endpoint {
+	out := make(map[string]*endpoint)
+	for _, e := range endpoints {
+		if _, shared := out[e.host]; shared {
+			out[e.host] = nil
+			continue
+		}
+		out[e.host] = e
+	}
+	return out
 }
 
 func newTransport() *http.Transport {
--- a/fbclient/client_test.go
+++ b/fbclient/client_test.go
@@ -162,6 +162,49 @@
 	}
 }
 
+// steering is a transport of two daemons, of which the first steers all jobs to
+// the second.
+type steering struct{ jobs []string }
+
+func (s *steering) RoundTrip(r *http.Request) (*http.Response, error) {
+	own := filbertford.NewToken(7, 0, "nordnes", r.URL.Hostname()+":7101").String()
+	if r.URL.Path == "/v1/token" {
+		return reply(fmt.Sprintf(`{"token":%q}`, own)), nil
+	}
+	id, err := filbertford.ParseID(r.Header.Get("Idempotency-Key"))
+	if err != nil {
+		return nil, err
+	}
+	owner, _, _ := net.SplitHostPort(id.Token().Address())
+	s.jobs = append(s.jobs, r.URL.Hostname()+" for "+owner)
+	resp := reply(strings.ReplaceAll(complete, "ID", id.String()))
+	resp.Header.Set("Filbertford-Token", filbertford.NewToken(8, 0, "nordnes", "127.0.0.2:7101").String())
+	return resp, nil
+}
+
+func TestSteeredJobsGoStraightToTheirOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &steering{}
+		c, err := fbclient.New([]string{"http://127.0.0.1:7100", "http://127.0.0.2:7100"}, fbclient.WithTransport(s))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 6 {
+			if i == 4 {
+				time.Sleep(2 * time.Second)
+			}
+			if _, err := c.Submit(t.Context(), oneTask()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		const first, second = "127.0.0.1 for 127.0.0.1", "127.0.0.2 for 127.0.0.2"
+		want := []string{first, second, second, second, first, second}
+		if diff := cmp.Diff(want, s.jobs); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestSubmitComesBackWhenTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{replies: []string{full, complete}}
--- a/fbclient/endpoint.go
+++ b/fbclient/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -17,43 +18,83 @@
 // over while others can be.
 const endpointRest = time.Second
 
-// endpoint is a daemon's address with the newest owner token it gave. A job
-// that goes to the endpoint whose token its ID carries needs no forwarding.
+// steerAge is how long a token is used by which a daemon steers new jobs to
+// another one.
+const steerAge = time.Second
+
+// endpoint is a daemon's address with the newest owner tokens that it gave: one
+// that may be its own, and one by which it steers jobs to another endpoint. A
+// job that goes to the endpoint of the daemon that its ID names needs no
+// forwarding.
 type endpoint struct {
 	base string
+	host string
+
+	mu      sync.Mutex
+	own     givenToken
+	steered givenToken
+	failed  time.Time
+}
 
-	mu     sync.Mutex
-	token  filbertford.Token
-	given  time.Time
-	failed time.Time
+// givenToken is a token and when it was given.
+type givenToken struct {
+	token filbertford.Token
+	at    time.Time
 }
 
-// keepToken remembers a token that an answer carried. Text that is not a token
-// is ignored.
-func (e *endpoint) keepToken(text string, now time.Time) {
+// fresh reports whether there is a token younger than age.
+func (g givenToken) fresh(now time.Time, age time.Duration) bool {
+	return !g.token.IsZero() && now.Sub(g.at) < age
+}
+
+// keepToken remembers a token that an answer of the endpoint carried. Text that
+// is not a token is ignored.
+func (c *Client) keepToken(e *endpoint, text string, now time.Time) {
 	t, err := filbertford.ParseToken(text)
 	if err != nil {
 		return
 	}
+	given := givenToken{token: t, at: now}
+	elsewhere := c.route(e, t) != e
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.token, e.given, e.failed = t, now, time.Time{}
+	e.failed = time.Time{}
+	if elsewhere {
+		e.steered = given
+		return
+	}
+	e.own, e.steered = given, givenToken{}
+}
+
+// route returns the endpoint of the daemon that a token names if the endpoints'
+// hosts tell, else the given one.
+func (c *Client) route(e *endpoint, t filbertford.Token) *endpoint {
+	host, _, err := net.SplitHostPort(t.Address())
+	if err != nil || c.byHost[host] == nil {
+		return e
+	}
+	return c.byHost[host]
 }
 
 // dropToken forgets a token that a daemon refused.
 func (e *endpoint) dropToken(t filbertford.Token) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.token.String() == t.String() {
-		e.token = filbertford.Token{}
+	for _, given := range []*givenToken{&e.own, &e.steered} {
+		if given.token.String() == t.String() {
+			*given = givenToken{}
+		}
 	}
 }
 
-// freshToken returns the kept token if it is younger than age.
+// freshToken returns a kept token that is young enough.
 func (e *endpoint) freshToken(now time.Time, age time.Duration) (filbertford.Token, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.token, !e.token.IsZero() && now.Sub(e.given) < age
+	if e.steered.fresh(now, min(age, steerAge)) {
+		return e.steered.token, true
+	}
+	return e.own.token, e.own.fresh(now, age)
 }
 
 func (e *endpoint) markFailed(now time.Time) {
@@ -110,7 +151,7 @@
 	if err != nil {
 		return filbertford.Token{}, eris.Wrapf(err, "token from %s, status %d", e.base, resp.StatusCode)
 	}
-	e.keepToken(t.String(), time.Now())
+	c.keepToken(e, t.String(), time.Now())
 	return t, nil
 }
 
--- a/fbclient/submit.go
+++ b/fbclient/submit.go
@@ -86,7 +86,7 @@
 		body, err := c.readBody(resp.Body)
 		closeBody(resp)
 		if err == nil {
-			e.keepToken(resp.Header.Get(headerToken), time.Now())
+			c.keepToken(e, resp.Header.Get(headerToken), time.Now())
 			return body, nil
 		}
 		last = err
@@ -156,6 +156,9 @@
 			return step{action: actionRemint}
 		}
 		s.id = id
+		if to := s.client.route(e, id.Token()); !to.resting(time.Now()) {
+			e = to
+		}
 	}
 	s.course.deliver()
 	a, sent, err := s.client.deliver(ctx, e, s.id, s.body, s.tasks)
@@ -221,7 +224,7 @@
 	if err != nil {
 		return filbertford.Answer{}, true, eris.Wrapf(err, "status %d from %s", resp.StatusCode, e.base)
 	}
-	e.keepToken(resp.Header.Get(headerToken), time.Now())
+	c.keepToken(e, resp.Header.Get(headerToken), time.Now())
 	return a, true, nil
 }
 
--- a/fbload/bench.go
+++ b/fbload/bench.go
@@ -204,6 +204,21 @@
 	return sum, nil
 }
 
+// platformCounter is the name of the counter of requests to the platform.
+const platformCounter = "platform"
+
+// platformCounts adds the platform's count of requests.
+func (b *bench) platformCounts(ctx context.Context, c counters) error {
+	var fields map[string]float64
+	if err := b.getJSON(ctx, b.platform+"/counters", &fields); err != nil {
+		return err
+	}
+	for _, n := range fields {
+		c[platformCounter] += n
+	}
+	return nil
+}
+
 // switchFault applies a moment to the platform or to some of the targets, and
 // returns what it was applied to.
 func (b *bench) switchFault(ctx context.Context, m Moment, targets []target) ([]string, error) {
--- a/fbload/check.go
+++ b/fbload/check.go
@@ -41,9 +41,10 @@
 	}
 }
 
-// needless are the names of the daemons' counters of messages that no job
-// needs. Starts and replies come from the targets' own counts.
-var needless = []string{"forwards", "spills", "probes", "heartbeats", "promises", "settings_pushes", "settings_pulls"}
+// needless are the names of the counters of messages of the daemons that no job
+// needs. Starts, refusals, stops and renewals come from the targets' counts,
+// and reads of the platform from its own.
+var needless = []string{"forwards", "heartbeats", "view_questions", "settings_pushes", "settings_pulls", platformCounter}
 
 // countMessages counts requests by kind. A job needs one delivery and one start
 // for each of its tasks; everything else is wasted.
--- a/fbload/load_test.go
+++ b/fbload/load_test.go
@@ -20,25 +20,30 @@
 )
 
 func TestWorkloadRepeatsAndKeepsItsRate(t *testing.T) {
-	const perSecond = 100.0
+	const load = 80.0
 	m, _ := MixByName("depot")
 	tests := map[string]bool{"calm": false, "bursts": true}
 	for name, bursts := range tests {
 		t.Run(name, func(t *testing.T) {
-			rate := func(time.Duration) float64 { return perSecond }
-			jobs := Workload(m, 7, time.Minute, bursts, rate)
-			again := Workload(m, 7, time.Minute, bursts, rate)
+			steady := func(time.Duration) float64 { return load }
+			jobs := Workload(m, 7, time.Minute, bursts, steady)
+			again := Workload(m, 7, time.Minute, bursts, steady)
 			if diff := cmp.Diff(jobs, again, cmp.AllowUnexported(Job{}, Task{})); diff != "" {
 				t.Error(diff)
 			}
-			if got := float64(len(jobs)) / 60; got < 0.9*perSecond || got > 1.1*perSecond {
-				t.Errorf("%.1f jobs a second, want %g within a tenth", got, perSecond)
-			}
+			var halves [2]float64
 			for _, j := range jobs {
+				halves[int(j.due/(30*time.Second))] += j.work().Seconds() / 30
 				if n, k := len(j.tasks), m.kinds[j.kind]; n < k.minTasks || n > k.maxTasks {
 					t.Errorf("%s with %d tasks", k.name, n)
 				}
 			}
+			if whole := (halves[0] + halves[1]) / 2; whole < 0.99*load || whole > load {
+				t.Errorf("load %.1f, want %g within a hundredth", whole, load)
+			}
+			if halves[0] < 0.8*load || halves[0] > 1.2*load {
+				t.Errorf("load of the first half %.1f, want %g within a fifth", halves[0], load)
+			}
 		})
 	}
 }
@@ -151,7 +156,7 @@
 		case "/v1/start":
 			_, _ = io.WriteString(w, `{"status":"done","ran_us":80000}`)
 		case "/counters":
-			_, _ = io.WriteString(w, `{"starts":5,"refusals":1,"works":{}}`)
+			_, _ = io.WriteString(w, `{"starts":5,"refusals":1}`)
 		case "/metrics.json":
 			_, _ = io.WriteString(w, `{"forwards":3,"uptime":"long"}`)
 		case "/faults/target", "/faults/platform":
@@ -174,7 +179,7 @@
 func TestRunMeasuresRefusalsAndSwitchesFaults(t *testing.T) {
 	platform, faults := fakeBench(t)
 	m, _ := MixByName("atlas")
-	l := NewLoad(m, 0.9, 500*time.Millisecond, platform, []string{platform}).
+	l := NewLoad(m, 5, 500*time.Millisecond, platform, []string{platform}).
 		WithMoments(NewMoment(0, ActFailAll, 1), NewMoment(0, ActPlatformDown, 0))
 	result, err := l.Run(t.Context(), refuser{}, log.New(io.Discard))
 	if err != nil {
--- a/fbload/measure.go
+++ b/fbload/measure.go
@@ -62,6 +62,7 @@
 	refusals    map[string]int
 	kinds       map[string]*hdrhistogram.Histogram
 	seconds     []second
+	measured    int
 	accepted    int
 	missed      int
 	lost        int
@@ -84,9 +85,12 @@
 		Targets: len(r.targets), RoundTripUS: r.trip.Microseconds(), Capacity: r.capacity, Jobs: len(r.jobs),
 		OverIdeal: ratios(m.overIdeal), ResponseMS: durations(m.response), RefusalMS: durations(m.refusal),
 		LateMS: durations(m.late), Codes: m.codes, Refusals: m.refusals, Accepted: m.accepted,
-		DeadlineMisses: m.missed, Unheard: m.unheard, Kinds: make(map[string]wireSummary),
+		DeadlineMisses: m.missed, Unheard: m.unheard, Measured: m.measured, Kinds: make(map[string]wireSummary),
 		Goodput: m.goodWork.Seconds() / (r.capacity * (r.load.length - r.load.warmUp).Seconds()),
 	}
+	for _, j := range r.jobs {
+		w.Offered += j.work().Seconds() / (r.capacity * r.load.length.Seconds())
+	}
 	for _, t := range r.targets {
 		w.Slots += t.slots
 		w.Factors = append(w.Factors, t.factor)
@@ -166,6 +170,7 @@
 
 // add measures one job.
 func (m *measure) add(o outcome, ideal time.Duration, k Kind) {
+	m.measured++
 	code := o.answer.Code()
 	if code == "" {
 		m.unheard++
--- a/fbload/mix.go
+++ b/fbload/mix.go
@@ -130,19 +130,3 @@
 func logUniform(r *rand.Rand, low, high time.Duration) time.Duration {
 	return time.Duration(float64(low) * math.Exp(r.Float64()*math.Log(float64(high)/float64(low))))
 }
-
-// meanSample is the number of jobs drawn to know a mix's mean.
-const meanSample = 20_000
-
-// meanWork returns the mean of a job's work on a target of factor 1.
-func (m Mix) meanWork() time.Duration {
-	r := rand.New(rand.NewPCG(1, 1))
-	var sum time.Duration
-	for range meanSample {
-		_, tasks := m.draw(r)
-		for _, t := range tasks {
-			sum += t.run
-		}
-	}
-	return sum / meanSample
-}
--- a/fbload/result.go
+++ b/fbload/result.go
@@ -66,6 +66,8 @@
 	RoundTripUS    int64                  `json:"round_trip_us"`
 	Capacity       float64                `json:"capacity"`
 	Jobs           int                    `json:"jobs"`
+	Measured       int                    `json:"measured"`
+	Offered        float64                `json:"offered"`
 	Accepted       int                    `json:"accepted"`
 	Unheard        int                    `json:"unheard"`
 	DeadlineMisses int                    `json:"deadline_misses"`
@@ -107,7 +109,14 @@
 // Jobs returns the number of jobs sent.
 func (r Result) Jobs() int { return r.wire.Jobs }
 
-// Accepted returns the number of jobs that weren't refused.
+// Measured returns the number of jobs after the warm-up, which the measures
+// count.
+func (r Result) Measured() int { return r.wire.Measured }
+
+// Offered returns the work of all jobs as a share of capacity.
+func (r Result) Offered() float64 { return r.wire.Offered }
+
+// Accepted returns the number of measured jobs that weren't refused.
 func (r Result) Accepted() int { return r.wire.Accepted }
 
 // DeadlineMisses returns how many accepted jobs were not complete in time.
--- a/fbload/run.go
+++ b/fbload/run.go
@@ -29,9 +29,9 @@
 	grace = 10 * time.Second
 	// progressEvery is the time from one line of progress to the next.
 	progressEvery = 5 * time.Second
-	// settle is the wait before the last counters are read, so that stops and
-	// renewals that are still on their way count too.
-	settle = 200 * time.Millisecond
+	// settle is the wait before the last counters are read. Daemons publish
+	// theirs once a second.
+	settle = 1200 * time.Millisecond
 )
 
 // Load is a load to be run. Its With methods return changed copies.
@@ -148,10 +148,9 @@
 // draw computes the capacity and draws the workload.
 func (r *runner) draw() {
 	r.capacity = capacityOf(r.load.mix.service, r.targets)
-	perJob := r.load.mix.meanWork().Seconds()
 	share := rateOver(r.load.rate, r.load.moments)
-	rate := func(at time.Duration) float64 { return share(at) * r.capacity / perJob }
-	r.jobs = Workload(r.load.mix, r.load.seed, r.load.length, r.load.bursts, rate)
+	load := func(at time.Duration) float64 { return share(at) * r.capacity }
+	r.jobs = Workload(r.load.mix, r.load.seed, r.load.length, r.load.bursts, load)
 	r.outcomes = make([]outcome, len(r.jobs))
 }
 
@@ -161,32 +160,37 @@
 	if err != nil {
 		return err
 	}
-	daemonsBefore, err := r.bench.daemonCounts(ctx)
-	if err != nil {
-		fbevent.CountersMissing.Log(r.logger, "error", err)
-	}
+	controlBefore := r.controlCounts(ctx)
 	fbevent.LoadStarted.Log(r.logger, "mix", r.load.mix.name, "jobs", len(r.jobs), "rate", r.load.rate,
 		"targets", len(r.targets), "capacity", fmt.Sprintf("%.1f", r.capacity), "for", r.load.length)
 	r.send(ctx)
 	if err := ctx.Err(); err != nil {
 		return eris.Wrap(err, "the load was broken off")
 	}
-	time.Sleep(settle)
+	sleepUntil(ctx, time.Now().Add(settle))
 	after, works, err := r.bench.targetCounts(ctx, r.targets)
 	if err != nil {
 		return err
 	}
 	r.messages, r.works = after.minus(before), works
-	if daemonsBefore == nil {
-		return nil
+	if controlBefore != nil {
+		r.daemons = r.controlCounts(ctx).minus(controlBefore)
+	}
+	return nil
+}
+
+// controlCounts returns the counters of the daemons and the platform, or nil if
+// any can't be read.
+func (r *runner) controlCounts(ctx context.Context) counters {
+	c, err := r.bench.daemonCounts(ctx)
+	if err == nil {
+		err = r.bench.platformCounts(ctx, c)
 	}
-	daemonsAfter, err := r.bench.daemonCounts(ctx)
 	if err != nil {
 		fbevent.CountersMissing.Log(r.logger, "error", err)
 		return nil
 	}
-	r.daemons = daemonsAfter.minus(daemonsBefore)
-	return nil
+	return c
 }
 
 // send submits each job at its moment and waits for all answers.
--- a/fbload/workload.go
+++ b/fbload/workload.go
@@ -1,7 +1,10 @@
 package fbload
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/filbertford/filbertford/fbbound"
@@ -63,30 +66,53 @@
 	burstFactor = 2.5
 )
 
-// Workload draws the jobs of a load that lasts for the given time: arrivals are
-// a Poisson process, with bursts on top if wanted. The rate is in jobs a second
-// at each moment since the start.
-func Workload(m Mix, seed uint64, length time.Duration, bursts bool, rate func(time.Duration) float64) []Job {
-	r := rand.New(rand.NewPCG(seed, 2))
+// gridStep is the step in which the arrival rate is taken as constant.
+const gridStep = 10 * time.Millisecond
+
+// Workload draws the jobs of a load that lasts for the given time. The load is
+// in seconds of work that arrive in a second, at each moment since the start.
+// Jobs are drawn until their work makes up that load over the whole time, so
+// that a few long jobs don't change it; they arrive as a Poisson process of
+// that many jobs, with bursts on top if wanted.
+func Workload(m Mix, seed uint64, length time.Duration, bursts bool, load func(time.Duration) float64) []Job {
 	shape := newShape(rand.New(rand.NewPCG(seed, 3)), length, bursts)
+	arrivals := newArrivals(length, func(at time.Duration) float64 { return load(at) * shape.at(at) })
+	var total float64
+	for at := time.Duration(0); at < length; at += gridStep {
+		total += load(at) * gridStep.Seconds()
+	}
+	r := rand.New(rand.NewPCG(seed, 2))
 	var jobs []Job
-	at := time.Duration(0)
-	for {
-		now := rate(at) * shape.at(at)
-		if now <= 0 {
-			at += time.Millisecond
-		} else {
-			at += time.Duration(r.ExpFloat64() / now * float64(time.Second))
-		}
-		if at >= length {
-			return jobs
-		}
-		if now <= 0 {
-			continue
-		}
+	for total > 0 {
 		kind, tasks := m.draw(r)
-		jobs = append(jobs, Job{due: at, kind: kind, tasks: tasks})
+		j := Job{due: arrivals.draw(r), kind: kind, tasks: tasks}
+		if total -= j.work().Seconds(); total > 0 {
+			jobs = append(jobs, j)
+		}
 	}
+	slices.SortStableFunc(jobs, func(a, b Job) int { return cmp.Compare(a.due, b.due) })
+	return jobs
+}
+
+// arrivals draws moments whose density is proportional to a rate.
+type arrivals struct {
+	sums []float64
+}
+
+func newArrivals(length time.Duration, rate func(time.Duration) float64) arrivals {
+	var a arrivals
+	var sum float64
+	for at := time.Duration(0); at < length; at += gridStep {
+		sum += max(rate(at), 0)
+		a.sums = append(a.sums, sum)
+	}
+	return a
+}
+
+func (a arrivals) draw(r *rand.Rand) time.Duration {
+	at := r.Float64() * a.sums[len(a.sums)-1]
+	i := min(sort.SearchFloat64s(a.sums, at), len(a.sums)-1)
+	return time.Duration(i)*gridStep + time.Duration(r.Float64()*float64(gridStep))
 }
 
 // shape is the factor of the arrival rate over time.
