Client follows no steering towards a dead endpoint

Cause: in a trial (3 daemons, atlas mix at 60 %, random policy, one daemon killed at 5 s of 12 s) 50 deliveries were forwarded and answered that the owner can't be reached: the others steer jobs to the dead one until it counts as silent. Change: a steering token towards an endpoint that failed lately is passed over. The load tool's acts cover all faults of the stand-ins.

--- a/fbclient/client_test.go
+++ b/fbclient/client_test.go
@@ -163,10 +163,16 @@
 }
 
 // steering is a transport of two daemons, of which the first steers all jobs to
-// the second.
-type steering struct{ jobs []string }
+// the second, also when that is down.
+type steering struct {
+	jobs []string
+	down bool
+}
 
 func (s *steering) RoundTrip(r *http.Request) (*http.Response, error) {
+	if s.down && r.URL.Hostname() == "127.0.0.2" {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
 	own := filbertford.NewToken(7, 0, "nordnes", r.URL.Hostname()+":7101").String()
 	if r.URL.Path == "/v1/token" {
 		return reply(fmt.Sprintf(`{"token":%q}`, own)), nil
@@ -189,16 +195,17 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for i := range 6 {
+		for i := range 9 {
 			if i == 4 {
 				time.Sleep(2 * time.Second)
 			}
+			s.down = i >= 6
 			if _, err := c.Submit(t.Context(), oneTask()); err != nil {
 				t.Fatal(err)
 			}
 		}
 		const first, second = "127.0.0.1 for 127.0.0.1", "127.0.0.2 for 127.0.0.2"
-		want := []string{first, second, second, second, first, second}
+		want := []string{first, second, second, second, first, second, first, first, first}
 		if diff := cmp.Diff(want, s.jobs); diff != "" {
 			t.Error(diff)
 		}
--- a/fbclient/endpoint.go
+++ b/fbclient/endpoint.go
@@ -87,14 +87,16 @@
 	}
 }
 
-// freshToken returns a kept token that is young enough.
-func (e *endpoint) freshToken(now time.Time, age time.Duration) (filbertford.Token, bool) {
+// freshToken returns a kept token that is young enough. A token that steers to
+// an endpoint that failed lately is passed over.
+func (c *Client) freshToken(e *endpoint, now time.Time) (filbertford.Token, bool) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.steered.fresh(now, min(age, steerAge)) {
-		return e.steered.token, true
+	own, steered := e.own, e.steered
+	e.mu.Unlock()
+	if steered.fresh(now, min(c.tokenAge, steerAge)) && !c.route(e, steered.token).resting(now) {
+		return steered.token, true
 	}
-	return e.own.token, e.own.fresh(now, age)
+	return own.token, own.fresh(now, c.tokenAge)
 }
 
 func (e *endpoint) markFailed(now time.Time) {
@@ -125,7 +127,7 @@
 
 // mint returns a new ID from a live token of the endpoint.
 func (c *Client) mint(ctx context.Context, e *endpoint) (filbertford.SubmissionID, error) {
-	t, ok := e.freshToken(time.Now(), c.tokenAge)
+	t, ok := c.freshToken(e, time.Now())
 	if !ok {
 		var err error
 		if t, err = c.fetchToken(ctx, e); err != nil {
--- a/fbcommand/load.go
+++ b/fbcommand/load.go
@@ -87,7 +87,8 @@
 		Name:       "load",
 		ShortUsage: "filbertford load [flags]",
 		ShortHelp:  "Runs a load against daemons and stand-ins and prints what it measured.",
-		LongHelp: "Acts: rate:SHARE, fail-all:SHARE, slow:SHARE, freeze:SHARE, leave:SHARE (of the targets), heal, platform-down, platform-slow:MILLISECONDS, platform-up.\n" +
+		LongHelp: "Acts: rate:SHARE of capacity; fail-all, slow, freeze, leave, cut-before, cut-started, cut-reply, wrong-id and twice, each with :SHARE of the targets; heal; " +
+			"platform-down, platform-slow:MILLISECONDS, platform-lose, platform-up.\n" +
 			"The exit code is 2 if work was started twice or an answer was untrue.\n\n" +
 			example("filbertford load -mix depot -rate 0.8 -for 30s -seed 1 -at 10s=fail-all:0.1 -at 20s=heal -json out.json"),
 		FlagSet: fs,
--- a/fbload/moment.go
+++ b/fbload/moment.go
@@ -22,9 +22,15 @@
 	ActSlow         Act = "slow"
 	ActFreeze       Act = "freeze"
 	ActLeave        Act = "leave"
+	ActCutBefore    Act = "cut-before"
+	ActCutStarted   Act = "cut-started"
+	ActCutReply     Act = "cut-reply"
+	ActWrongID      Act = "wrong-id"
+	ActTwice        Act = "twice"
 	ActHeal         Act = "heal"
 	ActPlatformDown Act = "platform-down"
 	ActPlatformSlow Act = "platform-slow"
+	ActPlatformLose Act = "platform-lose"
 	ActPlatformUp   Act = "platform-up"
 )
 
@@ -90,11 +96,11 @@
 	switch a {
 	case ActRate:
 		return 0.001, 10, true
-	case ActFailAll, ActSlow, ActFreeze, ActLeave:
+	case ActFailAll, ActSlow, ActFreeze, ActLeave, ActCutBefore, ActCutStarted, ActCutReply, ActWrongID, ActTwice:
 		return 0.001, 1, true
 	case ActPlatformSlow:
 		return 1, 60_000, true
-	case ActHeal, ActPlatformDown, ActPlatformUp:
+	case ActHeal, ActPlatformDown, ActPlatformLose, ActPlatformUp:
 		return 0, 0, true
 	default:
 		return 0, 0, false
@@ -120,11 +126,15 @@
 	SlowFactor float64 `json:"slow_factor"`
 	Freeze     bool    `json:"freeze"`
 	Leaving    bool    `json:"leaving"`
+	Cut        string  `json:"cut"`
+	WrongID    bool    `json:"wrong_id"`
+	Twice      bool    `json:"twice"`
 }
 
 type platformFault struct {
-	Down   bool  `json:"down"`
-	SlowMS int64 `json:"slow_ms"`
+	Down        bool  `json:"down"`
+	SlowMS      int64 `json:"slow_ms"`
+	LoseReplies bool  `json:"lose_replies"`
 }
 
 // targetBody returns the body that switches a target's faults, or false if the
@@ -140,6 +150,16 @@
 		f.Freeze = true
 	case ActLeave:
 		f.Leaving = true
+	case ActCutBefore:
+		f.Cut = "before"
+	case ActCutStarted:
+		f.Cut = "after-start"
+	case ActCutReply:
+		f.Cut = "reply"
+	case ActWrongID:
+		f.WrongID = true
+	case ActTwice:
+		f.Twice = true
 	case ActHeal:
 	default:
 		return nil, false
@@ -156,6 +176,8 @@
 		f.Down = true
 	case ActPlatformSlow:
 		f.SlowMS = int64(m.value)
+	case ActPlatformLose:
+		f.LoseReplies = true
 	case ActPlatformUp:
 	default:
 		return nil, false
