Settings in force by the settings service; metrics of the core; leave the view

Cause: daemons ran on the embedded tree, counted only forwards, and left their view of opaque keys without waiting for it. Change: fbsettings.Service runs in the daemon and hands versions over; drains take effect at once; counters and gauges of the core; a stop waits up to 2 s until the daemon is in no view.

--- a/cmd/filbertfordd/serve.go
+++ b/cmd/filbertfordd/serve.go
@@ -54,6 +54,7 @@
 	d, err := fbdaemon.New(cfg, fbdaemon.Parts{
 		Timer:   timer,
 		Table:   platform,
+		Objects: platform,
 		VMList:  platform,
 		Starter: targets,
 		Stopper: targets,
--- a/fbdaemon/control.go
+++ b/fbdaemon/control.go
@@ -22,6 +22,9 @@
 	vms      []filbertford.VM
 	drained  chan struct{}
 	lastView time.Time
+	lastSent time.Time
+	reported fbcore.Stats
+	wasReady bool
 }
 
 // viewPeriod is the time between two looks at the view of opaque keys.
@@ -51,6 +54,14 @@
 		c.view.PeersChanged(c.livePeers(now), c.dir.Gone())
 		c.actOnView(c.view.Tick(now))
 	}
+	if now.Sub(c.lastSent) >= metricsPeriod {
+		c.lastSent = now
+		c.reportMetrics()
+	}
+	if !c.wasReady && c.d.Ready() {
+		c.wasReady = true
+		fbevent.DaemonReady.Log(c.d.log, "settings", c.d.settings.Load().Version())
+	}
 }
 
 // publish makes what traffic goroutines read without asking.
--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/filbertford/filbertford/fbmember"
 	"github.com/filbertford/filbertford/fbpeer"
 	"github.com/filbertford/filbertford/fbpolicy"
+	"github.com/filbertford/filbertford/fbsettings"
 	"github.com/filbertford/filbertford/fbtree"
 	"github.com/filbertford/filbertford/fbview"
 )
@@ -28,6 +29,8 @@
 	Timer filbertford.Timer
 	// Table is the platform's table service.
 	Table filbertford.Table
+	// Objects is the platform's object store.
+	Objects filbertford.Objects
 	// VMList is the platform's list of VMs.
 	VMList filbertford.VMList
 	// Starter and Stopper reach the targets.
@@ -74,6 +77,7 @@
 	traffic *errgroup.Group
 	inbox   chan message
 	control *control
+	spread  *fbsettings.Service
 
 	settings     atomic.Pointer[fbtree.Tree]
 	token        atomic.Pointer[string]
@@ -119,8 +123,9 @@
 		d.dataCentres = append(d.dataCentres, filbertford.DataCentre(dc))
 	}
 	d.platformUp.Store(true)
-	d.settings.Store(fbtree.Default())
-	d.haveSettings.Store(true)
+	d.settings.Store(new(fbtree.Tree))
+	store := fbsettings.NewStore(p.Table, p.Objects, p.Timer)
+	d.spread = fbsettings.NewService(d.peerAddress, store, p.Peers, p.Timer, p.Log, d.putInForce)
 	d.control = newControl(d, cfg, policy)
 	return d, nil
 }
@@ -174,7 +179,9 @@
 	d.attach(g, d.control.run)
 	d.attach(g, func(ctx context.Context) error { return d.every(ctx, d.vmPoll, d.pollVMs) })
 	d.attach(g, func(ctx context.Context) error { return d.every(ctx, d.heartbeatPeriod/heartbeatChecks, d.heartbeat) })
-	server := fbpeer.NewServer(peerService{d}, peerService{d}, settingsService{d})
+	d.attach(g, func(ctx context.Context) error { return d.every(ctx, d.heartbeatPeriod, d.spreadMembers) })
+	d.attach(g, d.spread.Run)
+	server := fbpeer.NewServer(peerService{d}, peerService{d}, d.spread)
 	d.attach(g, func(ctx context.Context) error { return server.Serve(ctx, peers) })
 }
 
--- a/fbdaemon/member.go
+++ b/fbdaemon/member.go
@@ -15,6 +15,7 @@
 func (d *Daemon) pollVMs(ctx context.Context) {
 	ask, cancel := context.WithTimeout(ctx, d.requestTimeout)
 	defer cancel()
+	d.metrics.vmReads.Inc(1)
 	vms, err := d.vmList.VMs(ask)
 	if err != nil {
 		d.platformState(false, err)
--- a/fbdaemon/settings.go
+++ b/fbdaemon/settings.go
@@ -2,25 +2,35 @@
 
 import (
 	"context"
+	"time"
 
-	"github.com/filbertford/filbertford/fbpeer"
+	"github.com/filbertford/filbertford/fbsettings"
+	"github.com/filbertford/filbertford/fbtree"
 )
 
-// settingsService passes settings on between daemons.
-type settingsService struct{ d *Daemon }
+// putInForce takes a version of the settings. It is called in ascending order
+// of versions.
+func (d *Daemon) putInForce(t *fbtree.Tree) {
+	d.settings.Store(t)
+	d.haveSettings.Store(true)
+	_ = d.send(d.ctx, settingsChanged{})
+}
 
-var _ fbpeer.SettingsHolder = settingsService{}
+// settingsChanged tells the control goroutine of a new version.
+type settingsChanged struct{}
 
-// PushSettings takes a version of the settings.
-func (s settingsService) PushSettings(context.Context, fbpeer.Settings) (fbpeer.Settings, error) {
-	return fbpeer.NewSettings(s.d.settings.Load().Version(), 0, 0, nil, false), nil
-}
+func (settingsChanged) handle(c *control, now time.Time) { c.setTargets(now) }
 
-// PullSettings returns the settings in force.
-func (s settingsService) PullSettings(_ context.Context, have uint64) (fbpeer.Settings, error) {
-	t := s.d.settings.Load()
-	if t.Version() <= have {
-		return fbpeer.NewSettings(t.Version(), 0, 0, nil, false), nil
+// spreadMembers tells the settings service which versions the live daemons of
+// all data centres told.
+func (d *Daemon) spreadMembers(ctx context.Context) {
+	var members []fbsettings.Member
+	err := d.inquire(ctx, func(c *control, now time.Time) {
+		for _, m := range c.dir.Reachable(now) {
+			members = append(members, fbsettings.NewMember(m.Address(), m.State().Settings()))
+		}
+	})
+	if err == nil {
+		_ = d.spread.SetMembers(ctx, members)
 	}
-	return fbpeer.NewSettings(t.Version(), 0, t.Version(), t.Encode(), false), nil
 }
--- a/fbdaemon/stop.go
+++ b/fbdaemon/stop.go
@@ -43,6 +43,29 @@
 		return
 	}
 	d.handOver(ctx)
+	d.leaveView(ctx)
+}
+
+// leaveTimeout is the time that the other members have to commit a view without
+// this daemon. After it they wait for the daemon's confirmation to lapse.
+const leaveTimeout = 2 * time.Second
+
+// leaveView waits until the daemon is in no view of opaque keys.
+func (d *Daemon) leaveView(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	ticks, stop := d.timer.Subscribe(viewPeriod)
+	defer stop()
+	for left := false; !left; {
+		if err := d.inquire(ctx, func(c *control, _ time.Time) { left = c.view.Left() }); err != nil {
+			return
+		}
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // pause waits for a time or the end of the context.
--- a/fbmember/directory.go
+++ b/fbmember/directory.go
@@ -188,11 +188,16 @@
 	return out
 }
 
+// Reachable returns the members of all data centres that answer.
+func (d *Directory) Reachable(now time.Time) []Member {
+	return slices.DeleteFunc(d.Members(), func(m Member) bool { return !d.reachable(now, &m) })
+}
+
 // Live returns the members of a data centre that answer, stopping ones
 // excluded.
 func (d *Directory) Live(now time.Time, dc filbertford.DataCentre) []Member {
-	return slices.DeleteFunc(d.Members(), func(m Member) bool {
-		return !d.reachable(now, &m) || m.state.stopping || m.state.dataCentre != dc
+	return slices.DeleteFunc(d.Reachable(now), func(m Member) bool {
+		return m.state.stopping || m.state.dataCentre != dc
 	})
 }
 
