fbpolicy: preferred slot shares with lending by free counts

Change: a slot of the daemon's own share is taken unless the target just said it is full; another only if enough more are believed free. How many more follows from the refusals (goal 0.4 % of starts). waitHandicap 1.5 -> 3. One failure makes a target suspect, and peers' quarantines are hints (Standing.Hint).

For daemons: Sharer.Share(index, count), Standing.Hint and StandingChanges are optional interfaces in standing.go. Candidates must be all live targets with WithHeard; Need.WithQueue and WithTries matter.

--- a/fbpolicy/adaptive.go
+++ b/fbpolicy/adaptive.go
@@ -28,6 +28,8 @@
 	retries  retryBudget
 	probes   probeBudget
 	caution  float64
+	index    int
+	daemons  int
 	swept    time.Time
 	changes  []filbertford.StandingChange
 }
@@ -35,6 +37,7 @@
 var (
 	_ filbertford.Policy   = (*Adaptive)(nil)
 	_ filbertford.Standing = (*Adaptive)(nil)
+	_ filbertford.Sharer   = (*Adaptive)(nil)
 )
 
 // NewAdaptive returns an adaptive policy that has seen nothing yet.
@@ -52,6 +55,12 @@
 	}
 }
 
+// Share tells the policy that count daemons share the targets and that this
+// one is the index'th of them, from 0.
+func (a *Adaptive) Share(index, count int) {
+	a.index, a.daemons = index, count
+}
+
 // Observe learns from the end of a start.
 func (a *Adaptive) Observe(now time.Time, o filbertford.Observation) {
 	a.sweep(now)
--- a/fbpolicy/health.go
+++ b/fbpolicy/health.go
@@ -12,22 +12,26 @@
 	// badFails is the share of tasks that a bad target is taken to fail.
 	badFails = 0.9
 	// leastFails is the least share of tasks that good targets are taken to fail.
-	leastFails = 0.01
+	leastFails = 0.005
 	// failGain is the weight of a new outcome for a target's share of failures.
 	failGain = 0.2
 	// mostBlame bounds what one failure counts, so that no single job can bring
 	// a target into quarantine.
-	mostBlame = 2.5
+	mostBlame = 4.0
 	// mostCredit bounds what one success counts.
 	mostCredit = 2.3
 	// suspectScore and quarantineScore are the log likelihood ratios from which
 	// on a target is suspect and in quarantine. It is trusted again at zero.
-	suspectScore    = 2.0
-	quarantineScore = 4.6
+	suspectScore    = 3.0
+	quarantineScore = 6.5
 	// maxScore bounds the score, so that a few successes end a quarantine.
-	maxScore = 6.9
-	// suspectHold is the pause after a failure of a suspect target.
-	suspectHold = 200 * time.Millisecond
+	maxScore = 9.0
+	// suspectHold is the pause after a failure of a suspect target. Successes of
+	// tasks that still run there end it.
+	suspectHold = 3 * time.Second
+	// maxSuspects is the largest share of a service's targets that are suspect
+	// after a single failure, for services whose tasks fail now and then.
+	maxSuspects = 0.2
 	// firstQuarantine is the first time in quarantine before a probe; it
 	// doubles with each failed probe up to lastQuarantine.
 	firstQuarantine = 5 * time.Second
@@ -35,6 +39,9 @@
 	// maxQuarantined is the largest share of a service's targets that failures
 	// keep out; if more seem bad, the fault lies elsewhere.
 	maxQuarantined = 0.4
+	// hintPause is the least time between two hints on a target that are heeded,
+	// so that daemons can't keep a good target suspect among themselves.
+	hintPause = 10 * time.Second
 	// suspectHandicap multiplies the expected run time on a target that is not
 	// trusted, so that a probe happens only if little is lost.
 	suspectHandicap = 1.0
@@ -67,6 +74,10 @@
 	}
 	h.score = max(h.score-mostCredit, 0)
 	h.job = ""
+	if h.state == suspect && h.score < suspectScore {
+		sp.target.until = time.Time{}
+		a.setStanding(now, sp.target, healthy)
+	}
 	if h.score == 0 {
 		h.pause = 0
 		a.setStanding(now, sp.target, healthy)
@@ -87,30 +98,41 @@
 	h.score = min(h.score+min(math.Log(badFails/p), mostBlame), maxScore)
 	h.score = max(h.score, 0)
 	switch {
-	case h.score >= quarantineScore && a.mayQuarantine(s, h):
+	case h.score >= quarantineScore && s.mayBe(quarantined, maxQuarantined, h):
 		h.pause = min(max(2*h.pause, firstQuarantine), lastQuarantine)
 		sp.target.hold(now, h.pause)
 		a.setStanding(now, sp.target, quarantined)
-	case h.score >= suspectScore && elsewhere < 0.5:
+	case h.score >= suspectScore && h.state != quarantined && s.mayBe(suspect, maxSuspects, h):
 		sp.target.hold(now, suspectHold)
-		if h.state == healthy {
-			a.setStanding(now, sp.target, suspect)
-		}
+		a.setStanding(now, sp.target, suspect)
 	}
 }
 
-// mayQuarantine reports whether one more target of the service may be kept out.
-func (a *Adaptive) mayQuarantine(s *service, h *health) bool {
-	if h.state == quarantined {
+// mayBe reports whether one more target of the service may get the state.
+func (s *service) mayBe(state filbertford.TargetStanding, share float64, h *health) bool {
+	if h.state == state {
 		return true
 	}
-	out := 1
+	n := 1
 	for _, sp := range s.speeds {
-		if sp.target.health.state == quarantined {
-			out++
+		if sp.target.health.state == state {
+			n++
 		}
 	}
-	return float64(out) <= max(1, maxQuarantined*float64(len(s.speeds)))
+	return float64(n) <= max(1, share*float64(len(s.speeds)))
+}
+
+// Hint takes in a peer's standing of a target: one that a peer keeps in
+// quarantine is suspect here, until a task succeeds.
+func (a *Adaptive) Hint(now time.Time, id filbertford.TargetID, standing filbertford.TargetStanding) {
+	t, ok := a.targets[id]
+	if !ok || standing == healthy || t.health.state != healthy || now.Sub(t.hinted) < hintPause {
+		return
+	}
+	t.hinted = now
+	t.health.score = max(t.health.score, suspectScore)
+	t.hold(now, suspectHold)
+	a.setStanding(now, t, suspect)
 }
 
 // review trusts the targets again if it turns out that everything fails.
--- a/fbpolicy/place.go
+++ b/fbpolicy/place.go
@@ -20,18 +20,20 @@
 	// enoughFree is the number of free slots, less the caution, above which a
 	// start is sent.
 	enoughFree = 0.9
-	// startCaution is the caution, in standard deviations, at the start.
-	startCaution = 1.0
-	// maxCaution bounds the caution.
-	maxCaution = 6.0
+	// startCaution is the number of slots more that must be free at the start.
+	startCaution = 4.0
+	// maxCaution bounds that number.
+	maxCaution = 64.0
 	// cautionStep is by how much a refusal for want of a slot raises the caution.
 	cautionStep = 0.2
+	// maxUnheard is how many tasks a target gets before its first reply.
+	maxUnheard = 2
 	// refusalGoal is the share of refused starts at message weight 0;
 	// it falls to a quarter of that at weight 1.
-	refusalGoal = 0.008
+	refusalGoal = 0.004
 	// waitHandicap multiplies the expected wait for a faster target, because a
 	// task that waits delays those behind it too.
-	waitHandicap = 1.5
+	waitHandicap = 3
 	// waitMargin is the share of the slow target's time that waiting must save.
 	waitMargin = 0.1
 )
@@ -119,10 +121,23 @@
 		return false
 	}
 	if c.Heard().IsZero() {
-		return c.Free() > 0 && c.Mine() < max(1, c.Slots()/2)
+		return c.Free() > 0 && c.Mine() < maxUnheard
+	}
+	if a.daemons > 1 && c.Mine() < t.share(c.Slots(), a.index, a.daemons) {
+		return c.Free() > 0 || now.Sub(c.Heard()) > s.run/2
 	}
 	mean, deviation := t.freeSlots(now, c, s.run)
-	return mean-a.caution*deviation >= enoughFree
+	return mean-deviation >= enoughFree+a.caution
+}
+
+// share returns how many of the target's slots are this daemon's own, when
+// count daemons share the target and this is the index'th.
+func (t *target) share(slots, index, count int) int {
+	own := slots / count
+	if (int(t.turn%uint64(count))+index)%count < slots%count {
+		own++
+	}
+	return own
 }
 
 // freeSlots returns the expected number of free slots and its standard
--- a/fbpolicy/rig_test.go
+++ b/fbpolicy/rig_test.go
@@ -17,8 +17,9 @@
 const (
 	rigTrip    = time.Millisecond
 	rigTick    = 5 * time.Millisecond
+	rigHint    = time.Second
 	rigFail    = time.Millisecond
-	rigOffers  = 8
+	rigOffers  = 16
 	rigService = "ordering"
 )
 
@@ -31,6 +32,7 @@
 	targets []*rigTarget
 	queues  []*rigQueue
 	jobs    []*rigJob
+	changes []filbertford.StandingChange
 	starts  int
 	refused int
 }
@@ -99,6 +101,9 @@
 		if err != nil {
 			panic(err)
 		}
+		if sharer, ok := p.(filbertford.Sharer); ok {
+			sharer.Share(k, queues)
+		}
 		q := &rigQueue{policy: p, mine: make([]int, len(targets))}
 		for _, t := range targets {
 			q.view = append(q.view, filbertford.NewCandidate(t.id, t.slots, 0, t.slots))
@@ -126,6 +131,7 @@
 	for _, q := range r.queues {
 		r.tick(q, end)
 	}
+	r.hint(end)
 	for len(r.events) > 0 && r.events[0].at <= end {
 		e := heap.Pop(&r.events).(rigEvent)
 		r.now = e.at
@@ -140,6 +146,27 @@
 	}
 }
 
+// hint passes on what the policies make of targets, as heartbeats would.
+func (r *rig) hint(end time.Duration) {
+	for _, q := range r.queues {
+		p, ok := q.policy.(filbertford.Standing)
+		if !ok {
+			return
+		}
+		for _, c := range p.StandingChanges() {
+			r.changes = append(r.changes, c)
+			for _, other := range r.queues {
+				if other != q {
+					other.policy.(filbertford.Standing).Hint(r.clock(), c.Target(), c.Standing())
+				}
+			}
+		}
+	}
+	if r.now < end {
+		r.after(rigHint, func() { r.hint(end) })
+	}
+}
+
 func (r *rig) arrive(q *rigQueue, j *rigJob, rules filbertford.Rules) {
 	tasks := make([]filbertford.Task, len(j.sizes))
 	for i := range tasks {
@@ -300,18 +327,19 @@
 
 func (s result) share(n int) float64 { return 100 * float64(n) / float64(max(s.jobs, 1)) }
 
-// result returns the figures of the jobs that arrived between from and to.
+// result returns the figures of the run: ratios and goodput of the jobs that
+// arrived between from and to, and counts of all.
 func (r *rig) result(from, to time.Duration) result {
 	bounds := boundTargets(r.targets)
 	s := result{wasted: float64(r.refused) / float64(max(r.starts, 1))}
 	var ratios []float64
 	for _, j := range r.jobs {
-		if j.arrival < from || j.arrival >= to {
-			continue
-		}
 		s.jobs++
 		switch {
 		case j.code == filbertford.CodeComplete:
+			if j.arrival < from || j.arrival >= to {
+				continue
+			}
 			ideal, _ := fbbound.Ideal(boundJob(j), bounds, rigTrip)
 			ratios = append(ratios, float64(j.response)/float64(ideal))
 			s.goodput += boundJob(j).Work().Seconds()
--- a/fbpolicy/target.go
+++ b/fbpolicy/target.go
@@ -36,6 +36,7 @@
 type target struct {
 	id     filbertford.TargetID
 	jitter float64
+	turn   uint64
 
 	starts  []start
 	used    time.Time
@@ -49,6 +50,7 @@
 
 	health health
 	until  time.Time
+	hinted time.Time
 	missed time.Duration
 }
 
@@ -57,11 +59,12 @@
 const jitterRange = 0.04
 
 func newTarget(id filbertford.TargetID, seed uint64) *target {
-	h := xxhash.Sum64String(string(id)) ^ seed*0x9e3779b97f4a7c15
+	turn := xxhash.Sum64String(string(id))
+	h := turn ^ seed*0x9e3779b97f4a7c15
 	h ^= h >> 29
 	h *= 0xbf58476d1ce4e5b9
 	h ^= h >> 32
-	return &target{id: id, jitter: 1 + jitterRange*float64(h>>11)/(1<<53), lag: 1}
+	return &target{id: id, jitter: 1 + jitterRange*float64(h>>11)/(1<<53), lag: 1, turn: turn >> 1}
 }
 
 // begin notes a start that is expected to run for d.
--- a/standing.go
+++ b/standing.go
@@ -43,4 +43,17 @@
 	Policy
 	// StandingChanges returns the changes since the last call.
 	StandingChanges() []StandingChange
+	// Hint takes in the standing that a peer of the same data centre gives a
+	// target. Nothing is learnt from a trusted one.
+	Hint(now time.Time, target TargetID, standing TargetStanding)
+}
+
+// Sharer is a Policy that divides the targets' slots into preferred shares.
+type Sharer interface {
+	Policy
+	// Share tells that count daemons of the data centre share its targets and
+	// that this one is the index'th of them, from 0, in an order that all of
+	// them use, such as that of their VMs' names. Daemons that disagree for a
+	// while waste messages, no more.
+	Share(index, count int)
 }
