--- a/fbpolicy/place.go
+++ b/fbpolicy/place.go
@@ -77,7 +77,7 @@
 	if !probe && a.waits(now, s, n, base, cost, candidates, from, count) {
 		return 0, false
 	}
-	if n.Tries() > 0 && !a.retries.take(now) {
+	if n.Tries() > 0 && !a.retries.take(now) && !a.own(s.byIndex[best].target, &candidates[best]) {
 		return 0, false
 	}
 	a.begin(now, s, s.byIndex[best], base, n)
@@ -123,11 +123,21 @@
 	if c.Heard().IsZero() {
 		return c.Free() > 0 && c.Mine() < maxUnheard
 	}
-	if a.daemons > 1 && c.Mine() < t.share(c.Slots(), a.index, a.daemons) {
+	if a.own(t, c) {
 		return c.Free() > 0 || now.Sub(c.Heard()) > s.run/2
 	}
 	mean, deviation := t.freeSlots(now, c, s.run)
-	return mean-deviation >= enoughFree+a.caution
+	least := enoughFree
+	if a.daemons > 1 {
+		least += a.caution
+	}
+	return mean-deviation >= least
+}
+
+// own reports whether the next task at the target would have a slot of this
+// daemon's own share.
+func (a *Adaptive) own(t *target, c *filbertford.Candidate) bool {
+	return a.daemons > 1 && c.Mine() < t.share(c.Slots(), a.index, a.daemons)
 }
 
 // share returns how many of the target's slots are this daemon's own, when
