--- /dev/null
+++ b/fbsettings/service_test.go
@@ -0,0 +1,260 @@
+package fbsettings_test
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbpeer"
+	"github.com/filbertford/filbertford/fbsettings"
+	"github.com/filbertford/filbertford/fbtimer"
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+var errUnreached = errors.New("unreached")
+
+// network connects services by calls.
+type network struct {
+	mu       sync.Mutex
+	services map[string]*fbsettings.Service
+	pushes   int
+	bytes    int
+}
+
+const latency = 1500 * time.Microsecond
+
+func (n *network) reach(address string) (*fbsettings.Service, error) {
+	time.Sleep(latency)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s, ok := n.services[address]
+	if !ok {
+		return nil, errUnreached
+	}
+	return s, nil
+}
+
+func (n *network) all() map[string]*fbsettings.Service {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.services)
+}
+
+func (n *network) PushSettings(ctx context.Context, address string, v fbpeer.Settings) (fbpeer.Settings, error) {
+	s, err := n.reach(address)
+	if err != nil {
+		return fbpeer.Settings{}, err
+	}
+	n.mu.Lock()
+	n.pushes++
+	n.bytes += len(v.Body())
+	n.mu.Unlock()
+	return s.PushSettings(ctx, v)
+}
+
+func (n *network) PullSettings(ctx context.Context, address string, have uint64) (fbpeer.Settings, error) {
+	s, err := n.reach(address)
+	if err != nil {
+		return fbpeer.Settings{}, err
+	}
+	return s.PullSettings(ctx, have)
+}
+
+// flaky is a platform of whose reads some fail.
+type flaky struct {
+	*fakePlatform
+	mu     sync.Mutex
+	random *rand.Rand
+	every  int
+}
+
+// failOneIn makes one of every n reads fail; 0 ends that.
+func (p *flaky) failOneIn(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.every = n
+}
+
+func (p *flaky) Read(ctx context.Context, keys ...string) ([]filbertford.Row, error) {
+	time.Sleep(latency)
+	p.mu.Lock()
+	fails := p.every > 0 && p.random.IntN(p.every) == 0
+	p.mu.Unlock()
+	if fails {
+		return nil, filbertford.ErrUnavailable
+	}
+	return p.fakePlatform.Read(ctx, keys...)
+}
+
+// arrival is a version that came into force.
+type arrival struct {
+	version uint64
+	at      time.Time
+}
+
+// fleet is a number of daemons' services in a synctest bubble.
+type fleet struct {
+	network  *network
+	platform *flaky
+	timer    *fbtimer.Service
+	group    errgroup.Group
+	ctx      context.Context
+	stop     func()
+
+	mu       sync.Mutex
+	arrivals map[string][]arrival
+}
+
+func startFleet(t *testing.T, daemons int) *fleet {
+	f := &fleet{
+		network:  &network{services: make(map[string]*fbsettings.Service)},
+		platform: &flaky{fakePlatform: newFakePlatform(), random: rand.New(rand.NewPCG(1, 2))},
+		timer:    fbtimer.NewService(),
+		arrivals: make(map[string][]arrival),
+	}
+	f.ctx, f.stop = context.WithCancel(t.Context())
+	f.group.Go(func() error { return f.timer.Run(f.ctx) })
+	for i := range daemons {
+		f.start(fmt.Sprintf("10.0.0.%d:7101", i))
+		time.Sleep(37 * time.Millisecond)
+	}
+	f.group.Go(f.beat)
+	return f
+}
+
+func (f *fleet) start(address string) {
+	store := fbsettings.NewStore(f.platform, f.platform, f.timer)
+	s := fbsettings.NewService(address, store, f.network, f.timer, log.New(io.Discard), func(tree *fbtree.Tree) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.arrivals[address] = append(f.arrivals[address], arrival{tree.Version(), time.Now()})
+	})
+	f.network.mu.Lock()
+	f.network.services[address] = s
+	f.network.mu.Unlock()
+	f.group.Go(func() error { return s.Run(f.ctx) })
+}
+
+// beat tells every service the versions of all each half second.
+func (f *fleet) beat() error {
+	ticks, stop := f.timer.Subscribe(500 * time.Millisecond)
+	defer stop()
+	for {
+		select {
+		case <-f.ctx.Done():
+			return f.ctx.Err()
+		case <-ticks:
+		}
+		services := f.network.all()
+		var members []fbsettings.Member
+		for address, s := range services {
+			members = append(members, fbsettings.NewMember(address, s.Status().Version()))
+		}
+		for _, s := range services {
+			_ = s.SetMembers(f.ctx, members)
+		}
+	}
+}
+
+func (f *fleet) end() {
+	f.stop()
+	_ = f.group.Wait()
+}
+
+// edit makes n edits with pauses and returns when each was accepted.
+func (f *fleet) edit(t *testing.T, n int) []arrival {
+	store := fbsettings.NewStore(f.platform.fakePlatform, f.platform, f.timer)
+	random := rand.New(rand.NewPCG(3, 4))
+	var accepted []arrival
+	for i := range n {
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+		head, err := store.Head(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := commit(t, store, edit(t, head.Version(), "ada", "/depot", "quota", fmt.Sprint(i+1)))
+		accepted = append(accepted, arrival{v, time.Now()})
+	}
+	return accepted
+}
+
+// delays returns how long it took until each version, or a later one, was in
+// force at each daemon.
+func (f *fleet) delays(t *testing.T, accepted []arrival) []time.Duration {
+	var out []time.Duration
+	for address, arrivals := range f.arrivals {
+		next := 0
+		for _, a := range accepted {
+			for next < len(arrivals) && arrivals[next].version < a.version {
+				next++
+			}
+			if next == len(arrivals) {
+				t.Fatalf("%s has not got version %d", address, a.version)
+			}
+			out = append(out, max(0, arrivals[next].at.Sub(a.at)))
+		}
+		byVersion := func(a, b arrival) int { return cmp.Compare(a.version, b.version) }
+		if !slices.IsSortedFunc(arrivals, byVersion) {
+			t.Errorf("%s went back", address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TestInForceWithHalfOfThePollsFailing makes edits while half of the daemons'
+// reads fail, and checks that each version, or a later one, is in force at every
+// daemon within the target.
+func TestInForceWithHalfOfThePollsFailing(t *testing.T) {
+	for _, daemons := range []int{3, 9, 27} {
+		t.Run(fmt.Sprintf("%d daemons", daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, daemons)
+				defer f.end()
+				time.Sleep(3 * time.Second)
+				f.platform.failOneIn(2)
+				synctest.Wait()
+				before := f.network.pushes
+				accepted := f.edit(t, 200)
+				time.Sleep(inForceWithin)
+				synctest.Wait()
+				d := f.delays(t, accepted)
+				n := len(d)
+				t.Logf("%d samples: p50 %v, p99 %v, max %v; %.1f pushes a version", n, d[n/2], d[n*99/100], d[n-1],
+					float64(f.network.pushes-before)/float64(len(accepted)))
+				if d[n-1] > inForceWithin {
+					t.Errorf("%v until a version was in force", d[n-1])
+				}
+			})
+		})
+	}
+}
+
+// TestBootWithoutPlatform starts a daemon while the platform is down.
+func TestBootWithoutPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3)
+		defer f.end()
+		time.Sleep(2 * time.Second)
+		f.platform.failOneIn(1)
+		f.start("10.0.0.9:7101")
+		time.Sleep(2 * time.Second)
+		status := f.network.all()["10.0.0.9:7101"].Status()
+		if status.Version() != 1 || status.Reason() == "" {
+			t.Errorf("status %+v", status)
+		}
+	})
+}
