Tests against the real programs; opaque keys wait for their owner

Cause: submit -id with an opaque key ended with FB4013 (no daemon is sure that it owns the key) in the first seconds of the daemons, although the same key can always be sent again. Change: an ID that the caller chose is sent again under itself while all its deliveries started nothing and the refusal may pass. Tests start the stand-ins and two daemons as processes: 1,000 concurrent jobs get their own whole answers; the commands, a load with cut replies and a SIGTERM under load. Ruled out: a fault of the view; it is adopted 2 to 3 s after the start.

--- /dev/null
+++ b/cmd/filbertford/main_test.go
@@ -0,0 +1,204 @@
+package main_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbclient"
+)
+
+// bounds of the tests, far above what they take.
+const (
+	readyWait = "30s"
+	jobWait   = 2 * time.Minute
+)
+
+// system is the project's own programs, running as separate processes.
+type system struct {
+	bin        string
+	platform   string
+	endpoints  []string
+	operations []string
+	daemons    []*exec.Cmd
+}
+
+// startSystem builds the programs and starts the stand-ins and two daemons.
+func startSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{bin: t.TempDir()}
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", s.bin, "../filbertford", "../filbertfordd", "../fbstandin")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	ports := freePorts(t, 7)
+	s.platform = ports[0]
+	s.start(t, "fbstandin", "-serve", "platform", "-platform", s.platform, "-vm-lag", "100ms", "-targets", "4",
+		"-target-base", targetBase(t, s), "-entries", "nordnes="+ports[2]+",nordnes="+ports[5])
+	for i := range 2 {
+		callers, peers, operations := ports[3*i+1], ports[3*i+2], ports[3*i+3]
+		s.daemons = append(s.daemons, s.start(t, "filbertfordd", "-set", fmt.Sprintf("daemon.vm=entry-%d", i+1),
+			"-set", "daemon.platform="+s.platform, "-set", "daemon.callers="+callers, "-set", "daemon.peers="+peers,
+			"-set", "daemon.operations="+operations, "-set", "stop.grace=0s", "-set", "daemon.data-centres=nordnes"))
+		s.endpoints = append(s.endpoints, "http://"+callers)
+		s.operations = append(s.operations, "http://"+operations)
+	}
+	s.command(t, 0, "ready", "-endpoints", strings.Join(s.endpoints, ","), "-wait", readyWait)
+	return s
+}
+
+// targetBase starts four targets on successive ports and returns the first's
+// address. The targets are a process of their own, so that another base can be
+// tried if one of the ports is taken.
+func targetBase(t *testing.T, s *system) string {
+	t.Helper()
+	for range 10 {
+		base := freePorts(t, 1)[0]
+		c := s.start(t, "fbstandin", "-serve", "targets", "-targets", "4", "-target-base", base)
+		if answers(base) {
+			return base
+		}
+		_ = c.Process.Kill()
+	}
+	t.Fatal("no four successive ports are free")
+	return ""
+}
+
+// answers reports whether a connection to the address succeeds.
+func answers(address string) bool {
+	for range 100 {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			return true
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return false
+}
+
+// start starts a program that ends with the test.
+func (s *system) start(t *testing.T, name string, args ...string) *exec.Cmd {
+	t.Helper()
+	c := exec.Command(filepath.Join(s.bin, name), args...)
+	if testing.Verbose() {
+		c.Stderr = os.Stderr
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	})
+	return c
+}
+
+// command runs a command of the command line and returns its output.
+func (s *system) command(t *testing.T, want int, args ...string) string {
+	t.Helper()
+	c := exec.CommandContext(t.Context(), filepath.Join(s.bin, "filbertford"), args...)
+	out, err := c.Output()
+	if got := c.ProcessState.ExitCode(); got != want {
+		t.Fatalf("filbertford %v: exit code %d, %v\n%s", args, got, err, out)
+	}
+	return string(out)
+}
+
+// freePorts returns loopback addresses that were free a moment ago.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	out := make([]string, n)
+	for i := range out {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		out[i] = l.Addr().String()
+	}
+	return out
+}
+
+// TestThousandConcurrentJobs checks that each of 1,000 concurrent jobs gets its
+// own whole answer, through daemons that are one process each.
+func TestThousandConcurrentJobs(t *testing.T) {
+	s := startSystem(t)
+	client, err := fbclient.New(s.endpoints)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), jobWait)
+	defer cancel()
+	var g errgroup.Group
+	for n := range 1000 {
+		g.Go(func() error { return submitEcho(ctx, client, n) })
+	}
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// submitEcho submits a job of three tasks and checks that each result is that
+// of its own task.
+func submitEcho(ctx context.Context, client *fbclient.Client, n int) error {
+	tasks := make([]filbertford.Task, 3)
+	for i := range tasks {
+		tasks[i] = filbertford.NewTask(fmt.Appendf(nil, `{"run_ms":5,"echo":"%d-%d"}`, n, i), 5*time.Millisecond)
+	}
+	job := filbertford.NewJob("depot", "ordering", tasks...).WithKind("stock-check").WithTimeout(time.Minute)
+	a, err := client.Submit(ctx, job)
+	if err != nil || a.Code() != filbertford.CodeComplete {
+		return fmt.Errorf("job %d: %s %s, %v", n, a.Code(), a.Detail(), err)
+	}
+	for i, r := range a.Results() {
+		var output struct{ Echo string }
+		if err := json.Unmarshal(r.Output(), &output); err != nil || output.Echo != fmt.Sprintf("%d-%d", n, i) {
+			return fmt.Errorf("job %d, task %d: output %s, %v", n, i, r.Output(), err)
+		}
+	}
+	return nil
+}
+
+// TestCommandsAgainstDaemons goes through the commands, ends a daemon under load
+// and has the load tool check that no work was started twice.
+func TestCommandsAgainstDaemons(t *testing.T) {
+	s := startSystem(t)
+	endpoints, operations := strings.Join(s.endpoints, ","), strings.Join(s.operations, ",")
+	s.command(t, 0, "submit", "-endpoints", endpoints, "-tasks", "3", "-run", "20ms", "-id", "order-17")
+	s.command(t, 0, "submit", "-endpoints", endpoints, "-tasks", "3", "-run", "20ms", "-id", "order-17")
+	s.command(t, 4, "submit", "-endpoints", endpoints, "-team", "nobody")
+	for _, name := range []string{"vms", "targets"} {
+		if out := s.command(t, 0, name, "-operations", operations); !strings.Contains(out, "live") {
+			t.Errorf("%s lists nothing live:\n%s", name, out)
+		}
+	}
+	file := filepath.Join(t.TempDir(), "out.json")
+	var g errgroup.Group
+	g.Go(func() error {
+		time.Sleep(2 * time.Second)
+		return s.daemons[1].Process.Signal(syscall.SIGTERM)
+	})
+	s.command(t, 0, "load", "-endpoints", endpoints, "-operations", s.operations[0], "-platform", "http://"+s.platform,
+		"-rate", "0.4", "-for", "3s", "-warm-up", "0s", "-attempts", "8", "-json", file,
+		"-at", "0s=cut-reply:0.25", "-at", "1s=heal")
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+	s.command(t, 0, "report", "-out", filepath.Join(t.TempDir(), "report.html"), file)
+	if err := s.daemons[1].Wait(); err != nil {
+		t.Errorf("the daemon that was told to stop ended with %v", err)
+	}
+}
--- a/fbclient/client_test.go
+++ b/fbclient/client_test.go
@@ -36,6 +36,7 @@
 	full     = `{"id":"ID","code":"FB3001","class":"not-run","retry_after_ms":300}`
 	never    = `{"id":"ID","code":"FB3003","class":"not-run"}`
 	gone     = `{"id":"ID","code":"FB4006","class":"delivery-started-nothing"}`
+	unsure   = `{"id":"ID","code":"FB4013","class":"delivery-started-nothing","retry_after_ms":300}`
 	bad      = `{"id":"ID","code":"FB4001","class":"delivery-started-nothing"}`
 	broken   = "broken"
 	refused  = "refused"
@@ -134,6 +135,9 @@
 		"broken, then complete":   {[]string{broken, refused, complete}, "FB1000"},
 		"not run":                 {[]string{full, complete}, "FB3001"},
 		"nothing started":         {[]string{refused, gone, complete}, "FB4006"},
+		"owner unsure at first":   {[]string{unsure, unsure, complete}, "FB1000"},
+		"owner unsure to the end": {[]string{unsure, unsure, unsure, unsure}, "FB4013"},
+		"broken, owner unsure":    {[]string{broken, unsure, bad}, "FB2004"},
 		"broken, nothing started": {[]string{broken, gone, complete}, "FB2004"},
 	}
 	id, err := filbertford.ParseID("order-17")
@@ -144,7 +148,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := &script{replies: tt.replies}
-				c, err := fbclient.New([]string{"http://a"}, fbclient.WithTransport(s))
+				c, err := fbclient.New([]string{"http://a"}, fbclient.WithTransport(s), fbclient.WithAttempts(4))
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/fbclient/course.go
+++ b/fbclient/course.go
@@ -36,6 +36,8 @@
 	fixed bool
 	// sent counts the deliveries under the present ID that may have arrived.
 	sent int
+	// open is set while a delivery under the present ID has had no valid answer.
+	open bool
 }
 
 // deliver notes that the job is about to be sent.
@@ -48,7 +50,7 @@
 	if c.sent == 0 && !c.fixed {
 		return step{action: actionRemint}
 	}
-	if c.sent == 0 {
+	if !c.open {
 		return step{action: actionResend}
 	}
 	return step{action: actionResend, answer: outcomeUnknown("no daemon could be reached for a resubmission")}
@@ -57,6 +59,7 @@
 // lost follows a delivery that may have arrived and got no valid answer. The
 // outcome is open until the owner is heard under the same ID.
 func (c *course) lost() step {
+	c.open = true
 	return step{action: actionResend, answer: outcomeUnknown("no valid answer came back")}
 }
 
@@ -85,8 +88,11 @@
 // settles the job only if there was no other delivery.
 func (c *course) startedNothing(a filbertford.Answer) step {
 	retry := mayPass(a)
+	if c.fixed && !c.open {
+		return c.startedNothingFixed(a)
+	}
 	if c.sent == 1 {
-		if !retry || c.fixed {
+		if !retry {
 			return step{action: actionFinish, answer: a}
 		}
 		c.sent = 0
@@ -99,6 +105,15 @@
 	return step{action: actionResend, wait: a.RetryAfter(), answer: unknown, refused: true}
 }
 
+// startedNothingFixed follows the word that this delivery started nothing, as
+// all before it, under an ID that the caller chose.
+func (c *course) startedNothingFixed(a filbertford.Answer) step {
+	if a.RetryAfter() <= 0 || a.Code() == filbertford.CodeOwnerGone {
+		return step{action: actionFinish, answer: a}
+	}
+	return step{action: actionResend, wait: a.RetryAfter(), answer: a, refused: true}
+}
+
 // mayPass reports whether the reason why a delivery started nothing can pass,
 // or does not hold for an ID from another token.
 func mayPass(a filbertford.Answer) bool {
--- a/fbclient/submit.go
+++ b/fbclient/submit.go
@@ -41,8 +41,8 @@
 }
 
 // SubmitAs sends a job under an ID that the caller chose, such as an opaque key
-// or the ID of an earlier submission, and under no other. A refusal is returned
-// as it is, since a refused ID is not run later.
+// or the ID of an earlier submission, and under no other. A refusal of the whole
+// submission is returned as it is, since a refused ID is not run later.
 func (c *Client) SubmitAs(ctx context.Context, id filbertford.SubmissionID, j filbertford.Job) (filbertford.Answer, Trace, error) {
 	body, err := encodeJob(j)
 	if err != nil {
--- a/fbload/bench.go
+++ b/fbload/bench.go
@@ -23,7 +23,10 @@
 	// probes is how often each target is probed; the fastest counts.
 	probes = 3
 	// probeRun is the run time of a probe on a target of factor 1.
-	probeRun = 40 * time.Millisecond
+	probeRun = 80 * time.Millisecond
+	// factorStep is what factors are rounded to, so that repeated runs draw the
+	// same workload.
+	factorStep = 0.02
 	// probesAtOnce bounds the probes that run at once, so that they don't
 	// disturb each other.
 	probesAtOnce = 4
@@ -112,8 +115,7 @@
 	return trips[len(trips)/2], nil
 }
 
-// probe returns a target's factor, rounded to two places, and the round trip of
-// the fastest probe.
+// probe returns a target's factor and the round trip of the fastest probe.
 func (b *bench) probe(ctx context.Context, t target) (float64, time.Duration, error) {
 	least, trip := time.Duration(math.MaxInt64), time.Duration(0)
 	for i := range probes {
@@ -135,7 +137,8 @@
 			least, trip = ran, time.Since(begun)-ran
 		}
 	}
-	return math.Round(float64(least)/float64(probeRun)*100) / 100, trip, nil
+	steps := math.Round(float64(least) / float64(probeRun) / factorStep)
+	return max(steps, 1) * factorStep, trip, nil
 }
 
 func firstOr(list []string, otherwise string) string {
--- a/fbload/load_test.go
+++ b/fbload/load_test.go
@@ -154,7 +154,7 @@
 		case "/vms":
 			_ = json.NewEncoder(w).Encode(map[string]any{"vms": []wireVM{{ID: "t1", Role: "target", State: "live", Address: address, Slots: 8}}})
 		case "/v1/start":
-			_, _ = io.WriteString(w, `{"status":"done","ran_us":80000}`)
+			_, _ = io.WriteString(w, `{"status":"done","ran_us":160100}`)
 		case "/counters":
 			_, _ = io.WriteString(w, `{"starts":5,"refusals":1}`)
 		case "/metrics.json":
