--- /dev/null
+++ b/fbtree/bench_test.go
@@ -0,0 +1,99 @@
+package fbtree_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+// targetText returns the settings at the target's size: 100 teams with quotas,
+// of 20 services with 5 job kinds each.
+func targetText() []byte {
+	var b strings.Builder
+	b.WriteString("[/]\nmax-tasks = 170\n")
+	for team := range 100 {
+		fmt.Fprintf(&b, "[/team-%d]\nquota = %d\nburst = 100\ncaller-keys = %s\n", team, 1000+team, fbtree.Hash(fmt.Sprint(team)))
+		for service := range 20 {
+			fmt.Fprintf(&b, "[/team-%d/service-%d]\nobjective-time = 2s\n", team, service)
+			for kind := range 5 {
+				fmt.Fprintf(&b, "[/team-%d/service-%d/kind-%d]\ntimeout = %ds\n", team, service, kind, kind+1)
+			}
+		}
+	}
+	return []byte(b.String())
+}
+
+func BenchmarkRules(b *testing.B) {
+	tree, err := fbtree.Parse(targetText())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := tree.Rules("team-57", "service-13", "kind-3"); !ok {
+			b.Fatal("no rules")
+		}
+	}
+}
+
+func BenchmarkParse(b *testing.B) {
+	text := targetText()
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := fbtree.Parse(text); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	tree, err := fbtree.Parse(targetText())
+	if err != nil {
+		b.Fatal(err)
+	}
+	p, _ := fbtree.ParsePath("/team-57")
+	change := fbtree.Set(p, fbtree.KeyQuota, "7")
+	b.ReportAllocs()
+	b.ReportMetric(float64(len(fbtree.EncodeChanges([]fbtree.Change{change}))), "delta-bytes")
+	for b.Loop() {
+		if _, err := tree.Apply(change); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkEncode(b *testing.B) {
+	tree, err := fbtree.Parse(targetText())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		b.SetBytes(int64(len(tree.Encode())))
+	}
+}
+
+// BenchmarkSize reports the heap that one tree holds.
+func BenchmarkSize(b *testing.B) {
+	text := targetText()
+	for b.Loop() {
+		before := heap()
+		tree, err := fbtree.Parse(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(heap()-before), "heap-bytes")
+		runtime.KeepAlive(tree)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/fbtree/change.go
+++ b/fbtree/change.go
@@ -94,7 +94,9 @@
 		nodes = make(map[Path]node)
 	}
 	var problems Problems
+	var touched []Path
 	for _, c := range changes {
+		touched = append(touched, c.path)
 		if err := apply(nodes, c); err != nil {
 			problems = append(problems, newProblem(c.path, c.key, c.value, err))
 		}
@@ -102,7 +104,7 @@
 	if len(problems) > 0 {
 		return nil, problems
 	}
-	out, problems := build(nodes)
+	out, problems := t.rebuild(nodes, touched)
 	if len(problems) > 0 {
 		return nil, problems
 	}
@@ -184,8 +186,11 @@
 // which they can be applied.
 func Diff(from, to *Tree) []Change {
 	changes := removals(from, to)
-	for _, p := range to.Paths() {
-		changes = append(changes, diffNode(p, from, to.nodes[p])...)
+	for p, n := range to.nodes {
+		changes = append(changes, diffNode(p, from, n)...)
+	}
+	if _, ok := to.nodes[Path{}]; !ok {
+		changes = append(changes, diffNode(Path{}, from, nil)...)
 	}
 	slices.SortFunc(changes, compareChanges)
 	return changes
--- a/fbtree/path.go
+++ b/fbtree/path.go
@@ -1,6 +1,7 @@
 package fbtree
 
 import (
+	"cmp"
 	"errors"
 	"strings"
 )
@@ -104,13 +105,26 @@
 	return q.text == p.text || strings.HasPrefix(q.text, p.text+"/")
 }
 
-// Compare orders paths so that a node comes before those below it.
+// Compare orders paths so that a node comes before those below it, and these
+// before the next node of its level.
 func (p Path) Compare(q Path) int {
-	// A slash sorts before every byte that a name may hold.
-	return strings.Compare(sortable(p.text), sortable(q.text))
+	a, b := p.text, q.text
+	for i := range min(len(a), len(b)) {
+		if a[i] != b[i] {
+			return cmp.Compare(weight(a[i]), weight(b[i]))
+		}
+	}
+	return cmp.Compare(len(a), len(b))
 }
 
-func sortable(s string) string { return strings.ReplaceAll(s, "/", "\x00") }
+// weight returns the place of a byte in the order of paths: a slash sorts before
+// every byte that a name may hold.
+func weight(c byte) byte {
+	if c == '/' {
+		return 0
+	}
+	return c
+}
 
 func validName(s string) bool {
 	if s == "" || len(s) > MaxName || strings.IndexByte("-_.", s[0]) >= 0 {
--- a/fbtree/resolve.go
+++ b/fbtree/resolve.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -11,26 +12,58 @@
 // jobTreeLevels lists the levels that rules are inherited along, from the top.
 var jobTreeLevels = []Level{LevelOrganisation, LevelTeam, LevelService, LevelKind}
 
+// maxTouched is the greatest number of touched paths for which only the rules at
+// and below them are resolved again.
+const maxTouched = 16
+
 // build makes a tree of checked nodes. It returns the problems that show only
 // where several settings meet.
 func build(nodes map[Path]node) (*Tree, Problems) {
+	rules := make(map[address]filbertford.Rules, len(nodes))
+	return resolveTree(nodes, rules, func(Path) bool { return true })
+}
+
+// rebuild makes a tree of nodes that differ from t's at and below the touched
+// paths only.
+func (t *Tree) rebuild(nodes map[Path]node, touched []Path) (*Tree, Problems) {
+	if len(touched) > maxTouched || t.rules == nil {
+		return build(nodes)
+	}
+	stale := func(p Path) bool {
+		return slices.ContainsFunc(touched, func(q Path) bool { return q.Contains(p) })
+	}
+	rules := maps.Clone(t.rules)
+	for p := range t.nodes {
+		if stale(p) {
+			delete(rules, p.address())
+		}
+	}
+	return resolveTree(nodes, rules, stale)
+}
+
+// resolveTree makes a tree of checked nodes. Rules holds those of the nodes that
+// are not stale.
+func resolveTree(nodes map[Path]node, rules map[address]filbertford.Rules, stale func(Path) bool) (*Tree, Problems) {
 	if _, ok := nodes[Path{}]; !ok {
 		nodes[Path{}] = node{}
 	}
+	if len(nodes) > MaxNodes {
+		reason := fmt.Sprintf("%d nodes; a tree may have 1 to %d", len(nodes), MaxNodes)
+		return nil, Problems{{path: "/", reason: reason}}
+	}
 	t := &Tree{
 		nodes:    nodes,
-		rules:    make(map[address]filbertford.Rules, len(nodes)),
+		rules:    rules,
 		callers:  make(map[string]map[hash]struct{}),
 		draining: make(map[filbertford.TargetID]struct{}),
 	}
-	if len(nodes) > MaxNodes {
-		reason := fmt.Sprintf("%d nodes; a tree may have 1 to %d", len(nodes), MaxNodes)
-		return nil, Problems{{path: "/", reason: reason}}
-	}
 	byLevel := make(map[Level][]Path, len(jobTreeLevels))
 	for p, n := range nodes {
-		byLevel[p.Level()] = append(byLevel[p.Level()], p)
-		t.index(p, n)
+		level := p.Level()
+		t.index(p, level, n)
+		if stale(p) {
+			byLevel[level] = append(byLevel[level], p)
+		}
 	}
 	var problems Problems
 	for _, level := range jobTreeLevels {
@@ -43,7 +76,10 @@
 }
 
 // index records the settings that are not rules.
-func (t *Tree) index(p Path, n node) {
+func (t *Tree) index(p Path, level Level, n node) {
+	if level != LevelTeam && level != LevelVM {
+		return
+	}
 	if v, ok := n[KeyCallerKeys]; ok {
 		hashes := make(map[hash]struct{}, len(v.hashes))
 		for _, h := range v.hashes {
