--- a/fbpolicy/adaptive.go
+++ b/fbpolicy/adaptive.go
@@ -27,6 +27,7 @@
 	quotas   map[string]*quota
 	retries  retryBudget
 	probes   probeBudget
+	ends     uint64
 	caution  float64
 	index    int
 	daemons  int
@@ -63,9 +64,10 @@
 
 // Observe learns from the end of a start.
 func (a *Adaptive) Observe(now time.Time, o filbertford.Observation) {
+	a.ends++
 	a.sweep(now)
 	s := a.service(o.Service())
-	sp := s.speed(a.target(o.Target()))
+	sp := s.speed(a.target(now, o.Target()))
 	sp.target.end(now, o.Took())
 	if o.Outcome() != filbertford.OutcomeUnknown && o.Outcome() != filbertford.OutcomeUnreached {
 		sp.target.replied = now
@@ -96,10 +98,10 @@
 	return o.Took()
 }
 
-func (a *Adaptive) target(id filbertford.TargetID) *target {
+func (a *Adaptive) target(now time.Time, id filbertford.TargetID) *target {
 	t, ok := a.targets[id]
 	if !ok {
-		t = newTarget(id, a.seed)
+		t = newTarget(id, a.seed, now)
 		a.targets[id] = t
 	}
 	return t
--- a/fbpolicy/health.go
+++ b/fbpolicy/health.go
@@ -42,9 +42,6 @@
 	// hintPause is the least time between two hints on a target that are heeded,
 	// so that daemons can't keep a good target suspect among themselves.
 	hintPause = 10 * time.Second
-	// suspectHandicap multiplies the expected run time on a target that is not
-	// trusted, so that a probe happens only if little is lost.
-	suspectHandicap = 1.0
 )
 
 // The states of a target's health.
--- a/fbpolicy/place.go
+++ b/fbpolicy/place.go
@@ -12,6 +12,9 @@
 	// maxLook is how many candidates are looked at for one task, from a random
 	// one on; the best of so many is hardly worse than the best of all.
 	maxLook = 128
+	// fullFor is how long a service without an open target isn't looked at again
+	// unless a start ends.
+	fullFor = time.Millisecond
 	// othersGain is the weight of a new count of the other daemons' tasks.
 	othersGain = 0.1
 	// othersMemory is the age at which half of what is known of the other
@@ -46,6 +49,9 @@
 	}
 	a.sweep(now)
 	s := a.service(n.Service())
+	if s.full && s.fullEnds == a.ends && now.Sub(s.fullAt) < fullFor {
+		return 0, false
+	}
 	from, count := 0, len(candidates)
 	if count > maxLook {
 		from, count = a.rng.IntN(len(candidates)), maxLook
@@ -57,20 +63,15 @@
 			i -= len(candidates)
 		}
 		c := &candidates[i]
-		sp := a.lookup(s, i, c)
-		if c.Mine() >= c.Slots() || !a.open(now, s, sp, c) {
-			continue
-		}
+		sp := a.lookup(now, s, i, c)
 		f := sp.factor * sp.target.jitter * sp.target.lag
-		p := sp.target.health.state != healthy
-		if p {
-			f *= suspectHandicap
-		}
-		if f < cost {
-			best, cost, probe = i, f, p
+		if f < cost && c.Mine() < c.Slots() && a.open(now, s, sp, c) {
+			best, cost, probe = i, f, sp.target.health.state != healthy
 		}
 	}
-	if best < 0 {
+	s.full = best < 0
+	if s.full {
+		s.fullAt, s.fullEnds = now, a.ends
 		return 0, false
 	}
 	base := s.expect(n.Size())
@@ -97,13 +98,13 @@
 
 // lookup returns what is known of the candidate with the given index. It is
 // fast if the candidate had the same index before.
-func (a *Adaptive) lookup(s *service, i int, c *filbertford.Candidate) *speed {
+func (a *Adaptive) lookup(now time.Time, s *service, i int, c *filbertford.Candidate) *speed {
 	for i >= len(s.byIndex) {
 		s.byIndex = append(s.byIndex, nil)
 	}
 	sp := s.byIndex[i]
 	if sp == nil || sp.target.id != c.ID() {
-		sp = s.speed(a.target(c.ID()))
+		sp = s.speed(a.target(now, c.ID()))
 		s.byIndex[i] = sp
 	}
 	sp.target.meet(c)
--- a/fbpolicy/speed.go
+++ b/fbpolicy/speed.go
@@ -62,6 +62,10 @@
 	failing   float64
 	judged    int
 	waitSince time.Time
+
+	full     bool
+	fullAt   time.Time
+	fullEnds uint64
 }
 
 func newService() *service {
--- a/fbpolicy/target.go
+++ b/fbpolicy/target.go
@@ -58,13 +58,13 @@
 // daemon prefers some targets among equally fast ones.
 const jitterRange = 0.04
 
-func newTarget(id filbertford.TargetID, seed uint64) *target {
+func newTarget(id filbertford.TargetID, seed uint64, now time.Time) *target {
 	turn := xxhash.Sum64String(string(id))
 	h := turn ^ seed*0x9e3779b97f4a7c15
 	h ^= h >> 29
 	h *= 0xbf58476d1ce4e5b9
 	h ^= h >> 32
-	return &target{id: id, jitter: 1 + jitterRange*float64(h>>11)/(1<<53), lag: 1, turn: turn >> 1}
+	return &target{id: id, jitter: 1 + jitterRange*float64(h>>11)/(1<<53), lag: 1, turn: turn >> 1, used: now}
 }
 
 // begin notes a start that is expected to run for d.
