fbtarget: tests that break a start at each point

Cause: a start must reach its target at most once, and an outcome that says "not started" must be true.

Found: a reply of status 101 hung Start for ever, as its body is the connection itself, whose reads don't end with the context. Seen as a test that ran into its timeout. Any status but 200 and 503 is now refused unread; fbplatform had the same fault and refuses statuses below 200.

MaxReply is 1 MiB.

--- a/fbplatform/client.go
+++ b/fbplatform/client.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -109,6 +110,11 @@
 	if err != nil {
 		return 0, nil, unavailable(err)
 	}
+	if resp.StatusCode < http.StatusOK {
+		// The body of status 101 is the connection itself, whose reads don't
+		// end with the context.
+		return 0, nil, errors.Join(unexpected(resp.StatusCode), resp.Body.Close())
+	}
 	reply, err := readBody(resp.Body)
 	if err != nil {
 		return 0, nil, unavailable(err)
--- a/fbtarget/client.go
+++ b/fbtarget/client.go
@@ -21,7 +21,7 @@
 // Limits of the client.
 const (
 	// MaxReply is the size of the largest reply to a start in bytes.
-	MaxReply = 4 << 20
+	MaxReply = 1 << 20
 	// MinConns is the least number of connections to a target: one for starts
 	// and one that stops and renewals never share with them.
 	MinConns = 2
--- a/fbtarget/client_test.go
+++ b/fbtarget/client_test.go
@@ -2,24 +2,45 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http/httptest"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbstand"
 	"github.com/filbertford/filbertford/fbtarget"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 const owner = filbertford.Incarnation(7)
 
 func newStart(id filbertford.StartID, args string) filbertford.Start {
 	return filbertford.NewStart(id, owner, "ordering", []byte(args), time.Minute)
 }
 
-func vmOf(s *httptest.Server) filbertford.VM {
-	return filbertford.NewVM("t1", filbertford.RoleTarget, "nordnes", s.Listener.Addr().String())
+// newTarget serves a stand-in target and returns it with its VM.
+func newTarget(t testing.TB, slots int) (*fbstand.Target, filbertford.VM) {
+	t.Helper()
+	target := fbstand.NewTarget("t1", slots, 1)
+	server := httptest.NewServer(target.Handler())
+	t.Cleanup(func() {
+		target.Close()
+		server.Close()
+	})
+	return target, filbertford.NewVM("t1", filbertford.RoleTarget, "nordnes", server.Listener.Addr().String())
+}
+
+// awaitRunning waits until n tasks run at the target.
+func awaitRunning(target *fbstand.Target, n int) {
+	for target.Counters().Running() != n {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 func ExampleClient_Start() {
@@ -39,3 +60,131 @@
 	fmt.Println(report.Outcome(), string(report.Output()), free)
 	// Output: done {"echo":17,"target":"t1"} 8
 }
+
+func TestStartOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		faults fbstand.TargetFaults
+		slots  int
+		args   string
+		want   filbertford.Outcome
+		starts int
+	}{
+		"done":            {slots: 1, args: `{}`, want: filbertford.OutcomeDone, starts: 1},
+		"task failed":     {slots: 1, args: `{"fail": true}`, want: filbertford.OutcomeTaskFailed, starts: 1},
+		"target fails":    {faults: fbstand.TargetFaults{}.WithFailAll(), slots: 1, args: `{}`, want: filbertford.OutcomeTaskFailed, starts: 1},
+		"no slot":         {slots: 0, args: `{}`, want: filbertford.OutcomeNoSlot},
+		"leaving":         {faults: fbstand.TargetFaults{}.WithLeaving(), slots: 1, args: `{}`, want: filbertford.OutcomeLeaving},
+		"wrong id":        {faults: fbstand.TargetFaults{}.WithWrongID(), slots: 1, args: `{}`, want: filbertford.OutcomeUnknown, starts: 1},
+		"twice":           {faults: fbstand.TargetFaults{}.WithTwice(), slots: 1, args: `{}`, want: filbertford.OutcomeDone, starts: 1},
+		"cut before":      {faults: fbstand.TargetFaults{}.WithCut(fbstand.CutBefore), slots: 1, args: `{}`, want: filbertford.OutcomeUnknown},
+		"cut after start": {faults: fbstand.TargetFaults{}.WithCut(fbstand.CutAfterStart), slots: 1, args: `{}`, want: filbertford.OutcomeUnknown, starts: 1},
+		"cut reply":       {faults: fbstand.TargetFaults{}.WithCut(fbstand.CutReply), slots: 1, args: `{}`, want: filbertford.OutcomeUnknown, starts: 1},
+		"malformed args":  {slots: 1, args: `{`, want: filbertford.OutcomeUnreached},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			target, vm := newTarget(t, tt.slots)
+			target.SetFaults(tt.faults)
+			got := newClient(t).Start(t.Context(), vm, newStart("s1", tt.args))
+			if got.Outcome() != tt.want || target.Counters().Starts() != tt.starts {
+				t.Errorf("outcome %q (%s) with %d starts, want %q with %d",
+					got.Outcome(), got.Detail(), target.Counters().Starts(), tt.want, tt.starts)
+			}
+		})
+	}
+}
+
+func TestStopEndsTasksInOneMessage(t *testing.T) {
+	target, vm := newTarget(t, 8)
+	client := newClient(t)
+	var g errgroup.Group
+	outcomes := make([]filbertford.Outcome, 2)
+	for i, id := range []filbertford.StartID{"s1", "s2"} {
+		g.Go(func() error {
+			outcomes[i] = client.Start(t.Context(), vm, newStart(id, `{"run_ms": 60000}`)).Outcome()
+			return nil
+		})
+	}
+	// Both connections for starts are in use now; stops have their own.
+	awaitRunning(target, 2)
+	if err := client.Renew(t.Context(), vm, owner, time.Minute); err != nil {
+		t.Error(err)
+	}
+	if err := client.Stop(t.Context(), vm, []filbertford.StartID{"s1", "s2", "unknown"}); err != nil {
+		t.Error(err)
+	}
+	_ = g.Wait()
+	for i, o := range outcomes {
+		if o != filbertford.OutcomeStopped {
+			t.Errorf("start %d ended %q, want stopped", i, o)
+		}
+	}
+	if n := target.Counters(); n.Stops() != 1 || n.Renewals() != 1 {
+		t.Errorf("%d stops and %d renewals, want 1 and 1", n.Stops(), n.Renewals())
+	}
+}
+
+func TestCancelledStartIsUnknown(t *testing.T) {
+	target, vm := newTarget(t, 8)
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	var got filbertford.Report
+	client := newClient(t)
+	g.Go(func() error {
+		got = client.Start(ctx, vm, newStart("s1", `{"run_ms": 60000}`))
+		return nil
+	})
+	awaitRunning(target, 1)
+	cancel()
+	_ = g.Wait()
+	if got.Outcome() != filbertford.OutcomeUnknown {
+		t.Errorf("outcome %q of a cancelled start that runs, want unknown", got.Outcome())
+	}
+	if got := client.Start(ctx, vm, newStart("s2", `{}`)); got.Outcome() != filbertford.OutcomeUnreached {
+		t.Errorf("outcome %q of a start that was cancelled before, want unreached", got.Outcome())
+	}
+	if n := target.Counters().Starts(); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
+func TestStartWithoutFreeConnectionIsUnreached(t *testing.T) {
+	target, vm := newTarget(t, 8)
+	client, err := fbtarget.NewClient(fbtarget.MinConns)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	var g errgroup.Group
+	g.Go(func() error {
+		client.Start(t.Context(), vm, newStart("s1", `{"run_ms": 60000}`))
+		return nil
+	})
+	awaitRunning(target, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if got := client.Start(ctx, vm, newStart("s2", `{}`)); got.Outcome() != filbertford.OutcomeUnreached {
+		t.Errorf("outcome %q, want unreached", got.Outcome())
+	}
+	if err := client.Stop(t.Context(), vm, []filbertford.StartID{"s1"}); err != nil {
+		t.Error(err)
+	}
+	_ = g.Wait()
+	if n := target.Counters().Starts(); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
+func TestControlErrors(t *testing.T) {
+	target, vm := newTarget(t, 1)
+	client := newClient(t)
+	target.SetFaults(fbstand.TargetFaults{}.WithFreeze())
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if err := client.Stop(ctx, vm, nil); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("stop at a frozen target: %v", err)
+	}
+	if _, err := fbtarget.NewClient(fbtarget.MinConns - 1); err == nil {
+		t.Error("a client with one connection was made")
+	}
+}
--- a/fbtarget/roundtrip.go
+++ b/fbtarget/roundtrip.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -67,6 +68,12 @@
 		return result{err: err, sent: used.seal() || sent}
 	}
 	r := result{status: resp.StatusCode, sent: true}
+	if r.status != http.StatusOK && r.status != http.StatusServiceUnavailable {
+		// The body is not read: that of status 101 is the connection itself,
+		// whose reads don't end with the context.
+		r.err = errors.Join(eris.Errorf("unexpected status %d", r.status), resp.Body.Close())
+		return r
+	}
 	r.buffer, r.err = readReply(resp.Body, limit)
 	if r.err == nil {
 		r.body = r.buffer.Bytes()
