--- /dev/null
+++ b/fbcommand/settings.go
@@ -0,0 +1,244 @@
+package fbcommand
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford/fbplatform"
+	"github.com/filbertford/filbertford/fbsettings"
+	"github.com/filbertford/filbertford/fbtimer"
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+// Exit codes of the settings commands, besides ExitComplete and ExitError.
+const (
+	// ExitConflict means that another operator changed the same settings first.
+	// Nothing was accepted.
+	ExitConflict = 5
+	// ExitUnknown means that the edit may or may not have been accepted. It can
+	// be repeated with -retry.
+	ExitUnknown = 6
+)
+
+// Bounds of the settings commands.
+const (
+	platformTimeout = 2 * time.Second
+	settingsTimeout = 15 * time.Second
+)
+
+// NewSettings returns the command that shows and changes the settings.
+func NewSettings(s Streams) *ffcli.Command {
+	settings := &ffcli.Command{
+		Name:       "settings",
+		ShortUsage: "filbertford settings COMMAND [flags] [arguments]",
+		ShortHelp:  "Shows and changes the settings tree.",
+		LongHelp: "Paths are /, /TEAM, /TEAM/SERVICE, /TEAM/SERVICE/KIND and /vms/NAME. docs/SETTINGS.md lists the keys.\n\n" +
+			example("filbertford settings set -operator ada /depot quota 2000"),
+		FlagSet: newFlagSet("settings", s),
+		Subcommands: []*ffcli.Command{
+			newSettingsGet(s), newSettingsExplain(s), newSettingsDiff(s), newSettingsHistory(s), newSettingsStatus(s),
+			newSettingsSet(s), newSettingsUnset(s), newSettingsAdd(s), newSettingsRemove(s),
+			newSettingsEdit(s), newSettingsApply(s), newSettingsRollback(s), newSettingsKeys(s),
+		},
+	}
+	return needsCommand(settings, s)
+}
+
+// needsCommand makes a command without a subcommand print its usage.
+func needsCommand(c *ffcli.Command, s Streams) *ffcli.Command {
+	c.Exec = func(_ context.Context, args []string) error {
+		if len(args) > 0 {
+			return eris.Errorf("%s has no command %q", c.Name, args[0])
+		}
+		p := &printer{out: s.err}
+		p.line("%s", ffcli.DefaultUsageFunc(c))
+		return errHelp
+	}
+	return c
+}
+
+// settingsView is how a command reaches the settings to show them.
+type settingsView struct {
+	platform string
+	json     bool
+}
+
+func (v *settingsView) register(fs *flag.FlagSet) {
+	fs.StringVar(&v.platform, "platform", defaultPlatform, "`URL` of the platform")
+	fs.BoolVar(&v.json, "json", false, "print JSON")
+}
+
+// open calls f with the settings in the platform's services.
+func (v *settingsView) open(ctx context.Context, f func(context.Context, *fbsettings.Store) error) error {
+	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
+	defer cancel()
+	address := strings.TrimRight(strings.TrimPrefix(v.platform, "http://"), "/")
+	client := fbplatform.NewClient(address, platformTimeout)
+	defer client.Close()
+	timer := fbtimer.NewService()
+	var group errgroup.Group
+	group.Go(func() error { return timer.Run(ctx) })
+	err := f(ctx, fbsettings.NewStore(client, client, timer))
+	cancel()
+	// The timer ends with the context's error, as it should.
+	_ = group.Wait()
+	return err
+}
+
+// settingsEdit is how a command changes the settings.
+type settingsEdit struct {
+	settingsView
+	operator string
+	key      string
+	note     string
+	base     uint64
+	retry    string
+}
+
+func (e *settingsEdit) register(fs *flag.FlagSet) {
+	e.settingsView.register(fs)
+	fs.StringVar(&e.operator, "operator", "", "the operator's `name`")
+	fs.StringVar(&e.key, "operator-key", "", "the operator's `key`; the variable FILBERTFORD_OPERATOR_KEY keeps it out of lists of processes")
+	fs.StringVar(&e.note, "note", "", "`text` for the history")
+	fs.Uint64Var(&e.base, "base", 0, "`version` that the change was made from; 0 for the newest")
+	fs.StringVar(&e.retry, "retry", "", "`request` of an edit whose outcome is unknown, to be repeated")
+}
+
+// request returns the request of an edit.
+func (e *settingsEdit) request(ctx context.Context, store *fbsettings.Store) (fbsettings.Request, error) {
+	if e.retry != "" {
+		return fbsettings.ParseRequest(e.retry)
+	}
+	if e.base > 0 {
+		return fbsettings.NewRequest(e.base), nil
+	}
+	head, err := store.Head(ctx)
+	if err != nil {
+		return fbsettings.Request{}, err
+	}
+	return fbsettings.NewRequest(head.Version()), nil
+}
+
+// commit has changes accepted and prints the outcome.
+func (e *settingsEdit) commit(ctx context.Context, s Streams, store *fbsettings.Store, changes ...fbtree.Change) error {
+	request, err := e.request(ctx, store)
+	if err != nil {
+		return err
+	}
+	receipt, err := e.accept(ctx, store, request, changes)
+	return e.printOutcome(s, request, receipt, err)
+}
+
+func (e *settingsEdit) accept(ctx context.Context, store *fbsettings.Store, r fbsettings.Request, changes []fbtree.Change) (fbsettings.Receipt, error) {
+	edit := fbsettings.NewEdit(r, e.operator, time.Now(), changes...).WithKey(e.key).WithNote(e.note)
+	return store.Commit(ctx, edit)
+}
+
+// acceptedOutput is an accepted edit as commands print it.
+type acceptedOutput struct {
+	Version uint64 `json:"version"`
+	Changed bool   `json:"changed"`
+	Request string `json:"request"`
+}
+
+// refusedOutput is a refused edit as commands print it.
+type refusedOutput struct {
+	Error     string           `json:"error"`
+	Text      string           `json:"text"`
+	Request   string           `json:"request"`
+	Conflicts []conflictOutput `json:"conflicts,omitempty"`
+	Problems  []problemOutput  `json:"problems,omitempty"`
+}
+
+type conflictOutput struct {
+	Path    string `json:"path"`
+	Key     string `json:"key,omitempty"`
+	Yours   string `json:"yours"`
+	Theirs  string `json:"theirs"`
+	Who     string `json:"who"`
+	Version uint64 `json:"version"`
+}
+
+type problemOutput struct {
+	Line   int    `json:"line,omitempty"`
+	Path   string `json:"path"`
+	Key    string `json:"key,omitempty"`
+	Value  string `json:"value,omitempty"`
+	Reason string `json:"reason"`
+}
+
+// printOutcome prints what became of an edit and returns the error that ends the
+// program.
+func (e *settingsEdit) printOutcome(s Streams, r fbsettings.Request, receipt fbsettings.Receipt, err error) error {
+	if err != nil {
+		return e.printRefusal(s, r, err)
+	}
+	if e.json {
+		return printJSON(s.out, acceptedOutput{Version: receipt.Version(), Changed: receipt.Changed(), Request: r.String()})
+	}
+	p := &printer{out: s.out}
+	if receipt.Changed() {
+		p.line("version %d accepted", receipt.Version())
+	} else {
+		p.line("version %d holds this already", receipt.Version())
+	}
+	return p.err
+}
+
+func (e *settingsEdit) printRefusal(s Streams, r fbsettings.Request, err error) error {
+	w := refusedOutput{Error: "error", Text: err.Error(), Request: r.String()}
+	code := ExitError
+	var conflict *fbsettings.ConflictError
+	var unknown *fbsettings.UnknownError
+	var problems fbtree.Problems
+	switch {
+	case errors.As(err, &conflict):
+		w.Error, w.Conflicts, code = "conflict", conflictsOf(conflict), ExitConflict
+	case errors.As(err, &unknown):
+		w.Error, code = "unknown", ExitUnknown
+	case errors.As(err, &problems):
+		w.Error, w.Problems = "invalid", problemsOf(problems)
+	}
+	if e.json {
+		if err := printJSON(s.out, w); err != nil {
+			return err
+		}
+		return exitError{code}
+	}
+	p := &printer{out: s.err}
+	p.line("filbertford: %s", w.Text)
+	if code == ExitUnknown {
+		p.line("repeat the same command with -retry %s", r)
+	}
+	return exitError{code}
+}
+
+func conflictsOf(err *fbsettings.ConflictError) []conflictOutput {
+	var out []conflictOutput
+	for _, c := range err.Conflicts() {
+		out = append(out, conflictOutput{
+			Path:    c.Path().String(),
+			Key:     c.Key(),
+			Yours:   c.Yours(),
+			Theirs:  c.Theirs(),
+			Who:     c.Who(),
+			Version: c.Version(),
+		})
+	}
+	return out
+}
+
+func problemsOf(problems fbtree.Problems) []problemOutput {
+	var out []problemOutput
+	for _, p := range problems {
+		out = append(out, problemOutput{Line: p.Line(), Path: p.Path(), Key: p.Key(), Value: p.Value(), Reason: p.Reason()})
+	}
+	return out
+}
--- /dev/null
+++ b/fbcommand/settings_edit.go
@@ -0,0 +1,276 @@
+package fbcommand
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford/fbsettings"
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+func newSettingsSet(s Streams) *ffcli.Command {
+	return newChange(s, fbtree.OpSet, "PATH KEY VALUE", "Sets a key at a node.",
+		"filbertford settings set -operator ada -note 'autumn orders' /depot quota 2000")
+}
+
+func newSettingsUnset(s Streams) *ffcli.Command {
+	return newChange(s, fbtree.OpUnset, "PATH KEY", "Removes a key from a node, which then inherits it.",
+		"filbertford settings unset -operator ada /depot quota")
+}
+
+func newSettingsAdd(s Streams) *ffcli.Command {
+	return newChange(s, fbtree.OpAdd, "PATH", "Adds a team, service or job kind.",
+		"filbertford settings add -operator ada /depot/returns")
+}
+
+func newSettingsRemove(s Streams) *ffcli.Command {
+	return newChange(s, fbtree.OpRemove, "PATH", "Removes a team, service or job kind with all below it.",
+		"filbertford settings remove -operator ada /depot/returns")
+}
+
+// newChange returns a command that makes one change.
+func newChange(s Streams, op fbtree.Op, arguments, help, usage string) *ffcli.Command {
+	var e settingsEdit
+	fs := newFlagSet(string(op), s)
+	e.register(fs)
+	return &ffcli.Command{
+		Name:       string(op),
+		ShortUsage: fmt.Sprintf("filbertford settings %s [flags] %s", op, arguments),
+		ShortHelp:  help,
+		LongHelp:   example(usage),
+		FlagSet:    fs,
+		Options:    fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			change, err := parseChange(append([]string{string(op)}, args...))
+			if err != nil {
+				return err
+			}
+			return e.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				return e.commit(ctx, s, store, change)
+			})
+		},
+	}
+}
+
+// changeArguments gives the number of words of each change, with its name.
+var changeArguments = map[fbtree.Op]int{fbtree.OpAdd: 2, fbtree.OpRemove: 2, fbtree.OpSet: 4, fbtree.OpUnset: 3}
+
+// parseChange reads a change from its words.
+func parseChange(words []string) (fbtree.Change, error) {
+	op := fbtree.Op(words[0])
+	n, ok := changeArguments[op]
+	if !ok {
+		return fbtree.Change{}, eris.Errorf("unknown change %q; want set, unset, add or remove", op)
+	}
+	if len(words) != n {
+		return fbtree.Change{}, eris.Errorf("%s needs %d arguments, not %d", op, n-1, len(words)-1)
+	}
+	p, err := fbtree.ParsePath(words[1])
+	if err != nil {
+		return fbtree.Change{}, eris.Wrapf(err, "path %q", words[1])
+	}
+	switch op {
+	case fbtree.OpAdd:
+		return fbtree.Add(p), nil
+	case fbtree.OpRemove:
+		return fbtree.Remove(p), nil
+	case fbtree.OpUnset:
+		return fbtree.Unset(p, words[2]), nil
+	default:
+		return fbtree.Set(p, words[2], words[3]), nil
+	}
+}
+
+func newSettingsEdit(s Streams) *ffcli.Command {
+	var e settingsEdit
+	fs := newFlagSet("edit", s)
+	e.register(fs)
+	return &ffcli.Command{
+		Name:       "edit",
+		ShortUsage: "filbertford settings edit [flags] < CHANGES",
+		ShortHelp:  "Makes several changes as one version, all or none.",
+		LongHelp: "Reads one change a line: set PATH KEY VALUE, unset PATH KEY, add PATH, remove PATH. " +
+			"Empty lines and lines that begin with # are skipped.\n\n" +
+			example("filbertford settings edit -operator ada < changes.txt"),
+		FlagSet: fs,
+		Options: fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			changes, err := readChanges(s.in)
+			if err != nil {
+				return err
+			}
+			return e.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				return e.commit(ctx, s, store, changes...)
+			})
+		},
+	}
+}
+
+// readChanges reads one change a line.
+func readChanges(in io.Reader) ([]fbtree.Change, error) {
+	text, err := io.ReadAll(io.LimitReader(in, fbtree.MaxText))
+	if err != nil {
+		return nil, eris.Wrap(err, "read changes")
+	}
+	var changes []fbtree.Change
+	number := 0
+	for line := range bytes.Lines(text) {
+		number++
+		words := strings.Fields(string(line))
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		change, err := parseChange(words)
+		if err != nil {
+			return nil, eris.Wrapf(err, "line %d", number)
+		}
+		changes = append(changes, change)
+	}
+	if len(changes) == 0 {
+		return nil, eris.New("there are no changes to make")
+	}
+	return changes, nil
+}
+
+// versionLine begins a tree that get prints. It lets apply know from which
+// version a file was made.
+const versionLine = "; settings version %d\n"
+
+func newSettingsApply(s Streams) *ffcli.Command {
+	var e settingsEdit
+	fs := newFlagSet("apply", s)
+	e.register(fs)
+	return &ffcli.Command{
+		Name:       "apply",
+		ShortUsage: "filbertford settings apply [flags] FILE",
+		ShortHelp:  "Makes the tree equal to a file, as one version.",
+		LongHelp: "The file is a whole tree as get prints it; - stands for the standard input. Its first line names the version " +
+			"that it was made from: changes that others made since are kept, unless they concern the same settings.\n\n" +
+			example("filbertford settings get > tree.ini", "filbertford settings apply -operator ada tree.ini"),
+		FlagSet: fs,
+		Options: fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return eris.Errorf("one file is needed, not %d arguments", len(args))
+			}
+			return e.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				return e.apply(ctx, s, store, args[0])
+			})
+		},
+	}
+}
+
+// apply commits what leads from a file's base to the file.
+func (e *settingsEdit) apply(ctx context.Context, s Streams, store *fbsettings.Store, file string) error {
+	tree, version, err := readTree(s, file)
+	if err != nil {
+		return e.printRefusal(s, fbsettings.Request{}, err)
+	}
+	if e.base == 0 {
+		e.base = version
+	}
+	request, err := e.request(ctx, store)
+	if err != nil {
+		return err
+	}
+	base := fbtree.Default()
+	if request.Base() > 0 {
+		if base, err = store.At(ctx, request.Base()); err != nil {
+			return err
+		}
+	}
+	receipt, err := e.accept(ctx, store, request, fbtree.Diff(base, tree))
+	return e.printOutcome(s, request, receipt, err)
+}
+
+// readTree reads a tree from a file, with the version that it was made from or
+// 0 if the file does not tell.
+func readTree(s Streams, file string) (*fbtree.Tree, uint64, error) {
+	var text []byte
+	var err error
+	if file == "-" {
+		text, err = io.ReadAll(io.LimitReader(s.in, fbtree.MaxText+1))
+	} else {
+		text, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "read the tree")
+	}
+	tree, err := fbtree.Parse(text)
+	if err != nil {
+		return nil, 0, err
+	}
+	var version uint64
+	// A file without the line has no version.
+	_, _ = fmt.Sscanf(string(text), versionLine, &version)
+	return tree, version, nil
+}
+
+func newSettingsRollback(s Streams) *ffcli.Command {
+	var e settingsEdit
+	fs := newFlagSet("rollback", s)
+	e.register(fs)
+	return &ffcli.Command{
+		Name:       "rollback",
+		ShortUsage: "filbertford settings rollback [flags] VERSION",
+		ShortHelp:  "Makes the tree equal to an older version, as a new version.",
+		LongHelp:   example("filbertford settings rollback -operator ada -note 'quota was too low' 41"),
+		FlagSet:    fs,
+		Options:    fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			version, err := oneVersion(args)
+			if err != nil {
+				return err
+			}
+			return e.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				return e.rollback(ctx, s, store, version)
+			})
+		},
+	}
+}
+
+func (e *settingsEdit) rollback(ctx context.Context, s Streams, store *fbsettings.Store, version uint64) error {
+	request, err := e.request(ctx, store)
+	if err != nil {
+		return err
+	}
+	if request.Base() == 0 {
+		return eris.Wrapf(fbsettings.ErrNoVersion, "version %d", version)
+	}
+	older, err := store.At(ctx, version)
+	if err != nil {
+		return err
+	}
+	base, err := store.At(ctx, request.Base())
+	if err != nil {
+		return err
+	}
+	if e.note == "" {
+		e.note = fmt.Sprintf("rollback to version %d", version)
+	}
+	receipt, err := e.accept(ctx, store, request, fbtree.Diff(base, older))
+	return e.printOutcome(s, request, receipt, err)
+}
+
+// oneVersion reads a command's only argument, a version.
+func oneVersion(args []string) (uint64, error) {
+	if len(args) != 1 {
+		return 0, eris.Errorf("one version is needed, not %d arguments", len(args))
+	}
+	v, err := strconv.ParseUint(args[0], 10, 64)
+	if err != nil || v == 0 {
+		return 0, eris.Errorf("version %q; want a number from 1", args[0])
+	}
+	return v, nil
+}
--- /dev/null
+++ b/fbcommand/settings_keys.go
@@ -0,0 +1,243 @@
+package fbcommand
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"slices"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford/fbsettings"
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+const (
+	// keyBytes is the length of a new key in random bytes.
+	keyBytes = 32
+	// minPrefix is the least number of digits that name a hash.
+	minPrefix = 8
+	// keyRaces is the number of races against other operators after which a
+	// change of keys is given up on.
+	keyRaces = 10
+)
+
+func newSettingsKeys(s Streams) *ffcli.Command {
+	keys := &ffcli.Command{
+		Name:       "keys",
+		ShortUsage: "filbertford settings keys COMMAND [flags] [arguments]",
+		ShortHelp:  "Makes, lists and removes the keys of callers and operators.",
+		LongHelp: "Only hashes of keys are stored. A team without keys takes every caller, a tree without operators every operator.\n\n" +
+			example("filbertford settings keys add -operator ada depot"),
+		FlagSet: newFlagSet("keys", s),
+		Subcommands: []*ffcli.Command{
+			newKeysChange(s, "add", "TEAM", "Makes a caller's key for a team and prints it, once.", addCallerKey),
+			newKeysChange(s, "remove", "TEAM PREFIX", "Removes the caller's key whose hash begins with PREFIX.", removeCallerKey),
+			newKeysChange(s, "add-operator", "NAME", "Makes a key for an operator and prints it, once.", addOperatorKey),
+			newKeysChange(s, "remove-operator", "NAME", "Removes all keys of an operator.", removeOperatorKeys),
+			newKeysList(s),
+		},
+	}
+	return needsCommand(keys, s)
+}
+
+// keyChange works out what a key command does to a tree. It returns the change
+// and the new key, if there is one.
+type keyChange func(tree *fbtree.Tree, args []string) (fbtree.Change, string, error)
+
+func newKeysChange(s Streams, name, arguments, help string, change keyChange) *ffcli.Command {
+	var e settingsEdit
+	fs := newFlagSet(name, s)
+	e.register(fs)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "filbertford settings keys " + name + " [flags] " + arguments,
+		ShortHelp:  help,
+		LongHelp:   example("filbertford settings keys " + name + " -operator ada " + arguments),
+		FlagSet:    fs,
+		Options:    fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if n := len(strings.Fields(arguments)); len(args) != n {
+				return eris.Errorf("want the arguments %s, not %d arguments", arguments, len(args))
+			}
+			return e.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				return e.changeKeys(ctx, s, store, change, args)
+			})
+		},
+	}
+}
+
+// keyOutput is a new key as JSON.
+type keyOutput struct {
+	acceptedOutput
+	Key string `json:"key"`
+}
+
+// changeKeys commits a change of keys. The keys of a team stand in one list, so
+// a conflict with another operator's key is no real one: the change is worked
+// out again.
+func (e *settingsEdit) changeKeys(ctx context.Context, s Streams, store *fbsettings.Store, change keyChange, args []string) error {
+	if e.retry != "" || e.base != 0 {
+		return eris.New("-retry and -base have no use here: a key whose outcome is unknown is not printed")
+	}
+	for race := 0; ; race++ {
+		tree, err := store.Newest(ctx)
+		if err != nil {
+			return err
+		}
+		c, key, err := change(tree, args)
+		if err != nil {
+			return err
+		}
+		request := fbsettings.NewRequest(tree.Version())
+		receipt, err := e.accept(ctx, store, request, []fbtree.Change{c})
+		var conflict *fbsettings.ConflictError
+		if errors.As(err, &conflict) && race < keyRaces {
+			continue
+		}
+		if err != nil || key == "" {
+			return e.printOutcome(s, request, receipt, err)
+		}
+		if e.json {
+			return printJSON(s.out, keyOutput{acceptedOutput{receipt.Version(), receipt.Changed(), request.String()}, key})
+		}
+		p := &printer{out: s.out}
+		p.line("%s", key)
+		p = &printer{out: s.err}
+		p.line("version %d accepted; the key is shown only now", receipt.Version())
+		return nil
+	}
+}
+
+func addCallerKey(tree *fbtree.Tree, args []string) (fbtree.Change, string, error) {
+	p, err := teamPath(tree, args[0])
+	if err != nil {
+		return fbtree.Change{}, "", err
+	}
+	key := newKey()
+	hashes := append(hashesAt(tree, p, fbtree.KeyCallerKeys), fbtree.Hash(key))
+	return fbtree.Set(p, fbtree.KeyCallerKeys, strings.Join(hashes, ",")), key, nil
+}
+
+func removeCallerKey(tree *fbtree.Tree, args []string) (fbtree.Change, string, error) {
+	p, err := teamPath(tree, args[0])
+	if err != nil {
+		return fbtree.Change{}, "", err
+	}
+	prefix := strings.ToLower(args[1])
+	if len(prefix) < minPrefix {
+		return fbtree.Change{}, "", eris.Errorf("prefix %q; want at least %d digits of the hash", prefix, minPrefix)
+	}
+	hashes := hashesAt(tree, p, fbtree.KeyCallerKeys)
+	left := slices.DeleteFunc(slices.Clone(hashes), func(h string) bool { return strings.HasPrefix(h, prefix) })
+	if len(hashes)-len(left) != 1 {
+		return fbtree.Change{}, "", eris.Errorf("%d keys of %s have a hash that begins with %q; want one", len(hashes)-len(left), p, prefix)
+	}
+	return changeOfHashes(p, fbtree.KeyCallerKeys, left), "", nil
+}
+
+func addOperatorKey(tree *fbtree.Tree, args []string) (fbtree.Change, string, error) {
+	key := newKey()
+	hashes := append(hashesAt(tree, fbtree.Path{}, fbtree.KeyOperatorKeys), args[0]+":"+fbtree.Hash(key))
+	return fbtree.Set(fbtree.Path{}, fbtree.KeyOperatorKeys, strings.Join(hashes, ",")), key, nil
+}
+
+func removeOperatorKeys(tree *fbtree.Tree, args []string) (fbtree.Change, string, error) {
+	hashes := hashesAt(tree, fbtree.Path{}, fbtree.KeyOperatorKeys)
+	left := slices.DeleteFunc(slices.Clone(hashes), func(h string) bool { return strings.HasPrefix(h, args[0]+":") })
+	if len(left) == len(hashes) {
+		return fbtree.Change{}, "", eris.Errorf("operator %q has no key", args[0])
+	}
+	return changeOfHashes(fbtree.Path{}, fbtree.KeyOperatorKeys, left), "", nil
+}
+
+// changeOfHashes returns the change that leaves the hashes.
+func changeOfHashes(p fbtree.Path, key string, hashes []string) fbtree.Change {
+	if len(hashes) == 0 {
+		return fbtree.Unset(p, key)
+	}
+	return fbtree.Set(p, key, strings.Join(hashes, ","))
+}
+
+func teamPath(tree *fbtree.Tree, team string) (fbtree.Path, error) {
+	p, err := parsePath(team)
+	if err != nil {
+		return fbtree.Path{}, err
+	}
+	if p.Level() != fbtree.LevelTeam || !tree.Has(p) {
+		return fbtree.Path{}, eris.Errorf("there is no team %s", p)
+	}
+	return p, nil
+}
+
+func hashesAt(tree *fbtree.Tree, p fbtree.Path, key string) []string {
+	value, ok := tree.Get(p, key)
+	if !ok {
+		return nil
+	}
+	return strings.Split(value, ",")
+}
+
+// newKey returns a key of random bytes.
+func newKey() string {
+	b := make([]byte, keyBytes)
+	// rand.Read never fails; it ends the program instead.
+	_, _ = rand.Read(b)
+	return "fbk_" + base64.RawURLEncoding.EncodeToString(b)
+}
+
+// keysOutput is the keys of a node as JSON.
+type keysOutput struct {
+	Path   string   `json:"path"`
+	Hashes []string `json:"hashes"`
+}
+
+func newKeysList(s Streams) *ffcli.Command {
+	var v settingsView
+	fs := newFlagSet("list", s)
+	v.register(fs)
+	return &ffcli.Command{
+		Name:       "list",
+		ShortUsage: "filbertford settings keys list [flags]",
+		ShortHelp:  "Lists the hashes of all keys.",
+		LongHelp:   example("filbertford settings keys list"),
+		FlagSet:    fs,
+		Options:    fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			return v.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				tree, err := store.Newest(ctx)
+				if err != nil {
+					return err
+				}
+				return v.printKeys(s, tree)
+			})
+		},
+	}
+}
+
+func (v *settingsView) printKeys(s Streams, tree *fbtree.Tree) error {
+	w := []keysOutput{}
+	p := &printer{out: s.out}
+	for _, q := range tree.Paths() {
+		hashes := append(hashesAt(tree, q, fbtree.KeyOperatorKeys), hashesAt(tree, q, fbtree.KeyCallerKeys)...)
+		if len(hashes) == 0 {
+			continue
+		}
+		w = append(w, keysOutput{Path: q.String(), Hashes: hashes})
+		for _, h := range hashes {
+			if !v.json {
+				p.line("%s  %s", q, h)
+			}
+		}
+	}
+	if v.json {
+		return printJSON(s.out, w)
+	}
+	return p.err
+}
--- /dev/null
+++ b/fbcommand/settings_show.go
@@ -0,0 +1,364 @@
+package fbcommand
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford/fbsettings"
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+func newSettingsGet(s Streams) *ffcli.Command {
+	var v settingsView
+	fs := newFlagSet("get", s)
+	v.register(fs)
+	version := fs.Uint64("version", 0, "`version` to show; 0 for the newest")
+	return &ffcli.Command{
+		Name:       "get",
+		ShortUsage: "filbertford settings get [flags] [PATH [KEY]]",
+		ShortHelp:  "Prints the tree, the part below a path, or the value of a key in force at a path.",
+		LongHelp:   example("filbertford settings get /depot", "filbertford settings get /depot/ordering timeout"),
+		FlagSet:    fs,
+		Options:    fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 2 {
+				return eris.Errorf("unexpected argument %q", args[2])
+			}
+			p, err := parsePath(append(args, "/")[0])
+			if err != nil {
+				return err
+			}
+			return v.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				tree, err := treeAt(ctx, store, *version)
+				if err != nil {
+					return err
+				}
+				if len(args) == 2 {
+					return v.printValue(s, tree, p, args[1])
+				}
+				return v.printTree(s, tree, p, len(args) == 0)
+			})
+		},
+	}
+}
+
+// treeAt returns a version of the tree, the newest for 0.
+func treeAt(ctx context.Context, store *fbsettings.Store, version uint64) (*fbtree.Tree, error) {
+	if version == 0 {
+		return store.Newest(ctx)
+	}
+	return store.At(ctx, version)
+}
+
+func parsePath(text string) (fbtree.Path, error) {
+	p, err := fbtree.ParsePath(text)
+	return p, eris.Wrapf(err, "path %q", text)
+}
+
+// treeOutput is a tree as JSON.
+type treeOutput struct {
+	Version uint64                       `json:"version"`
+	Nodes   map[string]map[string]string `json:"nodes"`
+}
+
+// printTree prints the nodes at and below p, or all.
+func (v *settingsView) printTree(s Streams, tree *fbtree.Tree, p fbtree.Path, all bool) error {
+	if !all && !tree.Has(p) {
+		return eris.Errorf("there is no node %s", p)
+	}
+	if v.json {
+		w := treeOutput{Version: tree.Version(), Nodes: make(map[string]map[string]string)}
+		for _, q := range tree.Paths() {
+			if all || p.Contains(q) {
+				w.Nodes[q.String()] = settingsAt(tree, q)
+			}
+		}
+		return printJSON(s.out, w)
+	}
+	text := tree.EncodeBelow(p)
+	if all {
+		text = tree.Encode()
+	}
+	_, err := fmt.Fprintf(s.out, versionLine+"\n%s", tree.Version(), text)
+	return eris.Wrap(err, "write the tree")
+}
+
+// settingsAt returns the settings that stand at a node.
+func settingsAt(tree *fbtree.Tree, p fbtree.Path) map[string]string {
+	out := make(map[string]string)
+	for _, k := range fbtree.Keys() {
+		if value, ok := tree.Get(p, k.Name()); ok {
+			out[k.Name()] = value
+		}
+	}
+	return out
+}
+
+// sourceOutput is a level that gives a key a value, as JSON.
+type sourceOutput struct {
+	Value   string `json:"value"`
+	From    string `json:"from"`
+	InForce bool   `json:"in_force"`
+}
+
+func (v *settingsView) printValue(s Streams, tree *fbtree.Tree, p fbtree.Path, key string) error {
+	sources, err := tree.Explain(p, key)
+	if err != nil {
+		return err
+	}
+	if v.json {
+		return printJSON(s.out, sourceOutput{Value: sources[0].Value(), From: sources[0].String(), InForce: true})
+	}
+	out := &printer{out: s.out}
+	out.line("%s", sources[0].Value())
+	return out.err
+}
+
+func newSettingsExplain(s Streams) *ffcli.Command {
+	var v settingsView
+	fs := newFlagSet("explain", s)
+	v.register(fs)
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "filbertford settings explain [flags] PATH KEY",
+		ShortHelp:  "Shows from which level a value comes, and which values it overrides.",
+		LongHelp:   example("filbertford settings explain /depot/ordering/stock-check timeout"),
+		FlagSet:    fs,
+		Options:    fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 2 {
+				return eris.Errorf("a path and a key are needed, not %d arguments", len(args))
+			}
+			p, err := parsePath(args[0])
+			if err != nil {
+				return err
+			}
+			return v.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				tree, err := store.Newest(ctx)
+				if err != nil {
+					return err
+				}
+				sources, err := tree.Explain(p, args[1])
+				if err != nil {
+					return err
+				}
+				return v.printSources(s, sources)
+			})
+		},
+	}
+}
+
+func (v *settingsView) printSources(s Streams, sources []fbtree.Source) error {
+	if v.json {
+		var w []sourceOutput
+		for i, source := range sources {
+			w = append(w, sourceOutput{Value: source.Value(), From: source.String(), InForce: i == 0})
+		}
+		return printJSON(s.out, w)
+	}
+	p := &printer{out: s.out}
+	for i, source := range sources {
+		state := "overridden"
+		if i == 0 {
+			state = "in force"
+		}
+		p.line("%-12s %-16s from %s", state, source.Value(), source)
+	}
+	return p.err
+}
+
+func newSettingsDiff(s Streams) *ffcli.Command {
+	var v settingsView
+	fs := newFlagSet("diff", s)
+	v.register(fs)
+	return &ffcli.Command{
+		Name:       "diff",
+		ShortUsage: "filbertford settings diff [flags] FROM [TO]",
+		ShortHelp:  "Shows the changes that lead from one tree to another.",
+		LongHelp: "FROM and TO are versions or files, - for the standard input. Without TO, the changes lead from FROM to the newest " +
+			"version if FROM is a version, and from the newest version to FROM if it is a file.\n\n" +
+			example("filbertford settings diff 41", "filbertford settings diff 41 43", "filbertford settings diff tree.ini"),
+		FlagSet: fs,
+		Options: fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) == 0 || len(args) > 2 {
+				return eris.Errorf("one or two versions or files are needed, not %d arguments", len(args))
+			}
+			return v.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				from, to, err := treesOf(ctx, s, store, args)
+				if err != nil {
+					return err
+				}
+				return v.printDiff(s, from, to)
+			})
+		},
+	}
+}
+
+// treesOf returns the two trees that diff compares.
+func treesOf(ctx context.Context, s Streams, store *fbsettings.Store, args []string) (from, to *fbtree.Tree, err error) {
+	from, isFile, err := treeNamed(ctx, s, store, args[0])
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(args) == 2 {
+		to, _, err = treeNamed(ctx, s, store, args[1])
+		return from, to, err
+	}
+	newest, err := store.Newest(ctx)
+	if isFile {
+		return newest, from, err
+	}
+	return from, newest, err
+}
+
+func treeNamed(ctx context.Context, s Streams, store *fbsettings.Store, name string) (tree *fbtree.Tree, isFile bool, err error) {
+	if version, err := strconv.ParseUint(name, 10, 64); err == nil {
+		tree, err := store.At(ctx, version)
+		return tree, false, err
+	}
+	tree, _, err = readTree(s, name)
+	return tree, true, err
+}
+
+// changeOutput is a change as JSON. Old is the value before, if there was one.
+type changeOutput struct {
+	Op    string `json:"op"`
+	Path  string `json:"path"`
+	Key   string `json:"key,omitempty"`
+	Value string `json:"value,omitempty"`
+	Old   string `json:"old,omitempty"`
+}
+
+func (v *settingsView) printDiff(s Streams, from, to *fbtree.Tree) error {
+	changes := fbtree.Diff(from, to)
+	if v.json {
+		w := make([]changeOutput, 0, len(changes))
+		for _, c := range changes {
+			old, _ := from.Get(c.Path(), c.Key())
+			w = append(w, newChangeOutput(c, old))
+		}
+		return printJSON(s.out, w)
+	}
+	p := &printer{out: s.out}
+	for _, c := range changes {
+		line := c.String()
+		if old, ok := from.Get(c.Path(), c.Key()); ok {
+			line += fmt.Sprintf(" (was %s)", fbtree.MaskValue(c.Key(), old))
+		}
+		p.line("%s", line)
+	}
+	return p.err
+}
+
+func newChangeOutput(c fbtree.Change, old string) changeOutput {
+	w := changeOutput{Op: string(c.Op()), Path: c.Path().String(), Key: c.Key()}
+	if c.Value() != "" {
+		w.Value = fbtree.MaskValue(c.Key(), c.Value())
+	}
+	if old != "" {
+		w.Old = fbtree.MaskValue(c.Key(), old)
+	}
+	return w
+}
+
+// entryOutput is an accepted edit as JSON.
+type entryOutput struct {
+	Version uint64         `json:"version"`
+	At      time.Time      `json:"at"`
+	Who     string         `json:"who"`
+	Note    string         `json:"note,omitempty"`
+	Changes []changeOutput `json:"changes"`
+}
+
+func newSettingsHistory(s Streams) *ffcli.Command {
+	var v settingsView
+	fs := newFlagSet("history", s)
+	v.register(fs)
+	n := fs.Uint64("n", 20, "`number` of versions to show, the newest first")
+	return &ffcli.Command{
+		Name:       "history",
+		ShortUsage: "filbertford settings history [flags]",
+		ShortHelp:  "Shows who changed what and when.",
+		LongHelp: fmt.Sprintf("The platform keeps the last %d versions.\n\n", fbsettings.HistoryLength) +
+			example("filbertford settings history -n 5"),
+		FlagSet: fs,
+		Options: fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			return v.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+				head, err := store.Head(ctx)
+				if err != nil {
+					return err
+				}
+				last := head.Version()
+				first := last - min(last, *n, fbsettings.HistoryLength) + 1
+				entries, err := store.Entries(ctx, first, last)
+				if err != nil {
+					return err
+				}
+				return v.printHistory(s, entries)
+			})
+		},
+	}
+}
+
+func (v *settingsView) printHistory(s Streams, entries []fbsettings.Entry) error {
+	w := make([]entryOutput, 0, len(entries))
+	p := &printer{out: s.out}
+	for i := len(entries) - 1; i >= 0; i-- {
+		e := entries[i]
+		out := entryOutput{Version: e.Version(), At: e.At(), Who: e.Who(), Note: e.Note(), Changes: []changeOutput{}}
+		for _, c := range e.Changes() {
+			out.Changes = append(out.Changes, newChangeOutput(c, valueBefore(e, c)))
+		}
+		w = append(w, out)
+		if !v.json {
+			printEntry(p, e)
+		}
+	}
+	if v.json {
+		return printJSON(s.out, w)
+	}
+	return p.err
+}
+
+// maxShownChanges is the greatest number of changes of a version that are
+// printed for people.
+const maxShownChanges = 20
+
+func printEntry(p *printer, e fbsettings.Entry) {
+	p.line("version %d  %s  %s  %s", e.Version(), e.At().Format(time.RFC3339), e.Who(), e.Note())
+	for i, c := range e.Changes() {
+		if i == maxShownChanges {
+			p.line("  and %d more changes", len(e.Changes())-i)
+			return
+		}
+		line := c.String()
+		if old := valueBefore(e, c); old != "" {
+			line += fmt.Sprintf(" (was %s)", fbtree.MaskValue(c.Key(), old))
+		}
+		p.line("  %s", line)
+	}
+}
+
+// valueBefore returns the value that a change of an entry replaced, empty if
+// there was none.
+func valueBefore(e fbsettings.Entry, c fbtree.Change) string {
+	if c.Key() == "" {
+		return ""
+	}
+	for _, u := range e.Undo() {
+		if u.Path() == c.Path() && u.Key() == c.Key() {
+			return u.Value()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/fbcommand/settings_status.go
@@ -0,0 +1,139 @@
+package fbcommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford/fbsettings"
+)
+
+// settingsReply is what a daemon tells of its settings.
+type settingsReply struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"data_centre"`
+	Version    uint64 `json:"version"`
+	Newest     uint64 `json:"newest"`
+	Reason     string `json:"reason"`
+}
+
+// daemonOutput is how far the settings are at a daemon.
+type daemonOutput struct {
+	Daemon     string `json:"daemon"`
+	VM         string `json:"vm,omitempty"`
+	DataCentre string `json:"data_centre,omitempty"`
+	Version    uint64 `json:"version"`
+	InForce    bool   `json:"in_force"`
+	Reason     string `json:"reason,omitempty"`
+}
+
+// statusOutput is how far the settings are.
+type statusOutput struct {
+	Accepted uint64         `json:"accepted"`
+	Platform string         `json:"platform"`
+	Daemons  []daemonOutput `json:"daemons"`
+}
+
+func newSettingsStatus(s Streams) *ffcli.Command {
+	var o operations
+	fs := newFlagSet("status", s)
+	o.register(fs)
+	platform := fs.String("platform", defaultPlatform, "`URL` of the platform")
+	return &ffcli.Command{
+		Name:       "status",
+		ShortUsage: "filbertford settings status [flags]",
+		ShortHelp:  "Shows where the newest version is not yet in force, and why.",
+		LongHelp: "The exit code is 1 unless the newest version is in force at all daemons. If the platform can't be read, the newest " +
+			"version that a daemon has heard of counts.\n\n" +
+			example("filbertford settings status -operations http://127.0.0.1:7102,http://127.0.0.1:7112"),
+		FlagSet: fs,
+		Options: fromEnvironment(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			w := o.settingsStatus(ctx, *platform)
+			return o.printStatus(s, w)
+		},
+	}
+}
+
+// settingsStatus asks the platform and all daemons.
+func (o *operations) settingsStatus(ctx context.Context, platform string) statusOutput {
+	w := statusOutput{Platform: "up"}
+	view := settingsView{platform: platform}
+	err := view.open(ctx, func(ctx context.Context, store *fbsettings.Store) error {
+		head, err := store.Head(ctx)
+		w.Accepted = head.Version()
+		return err
+	})
+	if err != nil {
+		w.Platform = err.Error()
+	}
+	for _, base := range splitList(o.listeners) {
+		reply, err := o.settingsOf(ctx, base)
+		d := daemonOutput{Daemon: base, VM: reply.VM, DataCentre: reply.DataCentre, Version: reply.Version, Reason: reply.Reason}
+		if err != nil {
+			d.Reason = err.Error()
+		}
+		w.Accepted = max(w.Accepted, reply.Newest, reply.Version)
+		w.Daemons = append(w.Daemons, d)
+	}
+	for i, d := range w.Daemons {
+		w.Daemons[i].InForce = d.Version == w.Accepted && d.Version > 0
+		if !w.Daemons[i].InForce && d.Reason == "" {
+			w.Daemons[i].Reason = "it has not arrived yet"
+		}
+	}
+	return w
+}
+
+func (o *operations) settingsOf(ctx context.Context, base string) (settingsReply, error) {
+	body, err := o.get(ctx, base+"/v1/settings")
+	if err != nil {
+		return settingsReply{}, err
+	}
+	var reply settingsReply
+	err = json.Unmarshal(body, &reply)
+	return reply, eris.Wrapf(err, "settings of %s", base)
+}
+
+func (o *operations) printStatus(s Streams, w statusOutput) error {
+	var failed error
+	for _, d := range w.Daemons {
+		if !d.InForce {
+			failed = exitError{ExitError}
+		}
+	}
+	if o.json {
+		if err := printJSON(s.out, w); err != nil {
+			return err
+		}
+		return failed
+	}
+	table := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	p := &printer{out: table}
+	p.line("newest version %d, platform %s", w.Accepted, w.Platform)
+	p.line("daemon\tVM\tdata centre\tversion\tin force\twhy")
+	for _, d := range w.Daemons {
+		p.line("%s\t%s\t%s\t%d\t%s\t%s", d.Daemon, d.VM, d.DataCentre, d.Version, yesOrNo(d.InForce), cell([]byte(fmt.Sprintf("%q", d.Reason))))
+	}
+	if p.err != nil {
+		return eris.Wrap(p.err, "write the status")
+	}
+	if err := table.Flush(); err != nil {
+		return eris.Wrap(err, "write the status")
+	}
+	return failed
+}
+
+func yesOrNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/fbcommand/settings_test.go
@@ -0,0 +1,264 @@
+package fbcommand_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/filbertford/filbertford/fbcommand"
+	"github.com/filbertford/filbertford/fbstand"
+	"github.com/filbertford/filbertford/fbtree"
+)
+
+// Values of desk.cut.
+const (
+	cutNothing = iota
+	// cutAfterCommit lets one more commit take effect and then breaks every
+	// connection.
+	cutAfterCommit
+	cutAll
+)
+
+// desk is an operator at a stand-in of the platform.
+type desk struct {
+	t   *testing.T
+	url string
+	cut *atomic.Int32
+}
+
+func newDesk(t *testing.T) desk {
+	d := desk{t: t, cut: new(atomic.Int32)}
+	platform := fbstand.NewPlatform(0).Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.cut.Load() == cutAfterCommit && r.URL.Path == "/table/commit" {
+			platform.ServeHTTP(httptest.NewRecorder(), r)
+			d.cut.Store(cutAll)
+		}
+		if d.cut.Load() == cutAll {
+			panic(http.ErrAbortHandler)
+		}
+		platform.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	d.url = server.URL
+	return d
+}
+
+// run runs a settings command. The name may end in flags.
+func (d desk) run(in, name string, args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	words := append(strings.Fields(name), "-platform", d.url)
+	code = fbcommand.RunSettings(d.t.Context(), append(words, args...), fbcommand.NewStreams(strings.NewReader(in), &o, &e))
+	return code, o.String(), e.String()
+}
+
+// must runs a command that has to succeed and returns its output.
+func (d desk) must(name string, args ...string) string {
+	d.t.Helper()
+	code, out, errOut := d.run("", name, args...)
+	if code != fbcommand.ExitComplete {
+		d.t.Fatalf("%s %v: exit code %d: %s%s", name, args, code, out, errOut)
+	}
+	return out
+}
+
+// TestFirstDay goes through the steps of docs/SETTINGS.md.
+func TestFirstDay(t *testing.T) {
+	d := newDesk(t)
+	steps := []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"add -operator ada", []string{"/museums"}, "version 1 accepted"},
+		{"add -operator ada", []string{"/museums/loans"}, "version 2 accepted"},
+		{"set -operator ada", []string{"/museums", "quota", "200"}, "version 3 accepted"},
+		{"set -operator ada", []string{"/museums/loans", "objective-time", "800ms"}, "version 4 accepted"},
+		{"set -operator ada", []string{"/vms/t7", "state", "draining"}, "version 5 accepted"},
+		{"set -operator ada", []string{"/museums", "quota", "200"}, "version 5 holds this already"},
+		{"get", []string{"/museums/loans", "quota"}, "200"},
+		{"explain", []string{"/museums/loans", "quota"}, "in force     200              from team /museums"},
+		{"rollback -operator ada", []string{"4"}, "version 6 accepted"},
+		{"diff", []string{"5"}, "remove /vms/t7"},
+		{"diff", []string{"2", "3"}, "set /museums quota = 200"},
+		{"history -n 1", nil, "rollback to version 4"},
+		{"history", nil, "set /museums/loans objective-time = 800ms"},
+		{"get -version 5", nil, "[/vms/t7]\nstate = draining"},
+	}
+	for _, step := range steps {
+		if out := d.must(step.name, step.args...); !strings.Contains(out, step.want) {
+			t.Errorf("%s %v: %q; want %q", step.name, step.args, out, step.want)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	d := newDesk(t)
+	d.must("set -operator ada", "/depot", "quota", "5")
+	d.must("set -operator ada", "/depot", "quota", "6")
+	tests := map[string]struct {
+		name string
+		args []string
+		code int
+		want []string
+	}{
+		"conflict":     {"set -operator bob -base 1", []string{"/depot", "quota", "7"}, fbcommand.ExitConflict, []string{"yours is 7", "theirs is 6", "by ada"}},
+		"out of range": {"set -operator bob", []string{"/depot", "quota", "-7"}, fbcommand.ExitError, []string{"/depot quota", `"-7"`, "0 to 1000000"}},
+		"no operator":  {"set", []string{"/depot", "quota", "7"}, fbcommand.ExitError, []string{"operator"}},
+		"bad path":     {"set -operator bob", []string{"/a/b/c/d", "quota", "7"}, fbcommand.ExitError, []string{"/a/b/c/d"}},
+		"no value":     {"set -operator bob", []string{"/depot", "quota"}, fbcommand.ExitError, []string{"needs 3 arguments"}},
+		"no version":   {"rollback -operator bob", []string{"9"}, fbcommand.ExitError, []string{"1 to 2"}},
+		"no node":      {"get", []string{"/nobody"}, fbcommand.ExitError, []string{"/nobody"}},
+		"no key":       {"explain", []string{"/depot", "speed"}, fbcommand.ExitError, []string{"no such key"}},
+		"no command":   {"sett", nil, fbcommand.ExitError, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			code, out, errOut := d.run("", tt.name, tt.args...)
+			if code != tt.code {
+				t.Errorf("exit code %d, want %d: %s%s", code, tt.code, out, errOut)
+			}
+			for _, want := range tt.want {
+				if !strings.Contains(errOut, want) {
+					t.Errorf("%q lacks %q", errOut, want)
+				}
+			}
+		})
+	}
+	if out := d.must("get", "/depot", "quota"); out != "6\n" {
+		t.Errorf("quota %s", out)
+	}
+}
+
+func TestConflictAsJSON(t *testing.T) {
+	d := newDesk(t)
+	d.must("set -operator ada", "/depot", "quota", "5")
+	d.must("set -operator ada", "/depot", "quota", "6")
+	_, out, _ := d.run("", "set -json -operator bob -base 1", "/depot", "quota", "7")
+	var got struct {
+		Error     string
+		Conflicts []struct{ Path, Key, Yours, Theirs, Who string }
+	}
+	if err := json.Unmarshal([]byte(out), &got); err != nil {
+		t.Fatal(err)
+	}
+	want := []struct{ Path, Key, Yours, Theirs, Who string }{{"/depot", "quota", "7", "6", "ada"}}
+	if diff := cmp.Diff(want, got.Conflicts); got.Error != "conflict" || diff != "" {
+		t.Error(got.Error, diff)
+	}
+}
+
+func TestApplyKeepsOthersChanges(t *testing.T) {
+	d := newDesk(t)
+	d.must("set -operator ada", "/depot", "quota", "5")
+	text := strings.Replace(d.must("get"), "quota = 5", "quota = 8", 1)
+	file := filepath.Join(t.TempDir(), "tree.ini")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d.must("set -operator bob", "/atlas", "quota", "3")
+	d.must("apply -operator ada", file)
+	got := d.must("get", "/depot", "quota") + d.must("get", "/atlas", "quota")
+	if got != "8\n3\n" {
+		t.Errorf("quotas %q", got)
+	}
+	if code, _, errOut := d.run("[/]\nquota = x\n[/a]\nlease = 1s\n", "apply -operator ada", "-"); code != fbcommand.ExitError ||
+		!strings.Contains(errOut, "line 2") || !strings.Contains(errOut, "line 4") {
+		t.Errorf("exit code %d: %s", code, errOut)
+	}
+}
+
+func TestEditIsOneVersion(t *testing.T) {
+	d := newDesk(t)
+	d.must("set -operator ada", "/depot", "quota", "5")
+	in := "# autumn\nadd /new\nset /new quota 4\n\nunset /depot quota\n"
+	if code, out, errOut := d.run(in, "edit -operator ada"); code != 0 || !strings.Contains(out, "version 2 accepted") {
+		t.Errorf("exit code %d: %s%s", code, out, errOut)
+	}
+	if code, _, errOut := d.run("add /other\nset /other quota x\n", "edit -operator ada"); code != fbcommand.ExitError {
+		t.Errorf("exit code %d: %s", code, errOut)
+	}
+	if out := d.must("get"); strings.Contains(out, "/other") || !strings.Contains(out, "[/new]\nquota = 4") {
+		t.Errorf("tree %s", out)
+	}
+}
+
+func TestUnknownOutcomeIsRepeated(t *testing.T) {
+	d := newDesk(t)
+	d.must("set -operator ada", "/depot", "quota", "5")
+	d.cut.Store(cutAfterCommit)
+	code, out, errOut := d.run("", "set -json -operator ada", "/depot", "quota", "6")
+	var got struct{ Error, Request string }
+	if err := json.Unmarshal([]byte(out), &got); err != nil || code != fbcommand.ExitUnknown || got.Error != "unknown" {
+		t.Fatalf("exit code %d: %s%s", code, out, errOut)
+	}
+	d.cut.Store(cutNothing)
+	d.must("set -operator bob", "/depot", "quota", "7")
+	if out := d.must("set -operator ada -retry "+got.Request, "/depot", "quota", "6"); out != "version 2 accepted\n" {
+		t.Errorf("repeated: %s", out)
+	}
+	if out := d.must("get", "/depot", "quota"); out != "7\n" {
+		t.Errorf("quota %s", out)
+	}
+}
+
+func TestKeys(t *testing.T) {
+	d := newDesk(t)
+	key := strings.TrimSpace(d.must("keys add -operator ada", "depot"))
+	second := strings.TrimSpace(d.must("keys add -operator ada", "depot"))
+	tree := d.must("get")
+	for _, k := range []string{key, second} {
+		if strings.Contains(tree, k) || !strings.Contains(tree, fbtree.Hash(k)) {
+			t.Errorf("the tree holds the key itself or not its hash:\n%s", tree)
+		}
+	}
+	d.must("keys remove -operator ada", "depot", fbtree.Hash(key)[:8])
+	if out := d.must("keys list"); out != "/depot  "+fbtree.Hash(second)+"\n" {
+		t.Errorf("keys %q", out)
+	}
+	if out := d.must("history"); strings.Contains(out, fbtree.Hash(key)) {
+		t.Errorf("the history shows a hash: %s", out)
+	}
+
+	operator := strings.TrimSpace(d.must("keys add-operator -operator ada", "ada"))
+	if code, _, errOut := d.run("", "set -operator ada", "/depot", "quota", "1"); code != fbcommand.ExitError {
+		t.Errorf("without a key: exit code %d: %s", code, errOut)
+	}
+	t.Setenv("FILBERTFORD_OPERATOR_KEY", operator)
+	d.must("set -operator ada", "/depot", "quota", "1")
+	if code, _, errOut := d.run("", "set -operator bob", "/depot", "quota", "2"); code != fbcommand.ExitError {
+		t.Errorf("with another operator's key: exit code %d: %s", code, errOut)
+	}
+	d.must("keys remove-operator -operator ada", "ada")
+}
+
+func TestSettingsStatus(t *testing.T) {
+	d := newDesk(t)
+	d.must("set -operator ada", "/depot", "quota", "5")
+	d.must("set -operator ada", "/depot", "quota", "6")
+	daemon := func(reply string) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, reply) }))
+		t.Cleanup(server.Close)
+		return server.URL
+	}
+	current := daemon(`{"vm":"e1","data_centre":"casa","version":2}`)
+	behind := daemon(`{"vm":"e2","version":1,"reason":"the table service can't be read"}`)
+	gone := "http://127.0.0.1:1"
+	if out := d.must("status", "-operations", current); !strings.Contains(out, "yes") {
+		t.Errorf("status %s", out)
+	}
+	code, out, _ := d.run("", "status", "-operations", fmt.Sprint(current, ",", behind, ",", gone))
+	if code != fbcommand.ExitError || !strings.Contains(out, "can't be read") || !strings.Contains(out, "refused") {
+		t.Errorf("exit code %d, status %s", code, out)
+	}
+}
