Tests with real processes; VM list from peers; not ready before settings

Cause: nothing ran kills, freezes, cuts and outages against the processes. Ruled out: readiness alone as the remedy, since callers may not look at it. Change: ListVMs among daemons, asked only by a daemon that has no list; FB4012 with when to come back, and no token, until settings and list are there.

--- /dev/null
+++ b/cmd/filbertfordd/fleet_test.go
@@ -0,0 +1,322 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/filbertford/filbertford/fbclient"
+)
+
+// binaries is the folder of the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "filbertford")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	args := append([]string{"build", "-o", dir}, raceFlags...)
+	build := exec.Command("go", append(args, "../filbertfordd", "../fbstandin")...)
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
+		os.Exit(exitFailed)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// Ports on the loopback address of a fleet.
+const (
+	platformPort = 20000
+	daemonPort   = 20100 // three for each daemon
+	targetPort   = 20200
+)
+
+// settled is the time within which anything that is going to happen has.
+const settled = 60 * time.Second
+
+// lastHost numbers the loopback addresses that fleets use.
+var lastHost struct {
+	sync.Mutex
+	n int
+}
+
+// fleet is a set of processes: the stand-ins and some entry daemons.
+type fleet struct {
+	t       *testing.T
+	host    string
+	targets int
+	daemons []*process
+	centres []string
+}
+
+// process is a program that the test started.
+type process struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+	port int
+}
+
+// newFleet starts the stand-ins with the targets and a daemon in each of the
+// named data centres.
+func newFleet(t *testing.T, targets int, centres ...string) *fleet {
+	t.Helper()
+	lastHost.Lock()
+	lastHost.n++
+	host := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255, lastHost.n)
+	lastHost.Unlock()
+	f := &fleet{t: t, host: host, targets: targets, centres: centres}
+	var entries []string
+	for i, dc := range centres {
+		entries = append(entries, fmt.Sprintf("%s=%s:%d", dc, host, daemonPort+3*i+1))
+	}
+	f.run("fbstandin",
+		"-platform", f.address(platformPort), "-target-base", f.address(targetPort),
+		"-targets", strconv.Itoa(targets), "-centres", strings.Join(distinct(centres), ","),
+		"-entries", strings.Join(entries, ","), "-vm-lag", "50ms")
+	f.await("the stand-ins", func() bool { return f.get(platformPort, "/counters", nil) == nil })
+	for i := range centres {
+		f.daemons = append(f.daemons, nil)
+		f.boot(i)
+	}
+	for i := range centres {
+		f.awaitReady(i)
+	}
+	return f
+}
+
+// boot starts the daemon of the number, again if it has ended.
+func (f *fleet) boot(i int, overrides ...string) {
+	port := daemonPort + 3*i
+	args := []string{
+		"-set", "daemon.vm=entry-" + strconv.Itoa(i+1),
+		"-set", "daemon.data-centre=" + f.centres[i],
+		"-set", "daemon.data-centres=" + strings.Join(distinct(f.centres), ","),
+		"-set", "daemon.platform=" + f.address(platformPort),
+		"-set", "daemon.callers=" + f.address(port),
+		"-set", "daemon.peers=" + f.address(port+1),
+		"-set", "daemon.operations=" + f.address(port+2),
+		"-set", "membership.heartbeat=100ms", "-set", "membership.timeout=1s",
+		"-set", "membership.vm-poll=100ms", "-set", "stop.grace=200ms",
+	}
+	for _, o := range overrides {
+		args = append(args, "-set", o)
+	}
+	f.daemons[i] = f.run("filbertfordd", args...)
+	f.daemons[i].port = port
+}
+
+// run starts a program that is killed at the end of the test.
+func (f *fleet) run(name string, args ...string) *process {
+	f.t.Helper()
+	log, err := os.Create(filepath.Join(f.t.TempDir(), name+".log"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p := &process{t: f.t, cmd: exec.Command(filepath.Join(binaries, name), args...), log: log, done: make(chan struct{})}
+	p.cmd.Stderr = log
+	if err := p.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	group.Go(func() error {
+		defer close(p.done)
+		_ = p.cmd.Wait()
+		return nil
+	})
+	f.t.Cleanup(p.finish)
+	return p
+}
+
+// finish ends the program and fails the test if it logged a broken invariant
+// or a data race.
+func (p *process) finish() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	text, _ := os.ReadFile(p.log.Name())
+	for _, bad := range []string{"FE1007", "FE1008", "DATA RACE", "panic:"} {
+		if bytes.Contains(text, []byte(bad)) {
+			p.t.Errorf("%s logged %s:\n%s", p.cmd.Path, bad, text)
+		}
+	}
+	if p.t.Failed() {
+		p.t.Logf("%v:\n%s", p.cmd.Args, text)
+	}
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// exitCode waits for the program's end.
+func (p *process) exitCode() int {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(settled):
+		p.t.Fatalf("%s did not end", p.cmd.Path)
+		return 0
+	}
+}
+
+// kill ends the program at once, as kill -9 does.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (f *fleet) address(port int) string { return f.host + ":" + strconv.Itoa(port) }
+
+// endpoint returns the URL of a daemon's callers' listener.
+func (f *fleet) endpoint(i int) string { return "http://" + f.address(daemonPort+3*i) }
+
+// client returns a client of the daemons of the numbers.
+func (f *fleet) client(numbers ...int) *fbclient.Client {
+	f.t.Helper()
+	var endpoints []string
+	for _, i := range numbers {
+		endpoints = append(endpoints, f.endpoint(i))
+	}
+	c, err := fbclient.New(endpoints)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(c.Close)
+	return c
+}
+
+// get reads a JSON reply into the value, nil for none.
+func (f *fleet) get(port int, path string, into any) error {
+	resp, err := http.Get("http://" + f.address(port) + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", path, resp.Status)
+	}
+	if into == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		return err
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// fault sets the faults of a stand-in.
+func (f *fleet) fault(port int, kind, body string) {
+	f.t.Helper()
+	resp, err := http.Post("http://"+f.address(port)+"/faults/"+kind, "application/json", strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		f.t.Fatalf("fault %s: %s", body, resp.Status)
+	}
+}
+
+// targetCounters are what a stand-in target counts.
+type targetCounters struct {
+	Starts   int            `json:"starts"`
+	Repeats  int            `json:"repeats"`
+	Refusals int            `json:"refusals"`
+	Renewals int            `json:"renewals"`
+	Running  int            `json:"running"`
+	Works    map[string]int `json:"works"`
+}
+
+// counted adds the counters of all targets up.
+func (f *fleet) counted() targetCounters {
+	f.t.Helper()
+	sum := targetCounters{Works: make(map[string]int)}
+	for i := range f.targets {
+		var c targetCounters
+		if err := f.get(targetPort+i, "/counters", &c); err != nil {
+			f.t.Fatal(err)
+		}
+		sum.Starts += c.Starts
+		sum.Repeats += c.Repeats
+		sum.Refusals += c.Refusals
+		sum.Renewals += c.Renewals
+		sum.Running += c.Running
+		for work, n := range c.Works {
+			sum.Works[work] += n
+		}
+	}
+	return sum
+}
+
+// checkOnce fails the test if any work was started twice.
+func (f *fleet) checkOnce() {
+	f.t.Helper()
+	c := f.counted()
+	if c.Repeats > 0 {
+		f.t.Errorf("%d start IDs came twice", c.Repeats)
+	}
+	for work, n := range c.Works {
+		if n > 1 {
+			f.t.Errorf("work %q was started %d times", work, n)
+		}
+	}
+}
+
+func (f *fleet) awaitReady(i int) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("daemon %d", i), func() bool { return f.get(daemonPort+3*i, "/readyz", nil) == nil })
+}
+
+// awaitPeers waits until a daemon hears the given number of others.
+func (f *fleet) awaitPeers(i, others int) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("%d peers of daemon %d", others, i), func() bool {
+		var vms []struct {
+			State string `json:"state"`
+		}
+		if err := f.get(daemonPort+3*i+2, "/v1/vms", &vms); err != nil {
+			return false
+		}
+		live := 0
+		for _, vm := range vms {
+			if vm.State == "live" {
+				live++
+			}
+		}
+		return live == others
+	})
+}
+
+// await polls a condition until it holds.
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(settled); !holds(); {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: not within %v", what, settled)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func distinct(names []string) []string {
+	var out []string
+	seen := make(map[string]bool)
+	for _, n := range names {
+		if !seen[n] {
+			seen[n] = true
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/cmd/filbertfordd/main.go
+++ b/cmd/filbertfordd/main.go
@@ -68,7 +68,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := serve(ctx, cfg, logger); err != nil {
-		fbevent.DaemonFailed.Log(logger, "error", err)
+		fbevent.DaemonFailed.Log(logger, "error", err.Error())
 		return exitFailed
 	}
 	fbevent.DaemonStopped.Log(logger)
--- a/fbdaemon/control.go
+++ b/fbdaemon/control.go
@@ -67,7 +67,8 @@
 // publish makes what traffic goroutines read without asking.
 func (c *control) publish(now time.Time) {
 	token := c.core.Token(now)
-	if token.IsZero() {
+	booted := c.d.haveSettings.Load() && c.d.haveVMs.Load()
+	if token.IsZero() || !booted {
 		c.d.token.Store(nil)
 		return
 	}
--- a/fbdaemon/member.go
+++ b/fbdaemon/member.go
@@ -19,12 +19,33 @@
 	vms, err := d.vmList.VMs(ask)
 	if err != nil {
 		d.platformState(false, err)
+		if !d.haveVMs.Load() {
+			d.borrowVMs(ctx)
+		}
 		return
 	}
 	d.platformState(true, nil)
 	_ = d.send(ctx, vmsRead{vms})
 }
 
+// borrowVMs takes the platform's list from another daemon, for a boot while the
+// platform is out.
+func (d *Daemon) borrowVMs(ctx context.Context) {
+	var members []fbmember.Member
+	err := d.inquire(ctx, func(c *control, now time.Time) { members = c.dir.Reachable(now) })
+	if err != nil {
+		return
+	}
+	ask, cancel := context.WithTimeout(ctx, d.requestTimeout)
+	defer cancel()
+	for _, m := range members {
+		if vms, err := d.peers.VMs(ask, m.Address()); err == nil && len(vms) > 0 {
+			_ = d.send(ctx, vmsRead{vms})
+			return
+		}
+	}
+}
+
 // platformState logs when the platform comes and goes.
 func (d *Daemon) platformState(up bool, err error) {
 	if d.platformUp.Swap(up) == up {
@@ -34,7 +55,7 @@
 		fbevent.PlatformBack.Log(d.log)
 		return
 	}
-	fbevent.PlatformLost.Log(d.log, "error", err)
+	fbevent.PlatformLost.Log(d.log, "error", err.Error())
 }
 
 // vmsRead brings the platform's list to the control goroutine.
--- a/fbdaemon/service.go
+++ b/fbdaemon/service.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// VMs returns the platform's list as this daemon last read it.
+func (s peerService) VMs(ctx context.Context) ([]filbertford.VM, error) {
+	var out []filbertford.VM
+	err := s.d.inquire(ctx, func(c *control, _ time.Time) { out = c.vms })
+	return out, err
+}
+
 // Inherit takes a part of the table of a daemon that stops.
 func (s peerService) Inherit(ctx context.Context, p fbcore.Part) error {
 	return s.d.inquire(ctx, func(c *control, now time.Time) {
--- a/fbdaemon/submit.go
+++ b/fbdaemon/submit.go
@@ -68,6 +68,10 @@
 // prepare checks a job against the settings and fills in its timeout.
 func (d *Daemon) prepare(j filbertford.Job) (filbertford.Job, filbertford.Rules, *filbertford.Answer) {
 	settings := d.settings.Load()
+	if !d.haveSettings.Load() {
+		a := filbertford.NewRefusal(filbertford.CodeNotReady, "").WithRetryAfter(busyRetry)
+		return filbertford.Job{}, filbertford.Rules{}, &a
+	}
 	rules, ok := settings.Rules(j.Team(), j.Service(), j.Kind())
 	if !ok {
 		return refused(filbertford.CodeUnknownService, fmt.Sprintf("team %q, service %q, kind %q", j.Team(), j.Service(), j.Kind()))
--- a/fbdaemon/view.go
+++ b/fbdaemon/view.go
@@ -55,7 +55,7 @@
 			}
 			actions, err := v.RowRead(now, a.Asked, rows[0])
 			if err != nil {
-				fbevent.ViewRowRefused.Log(d.log, "error", err)
+				fbevent.ViewRowRefused.Log(d.log, "error", err.Error())
 			}
 			return actions
 		}))
--- a/fbpeer/client.go
+++ b/fbpeer/client.go
@@ -163,6 +163,19 @@
 	return stateFromWire(reply.GetReceiver()), nil
 }
 
+// VMs returns the platform's list as the daemon at the address last read it.
+func (c *Client) VMs(ctx context.Context, address string) ([]filbertford.VM, error) {
+	reply, err := call(ctx, c, address, &fbwire.ListVMsRequest{}, fbwire.DRPCPeerClient.ListVMs)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]filbertford.VM, len(reply.GetVms()))
+	for i, w := range reply.GetVms() {
+		out[i] = vmFromWire(w)
+	}
+	return out, nil
+}
+
 // Inherit hands a part of a table to an heir.
 func (c *Client) Inherit(ctx context.Context, address string, p fbcore.Part) error {
 	reply, err := call(ctx, c, address, partToWire(p), fbwire.DRPCPeerClient.Inherit)
--- a/fbpeer/convert.go
+++ b/fbpeer/convert.go
@@ -139,4 +139,27 @@
 	)
 }
 
+func vmToWire(v filbertford.VM) *fbwire.VM {
+	return &fbwire.VM{
+		Id:         string(v.ID()),
+		Role:       string(v.Role()),
+		State:      string(v.State()),
+		DataCentre: string(v.DataCentre()),
+		Address:    v.Address(),
+		Rack:       v.Rack(),
+		Slots:      int64(v.Slots()),
+		Conns:      int64(v.Conns()),
+		Services:   v.Services(),
+	}
+}
+
+func vmFromWire(w *fbwire.VM) filbertford.VM {
+	dc := filbertford.DataCentre(w.GetDataCentre())
+	return filbertford.NewVM(filbertford.VMID(w.GetId()), filbertford.Role(w.GetRole()), dc, w.GetAddress()).
+		WithState(filbertford.VMState(w.GetState())).
+		WithRack(w.GetRack()).
+		WithCapacity(int(w.GetSlots()), int(w.GetConns())).
+		WithServices(w.GetServices()...)
+}
+
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/fbpeer/server.go
+++ b/fbpeer/server.go
@@ -29,6 +29,8 @@
 type Member interface {
 	// Heartbeat takes the sender's state and returns the daemon's own.
 	Heartbeat(ctx context.Context, s fbmember.State) (fbmember.State, error)
+	// VMs returns the platform's list as the daemon last read it.
+	VMs(ctx context.Context) ([]filbertford.VM, error)
 	// Inherit takes a part of the table of a daemon that stops.
 	Inherit(ctx context.Context, p fbcore.Part) error
 	// ConfirmView replies to a question about the view of opaque keys.
@@ -107,6 +109,19 @@
 	return &fbwire.HeartbeatReply{Receiver: stateToWire(state)}, nil
 }
 
+// ListVMs implements fbwire.DRPCPeerServer.
+func (s *Server) ListVMs(ctx context.Context, _ *fbwire.ListVMsRequest) (*fbwire.ListVMsReply, error) {
+	vms, err := s.member.VMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	reply := &fbwire.ListVMsReply{Vms: make([]*fbwire.VM, len(vms))}
+	for i, v := range vms {
+		reply.Vms[i] = vmToWire(v)
+	}
+	return reply, nil
+}
+
 // Inherit implements fbwire.DRPCPeerServer.
 func (s *Server) Inherit(ctx context.Context, r *fbwire.InheritRequest) (*fbwire.InheritReply, error) {
 	err := s.member.Inherit(ctx, partFromWire(r))
