Stand-ins: tests of leases, lag, freeze and faults; fbplatform: Settle

Cause: the stand-ins decide what other tests see, and the clients of the platform must call everything but a clear answer unavailable.

Found by the tests: the stand-in took "a/b" and "a%2Fb" for one object, as echo's path parameter is escaped in some paths only; it now takes the decoded path. A sleeping request kept the server from ending; a delay now ends when the faults change or the platform closes.

Settle tells what became of a commit that gave ErrUnavailable. A row still at the checked version is "open", not "not applied": a test has a write take effect after its sender gave up.

--- a/cmd/fbstandin/main.go
+++ b/cmd/fbstandin/main.go
@@ -24,7 +24,7 @@
 	case errors.Is(err, flag.ErrHelp):
 		os.Exit(2)
 	default:
-		fbevent.StandInFailed.Log(logger, "err", err)
+		fbevent.StandInFailed.Log(logger, "err", err.Error())
 		os.Exit(1)
 	}
 }
--- a/cmd/fbstandin/server.go
+++ b/cmd/fbstandin/server.go
@@ -37,7 +37,7 @@
 		p := fbstand.NewPlatform(o.lag)
 		p.Seed(vms...)
 		p.Seed(entryVMs(o.entries)...)
-		s, err := listen("platform", o.platform, p.Handler(), func() {})
+		s, err := listen("platform", o.platform, p.Handler(), p.Close)
 		if err != nil {
 			return nil, err
 		}
--- a/fbplatform/client_test.go
+++ b/fbplatform/client_test.go
@@ -1,17 +1,44 @@
 package fbplatform_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
+	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbplatform"
 	"github.com/filbertford/filbertford/fbstand"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newPlatform(t *testing.T, timeout time.Duration) (*fbstand.Platform, *fbplatform.Client) {
+	t.Helper()
+	platform := fbstand.NewPlatform(0)
+	client := newClient(t, platform.Handler(), timeout)
+	// This runs before the server's end, which waits for delayed requests.
+	t.Cleanup(platform.Close)
+	return platform, client
+}
+
+func newClient(t *testing.T, h http.Handler, timeout time.Duration) *fbplatform.Client {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	client := fbplatform.NewClient(server.Listener.Addr().String(), timeout)
+	t.Cleanup(client.Close)
+	return client
+}
+
 func ExampleClient_Commit() {
 	server := httptest.NewServer(fbstand.NewPlatform(0).Handler())
 	defer server.Close()
@@ -28,3 +55,239 @@
 	// true
 	// first 1 0 <nil>
 }
+
+func ExampleSettle() {
+	platform := fbstand.NewPlatform(0)
+	server := httptest.NewServer(platform.Handler())
+	defer server.Close()
+	client := fbplatform.NewClient(server.Listener.Addr().String(), time.Second)
+	defer client.Close()
+	ctx := context.Background()
+	write := filbertford.NewWrite("view", []byte("by daemon 7"), 0)
+	platform.SetFaults(fbstand.PlatformFaults{}.WithLostReplies())
+	err := client.Commit(ctx, write)
+	fmt.Println(errors.Is(err, filbertford.ErrUnavailable))
+	platform.SetFaults(fbstand.PlatformFaults{})
+	fmt.Println(fbplatform.Settle(ctx, client, write))
+	// Output:
+	// true
+	// applied <nil>
+}
+
+func TestCommitIsAtomic(t *testing.T) {
+	_, client := newPlatform(t, time.Second)
+	ctx := t.Context()
+	if err := client.Commit(ctx, filbertford.NewWrite("a", []byte("1"), 0)); err != nil {
+		t.Fatal(err)
+	}
+	err := client.Commit(ctx, filbertford.NewWrite("b", []byte("2"), 0), filbertford.NewWrite("a", []byte("2"), 0))
+	if !errors.Is(err, filbertford.ErrConflict) {
+		t.Errorf("commit with an old version: %v", err)
+	}
+	rows, err := client.Read(ctx, "b", "a")
+	if err != nil || rows[0].Version() != 0 || string(rows[1].Value()) != "1" {
+		t.Errorf("rows %v, %v", rows, err)
+	}
+}
+
+func TestObjects(t *testing.T) {
+	_, client := newPlatform(t, time.Second)
+	for _, key := range []string{"plain", "a/b", "a%2Fb", "räksmörgås ?#"} {
+		if _, err := client.Object(t.Context(), key); !errors.Is(err, filbertford.ErrNotFound) {
+			t.Errorf("object %q before it was put: %v", key, err)
+		}
+		if err := client.Put(t.Context(), key, []byte(key)); err != nil {
+			t.Error(err)
+		}
+		got, err := client.Object(t.Context(), key)
+		if diff := cmp.Diff(key, string(got)); diff != "" || err != nil {
+			t.Error(diff, err)
+		}
+	}
+	err := client.Put(t.Context(), "big", make([]byte, fbplatform.MaxBody+1))
+	if err == nil || errors.Is(err, filbertford.ErrUnavailable) {
+		t.Errorf("an object over the limit: %v", err)
+	}
+}
+
+func TestVMs(t *testing.T) {
+	platform, client := newPlatform(t, time.Second)
+	want := filbertford.NewVM("t1", filbertford.RoleTarget, "nordnes", "127.0.0.1:1").
+		WithState(filbertford.VMLeaving).WithRack("r1").WithCapacity(8, 64).WithServices("ordering")
+	platform.PutVM(want)
+	got, err := client.VMs(t.Context())
+	if diff := cmp.Diff([]filbertford.VM{want}, got, cmp.AllowUnexported(filbertford.VM{})); diff != "" || err != nil {
+		t.Error(diff, err)
+	}
+	platform.RemoveVM("t1")
+	if got, err := client.VMs(t.Context()); len(got) != 0 || err != nil {
+		t.Errorf("list %v, %v after the removal", got, err)
+	}
+}
+
+// calls are all requests of a client.
+var calls = map[string]func(context.Context, *fbplatform.Client) error{
+	"read": func(ctx context.Context, c *fbplatform.Client) error {
+		_, err := c.Read(ctx, "a")
+		return err
+	},
+	"commit": func(ctx context.Context, c *fbplatform.Client) error {
+		return c.Commit(ctx, filbertford.NewWrite("a", []byte("1"), 0))
+	},
+	"put": func(ctx context.Context, c *fbplatform.Client) error {
+		return c.Put(ctx, "a", []byte("1"))
+	},
+	"object": func(ctx context.Context, c *fbplatform.Client) error {
+		_, err := c.Object(ctx, "a")
+		return err
+	},
+	"vms": func(ctx context.Context, c *fbplatform.Client) error {
+		_, err := c.VMs(ctx)
+		return err
+	},
+}
+
+func TestFaultsAreUnavailable(t *testing.T) {
+	tests := map[string]fbstand.PlatformFaults{
+		"down":         fbstand.PlatformFaults{}.WithDown(),
+		"slow":         fbstand.PlatformFaults{}.WithSlow(time.Hour),
+		"lost replies": fbstand.PlatformFaults{}.WithLostReplies(),
+	}
+	for name, faults := range tests {
+		for call, do := range calls {
+			t.Run(name+" at "+call, func(t *testing.T) {
+				platform, client := newPlatform(t, 50*time.Millisecond)
+				platform.SetFaults(faults)
+				if err := do(t.Context(), client); !errors.Is(err, filbertford.ErrUnavailable) {
+					t.Errorf("error %v, want unavailable", err)
+				}
+			})
+		}
+	}
+}
+
+func TestUnclearRepliesAreUnavailable(t *testing.T) {
+	says := func(status int, body []byte) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write(body)
+		})
+	}
+	tests := map[string]http.Handler{
+		"unexpected status": says(http.StatusTeapot, []byte(`{}`)),
+		"redirect":          http.RedirectHandler("/vms", http.StatusTemporaryRedirect),
+		"overlong":          says(http.StatusConflict, bytes.Repeat([]byte(" "), fbplatform.MaxBody+1)),
+		"switch": http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = conn.Write([]byte("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"))
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+		}),
+	}
+	for name, h := range tests {
+		for call, do := range calls {
+			t.Run(name+" at "+call, func(t *testing.T) {
+				client := newClient(t, h, time.Minute)
+				if err := do(t.Context(), client); !errors.Is(err, filbertford.ErrUnavailable) {
+					t.Errorf("error %v, want unavailable", err)
+				}
+			})
+		}
+	}
+}
+
+func TestMalformedRepliesAreUnavailable(t *testing.T) {
+	tests := map[string]struct {
+		call string
+		body string
+	}{
+		"no JSON":         {call: "read", body: `{`},
+		"no row":          {call: "read", body: `{"rows": []}`},
+		"another row":     {call: "read", body: `{"rows": [{"key": "b", "version": 1}]}`},
+		"no list":         {call: "vms", body: `{}`},
+		"twice":           {call: "vms", body: `{"vms": [` + goodVM + `,` + goodVM + `]}`},
+		"no address":      {call: "vms", body: `{"vms": [{"id": "t1", "role": "target", "state": "live"}]}`},
+		"unknown role":    {call: "vms", body: `{"vms": [{"id": "t1", "role": "x", "state": "live", "address": "h:1"}]}`},
+		"unknown state":   {call: "vms", body: `{"vms": [{"id": "t1", "role": "entry", "state": "x", "address": "h:1"}]}`},
+		"negative slots":  {call: "vms", body: `{"vms": [{"id": "t1", "role": "entry", "state": "live", "address": "h:1", "slots": -1}]}`},
+		"too many conns":  {call: "vms", body: `{"vms": [{"id": "t1", "role": "entry", "state": "live", "address": "h:1", "conns": 70000}]}`},
+		"string for slot": {call: "vms", body: `{"vms": [{"id": "t1", "slots": "8"}]}`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(tt.body))
+			}), time.Second)
+			if err := calls[tt.call](t.Context(), client); !errors.Is(err, filbertford.ErrUnavailable) {
+				t.Errorf("error %v, want unavailable", err)
+			}
+		})
+	}
+}
+
+const goodVM = `{"id": "t1", "role": "target", "state": "live", "address": "127.0.0.1:1"}`
+
+func TestSettle(t *testing.T) {
+	const mine, other = "mine", "other"
+	tests := map[string]struct {
+		before []string
+		after  []string
+		want   fbplatform.Settlement
+	}{
+		"no write":               {want: fbplatform.SettledOpen},
+		"mine":                   {after: []string{mine}, want: fbplatform.SettledApplied},
+		"another":                {after: []string{other}, want: fbplatform.SettledLost},
+		"mine over a row":        {before: []string{other}, after: []string{mine}, want: fbplatform.SettledApplied},
+		"mine and another since": {after: []string{mine, other}, want: fbplatform.SettledUnknown},
+		"two others":             {after: []string{other, other}, want: fbplatform.SettledUnknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			platform, client := newPlatform(t, time.Second)
+			for i, v := range append(tt.before, tt.after...) {
+				if err := client.Commit(t.Context(), filbertford.NewWrite("a", []byte(v), uint64(i))); err != nil {
+					t.Fatal(err)
+				}
+			}
+			write := filbertford.NewWrite("a", []byte(mine), uint64(len(tt.before)))
+			got, err := fbplatform.Settle(t.Context(), client, filbertford.NewWrite("b", nil, 0), write)
+			if got != tt.want || err != nil {
+				t.Errorf("settled %q, %v, want %q", got, err, tt.want)
+			}
+			platform.SetFaults(fbstand.PlatformFaults{}.WithDown())
+			got, err = fbplatform.Settle(t.Context(), client, write)
+			if got != fbplatform.SettledUnknown || !errors.Is(err, filbertford.ErrUnavailable) {
+				t.Errorf("settled %q, %v while the platform is down", got, err)
+			}
+		})
+	}
+}
+
+// A write that its sender has given up on can still take effect, so that a row
+// at the checked version settles nothing.
+func TestCommitTakesEffectAfterItsSenderGaveUp(t *testing.T) {
+	platform, client := newPlatform(t, time.Hour)
+	platform.SetFaults(fbstand.PlatformFaults{}.WithSlow(time.Hour))
+	write := filbertford.NewWrite("a", []byte("mine"), 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return client.Commit(ctx, write) })
+	for platform.Counters().Delayed() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := g.Wait(); !errors.Is(err, filbertford.ErrUnavailable) {
+		t.Fatal(err)
+	}
+	platform.SetFaults(fbstand.PlatformFaults{})
+	for platform.Counters().Writes() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if got, err := fbplatform.Settle(t.Context(), client, write); got != fbplatform.SettledApplied || err != nil {
+		t.Errorf("settled %q, %v, want applied", got, err)
+	}
+	if err := client.Commit(t.Context(), write); !errors.Is(err, filbertford.ErrConflict) {
+		t.Errorf("the same write again: %v, want a conflict", err)
+	}
+}
--- a/fbstand/counters.go
+++ b/fbstand/counters.go
@@ -40,6 +40,7 @@
 	objectReads  int
 	objectWrites int
 	vmReads      int
+	delayed      int
 }
 
 // Reads returns how many reads the table service has answered.
@@ -60,6 +61,15 @@
 // VMReads returns how many times the VM list was asked for.
 func (c PlatformCounters) VMReads() int { return c.vmReads }
 
+// Delayed returns how many requests wait out a delay.
+func (c PlatformCounters) Delayed() int { return c.delayed }
+
+func (p *Platform) countDelayed(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters.delayed += n
+}
+
 func (t *Target) countStart(r startRequest) {
 	t.counters.starts++
 	if t.seen[r.ID] {
--- a/fbstand/platform.go
+++ b/fbstand/platform.go
@@ -13,10 +13,12 @@
 // Platform is a stand-in for the platform's table service, object store and VM
 // list.
 type Platform struct {
-	lag time.Duration
+	lag    time.Duration
+	closed chan struct{}
 
 	mu       sync.Mutex
 	faults   PlatformFaults
+	changed  chan struct{}
 	rows     map[string]filbertford.Row
 	objects  map[string][]byte
 	vms      map[filbertford.VMID]filbertford.VM
@@ -37,17 +39,22 @@
 func NewPlatform(lag time.Duration) *Platform {
 	return &Platform{
 		lag:     lag,
+		closed:  make(chan struct{}),
+		changed: make(chan struct{}),
 		rows:    make(map[string]filbertford.Row),
 		objects: make(map[string][]byte),
 		vms:     make(map[filbertford.VMID]filbertford.VM),
 	}
 }
 
-// SetFaults replaces the faults that the platform shows.
+// SetFaults replaces the faults that the platform shows. Requests that wait out
+// a delay take effect at once.
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
 // Counters returns what the platform has counted so far.
@@ -57,6 +64,10 @@
 	return p.counters
 }
 
+// Close breaks off the requests that wait out a delay. A platform is closed
+// once.
+func (p *Platform) Close() { close(p.closed) }
+
 // PutVM adds a VM to the list or replaces the one of its name.
 func (p *Platform) PutVM(vm filbertford.VM) {
 	p.changeVM(vmChange{due: time.Now().Add(p.lag), id: vm.ID(), vm: vm})
@@ -76,10 +87,27 @@
 	}
 }
 
-func (p *Platform) currentFaults() PlatformFaults {
+// delay waits as the faults of now demand. It returns them, and false if the
+// platform was closed meanwhile. It doesn't end with its request: a caller that
+// gives up can't call a write back.
+func (p *Platform) delay() (PlatformFaults, bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.faults
+	f, changed := p.faults, p.changed
+	p.mu.Unlock()
+	if f.slow <= 0 || f.down {
+		return f, true
+	}
+	p.countDelayed(1)
+	defer p.countDelayed(-1)
+	timer := time.NewTimer(f.slow)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-p.closed:
+		return f, false
+	}
+	return f, true
 }
 
 func (p *Platform) changeVM(c vmChange) {
--- a/fbstand/platform_http.go
+++ b/fbstand/platform_http.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -57,6 +58,7 @@
 	ObjectReads  int `json:"object_reads"`
 	ObjectWrites int `json:"object_writes"`
 	VMReads      int `json:"vm_reads"`
+	Delayed      int `json:"delayed"`
 }
 
 // Handler returns the handler of the platform's requests and fault switches.
@@ -77,13 +79,13 @@
 // faulty wraps a handler in the faults that the platform shows.
 func (p *Platform) faulty(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		f := p.currentFaults()
+		f, open := p.delay()
+		if !open {
+			return cutConnection(c, nil)
+		}
 		if f.down {
 			return echo.NewHTTPError(http.StatusServiceUnavailable, "down")
 		}
-		// A caller that gives up doesn't call its request back, so the delay
-		// doesn't end with the request's context.
-		time.Sleep(f.slow)
 		if !f.loseReplies {
 			return next(c)
 		}
@@ -131,18 +133,24 @@
 	if err != nil {
 		return err
 	}
-	p.putObject(c.Param("*"), data)
+	p.putObject(objectKey(c), data)
 	return c.NoContent(http.StatusNoContent)
 }
 
 func (p *Platform) handleObject(c echo.Context) error {
-	data, ok := p.object(c.Param("*"))
+	data, ok := p.object(objectKey(c))
 	if !ok {
 		return c.NoContent(http.StatusNotFound)
 	}
 	return c.Blob(http.StatusOK, echo.MIMEOctetStream, data)
 }
 
+// objectKey returns the key of the path, unescaped. The router's parameter
+// would be escaped in some paths only.
+func objectKey(c echo.Context) string {
+	return strings.TrimPrefix(c.Request().URL.Path, "/objects/")
+}
+
 func (p *Platform) handleVMs(c echo.Context) error {
 	reply := vmsReply{VMs: []vm{}}
 	for _, have := range p.shownVMs() {
@@ -190,6 +198,7 @@
 		ObjectReads:  n.objectReads,
 		ObjectWrites: n.objectWrites,
 		VMReads:      n.vmReads,
+		Delayed:      n.delayed,
 	})
 }
 
--- a/fbstand/target.go
+++ b/fbstand/target.go
@@ -90,7 +90,8 @@
 // closed once.
 func (t *Target) Close() { close(t.closed) }
 
-// thawed waits while the target is frozen and returns the faults to show.
+// thawed waits while the target is frozen and returns the faults to show. Once
+// the target is closed nothing starts any more.
 func (t *Target) thawed() TargetFaults {
 	for {
 		t.mu.Lock()
@@ -102,7 +103,7 @@
 		select {
 		case <-changed:
 		case <-t.closed:
-			return f
+			return f.WithCut(CutBefore)
 		}
 	}
 }
--- /dev/null
+++ b/fbstand/target_test.go
@@ -0,0 +1,175 @@
+package fbstand_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford/fbstand"
+)
+
+// reply is what the tests look at in a reply to a start.
+type reply struct {
+	ID     string `json:"id"`
+	Status string `json:"status"`
+	RanUS  int64  `json:"ran_us"`
+	Free   int    `json:"free"`
+}
+
+// post sends a request to a handler, without a socket.
+func post(h http.Handler, path, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+	return w
+}
+
+func start(t *testing.T, h http.Handler, body string) (int, reply) {
+	t.Helper()
+	w := post(h, "/v1/start", body)
+	var r reply
+	if err := json.Unmarshal(w.Body.Bytes(), &r); err != nil {
+		t.Errorf("%v in %q", err, w.Body)
+	}
+	return w.Code, r
+}
+
+func TestTargetRunTimes(t *testing.T) {
+	tests := map[string]struct {
+		speed  float64
+		faults fbstand.TargetFaults
+		body   string
+		want   reply
+	}{
+		"default":    {speed: 1, body: `{"id":"s","args":{},"lease_ms":1000}`, want: reply{ID: "s", Status: "done", RanUS: 5000, Free: 2}},
+		"declared":   {speed: 1, body: `{"id":"s","args":{"run_ms":70},"lease_ms":1000}`, want: reply{ID: "s", Status: "done", RanUS: 70_000, Free: 2}},
+		"slow":       {speed: 2, body: `{"id":"s","args":{"run_ms":70},"lease_ms":1000}`, want: reply{ID: "s", Status: "done", RanUS: 140_000, Free: 2}},
+		"slower":     {speed: 2, faults: fbstand.TargetFaults{}.WithSlowFactor(3), body: `{"id":"s","args":{"run_ms":70},"lease_ms":1000}`, want: reply{ID: "s", Status: "done", RanUS: 420_000, Free: 2}},
+		"lease lost": {speed: 1, body: `{"id":"s","args":{"run_ms":70},"lease_ms":50}`, want: reply{ID: "s", Status: "stopped", RanUS: 50_000, Free: 2}},
+		"fails":      {speed: 1, body: `{"id":"s","args":{"run_ms":70,"fail":true},"lease_ms":1000}`, want: reply{ID: "s", Status: "task-failed", RanUS: 70_000, Free: 2}},
+		"fails all":  {speed: 1, faults: fbstand.TargetFaults{}.WithFailAll(), body: `{"id":"s","args":{"run_ms":70},"lease_ms":1000}`, want: reply{ID: "s", Status: "task-failed", Free: 2}},
+		"leaving":    {speed: 1, faults: fbstand.TargetFaults{}.WithLeaving(), body: `{"id":"s","args":{},"lease_ms":1000}`, want: reply{ID: "s", Status: "leaving", Free: 2}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				target := fbstand.NewTarget("t1", 2, tt.speed)
+				target.SetFaults(tt.faults)
+				_, got := start(t, target.Handler(), tt.body)
+				if diff := cmp.Diff(tt.want, got); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+func TestTargetLeasesAreOfOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := fbstand.NewTarget("t1", 3, 1).Handler()
+		var g errgroup.Group
+		got := make([]reply, 2)
+		for i, body := range []string{
+			`{"id":"a","owner":"1","args":{"run_ms":90},"lease_ms":50}`,
+			`{"id":"b","owner":"2","args":{"run_ms":90},"lease_ms":50}`,
+		} {
+			g.Go(func() error {
+				_, got[i] = start(t, h, body)
+				return nil
+			})
+		}
+		time.Sleep(40 * time.Millisecond)
+		post(h, "/v1/renew", `{"owner":"2","lease_ms":60}`)
+		_ = g.Wait()
+		want := []reply{
+			{ID: "a", Status: "stopped", RanUS: 50_000, Free: 2},
+			{ID: "b", Status: "done", RanUS: 90_000, Free: 3},
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestTargetSlotsAndStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := fbstand.NewTarget("t1", 1, 1)
+		h := target.Handler()
+		var g errgroup.Group
+		var first reply
+		g.Go(func() error {
+			_, first = start(t, h, `{"id":"a","args":{"run_ms":1000,"work":"w"},"lease_ms":5000}`)
+			return nil
+		})
+		time.Sleep(time.Millisecond)
+		code, second := start(t, h, `{"id":"b","args":{"work":"w"},"lease_ms":5000}`)
+		if code != http.StatusServiceUnavailable || second.Status != "no-slot" || second.Free != 0 {
+			t.Errorf("%d %+v at a full target", code, second)
+		}
+		post(h, "/v1/stop", `{"ids":["a","b"]}`)
+		_ = g.Wait()
+		if first.Status != "stopped" || first.Free != 1 {
+			t.Errorf("stopped task ended %+v", first)
+		}
+		_, again := start(t, h, `{"id":"a","args":{"work":"w"},"lease_ms":5000}`)
+		if again.Status != "done" {
+			t.Errorf("repeated start ended %+v", again)
+		}
+		n := target.Counters()
+		if n.Starts() != 2 || n.Repeats() != 1 || n.Refusals() != 1 || n.Running() != 0 {
+			t.Errorf("counters %+v", n)
+		}
+		if diff := cmp.Diff(map[string]int{"w": 2}, n.Works()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestTargetFreezeHoldsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := fbstand.NewTarget("t1", 1, 1)
+		h := target.Handler()
+		post(h, "/faults/target", `{"freeze": true}`)
+		var g errgroup.Group
+		begun := time.Now()
+		g.Go(func() error {
+			start(t, h, `{"id":"a","args":{},"lease_ms":5000}`)
+			return nil
+		})
+		time.Sleep(time.Second)
+		if n := target.Counters().Starts(); n != 0 {
+			t.Errorf("%d starts at a frozen target", n)
+		}
+		post(h, "/faults/target", `{}`)
+		_ = g.Wait()
+		if got := time.Since(begun); got != time.Second+5*time.Millisecond {
+			t.Errorf("start took %v, want 1.005s", got)
+		}
+	})
+}
+
+func TestRequestsAreChecked(t *testing.T) {
+	target := fbstand.NewTarget("t1", 1, 1).Handler()
+	platform := fbstand.NewPlatform(0).Handler()
+	tests := map[string]struct {
+		handler    http.Handler
+		path, body string
+	}{
+		"no JSON":       {handler: target, path: "/v1/start", body: `{`},
+		"unknown cut":   {handler: target, path: "/faults/target", body: `{"cut": "later"}`},
+		"VM without id": {handler: platform, path: "/vms", body: `{"address": "127.0.0.1:1"}`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if w := post(tt.handler, tt.path, tt.body); w.Code != http.StatusBadRequest {
+				t.Errorf("status %d, want 400", w.Code)
+			}
+		})
+	}
+}
