fbcore keeps pools of targets with a free slot

Ruled out: sampling a few targets, which hides the fast ones from the policy. Change: one pool for each service, brought up to date target by target.

--- a/fbcore/core.go
+++ b/fbcore/core.go
@@ -56,6 +56,7 @@
 
 	targets   map[filbertford.TargetID]*target
 	targetIDs []filbertford.TargetID
+	pools     map[string]*pool
 	starts    map[filbertford.StartID]*start
 	waiting   *jobHeap
 	deadlines *jobHeap
@@ -73,7 +74,6 @@
 	lastRank  time.Time
 	lastDrop  time.Time
 	stopsDue  []*target
-	scratch   []filbertford.Candidate
 	actions   []Action
 	stats     Stats
 	startName string
@@ -105,6 +105,7 @@
 		heritages: make(map[filbertford.Incarnation]*heritage),
 		waiters:   make(map[Ref]*submission),
 		targets:   make(map[filbertford.TargetID]*target),
+		pools:     make(map[string]*pool),
 		starts:    make(map[filbertford.StartID]*start),
 		waiting:   newRankHeap(),
 		deadlines: newDeadlineHeap(),
@@ -151,7 +152,7 @@
 // Load returns what waits and runs and the slots at eligible targets for any
 // service.
 func (c *Core) Load() filbertford.Load {
-	return filbertford.NewLoad(c.waitingTasks, len(c.starts), c.slots(""), 0)
+	return filbertford.NewLoad(c.waitingTasks, len(c.starts), c.poolOf("").slots, 0)
 }
 
 // TeamBusy returns the number of waiting and running tasks of each team.
--- a/fbcore/job.go
+++ b/fbcore/job.go
@@ -145,7 +145,7 @@
 // startNext starts the next task of a job, and reports whether it did. A
 // service without any free slot is entered in full.
 func (c *Core) startNext(now time.Time, j *job, full map[string]bool) bool {
-	candidates := c.candidates(j.spec.Service())
+	candidates := c.poolOf(j.spec.Service()).candidates
 	if len(candidates) == 0 {
 		full[j.spec.Service()] = true
 		return false
@@ -175,6 +175,7 @@
 	j.running[s.id] = s
 	t.starts[s.id] = s
 	t.mine++
+	c.refresh(t)
 	c.starts[s.id] = s
 	c.waitingTasks--
 	args := j.spec.Tasks()[task].Args()
@@ -217,9 +218,11 @@
 		}
 	case filbertford.OutcomeLeaving:
 		t.leaving = true
+		c.rebuildPools()
 	case filbertford.OutcomeNoSlot:
 		t.others = max(t.others, float64(t.vm.Slots()-t.mine))
 	}
+	c.refresh(t)
 }
 
 func (c *Core) observe(now time.Time, s *start, r filbertford.Report) {
--- a/fbcore/submit.go
+++ b/fbcore/submit.go
@@ -126,7 +126,7 @@
 		return filbertford.NewRefusal(filbertford.CodeLeaving, "").WithRetryAfter(leavingRetry), false
 	}
 	busy := c.teamBusy[j.Team()] + c.peerUse[j.Team()]
-	l := filbertford.NewLoad(c.waitingTasks, len(c.starts), c.slots(j.Service()), busy)
+	l := filbertford.NewLoad(c.waitingTasks, len(c.starts), c.poolOf(j.Service()).slots, busy)
 	if l.Slots() == 0 && len(c.targetIDs) > 0 && !c.listed(j.Service()) {
 		return filbertford.NewRefusal(filbertford.CodeNeverRun, "no target serves "+j.Service()), false
 	}
--- a/fbcore/target.go
+++ b/fbcore/target.go
@@ -17,6 +17,8 @@
 	leased  time.Time // when the present lease was asked for
 	asked   time.Time // when a renewal was last asked for
 	stops   []filbertford.StartID
+
+	pooledFree, pooledMine int // as the pools have them
 }
 
 // start is one start of a task that has not ended.
@@ -64,6 +66,7 @@
 		t.vm, t.listed = vm, true
 	}
 	c.dropUnlisted()
+	c.rebuildPools()
 }
 
 func (c *Core) dropUnlisted() {
@@ -79,38 +82,15 @@
 	c.targetIDs = ids
 }
 
-// slots returns the number of slots at targets that may get work of the
-// service.
-func (c *Core) slots(service string) int {
-	n := 0
-	for _, t := range c.targets {
-		if t.eligible(service) {
-			n += t.vm.Slots()
-		}
-	}
-	return n
-}
-
-// candidates returns the targets with a slot believed to be free for the
-// service. The slice is used again by the next call.
-func (c *Core) candidates(service string) []filbertford.Candidate {
-	out := c.scratch[:0]
-	for _, id := range c.targetIDs {
-		t := c.targets[id]
-		if free := t.free(); free > 0 && t.eligible(service) {
-			out = append(out, filbertford.NewCandidate(id, t.vm.Slots(), t.mine, free))
-		}
-	}
-	c.scratch = out
-	return out
-}
-
 // fadeOthers lets the belief in other daemons' use of slots fade, because a
 // target that this daemon doesn't use tells it nothing.
 func (c *Core) fadeOthers(passed time.Duration) {
 	keep := 1 - min(1, float64(passed)/float64(othersMemory))
-	for _, t := range c.targets {
-		t.others *= keep
+	for _, id := range c.targetIDs {
+		if t := c.targets[id]; t.others > 0 {
+			t.others *= keep
+			c.refresh(t)
+		}
 	}
 }
 
