--- a/fbcommand/load.go
+++ b/fbcommand/load.go
@@ -185,7 +185,8 @@
 	for _, code := range slices.Sorted(maps.Keys(r.Codes())) {
 		p.line("%s\t%d", code, r.Codes()[code])
 	}
-	p.line("wasted messages\t%.2f a job, %.2f %% of all", r.WastedPerJob(), r.WastedPercent())
+	p.line("wasted messages\t%.2f a job, %.2f %% of all, %.2f %% without control messages",
+		r.WastedPerJob(), r.WastedPercent(), r.WastedByJobsPercent())
 	for _, kind := range slices.Sorted(maps.Keys(r.Wasted())) {
 		p.line("  %s\t%.0f", kind, r.Wasted()[kind])
 	}
--- a/fbload/check.go
+++ b/fbload/check.go
@@ -1,6 +1,8 @@
 package fbload
 
 import (
+	"slices"
+
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbevent"
 )
@@ -41,10 +43,10 @@
 	}
 }
 
-// needless are the names of the counters of messages of the daemons that no job
-// needs. Starts, refusals, stops and renewals come from the targets' counts,
-// and reads of the platform from its own.
-var needless = []string{"forwards", "heartbeats", "view_questions", "settings_pushes", "settings_pulls", platformCounter}
+// control are the names of the counters of messages that daemons send whether or
+// not there are jobs, and renewals. Reads of the platform come from its own
+// count.
+var control = []string{"heartbeats", "view_questions", "settings_pushes", "settings_pulls", "renewals", platformCounter}
 
 // countMessages counts requests by kind. A job needs one delivery and one start
 // for each of its tasks; everything else is wasted.
@@ -60,20 +62,25 @@
 	w.Wasted["no_slot"] = r.messages["refusals"]
 	w.Wasted["stops"] = r.messages["stops"]
 	w.Wasted["renewals"] = r.messages["renewals"]
-	for _, name := range needless {
-		if n, ok := r.daemons[name]; ok {
+	w.Wasted["forwards"] = r.daemons["forwards"]
+	var wasted, byJobs float64
+	for name, n := range r.daemons {
+		if slices.Contains(control, name) {
 			w.Wasted[name] = n
 		}
 	}
-	var wasted float64
-	for _, n := range w.Wasted {
+	for name, n := range w.Wasted {
 		wasted += n
+		if !slices.Contains(control, name) {
+			byJobs += n
+		}
 	}
 	if len(r.jobs) > 0 {
 		w.WastedPerJob = wasted / float64(len(r.jobs))
 	}
 	if all := wasted + w.Needed; all > 0 {
 		w.WastedPercent = 100 * wasted / all
+		w.ByJobsPercent = 100 * byJobs / all
 	}
 	w.Daemons = r.daemons
 	return w
--- a/fbload/result.go
+++ b/fbload/result.go
@@ -48,6 +48,7 @@
 	Wasted        map[string]float64 `json:"wasted"`
 	WastedPerJob  float64            `json:"wasted_per_job"`
 	WastedPercent float64            `json:"wasted_percent"`
+	ByJobsPercent float64            `json:"wasted_by_jobs_percent"`
 	Daemons       map[string]float64 `json:"daemons,omitempty"`
 }
 
@@ -161,6 +162,10 @@
 // WastedPercent returns the percentage of needless messages among all.
 func (r Result) WastedPercent() float64 { return r.wire.Messages.WastedPercent }
 
+// WastedByJobsPercent returns the percentage of needless messages among all,
+// less those that daemons send whether or not there are jobs.
+func (r Result) WastedByJobsPercent() float64 { return r.wire.Messages.ByJobsPercent }
+
 // Sound reports whether no work was started twice, no complete job lacks a
 // start and nothing ran of a job that was said not to have run.
 func (r Result) Sound() bool {
--- a/fbreport/page.go
+++ b/fbreport/page.go
@@ -53,6 +53,7 @@
 	Misses, Lost, Goodput string
 	Refusals, RefusalP99  string
 	WastedPerJob, Wasted  string
+	WastedByJobs          string
 	Kinds                 string
 	Faults                string
 }
@@ -108,7 +109,7 @@
 		Mean: decimals(ideal.Mean()), P50: decimals(ideal.P50()), P99: decimals(ideal.P99()), P999: decimals(ideal.P999()),
 		Misses: fmt.Sprint(r.DeadlineMisses()), Lost: decimals(r.LostPercent()), Goodput: decimals(100 * r.Goodput()),
 		Refusals: counts(r.Refusals()), RefusalP99: decimals(r.Refusal().P99()),
-		WastedPerJob: decimals(r.WastedPerJob()), Wasted: decimals(r.WastedPercent()), Kinds: counts(r.Wasted()),
+		WastedPerJob: decimals(r.WastedPerJob()), Wasted: decimals(r.WastedPercent()), WastedByJobs: decimals(r.WastedByJobsPercent()), Kinds: counts(r.Wasted()),
 		OverMean: "–", OverP99: "–", Faults: "none",
 	}
 	if c, ok := r.Clairvoyant(); ok && c.Count() > 0 {
@@ -149,11 +150,11 @@
 {{range .Sections}}<h2>{{.Heading}}</h2>
 <table><tr><th rowspan="2">run</th><th rowspan="2">jobs</th><th rowspan="2">accepted</th><th colspan="4">response over ideal</th>
 <th colspan="2">over clairvoyant</th><th rowspan="2">deadline<br>misses</th><th rowspan="2">lost, %</th><th rowspan="2">goodput,<br>% of capacity</th>
-<th colspan="2">refusals</th><th colspan="3">wasted messages</th><th rowspan="2">violations</th></tr>
-<tr><th>mean</th><th>p50</th><th>p99</th><th>p99.9</th><th>mean</th><th>p99</th><th>by code</th><th>p99, ms</th><th>a job</th><th>% of all</th><th>by kind</th></tr>
+<th colspan="2">refusals</th><th colspan="4">wasted messages</th><th rowspan="2">violations</th></tr>
+<tr><th>mean</th><th>p50</th><th>p99</th><th>p99.9</th><th>mean</th><th>p99</th><th>by code</th><th>p99, ms</th><th>a job</th><th>% of all</th><th>without<br>control, %</th><th>by kind</th></tr>
 {{range .Rows}}<tr><td>{{.Label}}</td><td>{{.Jobs}}</td><td>{{.Accepted}}</td><td>{{.Mean}}</td><td>{{.P50}}</td><td>{{.P99}}</td><td>{{.P999}}</td>
 <td>{{.OverMean}}</td><td>{{.OverP99}}</td><td>{{.Misses}}</td><td>{{.Lost}}</td><td>{{.Goodput}}</td><td class="text">{{.Refusals}}</td><td>{{.RefusalP99}}</td>
-<td>{{.WastedPerJob}}</td><td>{{.Wasted}}</td><td class="text">{{.Kinds}}</td><td class="text">{{.Faults}}</td></tr>
+<td>{{.WastedPerJob}}</td><td>{{.Wasted}}</td><td>{{.WastedByJobs}}</td><td class="text">{{.Kinds}}</td><td class="text">{{.Faults}}</td></tr>
 {{end}}</table>
 {{range .Plots}}<figure>{{.}}</figure>{{end}}
 {{end}}</body></html>
