--- a/fbdaemon/control.go
+++ b/fbdaemon/control.go
@@ -23,7 +23,6 @@
 	drained  chan struct{}
 	lastView time.Time
 	lastSent time.Time
-	reported fbcore.Stats
 	wasReady bool
 }
 
@@ -56,7 +55,7 @@
 	}
 	if now.Sub(c.lastSent) >= metricsPeriod {
 		c.lastSent = now
-		c.reportMetrics()
+		c.d.metrics.report(c)
 	}
 	if !c.wasReady && c.d.Ready() {
 		c.wasReady = true
--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -62,7 +62,7 @@
 	stopper     filbertford.Stopper
 	peers       *fbpeer.Client
 	log         *log.Logger
-	metrics     counters
+	metrics     *metrics
 	onViolation func(fbcore.Invariant)
 
 	tick            time.Duration
@@ -106,7 +106,7 @@
 		stopper:         p.Stopper,
 		peers:           p.Peers,
 		log:             p.Log,
-		metrics:         newCounters(p.Metrics),
+		metrics:         newMetrics(p.Metrics),
 		onViolation:     p.OnViolation,
 		tick:            cfg.Duration("policy", "tick"),
 		vmPoll:          cfg.Duration("membership", "vm-poll"),
--- a/fbdaemon/metrics.go
+++ b/fbdaemon/metrics.go
@@ -11,82 +11,123 @@
 // metricsPeriod is the time between two reports of the core's counts.
 const metricsPeriod = time.Second
 
-// counters are the daemon's counters of messages and its gauges.
-type counters struct {
+// MetricKind tells whether a metric adds up or shows the present.
+type MetricKind string
+
+// The kinds of metrics.
+const (
+	MetricCounter MetricKind = "counter"
+	MetricGauge   MetricKind = "gauge"
+)
+
+// Metric describes one metric of a daemon.
+type Metric struct {
+	name  string
+	kind  MetricKind
+	about string
+}
+
+// Name returns the metric's name.
+func (m Metric) Name() string { return m.name }
+
+// Kind returns whether the metric is a counter or a gauge.
+func (m Metric) Kind() MetricKind { return m.kind }
+
+// About returns what the metric counts.
+func (m Metric) About() string { return m.about }
+
+// Metrics returns the metrics of a daemon in the order of the documentation.
+func Metrics() []Metric {
+	out := make([]Metric, 0, len(countMetrics)+len(messageMetrics)+len(gaugeMetrics))
+	for _, m := range messageMetrics {
+		out = append(out, Metric{m.name, MetricCounter, m.about})
+	}
+	for _, m := range countMetrics {
+		out = append(out, Metric{m.name, MetricCounter, m.about})
+	}
+	for _, m := range gaugeMetrics {
+		out = append(out, Metric{m.name, MetricGauge, m.about})
+	}
+	return out
+}
+
+// messageMetrics are the counters of messages that traffic goroutines send.
+var messageMetrics = []struct {
+	name, about string
+	counter     func(m *metrics) *tally.Counter
+}{
+	{"forwards", "deliveries passed on to their owner", func(m *metrics) *tally.Counter { return &m.forwards }},
+	{"heartbeats", "heartbeats sent to other daemons", func(m *metrics) *tally.Counter { return &m.heartbeats }},
+	{"view_reads", "reads of the row of the view of opaque keys", func(m *metrics) *tally.Counter { return &m.viewReads }},
+	{"view_questions", "questions to other members about the view", func(m *metrics) *tally.Counter { return &m.viewQuestions }},
+	{"vm_reads", "reads of the platform's list of VMs", func(m *metrics) *tally.Counter { return &m.vmReads }},
+}
+
+// countMetrics are the counters of the core.
+var countMetrics = []struct {
+	name, about string
+	value       func(s fbcore.Stats) uint64
+}{
+	{"jobs_accepted", "jobs taken", func(s fbcore.Stats) uint64 { return s.Accepted }},
+	{"jobs_refused", "jobs refused as not run", func(s fbcore.Stats) uint64 { return s.Refused }},
+	{"deliveries_repeated", "deliveries of an ID that was known already", func(s fbcore.Stats) uint64 { return s.Repeated }},
+	{"starts", "starts sent to targets", func(s fbcore.Stats) uint64 { return s.Starts }},
+	{"no_slot", "starts that surely did not happen, for want of a slot or a connection", func(s fbcore.Stats) uint64 { return s.NotStarted }},
+	{"starts_unknown", "starts whose outcome is unknown", func(s fbcore.Stats) uint64 { return s.Unknown }},
+	{"stops", "messages that stop tasks at a target", func(s fbcore.Stats) uint64 { return s.Stops }},
+	{"renews", "lease renewals sent to targets", func(s fbcore.Stats) uint64 { return s.Renewals }},
+	{"violations", "invariants found broken; anything but 0 is a fault of the program", func(s fbcore.Stats) uint64 { return s.Violations }},
+}
+
+// gaugeMetrics are the gauges of a daemon.
+var gaugeMetrics = []struct {
+	name, about string
+	value       func(c *control) float64
+}{
+	{"tasks_waiting", "tasks that wait for a target", func(c *control) float64 { return float64(c.core.Load().Waiting()) }},
+	{"tasks_running", "tasks that run", func(c *control) float64 { return float64(c.core.Load().Running()) }},
+	{"slots", "slots at the targets that get new work", func(c *control) float64 { return float64(c.core.Load().Slots()) }},
+	{"submissions_remembered", "submission IDs remembered in full", func(c *control) float64 { ids, _ := c.core.Remembered(); return float64(ids) }},
+	{"answer_bytes", "bytes of results kept for resubmissions", func(c *control) float64 { _, n := c.core.Remembered(); return float64(n) }},
+	{"settings_version", "version of the settings in force", func(c *control) float64 { return float64(c.d.settings.Load().Version()) }},
+	{"members", "other daemons that answer", func(c *control) float64 { return float64(len(c.dir.Reachable(c.d.timer.Now()))) }},
+}
+
+// metrics are the counters and gauges of one daemon.
+type metrics struct {
 	forwards      tally.Counter
 	heartbeats    tally.Counter
 	viewReads     tally.Counter
 	viewQuestions tally.Counter
 	vmReads       tally.Counter
 
-	accepted   tally.Counter
-	refused    tally.Counter
-	repeated   tally.Counter
-	starts     tally.Counter
-	notStarted tally.Counter
-	unknown    tally.Counter
-	stops      tally.Counter
-	renewals   tally.Counter
-	violations tally.Counter
-
-	waiting  tally.Gauge
-	running  tally.Gauge
-	slots    tally.Gauge
-	ids      tally.Gauge
-	answers  tally.Gauge
-	settings tally.Gauge
+	counts   []tally.Counter // as countMetrics
+	gauges   []tally.Gauge   // as gaugeMetrics
+	reported fbcore.Stats
 }
 
-func newCounters(s tally.Scope) counters {
-	return counters{
-		forwards:      s.Counter("forwards"),
-		heartbeats:    s.Counter("heartbeats"),
-		viewReads:     s.Counter("view_reads"),
-		viewQuestions: s.Counter("view_questions"),
-		vmReads:       s.Counter("vm_reads"),
-
-		accepted:   s.Counter("jobs_accepted"),
-		refused:    s.Counter("jobs_refused"),
-		repeated:   s.Counter("deliveries_repeated"),
-		starts:     s.Counter("starts"),
-		notStarted: s.Counter("no_slot"),
-		unknown:    s.Counter("starts_unknown"),
-		stops:      s.Counter("stops"),
-		renewals:   s.Counter("renews"),
-		violations: s.Counter("violations"),
-
-		waiting:  s.Gauge("tasks_waiting"),
-		running:  s.Gauge("tasks_running"),
-		slots:    s.Gauge("slots"),
-		ids:      s.Gauge("submissions_remembered"),
-		answers:  s.Gauge("answer_bytes"),
-		settings: s.Gauge("settings_version"),
+func newMetrics(s tally.Scope) *metrics {
+	m := &metrics{}
+	for _, def := range messageMetrics {
+		*def.counter(m) = s.Counter(def.name)
 	}
+	for _, def := range countMetrics {
+		m.counts = append(m.counts, s.Counter(def.name))
+	}
+	for _, def := range gaugeMetrics {
+		m.gauges = append(m.gauges, s.Gauge(def.name))
+	}
+	return m
 }
 
-// report adds what the core counted since the last report.
-func (m *counters) report(last, now fbcore.Stats) {
-	m.accepted.Inc(int64(now.Accepted - last.Accepted))
-	m.refused.Inc(int64(now.Refused - last.Refused))
-	m.repeated.Inc(int64(now.Repeated - last.Repeated))
-	m.starts.Inc(int64(now.Starts - last.Starts))
-	m.notStarted.Inc(int64(now.NotStarted - last.NotStarted))
-	m.unknown.Inc(int64(now.Unknown - last.Unknown))
-	m.stops.Inc(int64(now.Stops - last.Stops))
-	m.renewals.Inc(int64(now.Renewals - last.Renewals))
-	m.violations.Inc(int64(now.Violations - last.Violations))
-}
-
-// reportMetrics hands the core's counts and sizes to the metrics.
-func (c *control) reportMetrics() {
-	m, stats, load := &c.d.metrics, c.core.Stats(), c.core.Load()
-	m.report(c.reported, stats)
-	c.reported = stats
-	ids, bytes := c.core.Remembered()
-	m.waiting.Update(float64(load.Waiting()))
-	m.running.Update(float64(load.Running()))
-	m.slots.Update(float64(load.Slots()))
-	m.ids.Update(float64(ids))
-	m.answers.Update(float64(bytes))
-	m.settings.Update(float64(c.d.settings.Load().Version()))
+// report hands the core's counts since the last report and the gauges on.
+func (m *metrics) report(c *control) {
+	now := c.core.Stats()
+	for i, def := range countMetrics {
+		m.counts[i].Inc(int64(def.value(now) - def.value(m.reported)))
+	}
+	for i, def := range gaugeMetrics {
+		m.gauges[i].Update(def.value(c))
+	}
+	m.reported = now
 }
