Client asks again when a daemon is silent

Cause: a delivery to a daemon that takes the connection and says nothing was waited for until the caller's context ended. Change: an answer is waited for until 5 s beyond the job's timeout; then the job is sent again under the same ID. Requests for tokens, status and cancellation have timeouts of their own.

--- a/fbclient/client.go
+++ b/fbclient/client.go
@@ -40,6 +40,13 @@
 	DefaultTokenAge = 30 * time.Second
 	// DefaultBackoff is the first wait before a job is sent again.
 	DefaultBackoff = 20 * time.Millisecond
+	// DefaultPatience is how long an answer is waited for beyond the job's
+	// timeout, before the job is sent again under the same ID.
+	DefaultPatience = 5 * time.Second
+	// tokenTimeout bounds a request for an owner token.
+	tokenTimeout = 3 * time.Second
+	// askTimeout bounds a request about a submission to one endpoint.
+	askTimeout = 10 * time.Second
 	// maxBackoff bounds the wait before a job is sent again.
 	maxBackoff = 2 * time.Second
 	// idleConns is the number of idle connections kept for each endpoint.
@@ -59,6 +66,7 @@
 	maxAnswer int64
 	tokenAge  time.Duration
 	backoff   time.Duration
+	patience  time.Duration
 	budget    *budget
 	logger    *log.Logger
 }
@@ -76,6 +84,10 @@
 // is twice as long.
 func WithBackoff(d time.Duration) Option { return func(c *Client) { c.backoff = d } }
 
+// WithPatience sets how long an answer is waited for beyond the job's timeout.
+// An answer to a job without a timeout is waited for until the context ends.
+func WithPatience(d time.Duration) Option { return func(c *Client) { c.patience = d } }
+
 // WithMaxAnswer sets the size in bytes of the largest answer that is read.
 func WithMaxAnswer(n int64) Option { return func(c *Client) { c.maxAnswer = n } }
 
@@ -102,6 +114,7 @@
 		maxAnswer: DefaultMaxAnswer,
 		tokenAge:  DefaultTokenAge,
 		backoff:   DefaultBackoff,
+		patience:  DefaultPatience,
 		budget:    newBudget(),
 	}
 	for _, text := range endpoints {
--- a/fbclient/client_test.go
+++ b/fbclient/client_test.go
@@ -40,6 +40,7 @@
 	bad      = `{"id":"ID","code":"FB4001","class":"delivery-started-nothing"}`
 	broken   = "broken"
 	refused  = "refused"
+	silent   = "silent"
 )
 
 func (s *script) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -65,6 +66,10 @@
 	if next == broken {
 		return nil, io.ErrUnexpectedEOF
 	}
+	if next == silent {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	return reply(strings.ReplaceAll(next, "ID", id)), nil
 }
 
@@ -239,6 +244,23 @@
 	})
 }
 
+func TestSilentDaemonIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{replies: []string{silent, complete}}
+		c, err := fbclient.New([]string{"http://a"}, fbclient.WithTransport(s), fbclient.WithBackoff(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, trace, err := c.SubmitTraced(t.Context(), oneTask().WithTimeout(2*time.Second))
+		if a.Code() != filbertford.CodeComplete || err != nil || trace.IDs() != 1 {
+			t.Errorf("got %s under %d IDs, %v", a.Code(), trace.IDs(), err)
+		}
+		if got, want := s.times[1].Sub(s.times[0]), 2*time.Second+fbclient.DefaultPatience; got != want {
+			t.Errorf("sent again after %v, want %v", got, want)
+		}
+	})
+}
+
 func TestRetryBudgetBoundsRefusedJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{}
--- a/fbclient/endpoint.go
+++ b/fbclient/endpoint.go
@@ -140,7 +140,9 @@
 
 // fetchToken asks the endpoint for a token.
 func (c *Client) fetchToken(ctx context.Context, e *endpoint) (filbertford.Token, error) {
-	resp, err := c.get(ctx, e, "/v1/token")
+	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+	defer cancel()
+	resp, err := c.bodyless(ctx, http.MethodGet, e, "/v1/token")
 	if err != nil {
 		return filbertford.Token{}, err
 	}
@@ -157,11 +159,7 @@
 	return t, nil
 }
 
-// get sends a request without a body.
-func (c *Client) get(ctx context.Context, e *endpoint, path string) (*http.Response, error) {
-	return c.bodyless(ctx, http.MethodGet, e, path)
-}
-
+// bodyless sends a request without a body.
 func (c *Client) bodyless(ctx context.Context, method string, e *endpoint, path string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, e.base+path, nil)
 	if err != nil {
--- a/fbclient/submit.go
+++ b/fbclient/submit.go
@@ -35,7 +35,7 @@
 		return filbertford.Answer{}, Trace{}, err
 	}
 	c.budget.earn()
-	s := &submission{client: c, body: body, tasks: len(j.Tasks())}
+	s := c.newSubmission(body, j)
 	a, err := s.run(ctx)
 	return a, s.trace, err
 }
@@ -49,7 +49,8 @@
 		return filbertford.Answer{}, Trace{}, err
 	}
 	c.budget.earn()
-	s := &submission{client: c, body: body, tasks: len(j.Tasks()), id: id, course: course{fixed: true}}
+	s := c.newSubmission(body, j)
+	s.id, s.course = id, course{fixed: true}
 	a, err := s.run(ctx)
 	return a, s.trace, err
 }
@@ -77,16 +78,8 @@
 func (c *Client) ask(ctx context.Context, method string, id filbertford.SubmissionID) ([]byte, error) {
 	var last error
 	for range c.endpoints {
-		e := c.pick()
-		resp, err := c.bodyless(ctx, method, e, "/v1/jobs/"+url.PathEscape(id.String()))
-		if err != nil {
-			last = err
-			continue
-		}
-		body, err := c.readBody(resp.Body)
-		closeBody(resp)
+		body, err := c.askOne(ctx, method, c.pick(), id)
 		if err == nil {
-			c.keepToken(e, resp.Header.Get(headerToken), time.Now())
 			return body, nil
 		}
 		last = err
@@ -94,17 +87,42 @@
 	return nil, last
 }
 
+func (c *Client) askOne(ctx context.Context, method string, e *endpoint, id filbertford.SubmissionID) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	resp, err := c.bodyless(ctx, method, e, "/v1/jobs/"+url.PathEscape(id.String()))
+	if err != nil {
+		return nil, err
+	}
+	defer closeBody(resp)
+	body, err := c.readBody(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	c.keepToken(e, resp.Header.Get(headerToken), time.Now())
+	return body, nil
+}
+
 // submission is the input and output of one job's course.
 type submission struct {
 	client *Client
 	body   []byte
 	tasks  int
+	limit  time.Duration
 	course course
 	id     filbertford.SubmissionID
 	trace  Trace
 	err    error
 }
 
+func (c *Client) newSubmission(body []byte, j filbertford.Job) *submission {
+	s := &submission{client: c, body: body, tasks: len(j.Tasks())}
+	if j.Timeout() > 0 {
+		s.limit = j.Timeout() + c.patience
+	}
+	return s
+}
+
 // run sends the job until its course ends.
 func (s *submission) run(ctx context.Context) (filbertford.Answer, error) {
 	next := step{action: actionRemint}
@@ -161,7 +179,7 @@
 		}
 	}
 	s.course.deliver()
-	a, sent, err := s.client.deliver(ctx, e, s.id, s.body, s.tasks)
+	a, sent, err := s.deliver(ctx, e)
 	if !sent {
 		s.err = err
 		return s.course.notSent()
@@ -182,6 +200,16 @@
 	return next
 }
 
+// deliver sends the job once, and waits for its answer no longer than the limit.
+func (s *submission) deliver(ctx context.Context, e *endpoint) (filbertford.Answer, bool, error) {
+	if s.limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.limit)
+		defer cancel()
+	}
+	return s.client.deliver(ctx, e, s.id, s.body, s.tasks)
+}
+
 // note counts a delivery that left.
 func (s *submission) note() {
 	s.trace.deliveries++
