--- a/fbdaemon/stop.go
+++ b/fbdaemon/stop.go
@@ -16,9 +16,10 @@
 	handOverTries = 3
 )
 
-// Ready reports whether the daemon takes jobs.
+// Ready reports whether the daemon takes jobs: it has settings and a list of
+// VMs, issues tokens and is not about to stop.
 func (d *Daemon) Ready() bool {
-	return d.haveVMs.Load() && d.haveSettings.Load() && !d.leaving.Load()
+	return d.token.Load() != nil && !d.leaving.Load()
 }
 
 // stop ends the daemon's service: readiness goes first, then the first
