fbcore tells the policy what it asks for

Ruled out: fading the belief in other daemons' slots in the core, which the policy does itself with the age of the reply. Change: candidates are all eligible targets in a steady order with the time of the last reply; queue and tries of a need; the daemon's place among its peers; no steering to a member silent for 1.5 s.

--- a/fbcore/core.go
+++ b/fbcore/core.go
@@ -9,9 +9,6 @@
 
 // Periods of the core's housekeeping.
 const (
-	// othersMemory is the time after which a belief in other daemons' use of a
-	// target's slots has faded.
-	othersMemory = 200 * time.Millisecond
 	// rankPeriod is the time between two orderings of all waiting jobs.
 	rankPeriod = 100 * time.Millisecond
 	// forgetPeriod is the time between two looks for epochs to drop.
@@ -74,6 +71,7 @@
 	lastRank  time.Time
 	lastDrop  time.Time
 	stopsDue  []*target
+	passed    []*job // scratch of dispatch
 	actions   []Action
 	stats     Stats
 	startName string
@@ -135,8 +133,8 @@
 		c.renewed(e)
 	case TargetsChanged:
 		c.setTargets(e.Targets)
-	case PeerUse:
-		c.peerUse = e.Teams
+	case PeersChanged:
+		c.setPeers(e)
 	case Tick:
 		c.tick(now)
 	case StopRequested:
@@ -197,7 +195,6 @@
 
 // tick does what is due with the passing of time.
 func (c *Core) tick(now time.Time) {
-	c.fadeOthers(now.Sub(c.lastTick))
 	c.lastTick = now
 	c.expire(now)
 	c.keepLeases(now)
@@ -234,6 +231,23 @@
 	}
 }
 
+// setPeers takes what is known of the other daemons of the data centre.
+func (c *Core) setPeers(e PeersChanged) {
+	c.peerUse = e.Teams
+	if p, ok := c.policy.(filbertford.Sharer); ok {
+		p.Share(e.Index, e.Count)
+	}
+}
+
+// Standings returns the changes of targets' standings since the last call, if
+// the policy judges targets.
+func (c *Core) Standings() []filbertford.StandingChange {
+	if p, ok := c.policy.(filbertford.Standing); ok {
+		return p.StandingChanges()
+	}
+	return nil
+}
+
 func (c *Core) renewed(e LeaseRenewed) {
 	if t := c.targets[e.Target]; t != nil && e.Asked.After(t.leased) {
 		t.leased = e.Asked
--- a/fbcore/event.go
+++ b/fbcore/event.go
@@ -86,9 +86,14 @@
 // among them, or not live, gets no new work.
 type TargetsChanged struct{ Targets []filbertford.VM }
 
-// PeerUse brings what the other daemons of the data centre hold of each team's
-// tasks, waiting and running.
-type PeerUse struct{ Teams map[string]int }
+// PeersChanged brings what is known of the other daemons of the data centre.
+type PeersChanged struct {
+	// Teams are the tasks that they hold for each team, waiting and running.
+	Teams map[string]int
+	// Index is the place of this daemon, from 0, among all Count daemons of the
+	// data centre in an order that all of them use.
+	Index, Count int
+}
 
 // Tick lets time pass. Deadlines, leases, the horizon and the batches of stop
 // requests are looked at on ticks.
@@ -107,7 +112,7 @@
 func (StartEnded) event()     {}
 func (LeaseRenewed) event()   {}
 func (TargetsChanged) event() {}
-func (PeerUse) event()        {}
+func (PeersChanged) event()   {}
 func (Tick) event()           {}
 func (StopRequested) event()  {}
 func (Inherited) event()      {}
--- a/fbcore/job.go
+++ b/fbcore/job.go
@@ -33,7 +33,7 @@
 	pending []int // tasks that wait, last one first
 	running map[filbertford.StartID]*start
 	left    int
-	retries int
+	tries   map[int]int // starts of a task that surely did not happen
 
 	rank        float64
 	rankPos     int
@@ -80,10 +80,12 @@
 // need describes the job's next task to the policy.
 func (j *job) need(now time.Time) filbertford.Need {
 	var size time.Duration
+	var tries int
 	if n := len(j.pending); n > 0 {
-		size = j.spec.Tasks()[j.pending[n-1]].Size()
+		task := j.pending[n-1]
+		size, tries = j.spec.Tasks()[task].Size(), j.tries[task]
 	}
-	return filbertford.NewNeed(j.spec.Service(), size, j.left, len(j.states), now.Sub(j.arrived))
+	return filbertford.NewNeed(j.spec.Service(), size, j.left, len(j.states), now.Sub(j.arrived)).WithTries(tries)
 }
 
 // accept takes a job into the queue.
@@ -108,49 +110,47 @@
 	c.waiting.put(j)
 }
 
+// maxJobsPassed is the number of jobs that one pass over the queue looks at in
+// vain.
+const maxJobsPassed = 16
+
 // dispatch starts waiting tasks while the policy finds targets for them. A job
 // whose next task the policy keeps waiting is passed over.
 func (c *Core) dispatch(now time.Time) {
 	if c.waiting.Len() == 0 {
 		return
 	}
-	var passed []*job
-	full := make(map[string]bool)
-	for len(full) < maxServicesTried && len(passed) < maxJobsPassed {
+	passed := c.passed[:0]
+	ahead := 0 // waiting tasks of the jobs passed over
+	for len(passed) < maxJobsPassed {
 		j := c.waiting.first()
 		if j == nil {
 			break
 		}
-		if !full[j.spec.Service()] && c.startNext(now, j, full) {
+		if c.startNext(now, j, ahead) {
 			c.enqueue(now, j)
 			continue
 		}
 		c.waiting.take(j)
 		passed = append(passed, j)
+		ahead += len(j.pending)
 	}
 	for _, j := range passed {
 		c.waiting.put(j)
 	}
+	clear(passed)
+	c.passed = passed
 }
 
-// Bounds of one pass over the queue.
-const (
-	// maxServicesTried is the number of services without a free slot after
-	// which a pass ends.
-	maxServicesTried = 8
-	// maxJobsPassed is the number of jobs that a pass looks at in vain.
-	maxJobsPassed = 16
-)
-
-// startNext starts the next task of a job, and reports whether it did. A
-// service without any free slot is entered in full.
-func (c *Core) startNext(now time.Time, j *job, full map[string]bool) bool {
+// startNext starts the next task of a job that has the given number of waiting
+// tasks ahead of its own, and reports whether it did.
+func (c *Core) startNext(now time.Time, j *job, ahead int) bool {
 	candidates := c.poolOf(j.spec.Service()).candidates
 	if len(candidates) == 0 {
-		full[j.spec.Service()] = true
 		return false
 	}
-	i, ok := c.policy.Place(now, j.need(now), candidates)
+	n := j.need(now).WithQueue(ahead + len(j.pending))
+	i, ok := c.policy.Place(now, n, candidates)
 	if !ok {
 		return false
 	}
@@ -192,7 +192,7 @@
 	if s == nil {
 		return
 	}
-	c.freeSlot(s, r)
+	c.freeSlot(now, s, r)
 	c.observe(now, s, r)
 	j := s.job
 	delete(j.running, id)
@@ -203,13 +203,13 @@
 }
 
 // freeSlot gives the slot of a start back and learns what the target told.
-func (c *Core) freeSlot(s *start, r filbertford.Report) {
+func (c *Core) freeSlot(now time.Time, s *start, r filbertford.Report) {
 	t := s.target
 	delete(c.starts, s.id)
 	delete(t.starts, s.id)
 	t.mine--
 	if free, ok := r.Free(); ok {
-		t.learn(free)
+		t.learn(now, free)
 	}
 	switch r.Outcome() {
 	case filbertford.OutcomeDone, filbertford.OutcomeTaskFailed:
@@ -219,8 +219,6 @@
 	case filbertford.OutcomeLeaving:
 		t.leaving = true
 		c.rebuildPools()
-	case filbertford.OutcomeNoSlot:
-		t.others = max(t.others, float64(t.vm.Slots()-t.mine))
 	}
 	c.refresh(t)
 }
@@ -272,7 +270,10 @@
 	j.states[s.task] = taskWaiting
 	j.mayRun[s.task] = false
 	j.pending = append(j.pending, s.task)
-	j.retries++
+	if j.tries == nil {
+		j.tries = make(map[int]int)
+	}
+	j.tries[s.task]++
 	c.waitingTasks++
 	c.enqueue(now, j)
 }
--- a/fbcore/pool.go
+++ b/fbcore/pool.go
@@ -2,13 +2,14 @@
 
 import "github.com/filbertford/filbertford"
 
-// pool holds the targets of a service that have a slot believed to be free. It
-// is kept up to date target by target, so that a start need not look at all.
+// pool holds the targets that may get work of a service, in an order that
+// changes only with the list of targets. It is kept up to date target by
+// target, so that a start need not look at all.
 type pool struct {
 	service    string
 	candidates []filbertford.Candidate
 	places     map[filbertford.TargetID]int
-	slots      int // at all eligible targets, free or not
+	slots      int
 }
 
 // poolOf returns the pool of a service, made on first use.
@@ -29,10 +30,12 @@
 	p.slots = 0
 	for _, id := range c.targetIDs {
 		t := c.targets[id]
-		if t.eligible(p.service) {
-			p.slots += t.vm.Slots()
-			p.update(t)
+		if !t.eligible(p.service) {
+			continue
 		}
+		p.places[id] = len(p.candidates)
+		p.candidates = append(p.candidates, t.candidate())
+		p.slots += t.vm.Slots()
 	}
 }
 
@@ -43,42 +46,12 @@
 	}
 }
 
-// refresh brings a target's free slots up to date in all pools.
+// refresh brings a target up to date in all pools that hold it.
 func (c *Core) refresh(t *target) {
-	free := max(0, t.free())
-	if free == t.pooledFree && t.mine == t.pooledMine {
-		return
-	}
-	t.pooledFree, t.pooledMine = free, t.mine
+	id := filbertford.TargetID(t.vm.ID())
 	for _, p := range c.pools {
-		if t.eligible(p.service) {
-			p.update(t)
+		if i, ok := p.places[id]; ok {
+			p.candidates[i] = t.candidate()
 		}
 	}
 }
-
-// update enters, changes or removes a target.
-func (p *pool) update(t *target) {
-	id := filbertford.TargetID(t.vm.ID())
-	i, in := p.places[id]
-	free := t.free()
-	switch {
-	case free > 0 && in:
-		p.candidates[i] = filbertford.NewCandidate(id, t.vm.Slots(), t.mine, free)
-	case free > 0:
-		p.places[id] = len(p.candidates)
-		p.candidates = append(p.candidates, filbertford.NewCandidate(id, t.vm.Slots(), t.mine, free))
-	case in:
-		p.remove(id, i)
-	}
-}
-
-// remove moves the last candidate to the place of the one removed.
-func (p *pool) remove(id filbertford.TargetID, i int) {
-	last := len(p.candidates) - 1
-	moved := p.candidates[last]
-	p.candidates[i] = moved
-	p.places[moved.ID()] = i
-	p.candidates = p.candidates[:last]
-	delete(p.places, id)
-}
--- a/fbcore/target.go
+++ b/fbcore/target.go
@@ -12,13 +12,12 @@
 	listed  bool
 	leaving bool // by its own word
 	mine    int
-	others  float64 // slots believed to be used by other daemons
+	others  int       // slots that other daemons used at the last reply
+	heard   time.Time // when the target last told its free slots
 	starts  map[filbertford.StartID]*start
 	leased  time.Time // when the present lease was asked for
 	asked   time.Time // when a renewal was last asked for
 	stops   []filbertford.StartID
-
-	pooledFree, pooledMine int // as the pools have them
 }
 
 // start is one start of a task that has not ended.
@@ -36,14 +35,20 @@
 	return t.listed && !t.leaving && t.vm.State() == filbertford.VMLive && t.vm.Serves(service)
 }
 
-// free returns the number of slots believed to be free.
-func (t *target) free() int {
-	return t.vm.Slots() - t.mine - int(t.others+0.5)
-}
+// free returns the number of slots that the target told to be free, less this
+// daemon's starts since then.
+func (t *target) free() int { return t.vm.Slots() - t.mine - t.others }
 
 // learn takes the number of free slots that the target told.
-func (t *target) learn(free int) {
-	t.others = max(0, float64(t.vm.Slots()-free-t.mine))
+func (t *target) learn(now time.Time, free int) {
+	t.others = max(0, t.vm.Slots()-free-t.mine)
+	t.heard = now
+}
+
+// candidate returns the target as the policy sees it.
+func (t *target) candidate() filbertford.Candidate {
+	id := filbertford.TargetID(t.vm.ID())
+	return filbertford.NewCandidate(id, t.vm.Slots(), t.mine, t.free()).WithHeard(t.heard)
 }
 
 // setTargets takes a new list of targets. A target that is no longer listed is
@@ -82,18 +87,6 @@
 	c.targetIDs = ids
 }
 
-// fadeOthers lets the belief in other daemons' use of slots fade, because a
-// target that this daemon doesn't use tells it nothing.
-func (c *Core) fadeOthers(passed time.Duration) {
-	keep := 1 - min(1, float64(passed)/float64(othersMemory))
-	for _, id := range c.targetIDs {
-		if t := c.targets[id]; t.others > 0 {
-			t.others *= keep
-			c.refresh(t)
-		}
-	}
-}
-
 // keepLeases renews the leases that are a third old and gives up the starts
 // under leases that have lapsed.
 func (c *Core) keepLeases(now time.Time) {
--- a/fbdaemon/member.go
+++ b/fbdaemon/member.go
@@ -93,7 +93,8 @@
 	err := d.inquire(ctx, func(c *control, now time.Time) {
 		due = c.dir.Due(now, d.heartbeatPeriod)
 		state = c.state(now)
-		c.drive(now, fbcore.PeerUse{Teams: c.dir.PeerUse(now)})
+		index, count := c.dir.Share(now)
+		c.drive(now, fbcore.PeersChanged{Teams: c.dir.PeerUse(now), Index: index, Count: count})
 	})
 	if err != nil {
 		return
--- a/fbmember/directory.go
+++ b/fbmember/directory.go
@@ -226,10 +226,25 @@
 	return out
 }
 
+// Share returns the place of this daemon among the live daemons of its data
+// centre, in the order of their addresses, and their number.
+func (d *Directory) Share(now time.Time) (index, count int) {
+	live := d.Live(now, d.dc)
+	for _, m := range live {
+		if m.address < d.self {
+			index++
+		}
+	}
+	return index, len(live) + 1
+}
+
 // steerRatio is by how much a daemon must be more loaded than another for jobs
 // to be steered there.
 const steerRatio = 2
 
+// steerSilence is the silence from which on no job is steered to a member.
+const steerSilence = 1500 * time.Millisecond
+
 // Steer returns the token of the least loaded live member of the data centre if
 // new jobs are better minted for it than for this daemon of the given load, or
 // an empty text.
@@ -239,6 +254,9 @@
 	}
 	best, least := "", own.Waiting()+own.Running()
 	for _, m := range d.Live(now, d.dc) {
+		if m.Silence(now) >= steerSilence {
+			continue
+		}
 		l := m.state.load
 		if busy := l.Waiting() + l.Running(); busy*steerRatio < least && m.state.token != "" {
 			best, least = m.state.token, busy*steerRatio
