--- a/fbstand/target_http.go
+++ b/fbstand/target_http.go
@@ -6,11 +6,15 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
 )
 
 // defaultRun is how long a task runs that states no run time.
 const defaultRun = 5 * time.Millisecond
 
+// maxRun is the longest run time that a task may state.
+const maxRun = time.Hour
+
 // wrongID is the ID in the replies of a target with that fault.
 const wrongID = "another-start"
 
@@ -42,6 +46,22 @@
 	Work  string          `json:"work"`
 }
 
+// UnmarshalJSON reads the arguments of a stand-in's task. Arguments that aren't
+// an object ask for nothing.
+func (a *taskArgs) UnmarshalJSON(b []byte) error {
+	if len(b) == 0 || b[0] != '{' {
+		return nil
+	}
+	type plain taskArgs
+	if err := json.Unmarshal(b, (*plain)(a)); err != nil {
+		return err
+	}
+	if a.RunMS != nil && (*a.RunMS < 0 || *a.RunMS > float64(maxRun/time.Millisecond)) {
+		return eris.Errorf("run_ms %v is not in 0 to %d", *a.RunMS, maxRun/time.Millisecond)
+	}
+	return nil
+}
+
 func (a taskArgs) run() time.Duration {
 	if a.RunMS == nil {
 		return defaultRun
--- a/fbstand/target_test.go
+++ b/fbstand/target_test.go
@@ -49,6 +49,7 @@
 	}{
 		"default":    {speed: 1, body: `{"id":"s","args":{},"lease_ms":1000}`, want: reply{ID: "s", Status: "done", RanUS: 5000, Free: 2}},
 		"declared":   {speed: 1, body: `{"id":"s","args":{"run_ms":70},"lease_ms":1000}`, want: reply{ID: "s", Status: "done", RanUS: 70_000, Free: 2}},
+		"no object":  {speed: 1, body: `{"id":"s","args":"x","lease_ms":1000}`, want: reply{ID: "s", Status: "done", RanUS: 5000, Free: 2}},
 		"slow":       {speed: 2, body: `{"id":"s","args":{"run_ms":70},"lease_ms":1000}`, want: reply{ID: "s", Status: "done", RanUS: 140_000, Free: 2}},
 		"slower":     {speed: 2, faults: fbstand.TargetFaults{}.WithSlowFactor(3), body: `{"id":"s","args":{"run_ms":70},"lease_ms":1000}`, want: reply{ID: "s", Status: "done", RanUS: 420_000, Free: 2}},
 		"lease lost": {speed: 1, body: `{"id":"s","args":{"run_ms":70},"lease_ms":50}`, want: reply{ID: "s", Status: "stopped", RanUS: 50_000, Free: 2}},
@@ -162,6 +163,8 @@
 		path, body string
 	}{
 		"no JSON":       {handler: target, path: "/v1/start", body: `{`},
+		"negative run":  {handler: target, path: "/v1/start", body: `{"args": {"run_ms": -1}}`},
+		"endless run":   {handler: target, path: "/v1/start", body: `{"args": {"run_ms": 1e300}}`},
 		"unknown cut":   {handler: target, path: "/faults/target", body: `{"cut": "later"}`},
 		"VM without id": {handler: platform, path: "/vms", body: `{"address": "127.0.0.1:1"}`},
 	}
