Clients bound the headers of replies; replies never cross

Cause: a Transport takes headers of up to 10 MB. Both clients now stop at 64 KiB; the test of an overlong header failed before ("done") and passes now.

A target that sends each reply twice lets a late reply meet the next start on its connection. TestRepliesNeverCross drives 400 starts through it, 8 at once. Mutation tried: without the check of the reply's ID it fails, start 152 getting the output of 148; reverted.

--- a/fbplatform/client.go
+++ b/fbplatform/client.go
@@ -26,6 +26,8 @@
 	dialTimeout = time.Second
 	idleTimeout = 30 * time.Second
 	maxConns    = 8
+	// maxHeader is the size of the largest header of a reply, in bytes.
+	maxHeader = 64 << 10
 )
 
 // Client talks to the platform. Every answer other than a clear one is
@@ -50,11 +52,12 @@
 		base:    "http://" + address,
 		timeout: timeout,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableCompression:  true,
-			IdleConnTimeout:     idleTimeout,
-			MaxConnsPerHost:     maxConns,
-			MaxIdleConnsPerHost: maxConns,
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true,
+			IdleConnTimeout:        idleTimeout,
+			MaxConnsPerHost:        maxConns,
+			MaxIdleConnsPerHost:    maxConns,
+			MaxResponseHeaderBytes: maxHeader,
 		},
 	}
 }
--- a/fbtarget/break_test.go
+++ b/fbtarget/break_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
@@ -36,6 +37,7 @@
 	earlyHints    action = "early hints"
 	refuse        action = "refuse without a reply's body"
 	overlong      action = "overlong reply"
+	longHeader    action = "overlong header"
 )
 
 var actions = []action{
@@ -159,6 +161,8 @@
 		text = "HTTP/1.1 103 Early Hints\r\n\r\n" + text
 	case refuse:
 		text = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	case longHeader:
+		text = strings.Replace(text, "\r\n", "\r\nX: "+strings.Repeat("x", 1<<20)+"\r\n", 1)
 	case overlong:
 		text = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", fbtarget.MaxReply+1)
 		text += string(make([]byte, fbtarget.MaxReply+1))
@@ -218,6 +222,7 @@
 		switchOver:    {outcome: filbertford.OutcomeUnknown, starts: 1},
 		earlyHints:    {outcome: filbertford.OutcomeDone, starts: 1},
 		refuse:        {outcome: filbertford.OutcomeUnknown, starts: 1},
+		longHeader:    {outcome: filbertford.OutcomeUnknown, starts: 1},
 		overlong:      {outcome: filbertford.OutcomeUnknown, starts: 1},
 	}
 	for a, tt := range tests {
--- a/fbtarget/client.go
+++ b/fbtarget/client.go
@@ -26,6 +26,9 @@
 	// and one that stops and renewals never share with them.
 	MinConns = 2
 
+	// maxHeader is the size of the largest header of a reply, in bytes.
+	maxHeader = 64 << 10
+
 	dialTimeout = time.Second
 	// idleTimeout is shorter than the usual idle timeouts of HTTP servers, so
 	// that a kept-alive connection is seldom closed by the target first.
--- a/fbtarget/client_test.go
+++ b/fbtarget/client_test.go
@@ -175,6 +175,32 @@
 	}
 }
 
+// A reply that is sent twice can meet the next start on its connection.
+func TestRepliesNeverCross(t *testing.T) {
+	target, vm := newTarget(t, 64)
+	target.SetFaults(fbstand.TargetFaults{}.WithTwice())
+	client := newClient(t)
+	var g errgroup.Group
+	g.SetLimit(8)
+	for i := range 400 {
+		g.Go(func() error {
+			id := filbertford.StartID(fmt.Sprintf("s%d", i))
+			got := client.Start(t.Context(), vm, newStart(id, fmt.Sprintf(`{"run_ms":0,"echo":%d,"work":%q}`, i, id)))
+			want := fmt.Sprintf(`{"echo":%d,"target":"t1"}`, i)
+			if got.Outcome() == filbertford.OutcomeDone && string(got.Output()) != want {
+				t.Errorf("start %d got the output %s", i, got.Output())
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	for work, n := range target.Counters().Works() {
+		if n > 1 {
+			t.Errorf("%s was started %d times", work, n)
+		}
+	}
+}
+
 func TestControlErrors(t *testing.T) {
 	target, vm := newTarget(t, 1)
 	client := newClient(t)
--- a/fbtarget/conn.go
+++ b/fbtarget/conn.go
@@ -71,9 +71,10 @@
 			}
 			return &conn{Conn: c}, nil
 		},
-		DisableCompression:  true,
-		IdleConnTimeout:     idleTimeout,
-		MaxConnsPerHost:     conns,
-		MaxIdleConnsPerHost: conns,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxConnsPerHost:        conns,
+		MaxIdleConnsPerHost:    conns,
+		MaxResponseHeaderBytes: maxHeader,
 	}
 }
