fbplatform: a test that writes are sent once

Cause: the Transport repeats a PUT on a kept connection if the body can be had again. Mutation tried: with GetBody left in place the object is written twice and the test fails; reverted.

--- a/fbplatform/client_test.go
+++ b/fbplatform/client_test.go
@@ -166,6 +166,25 @@
 	}
 }
 
+// The Transport repeats idempotent requests on a kept connection if it can.
+func TestWritesAreSentOnce(t *testing.T) {
+	platform, client := newPlatform(t, time.Minute)
+	for _, call := range []string{"commit", "put"} {
+		platform.SetFaults(fbstand.PlatformFaults{})
+		if err := calls["read"](t.Context(), client); err != nil {
+			t.Fatal(err)
+		}
+		platform.SetFaults(fbstand.PlatformFaults{}.WithLostReplies())
+		if err := calls[call](t.Context(), client); !errors.Is(err, filbertford.ErrUnavailable) {
+			t.Errorf("%s: error %v, want unavailable", call, err)
+		}
+	}
+	n := platform.Counters()
+	if n.Writes() != 1 || n.Conflicts() != 0 || n.ObjectWrites() != 1 {
+		t.Errorf("%d writes, %d conflicts, %d object writes; want 1, 0, 1", n.Writes(), n.Conflicts(), n.ObjectWrites())
+	}
+}
+
 func TestUnclearRepliesAreUnavailable(t *testing.T) {
 	says := func(status int, body []byte) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
