Spill of waiting tasks to other data centres

Cause: a data centre beyond its slots kept its tasks while another was idle; steering by token only moves jobs that are yet to be minted. Ruled out: starting at the other data centre's targets directly, which would share their slots among all daemons of all data centres; forwarding the whole job, which would give up its owner. Change: a job that the policy keeps waiting for spill round trips has its next task run by the other data centre's least loaded daemon, as a job of that daemon's own under the start's ID, so that it too starts at most once; the heartbeat carries the room and measures the round trip. Off by default.

--- a/cmd/filbertfordd/fleet_test.go
+++ b/cmd/filbertfordd/fleet_test.go
@@ -29,7 +29,7 @@
 	}
 	binaries = dir
 	args := append([]string{"build", "-o", dir}, raceFlags...)
-	build := exec.Command("go", append(args, "../filbertfordd", "../fbstandin")...)
+	build := exec.Command("go", append(args, "../filbertfordd", "../fbstandin", "../filbertford")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
 		os.Exit(exitFailed)
@@ -273,6 +273,29 @@
 	}
 }
 
+// settings runs a settings command of the operators' client against the
+// stand-in platform.
+func (f *fleet) settings(args ...string) {
+	f.t.Helper()
+	args = append([]string{"settings"}, args...)
+	cmd := exec.Command(filepath.Join(binaries, "filbertford"), args...)
+	cmd.Env = append(os.Environ(), "FILBERTFORD_PLATFORM="+f.address(platformPort), "FILBERTFORD_OPERATOR=test")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		f.t.Fatalf("%v: %v\n%s", args, err, out)
+	}
+}
+
+// version returns the settings version in force at a daemon.
+func (f *fleet) version(i int) int {
+	var reply struct {
+		Version int `json:"version"`
+	}
+	if err := f.get(daemonPort+3*i+2, "/v1/settings", &reply); err != nil {
+		return 0
+	}
+	return reply.Version
+}
+
 func (f *fleet) awaitReady(i int) {
 	f.t.Helper()
 	f.await(fmt.Sprintf("daemon %d", i), func() bool { return f.get(daemonPort+3*i, "/readyz", nil) == nil })
--- a/cmd/filbertfordd/process_test.go
+++ b/cmd/filbertfordd/process_test.go
@@ -345,3 +345,48 @@
 	checkOwnVia(t, f, 1, "back")
 	f.checkOnce()
 }
+
+// TestSpill loads one data centre beyond its slots while another is idle: with
+// the setting, tasks go there, and each runs once.
+func TestSpill(t *testing.T) {
+	f := newFleet(t, 4, "nordnes", "sandviken")
+	f.awaitPeers(0, 1)
+	f.awaitPeers(1, 1)
+	f.settings("set", "/depot", "spill", "1")
+	f.await("the setting", func() bool { return f.version(0) == 2 && f.version(1) == 2 })
+	id := f.mint(0, "x")
+	const tasks = 40 // 16 slots in each data centre
+	a, _, err := f.client(0).SubmitAs(t.Context(), id, work("spill", tasks, 200))
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkOwn(t, "spill", tasks, a)
+	away := 0
+	for _, r := range a.Results() {
+		if strings.HasPrefix(string(r.Target()), "sandviken/") {
+			away++
+		}
+	}
+	if away == 0 {
+		t.Error("no task ran in the other data centre")
+	}
+	f.checkOnce()
+}
+
+// TestCutOffDataCentre takes the platform and the other data centre away:
+// pinned jobs are answered as before.
+func TestCutOffDataCentre(t *testing.T) {
+	f := newFleet(t, 4, "nordnes", "sandviken", "sandviken")
+	for i := range 3 {
+		f.awaitPeers(i, 2)
+	}
+	f.fault(platformPort, "platform", `{"down": true}`)
+	f.daemons[1].signal(syscall.SIGSTOP)
+	f.daemons[2].signal(syscall.SIGSTOP)
+	for i := range 50 {
+		checkOwnVia(t, f, 0, fmt.Sprintf("cut-%d", i))
+	}
+	f.daemons[1].signal(syscall.SIGCONT)
+	f.daemons[2].signal(syscall.SIGCONT)
+	f.checkOnce()
+}
--- a/fbcore/core.go
+++ b/fbcore/core.go
@@ -54,6 +54,7 @@
 	targets   map[filbertford.TargetID]*target
 	targetIDs []filbertford.TargetID
 	pools     map[string]*pool
+	remotes   []*remote
 	starts    map[filbertford.StartID]*start
 	waiting   *jobHeap
 	deadlines *jobHeap
@@ -88,6 +89,8 @@
 	// Starts is the number of starts sent, NotStarted those that came back
 	// without having started, Unknown those with an unknown outcome.
 	Starts, NotStarted, Unknown uint64
+	// Spilled is the number of tasks sent to other data centres.
+	Spilled uint64
 	// Stops is the number of stop messages, Renewals that of lease renewals.
 	Stops, Renewals uint64
 	// Violations is the number of broken invariants.
@@ -183,6 +186,8 @@
 	switch a.(type) {
 	case StartTask:
 		c.stats.Starts++
+	case StartRemote:
+		c.stats.Spilled++
 	case StopTasks:
 		c.stats.Stops++
 	case RenewLease:
@@ -234,6 +239,7 @@
 // setPeers takes what is known of the other daemons of the data centre.
 func (c *Core) setPeers(e PeersChanged) {
 	c.peerUse = e.Teams
+	c.setRemotes(e.Remotes)
 	if p, ok := c.policy.(filbertford.Sharer); ok {
 		p.Share(e.Index, e.Count)
 	}
@@ -257,7 +263,11 @@
 // flushStops sends the stop requests that have gathered, one message a target.
 func (c *Core) flushStops() {
 	for _, t := range c.stopsDue {
-		c.emit(StopTasks{Target: t.vm, Starts: t.stops})
+		if t.remote {
+			c.emit(StopRemote{Starts: t.stops})
+		} else {
+			c.emit(StopTasks{Target: t.vm, Starts: t.stops})
+		}
 		t.stops = nil
 	}
 	c.stopsDue = c.stopsDue[:0]
--- a/fbcore/event.go
+++ b/fbcore/event.go
@@ -93,6 +93,8 @@
 	// Index is the place of this daemon, from 0, among all Count daemons of the
 	// data centre in an order that all of them use.
 	Index, Count int
+	// Remotes are the daemons of other data centres that can run tasks.
+	Remotes []Remote
 }
 
 // Tick lets time pass. Deadlines, leases, the horizon and the batches of stop
@@ -139,6 +141,17 @@
 	Start  filbertford.Start
 }
 
+// StartRemote has a daemon of another data centre run a task, as a job of its
+// own. It is sent at most once, and its end comes back as StartEnded.
+type StartRemote struct {
+	Address string
+	ID      filbertford.StartID
+	Job     filbertford.Job
+}
+
+// StopRemote gives up a task at a daemon of another data centre.
+type StopRemote struct{ Starts []filbertford.StartID }
+
 // StopTasks tells a target in one message to stop tasks.
 type StopTasks struct {
 	Target filbertford.VM
@@ -162,6 +175,8 @@
 func (Reply) action()       {}
 func (ReplyStatus) action() {}
 func (StartTask) action()   {}
+func (StartRemote) action() {}
+func (StopRemote) action()  {}
 func (StopTasks) action()   {}
 func (RenewLease) action()  {}
 func (Drained) action()     {}
--- a/fbcore/job.go
+++ b/fbcore/job.go
@@ -127,7 +127,7 @@
 		if j == nil {
 			break
 		}
-		if c.startNext(now, j, ahead) {
+		if c.startNext(now, j, ahead) || c.spill(now, j) {
 			c.enqueue(now, j)
 			continue
 		}
@@ -179,10 +179,12 @@
 	c.starts[s.id] = s
 	c.waitingTasks--
 	args := j.spec.Tasks()[task].Args()
-	c.emit(StartTask{
-		Target: t.vm,
-		Start:  filbertford.NewStart(s.id, c.cfg.Incarnation, j.spec.Service(), args, s.lease),
-	})
+	order := filbertford.NewStart(s.id, c.cfg.Incarnation, j.spec.Service(), args, s.lease)
+	if t.remote {
+		c.emit(c.remoteStart(now, s, order))
+		return
+	}
+	c.emit(StartTask{Target: t.vm, Start: order})
 }
 
 // startEnded takes the end of a start. The end of a start that is not known any
@@ -230,6 +232,9 @@
 	case r.Outcome() == filbertford.OutcomeUnknown:
 		c.stats.Unknown++
 	}
+	if s.target.remote {
+		return
+	}
 	size := s.job.spec.Tasks()[s.task].Size()
 	c.policy.Observe(now, filbertford.NewObservation(
 		filbertford.TargetID(s.target.vm.ID()), s.job.spec.Service(), s.job.sub.key.text,
--- a/fbcore/target.go
+++ b/fbcore/target.go
@@ -18,6 +18,7 @@
 	leased  time.Time // when the present lease was asked for
 	asked   time.Time // when a renewal was last asked for
 	stops   []filbertford.StartID
+	remote  bool // a daemon of another data centre
 }
 
 // start is one start of a task that has not ended.
--- a/fbdaemon/control.go
+++ b/fbdaemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -21,6 +22,7 @@
 	lastRef  fbcore.Ref
 	vms      []filbertford.VM
 	drained  chan struct{}
+	spilled  map[filbertford.StartID]context.CancelFunc
 	lastView time.Time
 	lastSent time.Time
 	wasReady bool
@@ -69,14 +71,21 @@
 	booted := c.d.haveSettings.Load() && c.d.haveVMs.Load()
 	if token.IsZero() || !booted {
 		c.d.token.Store(nil)
+		c.d.own.Store(nil)
 		return
 	}
-	text := c.dir.Steer(now, c.core.Load())
-	if text == "" {
-		text = token.String()
+	own := token.String()
+	store(&c.d.own, own)
+	if steered := c.dir.Steer(now, c.core.Load()); steered != "" {
+		own = steered
 	}
-	if old := c.d.token.Load(); old == nil || *old != text {
-		c.d.token.Store(&text)
+	store(&c.d.token, own)
+}
+
+// store replaces a text if it has changed.
+func store(p *atomic.Pointer[string], text string) {
+	if old := p.Load(); old == nil || *old != text {
+		p.Store(&text)
 	}
 }
 
@@ -95,6 +104,10 @@
 		c.answer(a.Ref, outcome{status: a.Status})
 	case fbcore.StartTask:
 		c.d.startTask(a)
+	case fbcore.StartRemote:
+		c.d.startRemote(c, a)
+	case fbcore.StopRemote:
+		c.stopRemote(a)
 	case fbcore.StopTasks:
 		c.d.stopTasks(a)
 	case fbcore.RenewLease:
--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -80,7 +80,8 @@
 	spread  *fbsettings.Service
 
 	settings     atomic.Pointer[fbtree.Tree]
-	token        atomic.Pointer[string]
+	token        atomic.Pointer[string] // for new IDs, perhaps another daemon's
+	own          atomic.Pointer[string] // this daemon's token
 	haveVMs      atomic.Bool
 	haveSettings atomic.Bool
 	platformUp   atomic.Bool
@@ -154,6 +155,7 @@
 		dir:     fbmember.NewDirectory(d.peerAddress, d.dataCentre, cfg.Duration("membership", "timeout"), cfg.List("daemon", "seeds")),
 		waiters: make(map[fbcore.Ref]chan<- outcome),
 		drained: make(chan struct{}),
+		spilled: make(map[filbertford.StartID]context.CancelFunc),
 	}
 }
 
@@ -169,6 +171,14 @@
 	return ""
 }
 
+// ownToken returns the text of this daemon's own token.
+func (d *Daemon) ownToken() string {
+	if t := d.own.Load(); t != nil {
+		return *t
+	}
+	return ""
+}
+
 // Settings returns the settings in force.
 func (d *Daemon) Settings() *fbtree.Tree { return d.settings.Load() }
 
--- a/fbdaemon/member.go
+++ b/fbdaemon/member.go
@@ -94,7 +94,7 @@
 		due = c.dir.Due(now, d.heartbeatPeriod)
 		state = c.state(now)
 		index, count := c.dir.Share(now)
-		c.drive(now, fbcore.PeersChanged{Teams: c.dir.PeerUse(now), Index: index, Count: count})
+		c.drive(now, fbcore.PeersChanged{Teams: c.dir.PeerUse(now), Index: index, Count: count, Remotes: c.remotes(now)})
 	})
 	if err != nil {
 		return
--- a/fbdaemon/metrics.go
+++ b/fbdaemon/metrics.go
@@ -74,6 +74,7 @@
 	{"starts", "starts sent to targets", func(s fbcore.Stats) uint64 { return s.Starts }},
 	{"no_slot", "starts that surely did not happen, for want of a slot or a connection", func(s fbcore.Stats) uint64 { return s.NotStarted }},
 	{"starts_unknown", "starts whose outcome is unknown", func(s fbcore.Stats) uint64 { return s.Unknown }},
+	{"spills", "tasks sent to daemons of other data centres", func(s fbcore.Stats) uint64 { return s.Spilled }},
 	{"stops", "messages that stop tasks at a target", func(s fbcore.Stats) uint64 { return s.Stops }},
 	{"renews", "lease renewals sent to targets", func(s fbcore.Stats) uint64 { return s.Renewals }},
 	{"violations", "invariants found broken; anything but 0 is a fault of the program", func(s fbcore.Stats) uint64 { return s.Violations }},
--- /dev/null
+++ b/fbdaemon/spill.go
@@ -0,0 +1,115 @@
+package fbdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbcore"
+)
+
+// remotes returns the daemons of other data centres that can run tasks.
+func (c *control) remotes(now time.Time) []fbcore.Remote {
+	spare := c.dir.Spare(now)
+	var out []fbcore.Remote
+	for _, m := range c.dir.Members() {
+		free, ok := spare[m.Address()]
+		if !ok {
+			continue
+		}
+		s := m.State()
+		id := filbertford.VMID(string(s.DataCentre()) + "/" + string(s.VM()))
+		vm := filbertford.NewVM(id, filbertford.RoleEntry, s.DataCentre(), m.Address())
+		out = append(out, fbcore.NewRemote(vm, free, m.RoundTrip()))
+	}
+	return out
+}
+
+// startRemote has a daemon of another data centre run a task, in a goroutine of
+// its own, and brings its end back.
+func (d *Daemon) startRemote(c *control, a fbcore.StartRemote) {
+	ctx, cancel := context.WithTimeout(d.ctx, a.Job.Timeout()+d.requestTimeout)
+	c.spilled[a.ID] = cancel
+	d.traffic.Go(func() error {
+		defer cancel()
+		report := spillReport(d.peers.RunTask(ctx, a.Address, a.ID, a.Job))
+		return d.send(d.ctx, spillEnded{id: a.ID, report: report})
+	})
+}
+
+// stopRemote gives up tasks at daemons of other data centres.
+func (c *control) stopRemote(a fbcore.StopRemote) {
+	for _, id := range a.Starts {
+		if cancel := c.spilled[id]; cancel != nil {
+			cancel()
+		}
+	}
+}
+
+// spillEnded brings the end of a task in another data centre.
+type spillEnded struct {
+	id     filbertford.StartID
+	report filbertford.Report
+}
+
+func (m spillEnded) handle(c *control, now time.Time) {
+	delete(c.spilled, m.id)
+	c.drive(now, fbcore.StartEnded{Start: m.id, Report: m.report})
+}
+
+// spillReport translates the answer of a job of one task.
+func spillReport(a filbertford.Answer) filbertford.Report {
+	switch {
+	case a.Code() == filbertford.CodeComplete && len(a.Results()) == 1:
+		return filbertford.NewReport(filbertford.OutcomeDone).WithOutput(a.Results()[0].Output())
+	case a.Code() == filbertford.CodeTaskFailed:
+		return filbertford.NewReport(filbertford.OutcomeTaskFailed).WithDetail(a.Detail())
+	case a.Code().Class() == filbertford.ClassNotRun, a.Code().Class() == filbertford.ClassNotStarted:
+		return filbertford.NewReport(filbertford.OutcomeNoSlot).WithDetail(string(a.Code()))
+	default:
+		return filbertford.NewReport(filbertford.OutcomeUnknown).WithDetail(string(a.Code()))
+	}
+}
+
+// RunTask runs a task for a daemon of another data centre, which sends each
+// start once. It never goes on to a third data centre.
+func (s peerService) RunTask(ctx context.Context, start filbertford.StartID, j filbertford.Job) filbertford.Answer {
+	d := s.d
+	token, err := filbertford.ParseToken(d.ownToken())
+	if err != nil {
+		return filbertford.NewRefusal(filbertford.CodeNotReady, "")
+	}
+	id, err := filbertford.MintID(token, string(start))
+	if err != nil {
+		return filbertford.NewRefusal(filbertford.CodeMalformed, err.Error())
+	}
+	job, rules, refusal := d.prepare(j)
+	if refusal != nil {
+		return *refusal
+	}
+	m := &delivered{
+		delivery: filbertford.NewDelivery(id, job),
+		digest:   fbcore.Digest(job),
+		rules:    rules.WithSpill(0),
+		reply:    make(chan outcome, 1),
+	}
+	if !d.offer(m) {
+		return filbertford.NewRefusal(filbertford.CodeBusy, "")
+	}
+	return d.awaitLent(ctx, m)
+}
+
+// awaitLent waits for the outcome of a task that runs for another daemon, and
+// cancels it when that daemon gives it up.
+func (d *Daemon) awaitLent(ctx context.Context, m *delivered) filbertford.Answer {
+	select {
+	case o := <-m.reply:
+		return o.answer
+	case <-ctx.Done():
+		unheard := make(chan outcome, 1)
+		_ = d.send(d.ctx, question{id: m.delivery.ID(), reply: unheard, event: func(ref fbcore.Ref) fbcore.Event {
+			return fbcore.Cancel{Ref: ref, ID: m.delivery.ID()}
+		}})
+		return filbertford.NewRefusal(filbertford.CodeCancelled, "")
+	}
+}
--- a/fbmember/directory.go
+++ b/fbmember/directory.go
@@ -27,6 +27,7 @@
 	leaving bool
 	heard   time.Time
 	asked   time.Time
+	rtt     time.Duration
 	state   State
 }
 
@@ -39,6 +40,10 @@
 // Heard returns when the member last answered, the zero time if never.
 func (m Member) Heard() time.Time { return m.heard }
 
+// RoundTrip returns how long a heartbeat and its reply take, smoothed; 0 if
+// none was measured.
+func (m Member) RoundTrip() time.Duration { return m.rtt }
+
 // Leaving reports whether the platform's list has the member as leaving.
 func (m Member) Leaving() bool { return m.leaving }
 
@@ -130,6 +135,7 @@
 		d.gone = append(d.gone, former)
 		d.forgetOwners(address)
 	}
+	m.measure(now.Sub(asked))
 	d.take(now, m, s)
 }
 
@@ -148,6 +154,39 @@
 	d.take(now, m, s)
 }
 
+// smoothing is the weight of a new round trip, as in TCP's estimate (RFC 6298).
+const smoothing = 8
+
+// measure takes a round trip into the estimate.
+func (m *Member) measure(rtt time.Duration) {
+	if m.rtt == 0 {
+		m.rtt = rtt
+		return
+	}
+	m.rtt += (rtt - m.rtt) / smoothing
+}
+
+// Spare returns the live members of other data centres that are likely to have
+// slots free, with how many: a member's part of its data centre's slots less
+// what waits and runs there.
+func (d *Directory) Spare(now time.Time) map[string]int {
+	count := make(map[filbertford.DataCentre]int)
+	for _, m := range d.Reachable(now) {
+		count[m.state.dataCentre]++
+	}
+	out := make(map[string]int)
+	for _, m := range d.Reachable(now) {
+		s := m.state
+		if s.dataCentre == d.dc || s.stopping || m.leaving || m.Silence(now) >= steerSilence {
+			continue
+		}
+		if free := s.load.Slots()/count[s.dataCentre] - s.load.Waiting() - s.load.Running(); free > 0 {
+			out[m.address] = free
+		}
+	}
+	return out
+}
+
 // Gone returns the incarnations that were proved to be gone for good since the
 // last call.
 func (d *Directory) Gone() []filbertford.Incarnation {
--- a/fbpeer/client.go
+++ b/fbpeer/client.go
@@ -136,6 +136,14 @@
 	return answerOf(call(ctx, c, address, req, fbwire.DRPCPeerClient.Forward))
 }
 
+// RunTask has the daemon at the address run a job of one task. It answers
+// CodeOwnerUnreached if nothing was sent, and CodeOutcomeUnknown if the reply
+// was lost.
+func (c *Client) RunTask(ctx context.Context, address string, id filbertford.StartID, j filbertford.Job) filbertford.Answer {
+	req := &fbwire.RunTaskRequest{Start: string(id), Job: jobToWire(j)}
+	return answerOf(call(ctx, c, address, req, fbwire.DRPCPeerClient.RunTask))
+}
+
 // Cancel asks the owner of a submission to cancel it. It answers as Forward
 // does.
 func (c *Client) Cancel(ctx context.Context, address string, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Answer {
--- a/fbpeer/server.go
+++ b/fbpeer/server.go
@@ -19,6 +19,9 @@
 type Owner interface {
 	// Submit takes a delivery that another daemon forwarded.
 	Submit(ctx context.Context, owner filbertford.Incarnation, d filbertford.Delivery) filbertford.Answer
+	// RunTask runs a job of one task for a daemon of another data centre and
+	// cancels it when the context ends.
+	RunTask(ctx context.Context, id filbertford.StartID, j filbertford.Job) filbertford.Answer
 	// Cancel cancels a submission for a team, any if empty.
 	Cancel(ctx context.Context, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Answer
 	// Status tells a team, any if empty, what is known of a submission.
@@ -80,6 +83,11 @@
 	return reply(s.owner.Submit(ctx, filbertford.Incarnation(r.GetOwner()), d)), nil
 }
 
+// RunTask implements fbwire.DRPCPeerServer.
+func (s *Server) RunTask(ctx context.Context, r *fbwire.RunTaskRequest) (*fbwire.AnswerReply, error) {
+	return reply(s.owner.RunTask(ctx, filbertford.StartID(r.GetStart()), jobFromWire(r.GetJob()))), nil
+}
+
 // Cancel implements fbwire.DRPCPeerServer.
 func (s *Server) Cancel(ctx context.Context, r *fbwire.SubmissionRequest) (*fbwire.AnswerReply, error) {
 	id, err := filbertford.ParseID(r.GetId())
