--- a/fbplatform/client_test.go
+++ b/fbplatform/client_test.go
@@ -166,7 +166,8 @@
 	}
 }
 
-// The Transport repeats idempotent requests on a kept connection if it can.
+// The Transport repeats a write on a kept connection if it has its body again and
+// finds the header Idempotency-Key.
 func TestWritesAreSentOnce(t *testing.T) {
 	platform, client := newPlatform(t, time.Minute)
 	for _, call := range []string{"commit", "put"} {
