--- a/cmd/filbertfordd/fleet_test.go
+++ b/cmd/filbertfordd/fleet_test.go
@@ -57,7 +57,7 @@
 
 // fleet is a set of processes: the stand-ins and some entry daemons.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	host    string
 	targets int
 	daemons []*process
@@ -66,7 +66,7 @@
 
 // process is a program that the test started.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	cmd  *exec.Cmd
 	log  *os.File
 	done chan struct{}
@@ -75,7 +75,7 @@
 
 // newFleet starts the stand-ins with the targets and a daemon in each of the
 // named data centres.
-func newFleet(t *testing.T, targets int, centres ...string) *fleet {
+func newFleet(t testing.TB, targets int, centres ...string) *fleet {
 	t.Helper()
 	lastHost.Lock()
 	lastHost.n++
--- a/cmd/filbertfordd/process_test.go
+++ b/cmd/filbertfordd/process_test.go
@@ -34,7 +34,7 @@
 }
 
 // checkOwn fails the test unless the answer is complete and that of the job.
-func checkOwn(t *testing.T, name string, tasks int, a filbertford.Answer) {
+func checkOwn(t testing.TB, name string, tasks int, a filbertford.Answer) {
 	t.Helper()
 	if a.Code() != filbertford.CodeComplete || len(a.Results()) != tasks {
 		t.Errorf("%s: %s %s with %d results", name, a.Code(), a.Detail(), len(a.Results()))
@@ -259,7 +259,7 @@
 	f.checkOnce()
 }
 
-func checkOwnVia(t *testing.T, f *fleet, via int, name string) {
+func checkOwnVia(t testing.TB, f *fleet, via int, name string) {
 	t.Helper()
 	a, err := f.client(via).Submit(t.Context(), work(name, 3, 5))
 	if err != nil {
--- a/fbconfig/key.go
+++ b/fbconfig/key.go
@@ -75,7 +75,7 @@
 	choiceKey("policy", "name", "adaptive", []string{"adaptive", "random", "round-robin", "least-outstanding", "two-choices"}, "the placement policy"),
 	intKey("policy", "seed", "1", 0, 1<<31, "the seed of the policy's random choices"),
 	durationKey("policy", "tick", "10ms", time.Millisecond, time.Second, "the time between two looks at deadlines, leases and stop requests"),
-	intKey("policy", "target-connections", "16", 1, 64, "connections that this daemon opens to one target"),
+	intKey("policy", "target-connections", "16", 2, 64, "connections that this daemon opens to one target"),
 }
 
 func textKey(section, name, usual, about string) Key {
--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -71,6 +71,7 @@
 	requestTimeout  time.Duration
 	stopGrace       time.Duration
 	drainTimeout    time.Duration
+	targetConns     int
 
 	ctx     context.Context // ends when the last traffic must end
 	end     context.CancelFunc
@@ -115,6 +116,7 @@
 		requestTimeout:  cfg.Duration("settings", "request-timeout"),
 		stopGrace:       cfg.Duration("stop", "grace"),
 		drainTimeout:    cfg.Duration("stop", "drain"),
+		targetConns:     cfg.Int("policy", "target-connections"),
 		ctx:             ctx,
 		end:             end,
 		traffic:         new(errgroup.Group),
--- a/fbdaemon/member.go
+++ b/fbdaemon/member.go
@@ -16,7 +16,7 @@
 	ask, cancel := context.WithTimeout(ctx, d.requestTimeout)
 	defer cancel()
 	d.metrics.vmReads.Inc(1)
-	vms, err := d.vmList.VMs(ask)
+	vms, err := d.readVMs(ask)
 	if err != nil {
 		d.platformState(false, err)
 		if !d.haveVMs.Load() {
@@ -28,8 +28,28 @@
 	_ = d.send(ctx, vmsRead{vms})
 }
 
+// readVMs reads what a daemon needs of the platform's list: the entry VMs of all
+// data centres and the targets of its own.
+func (d *Daemon) readVMs(ctx context.Context) ([]filbertford.VM, error) {
+	entries, err := d.vmList.VMs(ctx, filbertford.VMFilter{}.WithRole(filbertford.RoleEntry))
+	if err != nil {
+		return nil, err
+	}
+	targets, err := d.vmList.VMs(ctx, d.ownTargets())
+	if err != nil {
+		return nil, err
+	}
+	return append(entries, targets...), nil
+}
+
+// ownTargets selects the targets of the daemon's data centre.
+func (d *Daemon) ownTargets() filbertford.VMFilter {
+	return filbertford.VMFilter{}.WithRole(filbertford.RoleTarget).WithDataCentre(d.dataCentre)
+}
+
 // borrowVMs takes the platform's list from another daemon, for a boot while the
-// platform is out.
+// platform is out. It must be one of the same data centre, since others read
+// other targets.
 func (d *Daemon) borrowVMs(ctx context.Context) {
 	var members []fbmember.Member
 	err := d.inquire(ctx, func(c *control, now time.Time) { members = c.dir.Reachable(now) })
@@ -39,6 +59,9 @@
 	ask, cancel := context.WithTimeout(ctx, d.requestTimeout)
 	defer cancel()
 	for _, m := range members {
+		if m.State().DataCentre() != d.dataCentre {
+			continue
+		}
 		if vms, err := d.peers.VMs(ask, m.Address()); err == nil && len(vms) > 0 {
 			_ = d.send(ctx, vmsRead{vms})
 			return
@@ -77,6 +100,7 @@
 		if vm.Role() != filbertford.RoleTarget || vm.DataCentre() != c.d.dataCentre {
 			continue
 		}
+		vm = c.d.reachableSlots(vm)
 		if settings.Draining(filbertford.TargetID(vm.ID())) {
 			vm = vm.WithState(filbertford.VMLeaving)
 		}
@@ -85,6 +109,12 @@
 	c.drive(now, fbcore.TargetsChanged{Targets: targets})
 }
 
+// reachableSlots bounds a target's slots by the connections that this daemon
+// opens to it, of which one is kept for stops and renewals.
+func (d *Daemon) reachableSlots(vm filbertford.VM) filbertford.VM {
+	return vm.WithCapacity(min(vm.Slots(), d.targetConns-1), vm.Conns())
+}
+
 // heartbeat tells the daemons that have been silent for the period this
 // daemon's state, each in a goroutine of its own.
 func (d *Daemon) heartbeat(ctx context.Context) {
