--- a/fbapi/server.go
+++ b/fbapi/server.go
@@ -226,7 +226,20 @@
 	case errors.As(err, &httpErr) && httpErr.Code < http.StatusInternalServerError:
 		a = filbertford.NewRefusal(filbertford.CodeMalformed, http.StatusText(httpErr.Code))
 	}
-	_ = h.answer(c, "", a)
+	_ = h.answer(c, saidID(c), a)
+}
+
+// saidID returns the submission ID that a request named, empty if it named none
+// or one that is not well formed.
+func saidID(c echo.Context) string {
+	text := c.Request().Header.Get(HeaderID)
+	if text == "" {
+		text = c.Param("id")
+	}
+	if _, err := filbertford.ParseID(text); err != nil {
+		return ""
+	}
+	return text
 }
 
 // bearer returns the caller's key.
