VM list: filters, and 304 while it is unchanged

Cause: each daemon read the platform's whole list every 2 s. With 8,800 targets that is 1,173,662 bytes a read, 587 KB/s against 3 KB/s for control. Ruled out: a longer period alone, since a list that lags costs starts at VMs that have gone; a list passed on among the daemons, since the platform stays the source and each must be able to do without the others. Change: GET /vms takes role and data_centre; the list carries an ETag and the client sends it back.

--- a/fbplatform/client.go
+++ b/fbplatform/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -36,6 +37,9 @@
 	base      string
 	timeout   time.Duration
 	transport *http.Transport
+
+	mu    sync.Mutex
+	lists map[filbertford.VMFilter]taggedList
 }
 
 var (
@@ -51,6 +55,7 @@
 	return &Client{
 		base:    "http://" + address,
 		timeout: timeout,
+		lists:   make(map[filbertford.VMFilter]taggedList),
 		transport: &http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableCompression:     true,
@@ -70,59 +75,78 @@
 	if len(data) > MaxBody {
 		return eris.Errorf("object %q has %d bytes; at most %d are allowed", key, len(data), MaxBody)
 	}
-	status, _, err := c.do(ctx, http.MethodPut, objectPath(key), data)
+	r, err := c.do(ctx, request{method: http.MethodPut, path: objectPath(key), body: data})
 	if err != nil {
 		return err
 	}
-	if status != http.StatusNoContent {
-		return unexpected(status)
+	if r.status != http.StatusNoContent {
+		return unexpected(r.status)
 	}
 	return nil
 }
 
 // Object returns the object under the key, or filbertford.ErrNotFound.
 func (c *Client) Object(ctx context.Context, key string) ([]byte, error) {
-	status, body, err := c.do(ctx, http.MethodGet, objectPath(key), nil)
+	r, err := c.do(ctx, request{method: http.MethodGet, path: objectPath(key)})
 	switch {
 	case err != nil:
 		return nil, err
-	case status == http.StatusNotFound:
+	case r.status == http.StatusNotFound:
 		return nil, eris.Wrapf(filbertford.ErrNotFound, "object %q", key)
-	case status != http.StatusOK:
-		return nil, unexpected(status)
+	case r.status != http.StatusOK:
+		return nil, unexpected(r.status)
 	}
-	return body, nil
+	return r.body, nil
+}
+
+// request is one request to the platform. A tag asks for a body only if the
+// reply's tag would be another.
+type request struct {
+	method string
+	path   string
+	tag    string
+	body   []byte
 }
 
-// do sends one request, once, and returns the status and body of the reply.
-func (c *Client) do(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+// reply is the platform's reply to a request.
+type reply struct {
+	status int
+	tag    string
+	body   []byte
+}
+
+// do sends one request, once.
+func (c *Client) do(ctx context.Context, r request) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, r.method, c.base+r.path, bytes.NewReader(r.body))
 	if err != nil {
-		return 0, nil, unavailable(err)
+		return reply{}, unavailable(err)
 	}
-	if method == http.MethodPost {
+	if r.method == http.MethodPost {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	if method != http.MethodGet {
+	if r.tag != "" {
+		req.Header.Set("If-None-Match", r.tag)
+	}
+	if r.method != http.MethodGet {
 		// Without GetBody the transport can't send the request again.
 		req.GetBody = nil
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return 0, nil, unavailable(err)
+		return reply{}, unavailable(err)
 	}
 	if resp.StatusCode < http.StatusOK {
 		// The body of status 101 is the connection itself, whose reads don't
 		// end with the context.
-		return 0, nil, errors.Join(unexpected(resp.StatusCode), resp.Body.Close())
+		return reply{}, errors.Join(unexpected(resp.StatusCode), resp.Body.Close())
 	}
-	reply, err := readBody(resp.Body)
+	body, err := readBody(resp.Body)
 	if err != nil {
-		return 0, nil, unavailable(err)
+		return reply{}, unavailable(err)
 	}
-	return resp.StatusCode, reply, nil
+	return reply{status: resp.StatusCode, tag: resp.Header.Get("ETag"), body: body}, nil
 }
 
 // readBody reads a reply of up to MaxBody bytes and closes it.
--- a/fbplatform/client_test.go
+++ b/fbplatform/client_test.go
@@ -115,16 +115,84 @@
 	want := filbertford.NewVM("t1", filbertford.RoleTarget, "nordnes", "127.0.0.1:1").
 		WithState(filbertford.VMLeaving).WithRack("r1").WithCapacity(8, 64).WithServices("ordering")
 	platform.PutVM(want)
-	got, err := client.VMs(t.Context())
+	got, err := client.VMs(t.Context(), filbertford.VMFilter{})
 	if diff := cmp.Diff([]filbertford.VM{want}, got, cmp.AllowUnexported(filbertford.VM{})); diff != "" || err != nil {
 		t.Error(diff, err)
 	}
 	platform.RemoveVM("t1")
-	if got, err := client.VMs(t.Context()); len(got) != 0 || err != nil {
+	if got, err := client.VMs(t.Context(), filbertford.VMFilter{}); len(got) != 0 || err != nil {
 		t.Errorf("list %v, %v after the removal", got, err)
 	}
 }
 
+func TestVMsOfAFilter(t *testing.T) {
+	platform, client := newPlatform(t, time.Second)
+	platform.Seed(
+		filbertford.NewVM("e1", filbertford.RoleEntry, "nordnes", "h:1"),
+		filbertford.NewVM("e2", filbertford.RoleEntry, "sand viken", "h:2"),
+		filbertford.NewVM("t1", filbertford.RoleTarget, "nordnes", "h:3"),
+		filbertford.NewVM("t2", filbertford.RoleTarget, "sand viken", "h:4"))
+	tests := map[string]struct {
+		filter filbertford.VMFilter
+		want   []filbertford.VMID
+	}{
+		"all":       {want: []filbertford.VMID{"e1", "e2", "t1", "t2"}},
+		"entry VMs": {filter: filbertford.VMFilter{}.WithRole(filbertford.RoleEntry), want: []filbertford.VMID{"e1", "e2"}},
+		"targets of a data centre": {
+			filter: filbertford.VMFilter{}.WithRole(filbertford.RoleTarget).WithDataCentre("sand viken"),
+			want:   []filbertford.VMID{"t2"},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for range 2 {
+				var got []filbertford.VMID
+				vms, err := client.VMs(t.Context(), tt.filter)
+				for _, vm := range vms {
+					got = append(got, vm.ID())
+				}
+				if diff := cmp.Diff(tt.want, got); diff != "" || err != nil {
+					t.Error(diff, err)
+				}
+			}
+		})
+	}
+}
+
+func TestUnchangedVMsAreNotSentAgain(t *testing.T) {
+	platform := fbstand.NewPlatform(0)
+	var statuses []int
+	client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		platform.Handler().ServeHTTP(rec, r)
+		statuses = append(statuses, rec.Code)
+		w.Header().Set("ETag", rec.Header().Get("ETag"))
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}), time.Second)
+	for i, id := range []filbertford.VMID{"t1", "t2"} {
+		platform.Seed(filbertford.NewVM(id, filbertford.RoleTarget, "nordnes", "h:1"))
+		for range 2 {
+			if vms, err := client.VMs(t.Context(), filbertford.VMFilter{}); len(vms) != i+1 || err != nil {
+				t.Errorf("%d VMs, %v, want %d", len(vms), err, i+1)
+			}
+		}
+	}
+	want := []int{http.StatusOK, http.StatusNotModified, http.StatusOK, http.StatusNotModified}
+	if diff := cmp.Diff(want, statuses); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestNotModifiedWithoutAListIsUnavailable(t *testing.T) {
+	client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNotModified)
+	}), time.Second)
+	if _, err := client.VMs(t.Context(), filbertford.VMFilter{}); !errors.Is(err, filbertford.ErrUnavailable) {
+		t.Errorf("error %v, want unavailable", err)
+	}
+}
+
 // calls are all requests of a client.
 var calls = map[string]func(context.Context, *fbplatform.Client) error{
 	"read": func(ctx context.Context, c *fbplatform.Client) error {
@@ -142,7 +210,7 @@
 		return err
 	},
 	"vms": func(ctx context.Context, c *fbplatform.Client) error {
-		_, err := c.VMs(ctx)
+		_, err := c.VMs(ctx, filbertford.VMFilter{})
 		return err
 	},
 }
--- a/fbplatform/table.go
+++ b/fbplatform/table.go
@@ -34,14 +34,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode read")
 	}
-	status, reply, err := c.do(ctx, http.MethodPost, "/table/read", body)
+	r, err := c.do(ctx, request{method: http.MethodPost, path: "/table/read", body: body})
 	if err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, unexpected(status)
+	if r.status != http.StatusOK {
+		return nil, unexpected(r.status)
 	}
-	return parseRows(reply, keys)
+	return parseRows(r.body, keys)
 }
 
 // Commit applies all writes or none.
@@ -54,14 +54,14 @@
 	if err != nil {
 		return eris.Wrap(err, "encode commit")
 	}
-	status, _, err := c.do(ctx, http.MethodPost, "/table/commit", body)
+	done, err := c.do(ctx, request{method: http.MethodPost, path: "/table/commit", body: body})
 	switch {
 	case err != nil:
 		return err
-	case status == http.StatusConflict:
+	case done.status == http.StatusConflict:
 		return filbertford.ErrConflict
-	case status != http.StatusOK:
-		return unexpected(status)
+	case done.status != http.StatusOK:
+		return unexpected(done.status)
 	}
 	return nil
 }
--- a/fbplatform/vms.go
+++ b/fbplatform/vms.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/url"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -35,16 +37,60 @@
 	Services   []string `json:"services"`
 }
 
-// VMs returns the live and leaving VMs.
-func (c *Client) VMs(ctx context.Context) ([]filbertford.VM, error) {
-	status, reply, err := c.do(ctx, http.MethodGet, "/vms", nil)
+// taggedList is a list as last read, with the tag under which the platform
+// confirms it.
+type taggedList struct {
+	tag string
+	vms []filbertford.VM
+}
+
+// VMs returns the live and leaving VMs that the filter selects. A list that the
+// platform tags is read again only once it has changed.
+func (c *Client) VMs(ctx context.Context, f filbertford.VMFilter) ([]filbertford.VM, error) {
+	last := c.lastList(f)
+	r, err := c.do(ctx, request{method: http.MethodGet, path: vmsPath(f), tag: last.tag})
+	switch {
+	case err != nil:
+		return nil, err
+	case r.status == http.StatusNotModified && last.tag != "":
+		return slices.Clone(last.vms), nil
+	case r.status != http.StatusOK:
+		return nil, unexpected(r.status)
+	}
+	vms, err := parseVMs(r.body)
 	if err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, unexpected(status)
+	vms = slices.DeleteFunc(vms, func(v filbertford.VM) bool { return !f.Selects(v) })
+	c.keepList(f, taggedList{tag: r.tag, vms: slices.Clone(vms)})
+	return vms, nil
+}
+
+func (c *Client) lastList(f filbertford.VMFilter) taggedList {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lists[f]
+}
+
+func (c *Client) keepList(f filbertford.VMFilter, l taggedList) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lists[f] = l
+}
+
+// vmsPath returns the path of a filtered list.
+func vmsPath(f filbertford.VMFilter) string {
+	query := make(url.Values)
+	if f.Role() != "" {
+		query.Set("role", string(f.Role()))
+	}
+	if f.DataCentre() != "" {
+		query.Set("data_centre", string(f.DataCentre()))
+	}
+	if len(query) == 0 {
+		return "/vms"
 	}
-	return parseVMs(reply)
+	return "/vms?" + query.Encode()
 }
 
 // parseVMs reads a VM list. A list with a malformed VM or with two of one name
--- a/fbstand/platform.go
+++ b/fbstand/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -116,8 +115,9 @@
 	p.pending = append(p.pending, c)
 }
 
-// shownVMs returns the list as it shows now, in the order of the names.
-func (p *Platform) shownVMs() []filbertford.VM {
+// shownVMs returns the VMs of the list as it shows now that the filter selects,
+// in the order of the names.
+func (p *Platform) shownVMs(f filbertford.VMFilter) []filbertford.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counters.vmReads++
@@ -131,9 +131,14 @@
 		}
 		p.vms[c.id] = c.vm
 	}
-	return slices.SortedFunc(maps.Values(p.vms), func(a, b filbertford.VM) int {
-		return cmp.Compare(a.ID(), b.ID())
-	})
+	out := make([]filbertford.VM, 0, len(p.vms))
+	for _, vm := range p.vms {
+		if f.Selects(vm) {
+			out = append(out, vm)
+		}
+	}
+	slices.SortFunc(out, func(a, b filbertford.VM) int { return cmp.Compare(a.ID(), b.ID()) })
+	return out
 }
 
 func (p *Platform) read(keys []string) []filbertford.Row {
--- a/fbstand/platform_http.go
+++ b/fbstand/platform_http.go
@@ -1,6 +1,9 @@
 package fbstand
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -152,11 +155,29 @@
 }
 
 func (p *Platform) handleVMs(c echo.Context) error {
+	filter := filbertford.VMFilter{}.
+		WithRole(filbertford.Role(c.QueryParam("role"))).
+		WithDataCentre(filbertford.DataCentre(c.QueryParam("data_centre")))
 	reply := vmsReply{VMs: []vm{}}
-	for _, have := range p.shownVMs() {
+	for _, have := range p.shownVMs(filter) {
 		reply.VMs = append(reply.VMs, encodeVM(have))
 	}
-	return c.JSON(http.StatusOK, reply)
+	body, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	tag := entityTag(body)
+	c.Response().Header().Set("ETag", tag)
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.JSONBlob(http.StatusOK, body)
+}
+
+// entityTag returns a strong tag of a body (RFC 9110, section 8.8.3).
+func entityTag(body []byte) string {
+	sum := sha256.Sum256(body)
+	return `"` + hex.EncodeToString(sum[:16]) + `"`
 }
 
 func (p *Platform) handlePutVM(c echo.Context) error {
--- a/platform.go
+++ b/platform.go
@@ -84,6 +84,35 @@
 
 // VMList is the platform's list of VMs, which lags behind the truth.
 type VMList interface {
-	// VMs returns the live and leaving VMs.
-	VMs(ctx context.Context) ([]VM, error)
+	// VMs returns the live and leaving VMs that the filter selects.
+	VMs(ctx context.Context, f VMFilter) ([]VM, error)
+}
+
+// VMFilter selects VMs of the platform's list. The zero VMFilter selects all.
+type VMFilter struct {
+	role       Role
+	dataCentre DataCentre
+}
+
+// WithRole returns a copy of f that selects VMs of the role only.
+func (f VMFilter) WithRole(r Role) VMFilter {
+	f.role = r
+	return f
+}
+
+// WithDataCentre returns a copy of f that selects VMs of the data centre only.
+func (f VMFilter) WithDataCentre(dc DataCentre) VMFilter {
+	f.dataCentre = dc
+	return f
+}
+
+// Role returns the role that is selected, empty for all.
+func (f VMFilter) Role() Role { return f.role }
+
+// DataCentre returns the data centre that is selected, empty for all.
+func (f VMFilter) DataCentre() DataCentre { return f.dataCentre }
+
+// Selects reports whether the filter selects the VM.
+func (f VMFilter) Selects(v VM) bool {
+	return (f.role == "" || f.role == v.role) && (f.dataCentre == "" || f.dataCentre == v.dataCentre)
 }
