--- /dev/null
+++ b/fbburn/burn_test.go
@@ -0,0 +1,279 @@
+package fbburn
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+	"unsafe"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/filbertford/filbertford"
+)
+
+var start = time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+
+func TestJudge(t *testing.T) {
+	tests := map[string]struct {
+		code filbertford.Code
+		took time.Duration
+		want Outcome
+	}{
+		"complete in time":   {filbertford.CodeComplete, time.Second, OutcomeGood},
+		"complete too late":  {filbertford.CodeComplete, time.Second + 1, OutcomeBad},
+		"failed":             {filbertford.CodeTaskFailed, 0, OutcomeBad},
+		"deadline":           {filbertford.CodeDeadline, 0, OutcomeBad},
+		"unknown outcome":    {filbertford.CodeOutcomeUnknown, 0, OutcomeBad},
+		"undecided":          {filbertford.CodeUndecided, 0, OutcomeBad},
+		"overloaded":         {filbertford.CodeOverloaded, 0, OutcomeBad},
+		"never run":          {filbertford.CodeNeverRun, 0, OutcomeBad},
+		"busy":               {filbertford.CodeBusy, 0, OutcomeBad},
+		"owner unreached":    {filbertford.CodeOwnerUnreached, 0, OutcomeBad},
+		"code of the future": {"FB9999", 0, OutcomeBad},
+		"over quota":         {filbertford.CodeOverQuota, 0, OutcomeOverQuota},
+		"cancelled":          {filbertford.CodeCancelled, time.Hour, OutcomeIgnored},
+		"malformed":          {filbertford.CodeMalformed, 0, OutcomeIgnored},
+		"unknown service":    {filbertford.CodeUnknownService, 0, OutcomeIgnored},
+		"unauthorized":       {filbertford.CodeUnauthorized, 0, OutcomeIgnored},
+		"long ago":           {filbertford.CodeTooOld, 0, OutcomeIgnored},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := Judge(tt.code, tt.took, time.Second); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestVerdict(t *testing.T) {
+	type phase struct {
+		ago       time.Duration
+		good, bad int
+	}
+	tests := map[string]struct {
+		share  float64
+		phases []phase
+		want   Verdict
+	}{
+		"no answers":            {0.99, nil, VerdictNone},
+		"all good":              {0.99, []phase{{0, 100, 0}}, VerdictOK},
+		"fast burn":             {0.99, []phase{{0, 80, 20}}, VerdictPage},
+		"fast burn is over":     {0.99, []phase{{40 * time.Minute, 80, 20}, {0, 100, 0}}, VerdictTicket},
+		"slow burn":             {0.99, []phase{{0, 90, 10}}, VerdictPage},
+		"used up":               {0.99, []phase{{0, 97, 3}}, VerdictTicket},
+		"slow burn long ago":    {0.99, []phase{{30 * time.Hour, 90, 10}, {0, 1, 0}}, VerdictOK},
+		"older than any window": {0.99, []phase{{80 * time.Hour, 0, 10}}, VerdictNone},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := NewBook(start)
+			now := start.Add(100 * time.Hour)
+			for _, p := range tt.phases {
+				for range p.good {
+					b.Record(now.Add(-p.ago), Key{}, NewObjective(tt.share, time.Second), OutcomeGood)
+				}
+				for range p.bad {
+					b.Record(now.Add(-p.ago), Key{}, NewObjective(tt.share, time.Second), OutcomeBad)
+				}
+			}
+			got := VerdictNone
+			for _, s := range b.Snapshot(now, false, nil).Services() {
+				got = s.Verdict()
+			}
+			if got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// answer is a recorded answer of the property tests.
+type answer struct {
+	at      time.Time
+	key     Key
+	outcome Outcome
+}
+
+func drawAnswers(t *rapid.T) []answer {
+	now := start
+	var out []answer
+	for range rapid.IntRange(0, 60).Draw(t, "answers") {
+		gap := rapid.SampledFrom([]time.Duration{0, time.Second, time.Minute, time.Hour, 80 * time.Hour, -time.Second, -2 * time.Hour})
+		now = now.Add(gap.Draw(t, "gap"))
+		out = append(out, answer{
+			at:      now,
+			key:     NewKey("depot", rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"), ""),
+			outcome: rapid.SampledFrom([]Outcome{OutcomeGood, OutcomeBad, OutcomeOverQuota, OutcomeIgnored}).Draw(t, "outcome"),
+		})
+	}
+	return out
+}
+
+// model counts the answers of a window one by one. A clock that goes backwards
+// counts as one that stands still.
+func model(answers []answer, k Key, w Window) Counts {
+	width := minute
+	if w == Window3d {
+		width = hour
+	}
+	var latest time.Time
+	moments := make([]time.Time, len(answers))
+	for i, a := range answers {
+		if a.outcome != OutcomeIgnored && a.at.After(latest) {
+			latest = a.at
+		}
+		moments[i] = latest
+	}
+	first := latest.Truncate(width).Add(width - w.Length())
+	var b bucket
+	for i, a := range answers {
+		if a.key == k && !moments[i].Before(first) {
+			b.add(a.outcome)
+		}
+	}
+	return b.counts()
+}
+
+func TestWindowsHoldWhatWasRecorded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		answers := drawAnswers(t)
+		whole, halves := NewBook(start), []*Book{NewBook(start), NewBook(start)}
+		end := start
+		for i, a := range answers {
+			whole.Record(a.at, a.key, NewObjective(0.9, time.Second), a.outcome)
+			halves[i%2].Record(a.at, a.key, NewObjective(0.9, time.Second), a.outcome)
+			if a.outcome != OutcomeIgnored && a.at.After(end) {
+				end = a.at
+			}
+		}
+		got := whole.Snapshot(end, true, nil)
+		for _, s := range got.Services() {
+			for _, w := range Windows() {
+				if diff := cmp.Diff(model(answers, s.Key(), w), s.Counts(w), cmp.AllowUnexported(Counts{})); diff != "" {
+					t.Errorf("%s over %s (-want +got):\n%s", s.Key(), w, diff)
+				}
+			}
+		}
+		data, err := json.Marshal(got)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Snapshot
+		if err := json.Unmarshal(data, &back); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(got, back, compareAll); diff != "" {
+			t.Errorf("through JSON (-want +got):\n%s", diff)
+		}
+	})
+}
+
+var compareAll = cmp.AllowUnexported(Snapshot{}, Service{}, Key{}, Objective{}, Counts{}, Point{})
+
+// TestMergeAddsUp gives each answer to one of three books with the same clock
+// and compares their sum with one book that got them all.
+func TestMergeAddsUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, parts := NewBook(start), []*Book{NewBook(start), NewBook(start), NewBook(start)}
+		end := start
+		for _, a := range drawAnswers(t) {
+			if a.at.After(end) {
+				end = a.at
+			}
+			whole.Record(end, a.key, NewObjective(0.9, time.Second), a.outcome)
+			parts[rapid.IntRange(0, 2).Draw(t, "book")].Record(end, a.key, NewObjective(0.9, time.Second), a.outcome)
+		}
+		var snapshots []Snapshot
+		for _, b := range parts {
+			snapshots = append(snapshots, b.Snapshot(end, true, nil))
+		}
+		if diff := cmp.Diff(whole.Snapshot(end, true, nil), Merge(snapshots...), compareAll, cmp.Transformer("empty", dropEmpty)); diff != "" {
+			t.Errorf("merged (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// dropEmpty makes no difference between an empty list and none.
+func dropEmpty(p []Point) string { return fmt.Sprint(p) }
+
+func TestBookIsBounded(t *testing.T) {
+	b := NewBook(start)
+	record := func(now time.Time, i int) {
+		b.Record(now, NewKey("depot", fmt.Sprint(i), ""), NewObjective(0.9, time.Second), OutcomeGood)
+	}
+	for i := range MaxServices + 5 {
+		record(start, i)
+	}
+	s := b.Snapshot(start, false, nil)
+	if len(s.Services()) != MaxServices || s.Dropped() != 5 {
+		t.Errorf("%d services, %d dropped, want %d and 5", len(s.Services()), s.Dropped(), MaxServices)
+	}
+	later := start.Add(80 * time.Hour)
+	record(later, -1)
+	if n := len(b.Snapshot(later, false, nil).Services()); n != 1 {
+		t.Errorf("%d services after idle ones had to go, want 1", n)
+	}
+}
+
+func TestStricterObjectiveGoes(t *testing.T) {
+	snapshot := func(share float64, within time.Duration) Snapshot {
+		b := NewBook(start)
+		b.Record(start, Key{}, NewObjective(share, within), OutcomeGood)
+		return b.Snapshot(start, false, nil)
+	}
+	got := Merge(snapshot(0.9, time.Second), snapshot(0.99, 2*time.Second), snapshot(0.99, time.Second)).Services()[0].Objective()
+	if want := NewObjective(0.99, time.Second); got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func FuzzSnapshotJSON(f *testing.F) {
+	f.Add([]byte(`{"now_unix":1,"services":[{"team":"a","objective_share":0.9,"windows":{"5m":{"bad":3}},"minutes":[[60,1,2,3]]}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s Snapshot
+		if json.Unmarshal(data, &s) != nil {
+			return
+		}
+		if _, err := json.Marshal(Merge(s, s)); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func BenchmarkRecord(b *testing.B) {
+	book := NewBook(start)
+	k, o := NewKey("depot", "ordering", "stock-check"), NewObjective(0.99, time.Second)
+	b.ReportAllocs()
+	b.ReportMetric(float64(unsafe.Sizeof(series{})+unsafe.Sizeof(Key{})+unsafe.Sizeof(uintptr(0))), "B/service")
+	for i := range b.N {
+		book.Record(start.Add(time.Duration(i)*time.Microsecond), k, o, OutcomeGood)
+	}
+}
+
+// BenchmarkJSON reports the bytes of a service in a snapshot: of one that had
+// answers in every bucket.
+func BenchmarkJSON(b *testing.B) {
+	for name, withSeries := range map[string]bool{"windows": false, "series": true} {
+		b.Run(name, func(b *testing.B) {
+			book := NewBook(start)
+			for i := range hours * 60 {
+				for range 200 {
+					book.Record(start.Add(time.Duration(i)*minute), NewKey("depot", "ordering", "stock-check"), NewObjective(0.99, time.Second), OutcomeGood)
+				}
+			}
+			s := book.Snapshot(start.Add(hours*hour-minute), withSeries, nil)
+			var size int
+			for range b.N {
+				data, err := json.Marshal(s)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B/service")
+		})
+	}
+}
--- /dev/null
+++ b/fbburn/counts.go
@@ -0,0 +1,46 @@
+package fbburn
+
+// Counts are numbers of answers by outcome.
+type Counts struct {
+	good, bad, overQuota uint64
+}
+
+// NewCounts returns the given numbers of answers.
+func NewCounts(good, bad, overQuota uint64) Counts {
+	return Counts{good: good, bad: bad, overQuota: overQuota}
+}
+
+// Good returns the number of jobs that were answered complete in time.
+func (c Counts) Good() uint64 { return c.good }
+
+// Bad returns the number of sound requests that were not.
+func (c Counts) Bad() uint64 { return c.bad }
+
+// OverQuota returns the number of refusals for the team's quota.
+func (c Counts) OverQuota() uint64 { return c.overQuota }
+
+// Total returns the number of answers that count against the objective.
+func (c Counts) Total() uint64 { return c.good + c.bad }
+
+// Plus returns the sum of c and o.
+func (c Counts) Plus(o Counts) Counts {
+	return Counts{good: c.good + o.good, bad: c.bad + o.bad, overQuota: c.overQuota + o.overQuota}
+}
+
+// GoodShare returns the share of good answers, from 0 to 1. It is 1 if there
+// were none at all.
+func (c Counts) GoodShare() float64 {
+	if c.Total() == 0 {
+		return 1
+	}
+	return float64(c.good) / float64(c.Total())
+}
+
+// Burn returns the burn rate under an objective, a share of good answers below
+// 1. It is 0 if there were no answers or there is no objective.
+func (c Counts) Burn(share float64) float64 {
+	if c.Total() == 0 || share <= 0 || share >= 1 {
+		return 0
+	}
+	return float64(c.bad) / float64(c.Total()) / (1 - share)
+}
--- /dev/null
+++ b/fbburn/series.go
@@ -0,0 +1,137 @@
+package fbburn
+
+import "time"
+
+// The buckets of a series. Their borders are whole minutes and hours of Unix
+// time, so that those of several daemons can be added up.
+const (
+	minute  = time.Minute
+	hour    = time.Hour
+	minutes = 6 * 60
+	hours   = 3 * 24
+)
+
+// bucket counts the answers of a minute or an hour, each up to 4,294,967,295.
+type bucket struct {
+	good, bad, overQuota uint32
+}
+
+func (b *bucket) add(o Outcome) {
+	switch o {
+	case OutcomeGood:
+		b.good++
+	case OutcomeBad:
+		b.bad++
+	case OutcomeOverQuota:
+		b.overQuota++
+	}
+}
+
+func (b bucket) counts() Counts {
+	return NewCounts(uint64(b.good), uint64(b.bad), uint64(b.overQuota))
+}
+
+// ring holds the newest buckets of one width. The bucket of index i, counted
+// in widths from the Unix epoch, is at i modulo the number of buckets.
+type ring struct {
+	width   time.Duration
+	head    int64
+	buckets []bucket
+}
+
+// index returns the number of the bucket that holds a moment.
+func (r *ring) index(now time.Time) int64 { return now.Unix() / int64(r.width/time.Second) }
+
+// advance makes the moment's bucket the newest one. An earlier moment than the
+// newest bucket's changes nothing: a clock that goes backwards never empties a
+// bucket.
+func (r *ring) advance(now time.Time) {
+	to := r.index(now)
+	if to <= r.head {
+		return
+	}
+	n := int64(len(r.buckets))
+	for i := max(r.head+1, to-n+1); i <= to; i++ {
+		r.buckets[i%n] = bucket{}
+	}
+	r.head = to
+}
+
+// record counts an answer in the newest bucket.
+func (r *ring) record(now time.Time, o Outcome) {
+	r.advance(now)
+	r.buckets[r.head%int64(len(r.buckets))].add(o)
+}
+
+// sum returns the counts of the newest n buckets.
+func (r *ring) sum(n int) Counts {
+	var out Counts
+	for i := range min(n, len(r.buckets)) {
+		out = out.Plus(r.at(r.head - int64(i)))
+	}
+	return out
+}
+
+// at returns the counts of a bucket that is still kept.
+func (r *ring) at(index int64) Counts {
+	if index < 0 {
+		return Counts{}
+	}
+	return r.buckets[index%int64(len(r.buckets))].counts()
+}
+
+// points returns the buckets that aren't empty, oldest first.
+func (r *ring) points() []Point {
+	var out []Point
+	for i := r.head - int64(len(r.buckets)) + 1; i <= r.head; i++ {
+		if c := r.at(i); c != (Counts{}) {
+			out = append(out, Point{start: time.Unix(i*int64(r.width/time.Second), 0).UTC(), counts: c})
+		}
+	}
+	return out
+}
+
+// series counts the answers of one service.
+type series struct {
+	objective     Objective
+	minutes       ring
+	hours         ring
+	minuteBuckets [minutes]bucket
+	hourBuckets   [hours]bucket
+}
+
+func newSeries() *series {
+	s := new(series)
+	s.minutes = ring{width: minute, buckets: s.minuteBuckets[:]}
+	s.hours = ring{width: hour, buckets: s.hourBuckets[:]}
+	return s
+}
+
+func (s *series) record(now time.Time, o Outcome) {
+	s.minutes.record(now, o)
+	s.hours.record(now, o)
+}
+
+// idle reports whether all buckets are too old to count.
+func (s *series) idle(now time.Time) bool { return s.hours.index(now)-s.hours.head >= hours }
+
+// window returns the counts of a window that ends with the current bucket,
+// which is part of it.
+func (s *series) window(w Window) Counts {
+	if w.Length() > minutes*minute {
+		return s.hours.sum(int(w.Length() / hour))
+	}
+	return s.minutes.sum(int(w.Length() / minute))
+}
+
+// Point holds the counts of one bucket.
+type Point struct {
+	start  time.Time
+	counts Counts
+}
+
+// Start returns the begin of the bucket.
+func (p Point) Start() time.Time { return p.start }
+
+// Counts returns the answers of the bucket.
+func (p Point) Counts() Counts { return p.counts }
--- /dev/null
+++ b/fbburn/snapshot.go
@@ -0,0 +1,198 @@
+package fbburn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Key names what an objective is set for.
+type Key struct {
+	team, service, kind string
+}
+
+// NewKey returns the key of a job kind of a team's service. The kind is empty
+// for the service's own jobs.
+func NewKey(team, service, kind string) Key {
+	return Key{team: team, service: service, kind: kind}
+}
+
+// Team returns the team.
+func (k Key) Team() string { return k.team }
+
+// Service returns the service.
+func (k Key) Service() string { return k.service }
+
+// Kind returns the job kind, which may be empty.
+func (k Key) Kind() string { return k.kind }
+
+// String returns the names, separated by slashes.
+func (k Key) String() string {
+	s := k.team + "/" + k.service
+	if k.kind != "" {
+		s += "/" + k.kind
+	}
+	return s
+}
+
+// Objective is the share of jobs that are to be answered complete within a
+// time. A share of 0 means that there is no objective.
+type Objective struct {
+	share  float64
+	within time.Duration
+}
+
+// NewObjective returns an objective.
+func NewObjective(share float64, within time.Duration) Objective {
+	return Objective{share: share, within: within}
+}
+
+// Share returns the share of jobs, from 0 to below 1.
+func (o Objective) Share() float64 { return o.share }
+
+// Within returns the time within which jobs are to be answered.
+func (o Objective) Within() time.Duration { return o.within }
+
+// stricter returns the stricter of two objectives.
+func stricter(a, b Objective) Objective {
+	if c := cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.within, b.within)); c > 0 {
+		return b
+	}
+	return a
+}
+
+// Service holds the counts of a service's answers at one moment.
+type Service struct {
+	key       Key
+	objective Objective
+	windows   map[Window]Counts
+	minutes   []Point
+	hours     []Point
+}
+
+// Key returns what the objective is set for.
+func (s Service) Key() Key { return s.key }
+
+// Objective returns the objective.
+func (s Service) Objective() Objective { return s.objective }
+
+// Counts returns the answers of a window.
+func (s Service) Counts(w Window) Counts { return s.windows[w] }
+
+// Minutes returns the answers of each minute of the last six hours that had
+// any, oldest first; nothing if the snapshot was taken without its series.
+func (s Service) Minutes() []Point { return s.minutes }
+
+// Hours returns the answers of each hour of the last three days that had any.
+func (s Service) Hours() []Point { return s.hours }
+
+// Burn returns the burn rate over a window.
+func (s Service) Burn(w Window) float64 { return s.windows[w].Burn(s.objective.share) }
+
+// BudgetLeft returns the share of the budget of the last three days that is
+// left: 1 if nothing failed, below 0 if more failed than the objective allows.
+func (s Service) BudgetLeft() float64 { return 1 - s.Burn(Window3d) }
+
+// Verdict returns how urgent the burn is.
+func (s Service) Verdict() Verdict {
+	if s.objective.share <= 0 || s.windows[Window3d].Total() == 0 {
+		return VerdictNone
+	}
+	for _, a := range alerts {
+		if s.Burn(a.long) >= a.burn && s.Burn(a.short) >= a.burn {
+			return a.verdict
+		}
+	}
+	return VerdictOK
+}
+
+// Snapshot holds the counts of one or more daemons at one moment.
+type Snapshot struct {
+	now      time.Time
+	since    time.Time
+	dropped  uint64
+	services []Service
+}
+
+// Now returns the moment, the latest if the snapshot is of several daemons.
+func (s Snapshot) Now() time.Time { return s.now }
+
+// Since returns the time from which on answers were counted, the earliest if
+// the snapshot is of several daemons.
+func (s Snapshot) Since() time.Time { return s.since }
+
+// Dropped returns the number of answers that were not counted because there
+// were too many services.
+func (s Snapshot) Dropped() uint64 { return s.dropped }
+
+// Services returns the services in the order of their names.
+func (s Snapshot) Services() []Service { return s.services }
+
+// Merge adds up the snapshots of several daemons. While a changed objective
+// spreads they may differ; then the stricter one goes.
+func Merge(snapshots ...Snapshot) Snapshot {
+	var out Snapshot
+	services := make(map[Key]Service)
+	for i, s := range snapshots {
+		if i == 0 || s.now.After(out.now) {
+			out.now = s.now
+		}
+		if i == 0 || s.since.Before(out.since) {
+			out.since = s.since
+		}
+		out.dropped += s.dropped
+		for _, service := range s.services {
+			if known, ok := services[service.key]; ok {
+				service = mergeServices(known, service)
+			}
+			services[service.key] = service
+		}
+	}
+	for _, s := range services {
+		out.services = append(out.services, s)
+	}
+	out.sort()
+	return out
+}
+
+// sort puts the services in the order of their names.
+func (s *Snapshot) sort() {
+	slices.SortFunc(s.services, func(a, b Service) int {
+		return cmp.Or(
+			cmp.Compare(a.key.team, b.key.team),
+			cmp.Compare(a.key.service, b.key.service),
+			cmp.Compare(a.key.kind, b.key.kind),
+		)
+	})
+}
+
+func mergeServices(a, b Service) Service {
+	out := Service{
+		key:       a.key,
+		objective: stricter(a.objective, b.objective),
+		windows:   make(map[Window]Counts),
+		minutes:   mergePoints(a.minutes, b.minutes),
+		hours:     mergePoints(a.hours, b.hours),
+	}
+	for _, w := range Windows() {
+		out.windows[w] = a.windows[w].Plus(b.windows[w])
+	}
+	return out
+}
+
+// mergePoints merges two lists that are sorted by time.
+func mergePoints(a, b []Point) []Point {
+	out := make([]Point, 0, max(len(a), len(b)))
+	for len(a) > 0 && len(b) > 0 {
+		switch c := a[0].start.Compare(b[0].start); {
+		case c < 0:
+			out, a = append(out, a[0]), a[1:]
+		case c > 0:
+			out, b = append(out, b[0]), b[1:]
+		default:
+			out = append(out, Point{start: a[0].start, counts: a[0].counts.Plus(b[0].counts)})
+			a, b = a[1:], b[1:]
+		}
+	}
+	return append(append(out, a...), b...)
+}
