A silent owner or target holds no request for ever

Cause: a delivery forwarded to a frozen owner waited as long as its caller did (TestSilentOwner: no answer in 60 s for a job of 500 ms); a start at a frozen target kept its connection for good. Ruled out: taking the silence of heartbeats for the owner's death, which would answer jobs as unknown that a slow owner still completes. Change: a forward ends after the job's timeout and the request timeout, as outcome unknown; a start's request after the job's deadline and the lease.

--- a/cmd/filbertfordd/process_test.go
+++ b/cmd/filbertfordd/process_test.go
@@ -390,3 +390,53 @@
 	f.daemons[2].signal(syscall.SIGCONT)
 	f.checkOnce()
 }
+
+// TestSilentOwner delivers an ID whose owner is frozen through another daemon:
+// the answer comes after the job's timeout and says that the outcome is unknown.
+func TestSilentOwner(t *testing.T) {
+	f := newFleet(t, 2, "nordnes", "nordnes")
+	f.awaitPeers(0, 1)
+	f.awaitPeers(1, 1)
+	id := f.mint(0, "x")
+	checkOwnVia(t, f, 1, "warm") // leaves an idle connection between the daemons
+	f.daemons[0].signal(syscall.SIGSTOP)
+	body := `{"team": "depot", "service": "ordering", "timeout_ms": 500, "tasks": [{"args": {}}]}`
+	req, err := http.NewRequest(http.MethodPost, f.endpoint(1)+"/v1/jobs", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Idempotency-Key", id.String())
+	resp, err := (&http.Client{Timeout: settled}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var reply struct {
+		Code filbertford.Code `json:"code"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil || reply.Code != filbertford.CodeOutcomeUnknown {
+		t.Errorf("answered %s, %v", reply.Code, err)
+	}
+	f.daemons[0].signal(syscall.SIGCONT)
+}
+
+// TestFrozenTarget freezes a target with tasks: their jobs end by their
+// deadline, and the daemon's connections to it are given up, so that it serves
+// again when it has thawed.
+func TestFrozenTarget(t *testing.T) {
+	f := newFleet(t, 1, "nordnes")
+	c := f.client(0)
+	f.fault(targetPort, "target", `{"freeze": true}`)
+	for round := range 3 {
+		a, err := c.Submit(t.Context(), work(fmt.Sprintf("frozen-%d", round), 8, 5).WithTimeout(500*time.Millisecond))
+		if err == nil && a.Code() == filbertford.CodeComplete {
+			t.Errorf("a job at a frozen target was answered %s", a.Code())
+		}
+	}
+	f.fault(targetPort, "target", `{"freeze": false}`)
+	f.await("the thawed target", func() bool {
+		a, err := c.Submit(t.Context(), work(fmt.Sprintf("thawed-%d", time.Now().UnixNano()), 8, 5).WithTimeout(time.Second))
+		return err == nil && a.Code() == filbertford.CodeComplete
+	})
+	f.checkOnce()
+}
--- a/fbcore/bench_test.go
+++ b/fbcore/bench_test.go
@@ -15,7 +15,7 @@
 // submission of a job of one to its answer.
 func BenchmarkTask(b *testing.B) {
 	for _, policy := range []string{"random", "adaptive"} {
-		for _, targets := range []int{50, 880} {
+		for _, targets := range []int{50, 880, 8800} {
 			b.Run(fmt.Sprintf("%s/targets=%d", policy, targets), func(b *testing.B) { benchTask(b, policy, targets) })
 		}
 	}
@@ -56,12 +56,16 @@
 	now := time.Unix(1_000_000, 0)
 	c := fbcore.New(fbcore.Config{
 		Incarnation: 1, DataCentre: "dc", Address: "daemon:1", Started: now,
-		EpochLength: time.Second, HorizonEpochs: 2, MaxSubmissions: 1 << 20, MaxAnswerBytes: 1 << 20,
+		EpochLength: time.Second, HorizonEpochs: 2, SpentEpochs: 1000, MaxSubmissions: 1 << 20, MaxAnswerBytes: 1 << 30,
 	}, policy)
-	vms := make([]filbertford.VM, targets)
+	c.Handle(now, fbcore.TargetsChanged{Targets: benchTargets(targets)})
+	return c, now
+}
+
+func benchTargets(n int) []filbertford.VM {
+	vms := make([]filbertford.VM, n)
 	for i := range vms {
 		vms[i] = filbertford.NewVM(filbertford.VMID("t"+strconv.Itoa(i)), filbertford.RoleTarget, "dc", "target:1").WithCapacity(8, 64)
 	}
-	c.Handle(now, fbcore.TargetsChanged{Targets: vms})
-	return c, now
+	return vms
 }
--- a/fbcore/event.go
+++ b/fbcore/event.go
@@ -135,10 +135,11 @@
 }
 
 // StartTask sends one start to a target, at most once, and brings its end back
-// as StartEnded.
+// as StartEnded. After the timeout nobody waits for it any longer.
 type StartTask struct {
-	Target filbertford.VM
-	Start  filbertford.Start
+	Target  filbertford.VM
+	Start   filbertford.Start
+	Timeout time.Duration
 }
 
 // StartRemote has a daemon of another data centre run a task, as a job of its
--- a/fbcore/job.go
+++ b/fbcore/job.go
@@ -184,7 +184,7 @@
 		c.emit(c.remoteStart(now, s, order))
 		return
 	}
-	c.emit(StartTask{Target: t.vm, Start: order})
+	c.emit(StartTask{Target: t.vm, Start: order, Timeout: j.deadline.Sub(now) + s.lease})
 }
 
 // startEnded takes the end of a start. The end of a start that is not known any
--- /dev/null
+++ b/fbcore/size_test.go
@@ -0,0 +1,171 @@
+package fbcore_test
+
+import (
+	"fmt"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbcore"
+)
+
+// heap returns the bytes of the heap that are in use.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// sizedIDs is the number of IDs over which the memory of one is measured.
+const sizedIDs = 100_000
+
+// BenchmarkRemembered reports the heap that one remembered ID holds: one that
+// was answered with a result of 16 bytes, one that was refused as not run, and
+// the fingerprint that an opaque key leaves.
+func BenchmarkRemembered(b *testing.B) {
+	tests := map[string]func(b *testing.B, c *fbcore.Core, now time.Time){
+		"answered": func(b *testing.B, c *fbcore.Core, now time.Time) {
+			for i := range sizedIDs {
+				answered(b, c, now, pinnedID(b, c.Token(now), i), fbcore.ClaimPinned)
+			}
+		},
+		"refused": func(b *testing.B, c *fbcore.Core, now time.Time) {
+			job := filbertford.NewJob("depot", "nowhere", filbertford.NewTask([]byte("{}"), 0)).WithTimeout(time.Second)
+			for i := range sizedIDs {
+				submit(c, now, pinnedID(b, c.Token(now), i), job, fbcore.ClaimPinned)
+			}
+		},
+		"spent": func(b *testing.B, c *fbcore.Core, now time.Time) {
+			const batch = 1000
+			for i := range sizedIDs {
+				if i%batch == 0 {
+					now = now.Add(time.Second)
+					c.Handle(now, fbcore.Tick{})
+				}
+				id, err := filbertford.ParseID("01890a5d-ac96-774b-bcce-" + strconv.Itoa(1e11+i))
+				if err != nil {
+					b.Fatal(err)
+				}
+				answered(b, c, now, id, fbcore.ClaimOwned)
+			}
+			c.Handle(now.Add(10*time.Second), fbcore.Tick{})
+		},
+	}
+	for name, fill := range tests {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				c, now := sizedCore(b)
+				before := heap()
+				fill(b, c, now)
+				b.ReportMetric((heap()-before)/sizedIDs, "heap-B/ID")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+// BenchmarkTargetSize reports the heap that the core and the policy hold for a
+// target.
+func BenchmarkTargetSize(b *testing.B) {
+	for _, targets := range []int{50, 880, 8800} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				c, now := benchCore(b, "adaptive", targets)
+				c.Handle(now, fbcore.Tick{})
+				b.ReportMetric((heap()-before)/float64(targets), "heap-B/target")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+// BenchmarkTeams reports the heap and the time that the busy teams of the other
+// daemons cost, told once a heartbeat period.
+func BenchmarkTeams(b *testing.B) {
+	for _, teams := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			c, now := sizedCore(b)
+			before := heap()
+			use := make(map[string]int, teams)
+			for i := range teams {
+				use["team-"+strconv.Itoa(i)] = i
+			}
+			b.ReportMetric((heap()-before)/float64(teams), "heap-B/team")
+			for b.Loop() {
+				c.Handle(now, fbcore.PeersChanged{Teams: use, Index: 0, Count: 9})
+			}
+			runtime.KeepAlive(use)
+		})
+	}
+}
+
+// BenchmarkTargetsChanged measures a look at the VM list that has not changed.
+func BenchmarkTargetsChanged(b *testing.B) {
+	for _, targets := range []int{50, 880, 8800} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			c, now := benchCore(b, "adaptive", targets)
+			list := benchTargets(targets)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(2 * time.Second)
+				c.Handle(now, fbcore.TargetsChanged{Targets: list})
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures the tick of an idle core.
+func BenchmarkTick(b *testing.B) {
+	for _, targets := range []int{50, 880, 8800} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			c, now := benchCore(b, "adaptive", targets)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(10 * time.Millisecond)
+				c.Handle(now, fbcore.Tick{})
+			}
+		})
+	}
+}
+
+// sizedCore returns a core with one target, which serves ordering only.
+func sizedCore(b *testing.B) (*fbcore.Core, time.Time) {
+	b.Helper()
+	c, now := benchCore(b, "random", 0)
+	vm := filbertford.NewVM("t0", filbertford.RoleTarget, "dc", "target:1").WithCapacity(8, 64).WithServices("ordering")
+	c.Handle(now, fbcore.TargetsChanged{Targets: []filbertford.VM{vm}})
+	return c, now
+}
+
+func pinnedID(b *testing.B, t filbertford.Token, i int) filbertford.SubmissionID {
+	b.Helper()
+	id, err := filbertford.MintID(t, "01890a5d-ac96-774b-bcce-"+strconv.Itoa(1e11+i))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return id
+}
+
+// answered submits a job of one task and ends it.
+func answered(b *testing.B, c *fbcore.Core, now time.Time, id filbertford.SubmissionID, claim fbcore.Claim) {
+	b.Helper()
+	job := filbertford.NewJob("depot", "ordering", filbertford.NewTask([]byte("{}"), 0)).WithTimeout(time.Second)
+	actions := submit(c, now, id, job, claim)
+	start, ok := actions[0].(fbcore.StartTask)
+	if !ok {
+		b.Fatalf("%+v in place of a start", actions[0])
+	}
+	report := filbertford.NewReport(filbertford.OutcomeDone).WithRan(time.Millisecond).WithFree(8).
+		WithOutput([]byte(`{"answer": "ok"}`))
+	c.Handle(now, fbcore.StartEnded{Start: start.Start.ID(), Report: report})
+}
+
+func submit(c *fbcore.Core, now time.Time, id filbertford.SubmissionID, job filbertford.Job, claim fbcore.Claim) []fbcore.Action {
+	return c.Handle(now, fbcore.Submit{
+		Ref: 1, Delivery: filbertford.NewDelivery(id, job), Digest: fbcore.Digest(job), Rules: worldRules(), Claim: claim,
+	})
+}
--- /dev/null
+++ b/fbdaemon/burn.go
@@ -0,0 +1,64 @@
+package fbdaemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbburn"
+)
+
+// burn counts how the daemon's callers were answered. It is safe for concurrent
+// use: the traffic goroutines record, operators' requests read.
+type burn struct {
+	mu   sync.Mutex
+	book *fbburn.Book
+}
+
+func newBurn(since time.Time) *burn {
+	return &burn{book: fbburn.NewBook(since)}
+}
+
+func (b *burn) record(now time.Time, k fbburn.Key, objective fbburn.Objective, o fbburn.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.book.Record(now, k, objective, o)
+}
+
+func (b *burn) snapshot(now time.Time, withSeries bool, objective func(fbburn.Key) (fbburn.Objective, bool)) fbburn.Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.book.Snapshot(now, withSeries, objective)
+}
+
+// Burn returns the counts of the answers that this daemon gave to its own
+// callers, with the series of time buckets if asked for. Deliveries that other
+// daemons forwarded are counted there, so that counts of daemons add up.
+func (d *Daemon) Burn(withSeries bool) fbburn.Snapshot {
+	return d.burn.snapshot(d.timer.Now(), withSeries, d.objective)
+}
+
+// recordAnswer counts the answer to a caller's delivery that began at a moment.
+// A job that the settings in force don't know is not counted.
+func (d *Daemon) recordAnswer(ctx context.Context, j filbertford.Job, a filbertford.Answer, began time.Time) {
+	k := fbburn.NewKey(j.Team(), j.Service(), j.Kind())
+	objective, ok := d.objective(k)
+	if !ok {
+		return
+	}
+	now := d.timer.Now()
+	took := now.Sub(began)
+	outcome := fbburn.Judge(a.Code(), took, objective.Within())
+	if ctx.Err() != nil {
+		outcome = fbburn.JudgeGone(took, objective.Within())
+	}
+	d.burn.record(now, k, objective, outcome)
+}
+
+// objective returns the objective that the settings in force hold, or false if
+// they don't know the service.
+func (d *Daemon) objective(k fbburn.Key) (fbburn.Objective, bool) {
+	rules, ok := d.settings.Load().Rules(k.Team(), k.Service(), k.Kind())
+	return fbburn.NewObjective(rules.Objective()), ok
+}
--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -79,6 +79,7 @@
 	inbox   chan message
 	control *control
 	spread  *fbsettings.Service
+	burn    *burn
 
 	settings     atomic.Pointer[fbtree.Tree]
 	token        atomic.Pointer[string] // for new IDs, perhaps another daemon's
@@ -129,6 +130,7 @@
 	d.settings.Store(new(fbtree.Tree))
 	store := fbsettings.NewStore(p.Table, p.Objects, p.Timer)
 	d.spread = fbsettings.NewService(d.peerAddress, store, p.Peers, p.Timer, p.Log, d.putInForce)
+	d.burn = newBurn(p.Timer.Now())
 	d.control = newControl(d, cfg, policy)
 	return d, nil
 }
--- a/fbdaemon/submit.go
+++ b/fbdaemon/submit.go
@@ -25,7 +25,10 @@
 
 // Submit answers a caller's delivery, by way of its owner.
 func (d *Daemon) Submit(ctx context.Context, del filbertford.Delivery) filbertford.Answer {
-	return d.submit(ctx, 0, del, false)
+	began := d.timer.Now()
+	a := d.submit(ctx, 0, del, false)
+	d.recordAnswer(ctx, del.Job(), a, began)
+	return a
 }
 
 // submit answers a delivery. A forwarded one names its owner, or none if it is
@@ -50,7 +53,9 @@
 	return d.await(ctx, m, reply)
 }
 
-// await waits for the outcome of a delivery, and forwards it if need be.
+// await waits for the outcome of a delivery, and forwards it if need be. An
+// owner that is silent for longer than the job may take leaves the outcome
+// unknown.
 func (d *Daemon) await(ctx context.Context, m *delivered, reply <-chan outcome) filbertford.Answer {
 	select {
 	case o := <-reply:
@@ -58,6 +63,8 @@
 			return o.answer
 		}
 		d.metrics.forwards.Inc(1)
+		ctx, cancel := context.WithTimeout(ctx, m.delivery.Job().Timeout()+d.requestTimeout)
+		defer cancel()
 		return d.peers.Forward(ctx, o.forward, o.owner, m.delivery)
 	case <-ctx.Done():
 		d.offer(abandoned{m})
@@ -196,6 +203,8 @@
 		return fbcore.Cancel{Ref: ref, ID: id, Team: team}
 	})
 	if ok && o.forward != "" {
+		ctx, cancel := context.WithTimeout(ctx, d.requestTimeout)
+		defer cancel()
 		return d.peers.Cancel(ctx, o.forward, o.owner, id, team)
 	}
 	return o.answer
@@ -212,6 +221,8 @@
 	})
 	switch {
 	case ok && o.forward != "":
+		ctx, cancel := context.WithTimeout(ctx, d.requestTimeout)
+		defer cancel()
 		return d.peers.Status(ctx, o.forward, o.owner, id, team)
 	case o.status.State() == "":
 		return filbertford.NewStatus(filbertford.StateUnknown, o.answer)
--- a/fbdaemon/traffic.go
+++ b/fbdaemon/traffic.go
@@ -11,7 +11,9 @@
 // startTask sends a start in a goroutine of its own and brings its end back.
 func (d *Daemon) startTask(a fbcore.StartTask) {
 	d.traffic.Go(func() error {
-		r := d.starter.Start(d.ctx, a.Target, a.Start)
+		ctx, cancel := context.WithTimeout(d.ctx, a.Timeout)
+		defer cancel()
+		r := d.starter.Start(ctx, a.Target, a.Start)
 		return d.send(d.ctx, coreEvent{fbcore.StartEnded{Start: a.Start.ID(), Report: r}})
 	})
 }
