Settings that don't go together are refused before a socket opens

Cause: membership.clock-drift was never used, and a horizon too short for the view of opaque keys, or a memory of keys shorter than its retention, was taken. Change: fbdaemon.Check; the drift goes to the view; view-lease is 12 s, fbview's own default, instead of 3 s.

--- a/cmd/filbertfordd/main.go
+++ b/cmd/filbertfordd/main.go
@@ -16,6 +16,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/filbertford/filbertford/fbconfig"
+	"github.com/filbertford/filbertford/fbdaemon"
 	"github.com/filbertford/filbertford/fbevent"
 )
 
@@ -61,6 +62,10 @@
 		reportProblems(logger, err)
 		return exitUsage
 	}
+	if err := fbdaemon.Check(cfg); err != nil {
+		fbevent.SettingsRefused.Log(logger, "problem", err.Error())
+		return exitUsage
+	}
 	if opts.check {
 		fmt.Fprintln(stderr, "the settings are valid")
 		return exitOK
--- a/fbconfig/key.go
+++ b/fbconfig/key.go
@@ -63,8 +63,8 @@
 	durationKey("membership", "vm-poll", "2s", 10*time.Millisecond, time.Minute, "the time between two reads of the VM list"),
 	durationKey("membership", "heartbeat", "1s", 10*time.Millisecond, time.Minute, "the time between two heartbeats of a pair of daemons"),
 	durationKey("membership", "timeout", "5s", 20*time.Millisecond, 5*time.Minute, "the silence after which a daemon counts as unreachable"),
-	durationKey("membership", "view-lease", "3s", 50*time.Millisecond, time.Minute, "the time for which a confirmed view of opaque keys holds"),
-	durationKey("membership", "clock-drift", "100ms", 0, 10*time.Second, "the most that two clocks drift apart within a view lease"),
+	durationKey("membership", "view-lease", "12s", 50*time.Millisecond, time.Minute, "the time for which a confirmed view of opaque keys holds"),
+	durationKey("membership", "clock-drift", "250ms", 0, 10*time.Second, "the most that two clocks drift apart within a view lease"),
 
 	durationKey("settings", "poll", "1s", 10*time.Millisecond, time.Minute, "the time between two reads of the settings' head row"),
 	durationKey("settings", "request-timeout", "2s", 10*time.Millisecond, time.Minute, "the time that a request to the platform or a peer may take"),
--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -135,6 +135,30 @@
 	return d, nil
 }
 
+// Check returns an error if settings that are valid by themselves don't go
+// together.
+func Check(cfg *fbconfig.Config) error {
+	opts := viewOptions(cfg)
+	if err := opts.Validate(); err != nil {
+		return eris.Wrap(err, "sections [membership] and [ownership]")
+	}
+	kept := cfg.Duration("ownership", "epoch") * time.Duration(cfg.Int("ownership", "opaque-horizon"))
+	if least := opts.Retention(); kept < least {
+		return eris.Errorf("section [ownership]: opaque-horizon is %v, want at least %v", kept, least)
+	}
+	return nil
+}
+
+// viewOptions returns the times that govern the view of opaque keys.
+func viewOptions(cfg *fbconfig.Config) fbview.Options {
+	lease := cfg.Duration("membership", "view-lease")
+	horizon := cfg.Duration("ownership", "epoch") * time.Duration(cfg.Int("ownership", "horizon"))
+	return fbview.NewOptions().
+		WithPeriod(lease).
+		WithDrift(float64(cfg.Duration("membership", "clock-drift")) / float64(lease)).
+		WithHorizon(horizon)
+}
+
 func newControl(d *Daemon, cfg *fbconfig.Config, policy filbertford.Policy) *control {
 	core := fbcore.New(fbcore.Config{
 		Incarnation:    d.incarnation,
@@ -148,14 +172,10 @@
 		MaxSubmissions: cfg.Int("limits", "max-submissions"),
 		MaxAnswerBytes: cfg.Int("limits", "max-answers"),
 	}, policy)
-	horizon := cfg.Duration("ownership", "epoch") * time.Duration(cfg.Int("ownership", "horizon"))
-	opts := fbview.NewOptions().
-		WithPeriod(cfg.Duration("membership", "view-lease")).
-		WithHorizon(horizon)
 	return &control{
 		d:       d,
 		core:    core,
-		view:    fbview.NewView(opts, d.dataCentre, fbview.NewMember(d.incarnation, d.peerAddress)),
+		view:    fbview.NewView(viewOptions(cfg), d.dataCentre, fbview.NewMember(d.incarnation, d.peerAddress)),
 		dir:     fbmember.NewDirectory(d.peerAddress, d.dataCentre, cfg.Duration("membership", "timeout"), cfg.List("daemon", "seeds")),
 		waiters: make(map[fbcore.Ref]chan<- outcome),
 		drained: make(chan struct{}),
