Log what the policy makes of targets

Cause: quarantines showed nowhere. Change: FE5001 to FE5003 from the policy's changes of standing, once a second.

--- a/fbdaemon/control.go
+++ b/fbdaemon/control.go
@@ -58,6 +58,7 @@
 	if now.Sub(c.lastSent) >= metricsPeriod {
 		c.lastSent = now
 		c.d.metrics.report(c)
+		c.logStandings()
 	}
 	if !c.wasReady && c.d.Ready() {
 		c.wasReady = true
@@ -65,6 +66,20 @@
 	}
 }
 
+// logStandings logs what the policy has changed its mind on.
+func (c *control) logStandings() {
+	for _, change := range c.core.Standings() {
+		e := fbevent.TargetTrusted
+		switch change.Standing() {
+		case filbertford.StandingSuspect:
+			e = fbevent.TargetSuspected
+		case filbertford.StandingQuarantined:
+			e = fbevent.TargetQuarantined
+		}
+		e.Log(c.d.log, "target", change.Target())
+	}
+}
+
 // publish makes what traffic goroutines read without asking.
 func (c *control) publish(now time.Time) {
 	token := c.core.Token(now)
