Opaque keys survive a planned stop

Cause: a stopping owner handed over pinned submissions only; after a rolling restart every opaque key of the last horizon was answered as undecided. Ruled out: handing them to the one heir, which does not own most of the keys afterwards; telling every member, at members times the bytes. Change: each entry goes to the member that owns its key in the view without the stopping daemon; an owner that can't be reached says when to come back.

--- a/cmd/filbertfordd/process_test.go
+++ b/cmd/filbertfordd/process_test.go
@@ -440,3 +440,41 @@
 	})
 	f.checkOnce()
 }
+
+// TestOpaqueKeysAfterAStop resubmits opaque keys after the planned stop of each
+// of their owners: the answers are the real ones, and nothing runs again.
+func TestOpaqueKeysAfterAStop(t *testing.T) {
+	f := newFleet(t, 2, "nordnes", "nordnes", "nordnes")
+	for i := range 3 {
+		f.awaitPeers(i, 2)
+	}
+	c := f.client(1, 2)
+	submit := func(n int) filbertford.Answer {
+		id, err := filbertford.ParseID(fmt.Sprintf("key-%d", n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, _, err := c.SubmitAs(t.Context(), id, work(fmt.Sprintf("opaque-%d", n), 2, 5))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	f.await("the view", func() bool { return submit(0).Code() == filbertford.CodeComplete })
+	for n := range 30 {
+		checkOwn(t, fmt.Sprintf("opaque-%d", n), 2, submit(n))
+	}
+	f.daemons[0].signal(syscall.SIGTERM)
+	if code := f.daemons[0].exitCode(); code != exitOK {
+		t.Errorf("exit code %d", code)
+	}
+	for n := range 30 {
+		var a filbertford.Answer
+		f.await("an owner that can be reached", func() bool {
+			a = submit(n)
+			return a.Code().Class() != filbertford.ClassNotStarted
+		})
+		checkOwn(t, fmt.Sprintf("opaque-%d", n), 2, a)
+	}
+	f.checkOnce()
+}
--- a/fbcore/bench_test.go
+++ b/fbcore/bench_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-func benchCore(b *testing.B, name string, targets int) (*fbcore.Core, time.Time) {
+func benchCore(b testing.TB, name string, targets int) (*fbcore.Core, time.Time) {
 	b.Helper()
 	policy, err := fbpolicy.New(name, 1)
 	if err != nil {
--- a/fbcore/core.go
+++ b/fbcore/core.go
@@ -49,6 +49,7 @@
 	token     filbertford.Token
 	table     *registry
 	heritages map[filbertford.Incarnation]*heritage
+	opaque    map[string]inheritedKey
 	waiters   map[Ref]*submission
 
 	targets   map[filbertford.TargetID]*target
@@ -104,6 +105,7 @@
 		policy:    p,
 		table:     newRegistry(),
 		heritages: make(map[filbertford.Incarnation]*heritage),
+		opaque:    make(map[string]inheritedKey),
 		waiters:   make(map[Ref]*submission),
 		targets:   make(map[filbertford.TargetID]*target),
 		pools:     make(map[string]*pool),
@@ -173,7 +175,8 @@
 func (c *Core) Remembers(id filbertford.SubmissionID) bool {
 	k := keyOf(id)
 	_, refused := c.table.refused[k.fingerprint()]
-	return refused || c.table.subs[k] != nil
+	_, inherited := c.opaque[k.text]
+	return refused || c.table.subs[k] != nil || k.opaque && inherited
 }
 
 // Stats returns the counts since the start.
@@ -229,11 +232,7 @@
 func (c *Core) forget(now time.Time) {
 	e := c.epoch(now)
 	c.table.forget(e, c.oldest(now), e-min(e, c.cfg.SpentEpochs))
-	for inc, h := range c.heritages {
-		if now.Sub(h.at) >= c.cfg.EpochLength*time.Duration(c.cfg.HorizonEpochs+1) {
-			delete(c.heritages, inc)
-		}
-	}
+	c.forgetHeritages(now)
 }
 
 // setPeers takes what is known of the other daemons of the data centre.
--- a/fbcore/stop.go
+++ b/fbcore/stop.go
@@ -20,6 +20,7 @@
 // Entry is a submission within a Part.
 type Entry struct {
 	id     string
+	opaque bool
 	digest uint64
 	answer filbertford.Answer
 	epoch  filbertford.Epoch
@@ -31,9 +32,17 @@
 	return Entry{id: unique, epoch: e, digest: digest, answer: a}
 }
 
-// Unique returns the caller's part of the ID.
+// NewOpaqueEntry returns the entry of a submission under an opaque key.
+func NewOpaqueEntry(key string, digest uint64, a filbertford.Answer) Entry {
+	return Entry{id: key, opaque: true, digest: digest, answer: a}
+}
+
+// Unique returns the caller's part of the ID, or the opaque key.
 func (e Entry) Unique() string { return e.id }
 
+// Opaque reports whether the entry is that of an opaque key.
+func (e Entry) Opaque() bool { return e.opaque }
+
 // Epoch returns the epoch of the ID's token.
 func (e Entry) Epoch() filbertford.Epoch { return e.epoch }
 
@@ -106,6 +115,65 @@
 	return parts
 }
 
+// OpaqueEntries returns the submissions under opaque keys that a drained daemon
+// hands to the daemons that own the keys after it, its own and those it
+// inherited.
+func (c *Core) OpaqueEntries() []Entry {
+	var out []Entry
+	for k, s := range c.table.subs {
+		if k.opaque {
+			out = append(out, NewOpaqueEntry(k.text, s.digest, s.answer))
+		}
+	}
+	for _, i := range c.opaque {
+		out = append(out, i.entry)
+	}
+	return out
+}
+
+// OpaquePart returns a part that holds entries of opaque keys only.
+func (c *Core) OpaquePart(entries []Entry) Part {
+	return NewPart(c.cfg.Incarnation, c.cfg.Key, 0, 0, entries, false)
+}
+
+// inheritedKey is the entry of an opaque key whose owner has stopped.
+type inheritedKey struct {
+	entry Entry
+	at    time.Time
+}
+
+// inheritOpaque keeps the entries of opaque keys and returns the others.
+func (c *Core) inheritOpaque(now time.Time, entries []Entry) []Entry {
+	pinned := make([]Entry, 0, len(entries))
+	for _, e := range entries {
+		if e.opaque {
+			c.opaque[e.id] = inheritedKey{entry: e, at: now}
+		} else {
+			pinned = append(pinned, e)
+		}
+	}
+	return pinned
+}
+
+// heritageKept is how long what was inherited is kept.
+func (c *Core) heritageKept() time.Duration {
+	return c.cfg.EpochLength * time.Duration(c.cfg.HorizonEpochs+1)
+}
+
+// forgetHeritages drops what was inherited a horizon ago.
+func (c *Core) forgetHeritages(now time.Time) {
+	for inc, h := range c.heritages {
+		if now.Sub(h.at) >= c.heritageKept() {
+			delete(c.heritages, inc)
+		}
+	}
+	for key, i := range c.opaque {
+		if now.Sub(i.at) >= c.heritageKept() {
+			delete(c.opaque, key)
+		}
+	}
+}
+
 // cut divides a whole table into parts, the last of which is final.
 func cut(p Part, size int) []Part {
 	var out []Part
@@ -122,12 +190,16 @@
 	if p.incarnation == c.cfg.Incarnation {
 		return
 	}
+	pinned := c.inheritOpaque(now, p.entries)
+	if len(pinned) == 0 && !p.final {
+		return
+	}
 	h := c.heritages[p.incarnation]
 	if h == nil {
 		h = &heritage{key: p.key, first: p.first, last: p.last, entries: make(map[subKey]Entry)}
 		c.heritages[p.incarnation] = h
 	}
-	for _, e := range p.entries {
+	for _, e := range pinned {
 		h.entries[subKey{epoch: e.epoch, text: e.id}] = e
 	}
 	h.at = now
--- a/fbcore/submit.go
+++ b/fbcore/submit.go
@@ -19,6 +19,10 @@
 		c.repeat(e, s)
 		return
 	}
+	if i, ok := c.opaque[k.text]; ok && k.opaque {
+		c.repeatInherited(e, i.entry)
+		return
+	}
 	if code, ok := c.table.refused[k.fingerprint()]; ok {
 		c.stats.Repeated++
 		c.emit(Reply{Ref: e.Ref, Answer: filbertford.NewRefusal(code, "")})
@@ -71,6 +75,17 @@
 	c.emit(Reply{Ref: e.Ref, Answer: s.answer})
 }
 
+// repeatInherited takes a delivery of an opaque key whose former owner told its
+// answer.
+func (c *Core) repeatInherited(e Submit, known Entry) {
+	c.stats.Repeated++
+	a := known.answer
+	if known.digest != e.Digest {
+		a = filbertford.NewRefusal(filbertford.CodeIDReused, "")
+	}
+	c.emit(Reply{Ref: e.Ref, Answer: a})
+}
+
 // first takes the first delivery of an ID.
 func (c *Core) first(now time.Time, e Submit, k subKey) {
 	if a, ok := c.claim(e, k); !ok {
@@ -209,6 +224,9 @@
 	if s != nil && team != "" && s.team != team {
 		s = nil
 	}
+	if i, ok := c.opaque[k.text]; ok && s == nil && k.opaque {
+		return nil, statusOf(i.entry.answer)
+	}
 	if s == nil {
 		if code, ok := c.table.refused[k.fingerprint()]; ok {
 			return nil, statusOf(filbertford.NewRefusal(code, ""))
--- a/fbdaemon/stop.go
+++ b/fbdaemon/stop.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/filbertford/filbertford/fbcore"
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbmember"
+	"github.com/filbertford/filbertford/fbview"
 )
 
 const (
@@ -44,6 +46,7 @@
 		return
 	}
 	d.handOver(ctx)
+	d.handOpaque(ctx)
 	d.leaveView(ctx)
 }
 
@@ -104,6 +107,50 @@
 	fbevent.HandOverFailed.Log(d.log)
 }
 
+// handOpaque passes the answers of opaque keys to the members of the view that
+// own the keys after this daemon. What does not arrive becomes undecided there.
+func (d *Daemon) handOpaque(ctx context.Context) {
+	var parts map[string][]fbcore.Part
+	err := d.inquire(ctx, func(c *control, _ time.Time) { parts = c.opaqueParts() })
+	if err != nil {
+		return
+	}
+	for address, list := range parts {
+		if err := d.handParts(ctx, address, list); err != nil {
+			fbevent.HandOverFailed.Log(d.log, "heir", address, "error", err.Error())
+		}
+	}
+}
+
+// opaqueParts divides the answers of opaque keys among the other members of the
+// view.
+func (c *control) opaqueParts() map[string][]fbcore.Part {
+	row, ok := c.view.Row()
+	if !ok {
+		return nil
+	}
+	var others []fbview.Member
+	for _, m := range row.Members() {
+		if m.Incarnation() != c.d.incarnation && c.dir.Known(m.Address()) {
+			others = append(others, m)
+		}
+	}
+	after := fbview.NewRow(row.Epoch(), others...)
+	entries := make(map[string][]fbcore.Entry)
+	for _, e := range c.core.OpaqueEntries() {
+		if m, ok := after.Owner(e.Unique()); ok {
+			entries[m.Address()] = append(entries[m.Address()], e)
+		}
+	}
+	parts := make(map[string][]fbcore.Part)
+	for address, list := range entries {
+		for chunk := range slices.Chunk(list, partEntries) {
+			parts[address] = append(parts[address], c.core.OpaquePart(chunk))
+		}
+	}
+	return parts
+}
+
 func (d *Daemon) handParts(ctx context.Context, heir string, parts []fbcore.Part) error {
 	for _, p := range parts {
 		ask, cancel := context.WithTimeout(ctx, d.requestTimeout)
--- a/fbdaemon/submit.go
+++ b/fbdaemon/submit.go
@@ -23,6 +23,10 @@
 // is full.
 const busyRetry = 100 * time.Millisecond
 
+// ownerRetry is when a caller may come back with an opaque key whose owner could
+// not be reached.
+const ownerRetry = time.Second
+
 // Submit answers a caller's delivery, by way of its owner.
 func (d *Daemon) Submit(ctx context.Context, del filbertford.Delivery) filbertford.Answer {
 	began := d.timer.Now()
@@ -65,7 +69,11 @@
 		d.metrics.forwards.Inc(1)
 		ctx, cancel := context.WithTimeout(ctx, m.delivery.Job().Timeout()+d.requestTimeout)
 		defer cancel()
-		return d.peers.Forward(ctx, o.forward, o.owner, m.delivery)
+		a := d.peers.Forward(ctx, o.forward, o.owner, m.delivery)
+		if a.Code() == filbertford.CodeOwnerUnreached && !m.delivery.ID().Pinned() {
+			a = a.WithRetryAfter(ownerRetry) // an opaque key will have another owner
+		}
+		return a
 	case <-ctx.Done():
 		d.offer(abandoned{m})
 		return filbertford.NewRefusal(filbertford.CodeOutcomeUnknown, "the caller went away")
--- a/fbpeer/convert.go
+++ b/fbpeer/convert.go
@@ -118,6 +118,7 @@
 		w.Submissions = append(w.Submissions, &fbwire.Submission{
 			Id:     e.Unique(),
 			Epoch:  uint32(e.Epoch()),
+			Opaque: e.Opaque(),
 			Digest: e.Digest(),
 			Answer: answerToWire(e.Answer()),
 		})
@@ -128,6 +129,10 @@
 func partFromWire(w *fbwire.InheritRequest) fbcore.Part {
 	entries := make([]fbcore.Entry, len(w.GetSubmissions()))
 	for i, s := range w.GetSubmissions() {
+		if s.GetOpaque() {
+			entries[i] = fbcore.NewOpaqueEntry(s.GetId(), s.GetDigest(), answerFromWire(s.GetAnswer()))
+			continue
+		}
 		entries[i] = fbcore.NewEntry(filbertford.Epoch(s.GetEpoch()), s.GetId(), s.GetDigest(), answerFromWire(s.GetAnswer()))
 	}
 	var key fbcore.Key
