Service-level burn: recorder, operations paths, command and page

A daemon counts the answers that it gave to its own callers; a forwarded delivery is counted where it came in, so that the counts of daemons add up. The operations listener serves them as JSON and as a page with plots of that daemon; filbertford burn adds up all daemons that it reaches and names the others.

The page was looked at in Chromium: the plots' legends overlapped lines and each other, and an axis was marked 25.00. The legend is now part of the page, ticks are short, and steps without answers are left out.

The test with real programs first counted 14 answers to 10 jobs: deliveries with opaque keys are refused (FB4013) until the view is confirmed after a start, and a refusal of a sound request counts as bad.

--- a/cmd/filbertford/main_test.go
+++ b/cmd/filbertford/main_test.go
@@ -29,6 +29,7 @@
 type system struct {
 	bin        string
 	platform   string
+	targets    string // the first one's address
 	endpoints  []string
 	operations []string
 	daemons    []*exec.Cmd
@@ -44,8 +45,9 @@
 	}
 	ports := freePorts(t, 7)
 	s.platform = ports[0]
+	s.targets = targetBase(t, s)
 	s.start(t, "fbstandin", "-serve", "platform", "-platform", s.platform, "-vm-lag", "100ms", "-targets", "4",
-		"-target-base", targetBase(t, s), "-entries", "nordnes="+ports[2]+",nordnes="+ports[5])
+		"-target-base", s.targets, "-entries", "nordnes="+ports[2]+",nordnes="+ports[5])
 	for i := range 2 {
 		callers, peers, operations := ports[3*i+1], ports[3*i+2], ports[3*i+3]
 		s.daemons = append(s.daemons, s.start(t, "filbertfordd", "-set", fmt.Sprintf("daemon.vm=entry-%d", i+1),
--- /dev/null
+++ b/fbcommand/burn_test.go
@@ -0,0 +1,84 @@
+package fbcommand_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/filbertford/filbertford/fbburn"
+	"github.com/filbertford/filbertford/fbcommand"
+)
+
+// newBurning returns the URL of a fake daemon that has counted answers.
+func newBurning(t *testing.T, good, bad int) string {
+	now := time.Now()
+	book := fbburn.NewBook(now)
+	for i := range good + bad {
+		outcome := fbburn.OutcomeGood
+		if i < bad {
+			outcome = fbburn.OutcomeBad
+		}
+		book.Record(now, fbburn.NewKey("depot", "ordering", ""), fbburn.NewObjective(0.99, time.Second), outcome)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/burn" {
+			http.NotFound(w, r)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(book.Snapshot(now, r.URL.Query().Get("series") == "1", nil))
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func TestBurn(t *testing.T) {
+	good, bad := newBurning(t, 100, 0), newBurning(t, 60, 40)
+	const closed = "http://127.0.0.1:1"
+	tests := map[string]struct {
+		listeners   []string
+		flags       []string
+		code        int
+		out, errOut string
+	}{
+		"nothing burns":    {[]string{good}, nil, fbcommand.ExitComplete, "ok", ""},
+		"daemons add up":   {[]string{good, bad}, nil, fbcommand.ExitBurning, "200      80.000  20.00", ""},
+		"listed twice":     {[]string{good, good}, nil, fbcommand.ExitComplete, "1 of 1 daemons", ""},
+		"one not reached":  {[]string{good, closed}, nil, fbcommand.ExitError, "1 of 2 daemons", closed + " was not reached"},
+		"burns, one away":  {[]string{bad, closed}, nil, fbcommand.ExitBurning, "page", closed + " was not reached"},
+		"none reached":     {[]string{closed}, nil, fbcommand.ExitError, "", "no daemon was reached"},
+		"json":             {[]string{bad, closed}, []string{"-json"}, fbcommand.ExitBurning, `"verdict": "page"`, ""},
+		"json, unreached":  {[]string{good, closed}, []string{"-json"}, fbcommand.ExitError, `"daemon": "` + closed, ""},
+		"timeout too long": {[]string{good}, []string{"-timeout", "1h"}, fbcommand.ExitError, "", "-timeout is 1h0m0s, want above 0 to 10s"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			args := append([]string{"burn", "-operations", strings.Join(tt.listeners, ",")}, tt.flags...)
+			code, out, errOut := runCommand(t, "", args...)
+			if code != tt.code || !strings.Contains(out, tt.out) || !strings.Contains(errOut, tt.errOut) {
+				t.Errorf("exit code %d, want %d with %q and %q\n%s%s", code, tt.code, tt.out, tt.errOut, out, errOut)
+			}
+		})
+	}
+}
+
+func TestBurnPageOfAllDaemons(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "burn.html")
+	listeners := newBurning(t, 100, 0) + "," + newBurning(t, 100, 0) + ",http://127.0.0.1:1"
+	if code, out, errOut := runCommand(t, "", "burn", "-operations", listeners, "-html", file); code != fbcommand.ExitError {
+		t.Errorf("exit code %d\n%s%s", code, out, errOut)
+	}
+	page, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"<td>200</td>", "<svg", "missing here: http://127.0.0.1:1"} {
+		if !strings.Contains(string(page), part) {
+			t.Errorf("the page lacks %q", part)
+		}
+	}
+}
--- a/fbcommand/operations.go
+++ b/fbcommand/operations.go
@@ -274,6 +274,12 @@
 		}
 		text = compact.String()
 	}
+	return printable(text)
+}
+
+// printable returns the text with a question mark in place of each control
+// character.
+func printable(text string) string {
 	return strings.Map(func(r rune) rune {
 		if r < ' ' || r == 0x7f {
 			return '?'
--- a/fbcommand/root.go
+++ b/fbcommand/root.go
@@ -108,6 +108,7 @@
 			newReady(s),
 			newVMs(s),
 			newTargets(s),
+			newBurn(s),
 			NewSettings(s),
 			newLoad(s),
 			newReport(s),
--- a/fbdaemon/burn_test.go
+++ b/fbdaemon/burn_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &Daemon{timer: fbtimer.New(), burn: newBurn(time.Now())}
+	d := &Daemon{timer: fbtimer.NewService(), burn: newBurn(time.Now())}
 	d.settings.Store(tree)
 	return d
 }
--- /dev/null
+++ b/fbops/burn_test.go
@@ -0,0 +1,63 @@
+package fbops_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/filbertford/filbertford/fbburn"
+	"github.com/filbertford/filbertford/fbdaemon"
+	"github.com/filbertford/filbertford/fbops"
+)
+
+// burning is a daemon whose service ordering burns.
+type burning struct{}
+
+func (burning) Report(context.Context) (fbdaemon.Report, error) { return fbdaemon.Report{}, nil }
+func (burning) Ready() bool                                     { return true }
+
+func (burning) Burn(withSeries bool) fbburn.Snapshot {
+	now := time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+	book := fbburn.NewBook(now)
+	book.Record(now, fbburn.NewKey("depot", "ordering", ""), fbburn.NewObjective(0.99, time.Second), fbburn.OutcomeBad)
+	return book.Snapshot(now, withSeries, nil)
+}
+
+func TestBurn(t *testing.T) {
+	tests := map[string]struct {
+		path, key, contentType string
+		status, minutes        int
+	}{
+		"counts":             {path: "/v1/burn", key: "secret", contentType: "application/json", status: http.StatusOK},
+		"series":             {path: "/v1/burn?series=1", key: "secret", contentType: "application/json", status: http.StatusOK, minutes: 1},
+		"page":               {path: "/burn", key: "secret", contentType: "text/html", status: http.StatusOK},
+		"counts without key": {path: "/v1/burn", contentType: "application/json", status: http.StatusUnauthorized},
+		"page without key":   {path: "/burn", contentType: "application/json", status: http.StatusUnauthorized},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server, _ := fbops.NewServer(burning{}, nil, "secret")
+			r := httptest.NewRequest(http.MethodGet, tt.path, nil)
+			r.Header.Set("Authorization", "Bearer "+tt.key)
+			w := httptest.NewRecorder()
+			server.Handler.ServeHTTP(w, r)
+			if w.Code != tt.status || !strings.HasPrefix(w.Header().Get("Content-Type"), tt.contentType) {
+				t.Fatalf("got %d %s, want %d %s", w.Code, w.Header().Get("Content-Type"), tt.status, tt.contentType)
+			}
+			if tt.status != http.StatusOK || tt.contentType != "application/json" {
+				return
+			}
+			var s fbburn.Snapshot
+			if err := json.Unmarshal(w.Body.Bytes(), &s); err != nil {
+				t.Fatal(err)
+			}
+			if service := s.Services()[0]; service.Verdict() != fbburn.VerdictPage || len(service.Minutes()) != tt.minutes {
+				t.Errorf("verdict %s, %d minutes, want page and %d", service.Verdict(), len(service.Minutes()), tt.minutes)
+			}
+		})
+	}
+}
--- a/fbops/server.go
+++ b/fbops/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/filbertford/filbertford/fbburn"
 	"github.com/filbertford/filbertford/fbdaemon"
 	"github.com/filbertford/filbertford/fbmetrics"
 )
@@ -19,6 +20,9 @@
 	Report(ctx context.Context) (fbdaemon.Report, error)
 	// Ready reports whether the daemon takes jobs.
 	Ready() bool
+	// Burn returns the counts of the answers that the daemon gave to its
+	// callers, with the series of time buckets if asked for.
+	Burn(withSeries bool) fbburn.Snapshot
 }
 
 // readTimeout is the time that an operator's client has to send a request.
@@ -36,6 +40,8 @@
 	e.GET("/v1/settings", h.settings)
 	e.GET("/v1/vms", h.vms)
 	e.GET("/v1/targets", h.targets)
+	e.GET("/v1/burn", h.burn)
+	e.GET("/burn", h.burnPage)
 	return &http.Server{Handler: e, ReadTimeout: readTimeout}, e
 }
 
--- /dev/null
+++ b/fbreport/burn_plot.go
@@ -0,0 +1,177 @@
+package fbreport
+
+import (
+	"image/color"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/filbertford/filbertford/fbburn"
+)
+
+// The steps of the plots over time.
+const (
+	burnStep  = 5 * time.Minute
+	burnShort = 6 * time.Hour
+	burnLong  = 72 * time.Hour
+	halfDay   = 12 * time.Hour
+)
+
+// topMargin is the height of a plot over that of its highest point.
+const topMargin = 1.05
+
+// drawBurnMinutes draws the burn rate of each five minutes of the last six
+// hours.
+func drawBurnMinutes(services []fbburn.Service, now time.Time) ([]byte, error) {
+	p := newTimePlot("Burn rate of the last 6 hours, by 5 minutes", "burn rate", now, burnShort)
+	for i, s := range services {
+		burn := func(c fbburn.Counts) float64 { return c.Burn(s.Objective().Share()) }
+		if err := addSteps(p, s, i, s.Minutes(), burnStep, burn); err != nil {
+			return nil, err
+		}
+	}
+	return withThresholds(p)
+}
+
+// drawBurnHours draws the burn rate of each hour of the last three days.
+func drawBurnHours(services []fbburn.Service, now time.Time) ([]byte, error) {
+	p := newTimePlot("Burn rate of the last 3 days, by hour", "burn rate", now, burnLong)
+	for i, s := range services {
+		burn := func(c fbburn.Counts) float64 { return c.Burn(s.Objective().Share()) }
+		if err := addSteps(p, s, i, s.Hours(), time.Hour, burn); err != nil {
+			return nil, err
+		}
+	}
+	return withThresholds(p)
+}
+
+// drawAnswers draws the answers that count against the objective.
+func drawAnswers(services []fbburn.Service, now time.Time) ([]byte, error) {
+	p := newTimePlot("Answers of the last 6 hours, by 5 minutes", "answers in 5 minutes", now, burnShort)
+	for i, s := range services {
+		total := func(c fbburn.Counts) float64 { return float64(c.Total()) }
+		if err := addSteps(p, s, i, s.Minutes(), burnStep, total); err != nil {
+			return nil, err
+		}
+	}
+	p.Y.Max = topMargin * math.Max(p.Y.Max, 1)
+	return svg(p)
+}
+
+// newTimePlot returns a plot over the time up to now.
+func newTimePlot(title, y string, now time.Time, length time.Duration) *plot.Plot {
+	p := newPlot(title, "UTC", y)
+	p.X.Min, p.X.Max = float64(now.Add(-length).Unix()), float64(now.Unix())
+	p.X.Tick.Marker = clockTicks(now, length)
+	p.Y.Min = 0
+	p.Y.Tick.Marker = shortTicks{}
+	return p
+}
+
+// shortTicks are the default ticks with labels without trailing zeros.
+type shortTicks struct{}
+
+// Ticks implements plot.Ticker.
+func (shortTicks) Ticks(low, high float64) []plot.Tick {
+	ticks := plot.DefaultTicks{}.Ticks(low, high)
+	for i, t := range ticks {
+		if t.Label != "" {
+			ticks[i].Label = strconv.FormatFloat(t.Value, 'g', 4, 64)
+		}
+	}
+	return ticks
+}
+
+// clockTicks marks whole hours of six hours, or whole half days of longer times.
+func clockTicks(now time.Time, length time.Duration) plot.ConstantTicks {
+	step, layout := time.Hour, "15:04"
+	if length > burnShort {
+		step, layout = halfDay, "Jan 2, 15:04"
+	}
+	var ticks plot.ConstantTicks
+	for t := now.Add(-length).Truncate(step).Add(step); !t.After(now); t = t.Add(step) {
+		ticks = append(ticks, plot.Tick{Value: float64(t.Unix()), Label: t.UTC().Format(layout)})
+	}
+	return ticks
+}
+
+// addSteps draws a service's value of each step that had answers, as dots that
+// are joined where no step between them is empty.
+func addSteps(p *plot.Plot, s fbburn.Service, i int, points []fbburn.Point, step time.Duration, value func(fbburn.Counts) float64) error {
+	for _, run := range stepRuns(points, step, value) {
+		line, dots, err := plotter.NewLinePoints(run)
+		if err != nil {
+			return eris.Wrapf(err, "draw the line of %s", s.Key())
+		}
+		line.Color, dots.Color = lineColor(i), lineColor(i)
+		line.Width, dots.Radius = vg.Points(1.5), vg.Points(1.5)
+		p.Add(line, dots)
+	}
+	return nil
+}
+
+// stepRuns adds points up by step, and parts them where a step is empty. Each
+// stands at the middle of its step.
+func stepRuns(points []fbburn.Point, step time.Duration, value func(fbburn.Counts) float64) []plotter.XYs {
+	var runs []plotter.XYs
+	var sum fbburn.Counts
+	for i, point := range points {
+		at := point.Start().Truncate(step)
+		sum = sum.Plus(point.Counts())
+		if i+1 < len(points) && points[i+1].Start().Truncate(step).Equal(at) {
+			continue
+		}
+		total := sum
+		sum = fbburn.Counts{}
+		if total.Total() == 0 {
+			continue
+		}
+		xy := plotter.XY{X: float64(at.Add(step / 2).Unix()), Y: value(total)}
+		last := len(runs) - 1
+		if last < 0 || xy.X-runs[last][len(runs[last])-1].X > step.Seconds() {
+			runs = append(runs, nil)
+			last++
+		}
+		runs[last] = append(runs[last], xy)
+	}
+	return runs
+}
+
+// lineColors tell the services of a plot apart.
+var lineColors = []color.RGBA{
+	{R: 0xc0, G: 0x39, B: 0x2b, A: 0xff},
+	{R: 0x1f, G: 0x77, B: 0xb4, A: 0xff},
+	{R: 0x2c, G: 0x8c, B: 0x3c, A: 0xff},
+	{R: 0xe0, G: 0x7b, B: 0x00, A: 0xff},
+	{R: 0x7d, G: 0x4f, B: 0xb0, A: 0xff},
+	{R: 0x6b, G: 0x4a, B: 0x3a, A: 0xff},
+	{R: 0x00, G: 0x9a, B: 0xa6, A: 0xff},
+	{R: 0x66, G: 0x66, B: 0x66, A: 0xff},
+}
+
+func lineColor(i int) color.RGBA { return lineColors[i%len(lineColors)] }
+
+// withThresholds draws a plot of burn rates with lines at the thresholds that
+// its axis reaches.
+func withThresholds(p *plot.Plot) ([]byte, error) {
+	top := math.Max(p.Y.Max, 2*fbburn.EvenBurn)
+	for _, burn := range []float64{fbburn.EvenBurn, fbburn.SlowBurn, fbburn.FastBurn} {
+		if burn > top {
+			continue
+		}
+		line, err := plotter.NewLine(plotter.XYs{{X: p.X.Min, Y: burn}, {X: p.X.Max, Y: burn}})
+		if err != nil {
+			return nil, eris.Wrap(err, "draw a threshold")
+		}
+		line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		line.Color = color.Gray{Y: 0x80}
+		p.Add(line)
+	}
+	p.Y.Max = topMargin * top
+	return svg(p)
+}
--- /dev/null
+++ b/fbreport/burn_test.go
@@ -0,0 +1,85 @@
+package fbreport_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/filbertford/filbertford/fbburn"
+	"github.com/filbertford/filbertford/fbreport"
+)
+
+// burnSnapshot returns counts of three days in which one service burns, one has
+// an idle gap and one has no objective any longer.
+func burnSnapshot() fbburn.Snapshot {
+	now := time.Date(2026, 3, 5, 9, 12, 0, 0, time.UTC)
+	book := fbburn.NewBook(now.Add(-72 * time.Hour))
+	objective := fbburn.NewObjective(0.999, 800*time.Millisecond)
+	for at := now.Add(-71 * time.Hour); !at.After(now); at = at.Add(time.Minute) {
+		minute := int(at.Unix() / 60)
+		for i := range 20 + minute%13 {
+			outcome := fbburn.OutcomeGood
+			if now.Sub(at) < 90*time.Minute && i%40 == 7 || minute%97 == i {
+				outcome = fbburn.OutcomeBad
+			}
+			book.Record(at, fbburn.NewKey("depot", "ordering", "stock-check"), objective, outcome)
+		}
+		if hour := at.Hour(); hour > 5 && hour < 20 && minute%60 < 40 {
+			book.Record(at, fbburn.NewKey("depot", "<script>", ""), objective, fbburn.OutcomeGood)
+			book.Record(at, fbburn.NewKey("atlas", "orders", ""), objective, fbburn.OutcomeOverQuota)
+		}
+	}
+	return book.Snapshot(now, true, nil)
+}
+
+func TestBurnPage(t *testing.T) {
+	full := fbreport.NewBurn(burnSnapshot(), "http://a:1", "http://b:1")
+	none := fbreport.NewBurn(fbburn.NewBook(time.Unix(0, 0)).Snapshot(time.Unix(0, 0), true, nil), "this daemon")
+	tests := map[string]struct {
+		burn fbreport.Burn
+		part string
+		want int
+	}{
+		"plots":             {full, "<svg", 3},
+		"services":          {full, "99.9 % in 800ms", 3},
+		"verdict":           {full, `<td class="page">page</td>`, 1},
+		"daemons":           {full, "by http://a:1, http://b:1.", 1},
+		"unescaped name":    {full, "<script", 0},
+		"all reached":       {full, "Not reached", 0},
+		"one not reached":   {full.WithUnreached("http://c:1"), "are missing here: http://c:1", 1},
+		"no answers":        {none, "No answer was counted yet", 1},
+		"no answers, plots": {none, "<svg", 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			page, err := fbreport.BurnPage(tt.burn)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := strings.Count(string(page), tt.part); got != tt.want {
+				t.Errorf("%d times %q, want %d", got, tt.part, tt.want)
+			}
+		})
+	}
+}
+
+// BenchmarkBurnPage also writes the page to the file that FBREPORT_PAGE names,
+// for a look in a browser.
+func BenchmarkBurnPage(b *testing.B) {
+	burn := fbreport.NewBurn(burnSnapshot(), "http://127.0.0.1:7102", "http://127.0.0.1:7112").WithUnreached("http://127.0.0.1:7122")
+	var page []byte
+	for range b.N {
+		var err error
+		if page, err = fbreport.BurnPage(burn); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(page)), "B/page")
+	if file := os.Getenv("FBREPORT_PAGE"); file != "" {
+		if err := os.WriteFile(file, page, 0o644); err != nil {
+			b.Fatal(fmt.Errorf("FBREPORT_PAGE: %w", err))
+		}
+	}
+}
