--- a/fbsettings/neighbour.go
+++ b/fbsettings/neighbour.go
@@ -20,9 +20,7 @@
 // r is the cube root of the number of daemons. Whoever hears of a version first,
 // it so reaches everybody in a few hops, with Fanout messages from each.
 func (s *Spread) neighbours() []string {
-	circle := slices.Sorted(maps.Keys(s.peers))
-	own, _ := slices.BinarySearch(circle, s.self)
-	circle = slices.Insert(circle, own, s.self)
+	circle, own := s.circle()
 	n := len(circle)
 	r := max(2, int(math.Round(math.Cbrt(float64(n)))))
 	var out []string
@@ -34,6 +32,27 @@
 	return out
 }
 
+// circle returns the addresses of all daemons in order, and the place of the
+// daemon's own.
+func (s *Spread) circle() (addresses []string, own int) {
+	addresses = slices.Sorted(maps.Keys(s.peers))
+	own, _ = slices.BinarySearch(addresses, s.self)
+	return slices.Insert(addresses, own, s.self), own
+}
+
+// nextPoll returns when to poll after a poll that succeeded: about PollPeriod
+// later, each daemon in its turn, so that one of them soon sees a new version.
+// Clocks that differ spoil the turns and nothing else.
+func (s *Spread) nextPoll(now time.Time) time.Time {
+	circle, own := s.circle()
+	turn := PollPeriod * time.Duration(own) / time.Duration(len(circle))
+	wait := turn - time.Duration(now.UnixNano())%PollPeriod
+	for wait < PollPeriod/2 {
+		wait += PollPeriod
+	}
+	return now.Add(wait)
+}
+
 // catchUp pushes to peers that stay behind and pulls from those ahead.
 func (s *Spread) catchUp(now time.Time) []Action {
 	var behind, ahead []string
--- a/fbsettings/service.go
+++ b/fbsettings/service.go
@@ -16,7 +16,7 @@
 
 const (
 	// tickPeriod is the period of HandleTick.
-	tickPeriod = 100 * time.Millisecond
+	tickPeriod = 50 * time.Millisecond
 	// peerTimeout bounds a message to a peer.
 	peerTimeout = time.Second
 	// maxCalls is the greatest number of calls that are open at once. A call
--- a/fbsettings/spread.go
+++ b/fbsettings/spread.go
@@ -98,7 +98,7 @@
 // HandleHead takes the result of a poll.
 func (s *Spread) HandleHead(now time.Time, head Head) []Action {
 	s.pollEnd = time.Time{}
-	s.pollAt = now.Add(PollPeriod)
+	s.pollAt = s.nextPoll(now)
 	s.failures = 0
 	s.pollErr = ""
 	if head.version == 0 && s.tree == nil && s.heard == 0 {
