Heartbeats across data centres cost the same for any number of daemons

Cause: every pair of daemons exchanged a heartbeat a second. Ruled out: beats with two members of each other data centre that pass on what they hear: a new message and a second way for what is known of an owner; it stays the remedy if the delay below is too long. A longer period for all: load steering and quotas within a data centre need the second. Change: the members of other data centres share 8 heartbeats a period; where there are more, their period and timeouts are longer by as much. The owner token and the tasks by team are told within the data centre only, where alone they are used. Conclusion: at 81 members elsewhere each is heard every 11 s and counts as reachable for 55 s. Only spill, the choice of a daemon to forward opaque keys to and the spread of settings use that; an address that doesn't answer is a clear refusal.

--- a/fbdaemon/member.go
+++ b/fbdaemon/member.go
@@ -120,8 +120,12 @@
 func (d *Daemon) heartbeat(ctx context.Context) {
 	var due []string
 	var state fbmember.State
+	far := make(map[string]bool)
 	err := d.inquire(ctx, func(c *control, now time.Time) {
 		due = c.dir.Due(now, d.heartbeatPeriod)
+		for _, address := range due {
+			far[address] = c.dir.Far(address)
+		}
 		state = c.state(now)
 		index, count := c.dir.Share(now)
 		c.drive(now, fbcore.PeersChanged{Teams: c.dir.PeerUse(now), Index: index, Count: count, Remotes: c.remotes(now)})
@@ -130,8 +134,12 @@
 		return
 	}
 	for _, address := range due {
+		told := state
+		if far[address] {
+			told = state.Abroad()
+		}
 		d.traffic.Go(func() error {
-			d.beat(address, state)
+			d.beat(address, told)
 			return nil
 		})
 	}
@@ -168,5 +176,9 @@
 
 func (m memberHeard) handle(c *control, now time.Time) {
 	c.dir.Heard(now, m.state)
-	m.reply <- c.state(now)
+	own := c.state(now)
+	if m.state.DataCentre() != own.DataCentre() {
+		own = own.Abroad()
+	}
+	m.reply <- own
 }
--- a/fbmember/directory.go
+++ b/fbmember/directory.go
@@ -25,6 +25,8 @@
 	listed  bool
 	seed    bool
 	leaving bool
+	far     bool
+	stretch time.Duration
 	heard   time.Time
 	asked   time.Time
 	rtt     time.Duration
@@ -71,7 +73,7 @@
 // Condition returns how the member is.
 func (m Member) Condition(now time.Time) Condition {
 	switch {
-	case m.heard.IsZero() || m.Silence(now) >= silenceNoted:
+	case m.heard.IsZero() || m.Silence(now) >= m.stretched(silenceNoted):
 		return ConditionSilent
 	case m.state.stopping:
 		return ConditionStopping
@@ -115,12 +117,14 @@
 		}
 		m.listed = true
 		m.leaving = vm.State() == filbertford.VMLeaving
+		m.far = vm.DataCentre() != d.dc
 	}
 	for a, m := range d.members {
 		if !m.listed && !m.seed && !d.reachable(now, m) {
 			d.drop(a)
 		}
 	}
+	d.stretchFar()
 }
 
 // Answered takes the state with which the daemon at the address replied to a
@@ -177,7 +181,7 @@
 	out := make(map[string]int)
 	for _, m := range d.Reachable(now) {
 		s := m.state
-		if s.dataCentre == d.dc || s.stopping || m.leaving || m.Silence(now) >= steerSilence {
+		if s.dataCentre == d.dc || s.stopping || m.leaving || m.Silence(now) >= m.stretched(steerSilence) {
 			continue
 		}
 		if free := s.load.Slots()/count[s.dataCentre] - s.load.Waiting() - s.load.Running(); free > 0 {
@@ -307,10 +311,12 @@
 // Due returns the addresses that a heartbeat should be sent to now: a member
 // that has told nothing for the period in a heartbeat of its own. The more
 // recent of two heartbeats serves both sides, so a pair exchanges one a period.
+// The period is longer for members of other data centres where there are many.
 func (d *Directory) Due(now time.Time, period time.Duration) []string {
 	var out []string
 	for a, m := range d.members {
-		if now.Sub(m.heard) >= period && now.Sub(m.asked) >= period {
+		p := m.stretched(period)
+		if now.Sub(m.heard) >= p && now.Sub(m.asked) >= p {
 			m.asked = now
 			out = append(out, a)
 		}
@@ -322,12 +328,12 @@
 // AskAll makes a heartbeat due to every member.
 func (d *Directory) AskAll() {
 	for _, m := range d.members {
-		m.heard, m.asked = m.heard.Add(-d.timeout/2), time.Time{}
+		m.heard, m.asked = m.heard.Add(-m.stretched(d.timeout)/2), time.Time{}
 	}
 }
 
 func (d *Directory) reachable(now time.Time, m *Member) bool {
-	return !m.heard.IsZero() && now.Sub(m.heard) < d.timeout
+	return !m.heard.IsZero() && now.Sub(m.heard) < m.stretched(d.timeout)
 }
 
 func (d *Directory) drop(address string) {
--- a/fbmember/state.go
+++ b/fbmember/state.go
@@ -58,6 +58,13 @@
 	return s
 }
 
+// Abroad returns a copy of s without what only daemons of its own data centre
+// use: the owner token and the tasks by team.
+func (s State) Abroad() State {
+	s.token, s.teams = "", nil
+	return s
+}
+
 // VM returns the daemon's VM.
 func (s State) VM() filbertford.VMID { return s.vm }
 
