--- a/cmd/filbertfordd/control_test.go
+++ b/cmd/filbertfordd/control_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"os"
 	"strconv"
 	"testing"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // transferred returns the bytes that the program has read and written, on
@@ -32,7 +35,7 @@
 // the table service by a daemon, for some fleets of several data centres.
 func BenchmarkControl(b *testing.B) {
 	tests := []struct{ centres, daemons, targets int }{
-		{1, 1, 50}, {1, 3, 50}, {1, 9, 50}, {3, 3, 50}, {10, 2, 50}, {1, 1, 200},
+		{1, 1, 50}, {1, 3, 50}, {1, 9, 50}, {3, 3, 50}, {10, 2, 50}, {10, 3, 50}, {1, 1, 200}, {1, 1, 880}, {1, 9, 880},
 	}
 	for _, tt := range tests {
 		name := fmt.Sprintf("centres=%d/daemons=%d/targets=%d", tt.centres, tt.daemons, tt.targets)
@@ -59,6 +62,41 @@
 	}
 }
 
+// BenchmarkConnections measures a daemon's connections to its targets and its
+// memory, once it has had all their slots in use.
+func BenchmarkConnections(b *testing.B) {
+	for _, targets := range []int{50, 200, 400} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) { benchConnections(b, targets) })
+	}
+}
+
+func benchConnections(b *testing.B, targets int) {
+	const callers, tasks, runMS = 40, 170, 200
+	f := newFleet(b, targets, "nordnes")
+	f.defaults(b)
+	c := f.client(0)
+	for b.Loop() {
+		before := f.daemons[0].resident()
+		var g errgroup.Group
+		for i := range callers {
+			g.Go(func() error {
+				_, err := c.Submit(context.Background(), work("bench"+strconv.Itoa(i), tasks, runMS))
+				return err
+			})
+		}
+		if err := g.Wait(); err != nil {
+			b.Fatal(err)
+		}
+		files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", f.daemons[0].cmd.Process.Pid))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(files)), "open-files")
+		b.ReportMetric(float64(f.daemons[0].resident())/(1<<20), "MB")
+		b.ReportMetric(float64(before)/(1<<20), "MB-before")
+	}
+}
+
 // tableReads returns how many reads the table service has answered.
 func (f *fleet) tableReads(b *testing.B) int {
 	b.Helper()
--- a/fbcore/size_test.go
+++ b/fbcore/size_test.go
@@ -94,10 +94,11 @@
 			for i := range teams {
 				use["team-"+strconv.Itoa(i)] = i
 			}
-			b.ReportMetric((heap()-before)/float64(teams), "heap-B/team")
+			held := heap() - before
 			for b.Loop() {
 				c.Handle(now, fbcore.PeersChanged{Teams: use, Index: 0, Count: 9})
 			}
+			b.ReportMetric(held/float64(teams), "heap-B/team")
 			runtime.KeepAlive(use)
 		})
 	}
--- a/fbmember/far_test.go
+++ b/fbmember/far_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -97,3 +98,28 @@
 		})
 	}
 }
+
+// BenchmarkMemberSize reports the heap that the directory holds for a member with
+// tasks of 100 teams.
+func BenchmarkMemberSize(b *testing.B) {
+	const members, teams = 89, 100
+	for b.Loop() {
+		now := time.Unix(1_000_000, 0)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		d := fbmember.NewDirectory(self, "dc", timeout, nil)
+		d.SetVMs(now, spreadEntries(members, 0))
+		for _, a := range d.Due(now, time.Second) {
+			use := make(map[string]int)
+			for i := range teams {
+				use[fmt.Sprintf("team-%d", i)] = i
+			}
+			d.Answered(now, now, a, state(7, a).WithTeams(use))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/members, "heap-B/member")
+		runtime.KeepAlive(d)
+	}
+}
