--- a/fbsettings/spread_test.go
+++ b/fbsettings/spread_test.go
@@ -218,3 +218,49 @@
 		}
 	}
 }
+
+// BenchmarkUpdate reports the length of what a peer gets that lacks one change,
+// and of what a peer gets that has nothing, at the target's size.
+func BenchmarkUpdate(b *testing.B) {
+	tree := fbtree.Default()
+	var changes []fbtree.Change
+	for team := range 100 {
+		changes = append(changes, branch(fmt.Sprintf("/team-%d", team), 20, 5)...)
+	}
+	tree, err := tree.Apply(changes...)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := fbsettings.NewSpread(self)
+	s.HandleTree(start, tree.WithVersion(1))
+	p, _ := fbtree.ParsePath("/team-57")
+	next, err := tree.Apply(fbtree.Set(p, fbtree.KeyQuota, "2500"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.HandleTree(start, next.WithVersion(2))
+	for b.Loop() {
+		if !s.UpdateFor(1).Delta() {
+			b.Fatal("not as changes")
+		}
+	}
+	b.ReportMetric(float64(len(s.UpdateFor(1).Body())), "delta-bytes")
+	b.ReportMetric(float64(len(s.UpdateFor(0).Body())), "whole-bytes")
+}
+
+// branch returns the changes that add a team with services and job kinds.
+func branch(team string, services, kinds int) []fbtree.Change {
+	paths := []string{team}
+	for s := range services {
+		paths = append(paths, fmt.Sprintf("%s/service-%d", team, s))
+		for k := range kinds {
+			paths = append(paths, fmt.Sprintf("%s/service-%d/kind-%d", team, s, k))
+		}
+	}
+	var out []fbtree.Change
+	for _, text := range paths {
+		p, _ := fbtree.ParsePath(text)
+		out = append(out, fbtree.Add(p), fbtree.Set(p, fbtree.KeySpill, fmt.Sprint(len(out)%100)))
+	}
+	return out
+}
--- a/fbtree/bench_test.go
+++ b/fbtree/bench_test.go
@@ -58,12 +58,12 @@
 	p, _ := fbtree.ParsePath("/team-57")
 	change := fbtree.Set(p, fbtree.KeyQuota, "7")
 	b.ReportAllocs()
-	b.ReportMetric(float64(len(fbtree.EncodeChanges([]fbtree.Change{change}))), "delta-bytes")
 	for b.Loop() {
 		if _, err := tree.Apply(change); err != nil {
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(len(fbtree.EncodeChanges([]fbtree.Change{change}))), "delta-bytes")
 }
 
 func BenchmarkEncode(b *testing.B) {
@@ -72,9 +72,11 @@
 		b.Fatal(err)
 	}
 	b.ReportAllocs()
+	size := 0
 	for b.Loop() {
-		b.SetBytes(int64(len(tree.Encode())))
+		size = len(tree.Encode())
 	}
+	b.ReportMetric(float64(size), "text-bytes")
 }
 
 // BenchmarkSize reports the heap that one tree holds.
