--- a/fbpolicy/admit.go
+++ b/fbpolicy/admit.go
@@ -11,9 +11,10 @@
 	// minRetryAfter is the shortest time after which a refused caller is asked
 	// to come back.
 	minRetryAfter = 50 * time.Millisecond
-	// deadlineShare is the share of a job's timeout by which it must be expected
-	// to end.
-	deadlineShare = 0.7
+	// waitShare is the share of the time that a job has to spare which all that
+	// waits, the job included, may be expected to take. Jobs with little work
+	// left overtake, so that big ones wait several times as long.
+	waitShare = 0.1
 	// burstWindow is how long a team may use its whole burst.
 	burstWindow = 10 * time.Second
 )
@@ -41,7 +42,8 @@
 	if timeout == 0 || l.Waiting() == 0 {
 		return filbertford.Verdict{}
 	}
-	late := s.drain(l.Waiting()+tasks, l) + s.longest(j) - time.Duration(deadlineShare*float64(timeout))
+	spare := max(timeout-s.longest(j), timeout/2)
+	late := s.drain(l.Waiting()+tasks, l) - time.Duration(waitShare*float64(spare))
 	if late > 0 {
 		return filbertford.NewRejection(filbertford.CodeDeadlineNow, retryAfter(late))
 	}
--- a/fbpolicy/compare_test.go
+++ b/fbpolicy/compare_test.go
@@ -1,6 +1,7 @@
 package fbpolicy_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -15,6 +16,11 @@
 	load   float64
 	queues int
 	spoil  func(targets []*rigTarget)
+	// timeout is that of every job, zero for none.
+	timeout time.Duration
+	rules   filbertford.Rules
+	// length is the time until which jobs arrive, measure if it is zero.
+	length time.Duration
 }
 
 // Periods of an experiment: the figures are those of the jobs that arrive
@@ -22,22 +28,25 @@
 const (
 	warmUp  = 5 * time.Second
 	measure = 25 * time.Second
-	end     = 35 * time.Second
+	drain   = 10 * time.Second
 )
 
 func (e experiment) run(policy string, seed uint64) result {
+	to := cmp.Or(e.length, measure)
 	targets := unevenTargets(50, seed)
-	jobs := jobsOf(e.mix, targets, e.load, seed, measure)
 	if e.spoil != nil {
 		e.spoil(targets)
-		jobs = jobsOf(e.mix, targets, e.load, seed, measure)
+	}
+	jobs := jobsOf(e.mix, targets, e.load, seed, to)
+	for _, j := range jobs {
+		j.timeout = e.timeout
 	}
 	if policy == "clairvoyant" {
-		return clairvoyant(jobs, targets, warmUp, measure)
+		return clairvoyant(jobs, targets, warmUp, to)
 	}
 	r := newRig(policy, e.queues, targets)
-	r.run(jobs, filbertford.Rules{}, seed, end)
-	return r.result(warmUp, measure)
+	r.run(jobs, e.rules, seed, to+drain)
+	return r.result(warmUp, to)
 }
 
 func everyTenth(change func(*rigTarget)) func([]*rigTarget) {
@@ -70,6 +79,19 @@
 	}
 }
 
+// BenchmarkOverload reports the adaptive policy's figures at one and a half times
+// the capacity, and at 80 %, for jobs with timeouts.
+func BenchmarkOverload(b *testing.B) {
+	for _, mix := range []string{"depot", "atlas"} {
+		for _, timeout := range []time.Duration{2 * time.Second, 5 * time.Second, 10 * time.Second} {
+			for _, load := range []float64{0.8, 1.5} {
+				e := experiment{mix: mix, load: load, queues: 3, timeout: timeout}
+				b.Run(fmt.Sprintf("%s/%v/%.0f", mix, timeout, 100*load), e.bench(fbpolicy.NameAdaptive))
+			}
+		}
+	}
+}
+
 // bench returns a benchmark that reports the means over three seeds.
 func (e experiment) bench(policy string) func(b *testing.B) {
 	return func(b *testing.B) {
@@ -88,6 +110,7 @@
 		b.ReportMetric(sum.share(sum.late), "%late")
 		b.ReportMetric(sum.share(sum.turnedAway), "%refused")
 		b.ReportMetric(100*sum.wasted, "%wasted")
+		b.ReportMetric(100*sum.goodput, "%goodput")
 	}
 }
 
--- a/fbpolicy/place.go
+++ b/fbpolicy/place.go
@@ -36,7 +36,7 @@
 	refusalGoal = 0.004
 	// waitHandicap multiplies the expected wait for a faster target, because a
 	// task that waits delays those behind it too.
-	waitHandicap = 3
+	waitHandicap = 2.5
 	// waitMargin is the share of the slow target's time that waiting must save.
 	waitMargin = 0.1
 )
--- a/fbpolicy/rig_test.go
+++ b/fbpolicy/rig_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -27,8 +26,7 @@
 // share virtual targets, and time is virtual too.
 type rig struct {
 	now     time.Duration
-	seq     int
-	events  rigEvents
+	events  []rigEvent
 	targets []*rigTarget
 	queues  []*rigQueue
 	jobs    []*rigJob
@@ -70,28 +68,12 @@
 	over     bool
 	code     filbertford.Code
 	response time.Duration
-	retry    time.Duration
 }
 
+// rigEvent is due at a time; the latest stands first.
 type rigEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type rigEvents []rigEvent
-
-func (h rigEvents) Len() int { return len(h) }
-func (h rigEvents) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h rigEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *rigEvents) Push(x any)   { *h = append(*h, x.(rigEvent)) }
-func (h *rigEvents) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
+	at time.Duration
+	do func()
 }
 
 func newRig(policy string, queues int, targets []*rigTarget) *rig {
@@ -114,8 +96,9 @@
 }
 
 func (r *rig) after(d time.Duration, do func()) {
-	r.seq++
-	heap.Push(&r.events, rigEvent{at: r.now + d, seq: r.seq, do: do})
+	e := rigEvent{at: r.now + d, do: do}
+	i, _ := slices.BinarySearchFunc(r.events, e, func(a, b rigEvent) int { return cmp.Or(cmp.Compare(b.at, a.at), 1) })
+	r.events = slices.Insert(r.events, i, e)
 }
 
 func (r *rig) clock() time.Time { return epoch.Add(r.now) }
@@ -132,8 +115,10 @@
 		r.tick(q, end)
 	}
 	r.hint(end)
-	for len(r.events) > 0 && r.events[0].at <= end {
-		e := heap.Pop(&r.events).(rigEvent)
+	for len(r.events) > 0 && r.now <= end {
+		last := len(r.events) - 1
+		e := r.events[last]
+		r.events = r.events[:last]
 		r.now = e.at
 		e.do()
 	}
@@ -182,7 +167,7 @@
 	job := filbertford.NewJob("team", rigService, tasks...).WithTimeout(j.timeout)
 	v := q.policy.Admit(r.clock(), job, rules, filbertford.NewLoad(waiting, q.running, slots, waiting+q.running))
 	if !v.Admitted() {
-		j.over, j.code, j.retry = true, v.Code(), v.RetryAfter()
+		j.over, j.code = true, v.Code()
 		return
 	}
 	j.left = len(j.sizes)
