--- a/cmd/filbertfordd/bench_test.go
+++ b/cmd/filbertfordd/bench_test.go
@@ -169,7 +169,7 @@
 	b.Helper()
 	for i := range f.daemons {
 		f.daemons[i].kill()
-		f.boot(i, "membership.heartbeat=1s", "membership.timeout=5s", "membership.vm-poll=2s")
+		f.boot(i, "membership.heartbeat=2s", "membership.timeout=5s", "membership.vm-poll=2s")
 		f.awaitReady(i)
 	}
 	for i := range f.daemons {
--- a/cmd/filbertfordd/serve.go
+++ b/cmd/filbertfordd/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -37,6 +38,7 @@
 
 // serve runs a daemon until the context ends, and then stops it gracefully.
 func serve(ctx context.Context, cfg *fbconfig.Config, l *log.Logger) error {
+	debug.SetMemoryLimit(int64(cfg.Int("limits", "memory")))
 	ls, err := listen(cfg)
 	if err != nil {
 		return err
--- a/fbconfig/key.go
+++ b/fbconfig/key.go
@@ -52,17 +52,18 @@
 	intKey("limits", "max-connections", "4096", 1, 1<<20, "connections of callers at one time"),
 	durationKey("limits", "read-timeout", "10s", time.Millisecond, time.Minute, "the time that a caller has to send a request"),
 	durationKey("limits", "idle-timeout", "2m", time.Second, time.Hour, "the time after which an idle connection is closed"),
-	intKey("limits", "max-submissions", "200000", 1, 10_000_000, "submission IDs remembered in full"),
-	intKey("limits", "max-answers", "33554432", 0, 1<<30, "bytes of results kept for resubmissions"),
+	intKey("limits", "max-submissions", "120000", 1, 10_000_000, "submission IDs remembered in full"),
+	intKey("limits", "max-answers", "16777216", 0, 1<<30, "bytes of results kept for resubmissions"),
+	intKey("limits", "memory", "134217728", 32<<20, 64<<30, "bytes of memory that the process tries to stay within; the garbage collector works harder near it"),
 	intKey("limits", "max-events", "8192", 16, 1<<20, "events that wait for the control goroutine"),
 
 	durationKey("ownership", "epoch", "1m", time.Second, time.Hour, "the length of a token epoch"),
-	intKey("ownership", "horizon", "10", 1, 1440, "token epochs for which an ID is remembered after its own"),
+	intKey("ownership", "horizon", "5", 1, 1440, "token epochs for which an ID is remembered after its own"),
 	intKey("ownership", "opaque-horizon", "1440", 1, 100_000, "token epochs for which an opaque key is remembered as used"),
 
 	durationKey("membership", "vm-poll", "2s", 10*time.Millisecond, time.Minute, "the time between two reads of the VM list"),
-	durationKey("membership", "heartbeat", "1s", 10*time.Millisecond, time.Minute, "the time between two heartbeats of a pair of daemons"),
-	durationKey("membership", "timeout", "5s", 20*time.Millisecond, 5*time.Minute, "the silence after which a daemon counts as unreachable"),
+	durationKey("membership", "heartbeat", "2s", 10*time.Millisecond, time.Minute, "the time between two heartbeats of a pair of daemons; longer between data centres with many daemons"),
+	durationKey("membership", "timeout", "5s", 20*time.Millisecond, 5*time.Minute, "the silence after which a daemon counts as unreachable; stretched as the heartbeat is"),
 	durationKey("membership", "view-lease", "12s", 50*time.Millisecond, time.Minute, "the time for which a confirmed view of opaque keys holds"),
 	durationKey("membership", "clock-drift", "250ms", 0, 10*time.Second, "the most that two clocks drift apart within a view lease"),
 
@@ -75,7 +76,7 @@
 	choiceKey("policy", "name", "adaptive", []string{"adaptive", "random", "round-robin", "least-outstanding", "two-choices"}, "the placement policy"),
 	intKey("policy", "seed", "1", 0, 1<<31, "the seed of the policy's random choices"),
 	durationKey("policy", "tick", "10ms", time.Millisecond, time.Second, "the time between two looks at deadlines, leases and stop requests"),
-	intKey("policy", "target-connections", "16", 2, 64, "connections that this daemon opens to one target"),
+	intKey("policy", "target-connections", "16", 2, 64, "connections that this daemon opens to one target, at most its part of those that the target takes"),
 }
 
 func textKey(section, name, usual, about string) Key {
--- a/fbcore/registry.go
+++ b/fbcore/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -139,11 +140,16 @@
 // forget drops the epochs before oldest, but for jobs that still run. Opaque
 // keys leave a fingerprint, which itself is dropped with epoch oldestSpent.
 func (r *registry) forget(now, oldest, oldestSpent filbertford.Epoch) {
+	dropped := false
 	for e, g := range r.epochs {
 		if e < oldest {
 			r.drop(now, e, g)
+			dropped = true
 		}
 	}
+	if dropped {
+		r.order = slices.DeleteFunc(r.order, func(s *submission) bool { return r.subs[s.key] != s })
+	}
 	for f, e := range r.spent {
 		if e < oldestSpent {
 			delete(r.spent, f)
--- a/fbcore/submit.go
+++ b/fbcore/submit.go
@@ -129,7 +129,7 @@
 
 // refusalsPerSubmission is how many refusals are remembered for each ID that
 // may be remembered in full; a refusal costs about a tenth of the memory.
-const refusalsPerSubmission = 8
+const refusalsPerSubmission = 4
 
 // unsureRetry is when a caller may come back with a key whose owner is unsure.
 const unsureRetry = time.Second
--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -176,7 +176,7 @@
 		d:       d,
 		core:    core,
 		view:    fbview.NewView(viewOptions(cfg), d.dataCentre, fbview.NewMember(d.incarnation, d.peerAddress)),
-		dir:     fbmember.NewDirectory(d.peerAddress, d.dataCentre, cfg.Duration("membership", "timeout"), cfg.List("daemon", "seeds")),
+		dir:     fbmember.NewDirectory(d.peerAddress, d.dataCentre, cfg.Duration("membership", "heartbeat"), cfg.Duration("membership", "timeout"), cfg.List("daemon", "seeds")),
 		waiters: make(map[fbcore.Ref]chan<- outcome),
 		drained: make(chan struct{}),
 		spilled: make(map[filbertford.StartID]context.CancelFunc),
--- a/fbdaemon/member.go
+++ b/fbdaemon/member.go
@@ -95,12 +95,13 @@
 // operators drain as leaving.
 func (c *control) setTargets(now time.Time) {
 	settings := c.d.settings.Load()
+	_, daemons := c.dir.Share(now)
 	var targets []filbertford.VM
 	for _, vm := range c.vms {
 		if vm.Role() != filbertford.RoleTarget || vm.DataCentre() != c.d.dataCentre {
 			continue
 		}
-		vm = c.d.reachableSlots(vm)
+		vm = c.d.reachableSlots(vm, daemons)
 		if settings.Draining(filbertford.TargetID(vm.ID())) {
 			vm = vm.WithState(filbertford.VMLeaving)
 		}
@@ -109,10 +110,15 @@
 	c.drive(now, fbcore.TargetsChanged{Targets: targets})
 }
 
-// reachableSlots bounds a target's slots by the connections that this daemon
-// opens to it, of which one is kept for stops and renewals.
-func (d *Daemon) reachableSlots(vm filbertford.VM) filbertford.VM {
-	return vm.WithCapacity(min(vm.Slots(), d.targetConns-1), vm.Conns())
+// reachableSlots bounds a target's slots by this daemon's part of the connections
+// that the target takes from all daemons of the data centre. One connection is
+// kept for stops and renewals.
+func (d *Daemon) reachableSlots(vm filbertford.VM, daemons int) filbertford.VM {
+	conns := d.targetConns
+	if vm.Conns() > 0 {
+		conns = min(conns, vm.Conns()/daemons)
+	}
+	return vm.WithCapacity(min(vm.Slots(), max(1, conns-1)), vm.Conns())
 }
 
 // heartbeat tells the daemons that have been silent for the period this
--- a/fbmember/directory.go
+++ b/fbmember/directory.go
@@ -14,6 +14,7 @@
 	self    string
 	dc      filbertford.DataCentre
 	timeout time.Duration
+	fresh   time.Duration // the silence up to which a member's load is believed
 	members map[string]*Member
 	owners  map[filbertford.Incarnation]string
 	gone    []filbertford.Incarnation
@@ -82,13 +83,15 @@
 }
 
 // NewDirectory returns the directory of the daemon whose peer listener is at
-// the address. Seeds are addresses of members that are known from the start.
-// A member that has not answered for the timeout counts as unreachable.
-func NewDirectory(self string, dc filbertford.DataCentre, timeout time.Duration, seeds []string) *Directory {
+// the address. Members beat once a heartbeat period; one that has not answered
+// for the timeout counts as unreachable. Seeds are addresses of members that
+// are known from the start.
+func NewDirectory(self string, dc filbertford.DataCentre, heartbeat, timeout time.Duration, seeds []string) *Directory {
 	d := &Directory{
 		self:    self,
 		dc:      dc,
 		timeout: timeout,
+		fresh:   time.Duration(steerHeartbeats * float64(heartbeat)),
 		members: make(map[string]*Member),
 		owners:  make(map[filbertford.Incarnation]string),
 	}
@@ -181,7 +184,7 @@
 	out := make(map[string]int)
 	for _, m := range d.Reachable(now) {
 		s := m.state
-		if s.dataCentre == d.dc || s.stopping || m.leaving || m.Silence(now) >= m.stretched(steerSilence) {
+		if s.dataCentre == d.dc || s.stopping || m.leaving || m.Silence(now) >= m.stretched(d.fresh) {
 			continue
 		}
 		if free := s.load.Slots()/count[s.dataCentre] - s.load.Waiting() - s.load.Running(); free > 0 {
@@ -285,8 +288,9 @@
 // to be steered there.
 const steerRatio = 2
 
-// steerSilence is the silence from which on no job is steered to a member.
-const steerSilence = 1500 * time.Millisecond
+// steerHeartbeats is the silence, in heartbeat periods, from which on no job is
+// steered or spilled to a member.
+const steerHeartbeats = 1.5
 
 // Steer returns the token of the least loaded live member of the data centre if
 // new jobs are better minted for it than for this daemon of the given load, or
@@ -297,7 +301,7 @@
 	}
 	best, least := "", own.Waiting()+own.Running()
 	for _, m := range d.Live(now, d.dc) {
-		if m.Silence(now) >= steerSilence {
+		if m.Silence(now) >= d.fresh {
 			continue
 		}
 		l := m.state.load
--- a/fbmember/directory_test.go
+++ b/fbmember/directory_test.go
@@ -24,7 +24,7 @@
 
 func newDirectory(listed ...string) (*fbmember.Directory, time.Time) {
 	now := time.Unix(1_000_000, 0)
-	d := fbmember.NewDirectory(self, "dc", timeout, nil)
+	d := fbmember.NewDirectory(self, "dc", time.Second, timeout, nil)
 	d.SetVMs(now, entries(listed...))
 	return d, now
 }
--- a/fbmember/far_test.go
+++ b/fbmember/far_test.go
@@ -26,7 +26,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1_000_000, 0)
-			d := fbmember.NewDirectory(self, "dc", timeout, nil)
+			d := fbmember.NewDirectory(self, "dc", time.Second, timeout, nil)
 			d.SetVMs(now, spreadEntries(near, tt.far))
 			beats := make(map[bool]int)
 			for range periods {
@@ -83,7 +83,7 @@
 	for _, members := range []int{8, 89, 890} {
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
 			now := time.Unix(1_000_000, 0)
-			d := fbmember.NewDirectory(self, "dc", timeout, nil)
+			d := fbmember.NewDirectory(self, "dc", time.Second, timeout, nil)
 			d.SetVMs(now, spreadEntries(8, members-8))
 			b.ReportAllocs()
 			for b.Loop() {
@@ -108,7 +108,7 @@
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		d := fbmember.NewDirectory(self, "dc", timeout, nil)
+		d := fbmember.NewDirectory(self, "dc", time.Second, timeout, nil)
 		d.SetVMs(now, spreadEntries(members, 0))
 		for _, a := range d.Due(now, time.Second) {
 			use := make(map[string]int)
