--- /dev/null
+++ b/cmd/filbertfordd/stop_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbclient"
+)
+
+// load submits jobs until it is stopped and keeps their IDs.
+type load struct {
+	f      *fleet
+	stop   context.CancelFunc
+	g      errgroup.Group
+	failed atomic.Int64
+
+	mu   sync.Mutex
+	done map[string]filbertford.SubmissionID
+}
+
+// startLoad submits jobs one after another in each of several goroutines.
+func startLoad(f *fleet, c *fbclient.Client, goroutines int) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{f: f, stop: cancel, done: make(map[string]filbertford.SubmissionID)}
+	for n := range goroutines {
+		l.g.Go(func() error {
+			for i := 0; ctx.Err() == nil; i++ {
+				l.submit(c, fmt.Sprintf("load-%d-%d", n, i))
+			}
+			return nil
+		})
+	}
+	return l
+}
+
+func (l *load) submit(c *fbclient.Client, name string) {
+	a, trace, err := c.SubmitTraced(context.Background(), work(name, 2, 20))
+	if err != nil || a.Code() != filbertford.CodeComplete {
+		l.failed.Add(1)
+		l.f.t.Errorf("%s: %s %s, %v", name, a.Code(), a.Detail(), err)
+		return
+	}
+	checkOwn(l.f.t, name, 2, a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.done[name] = trace.ID()
+}
+
+// finish ends the load and returns the IDs of its jobs by their names.
+func (l *load) finish() map[string]filbertford.SubmissionID {
+	l.stop()
+	_ = l.g.Wait()
+	return l.done
+}
+
+// count returns how many jobs are over.
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.done)
+}
+
+// TestGracefulStop ends a daemon under load: readiness goes first, nothing in
+// flight is cut, and the exit code is 0.
+func TestGracefulStop(t *testing.T) {
+	f := newFleet(t, 8, "nordnes", "nordnes")
+	f.awaitPeers(0, 1)
+	f.awaitPeers(1, 1)
+	l := startLoad(f, f.client(0, 1), 16)
+	f.await("load", func() bool { return l.count() > 50 })
+	f.daemons[0].signal(syscall.SIGTERM)
+	f.await("loss of readiness", func() bool {
+		resp, err := http.Get(f.endpoint(0) + "/readyz")
+		if err != nil {
+			return true
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	if code := f.daemons[0].exitCode(); code != exitOK {
+		t.Errorf("exit code %d", code)
+	}
+	before := l.count()
+	f.await("load on the other daemon", func() bool { return l.count() > before+50 })
+	l.finish()
+	f.checkOnce()
+}
+
+// TestRollingRestart restarts all daemons one after another under load: nothing
+// is lost or doubled, and resubmissions get the real answers afterwards.
+func TestRollingRestart(t *testing.T) {
+	f := newFleet(t, 8, "nordnes", "nordnes", "nordnes")
+	for i := range 3 {
+		f.awaitPeers(i, 2)
+	}
+	l := startLoad(f, f.client(0, 1, 2), 12)
+	for i := range 3 {
+		before := l.count()
+		f.await("load", func() bool { return l.count() > before+50 })
+		f.daemons[i].signal(syscall.SIGTERM)
+		if code := f.daemons[i].exitCode(); code != exitOK {
+			t.Errorf("daemon %d: exit code %d", i, code)
+		}
+		f.boot(i)
+		f.awaitReady(i)
+		for j := range 3 {
+			f.awaitPeers(j, 2)
+		}
+	}
+	done := l.finish()
+	c := f.client(0, 1, 2)
+	for name, id := range done {
+		a, _, err := c.SubmitAs(t.Context(), id, work(name, 2, 20))
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		checkOwn(t, name, 2, a)
+	}
+	f.checkOnce()
+	t.Logf("%d jobs", len(done))
+}
+
+// TestOpaqueKeysAfterAStop resubmits opaque keys after the planned stop of each
+// of their owners: the answers are the real ones, and nothing runs again.
+func TestOpaqueKeysAfterAStop(t *testing.T) {
+	f := newFleet(t, 2, "nordnes", "nordnes", "nordnes")
+	for i := range 3 {
+		f.awaitPeers(i, 2)
+	}
+	c := f.client(1, 2)
+	submit := func(n int) filbertford.Answer {
+		id, err := filbertford.ParseID(fmt.Sprintf("key-%d", n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, _, err := c.SubmitAs(t.Context(), id, work(fmt.Sprintf("opaque-%d", n), 2, 5))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	f.await("the view", func() bool { return submit(0).Code() == filbertford.CodeComplete })
+	for n := range 30 {
+		checkOwn(t, fmt.Sprintf("opaque-%d", n), 2, submit(n))
+	}
+	f.daemons[0].signal(syscall.SIGTERM)
+	if code := f.daemons[0].exitCode(); code != exitOK {
+		t.Errorf("exit code %d", code)
+	}
+	for n := range 30 {
+		var a filbertford.Answer
+		f.await("an owner that can be reached", func() bool {
+			a = submit(n)
+			return a.Code().Class() != filbertford.ClassNotStarted
+		})
+		checkOwn(t, fmt.Sprintf("opaque-%d", n), 2, a)
+	}
+	f.checkOnce()
+}
