--- a/fbview/commit.go
+++ b/fbview/commit.go
@@ -10,7 +10,7 @@
 // peers is what the daemon's membership tells of the other daemons.
 type peers struct {
 	live    []Member
-	gone    map[filbertford.Incarnation]bool
+	gone    []filbertford.Incarnation
 	leaving bool
 	// since is when the members wanted began to differ from the view's.
 	since time.Time
@@ -21,17 +21,23 @@
 // leaving, and the incarnations that are proved to be gone for good. Proof is
 // an answer by another incarnation at the member's address to a question that
 // was asked after the member was known; silence is none. An incarnation once
-// gone stays gone.
+// gone stays gone, also when it isn't named again.
 func (v *View) PeersChanged(live []Member, gone []filbertford.Incarnation) {
 	v.peers.live = slices.Clone(live)
-	if v.peers.gone == nil {
-		v.peers.gone = make(map[filbertford.Incarnation]bool)
-	}
 	for _, inc := range gone {
-		v.peers.gone[inc] = true
+		if !slices.Contains(v.peers.gone, inc) {
+			v.peers.gone = append(v.peers.gone, inc)
+		}
+	}
+	if extra := len(v.peers.gone) - maxGone; extra > 0 {
+		v.peers.gone = slices.Delete(v.peers.gone, 0, extra)
 	}
 }
 
+// maxGone is the number of incarnations known to be gone that are remembered.
+// A daemon that has forgotten one leaves a change of the view to others.
+const maxGone = 1024
+
 // Leave ends the daemon's part: it starts no key any more, and asks at the next
 // Tick for a view without itself.
 func (v *View) Leave() { v.peers.leaving = true }
@@ -123,7 +129,7 @@
 // gone reports whether a member is proved to be gone. The former incarnation at
 // this daemon's own address is.
 func (v *View) gone(m Member) bool {
-	return v.peers.gone[m.incarnation] || m.address == v.self.address && m.incarnation != v.self.incarnation
+	return slices.Contains(v.peers.gone, m.incarnation) || m.address == v.self.address && m.incarnation != v.self.incarnation
 }
 
 // delay returns how long a change has to be wanted before this daemon commits
--- /dev/null
+++ b/fbview/main_test.go
@@ -0,0 +1,17 @@
+package fbview_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain gives the randomised tests a fixed seed unless one is set, so that
+// every run comes to the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	os.Exit(m.Run())
+}
