Operations listener tells the newest settings version and why it is not in force

Cause: settings status asks for newest and reason, and got neither. Change: both come from the settings service's own status.

--- a/fbdaemon/report.go
+++ b/fbdaemon/report.go
@@ -7,6 +7,7 @@
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbcore"
 	"github.com/filbertford/filbertford/fbmember"
+	"github.com/filbertford/filbertford/fbsettings"
 )
 
 // Report is what a daemon knows at one moment, for operators.
@@ -15,6 +16,7 @@
 	self       fbmember.State
 	members    []fbmember.Member
 	targets    []fbcore.TargetReport
+	settings   fbsettings.Status
 	platformUp bool
 }
 
@@ -27,6 +29,7 @@
 			self:       c.state(now),
 			members:    c.dir.Members(),
 			targets:    c.core.Targets(),
+			settings:   d.spread.Status(),
 			platformUp: d.platformUp.Load(),
 		}
 	})
@@ -42,8 +45,8 @@
 // DataCentre returns where the daemon stands.
 func (r Report) DataCentre() filbertford.DataCentre { return r.self.DataCentre() }
 
-// Settings returns the settings version in force.
-func (r Report) Settings() uint64 { return r.self.Settings() }
+// Settings returns how far the settings are.
+func (r Report) Settings() fbsettings.Status { return r.settings }
 
 // PlatformUp reports whether the platform could last be reached.
 func (r Report) PlatformUp() bool { return r.platformUp }
--- a/fbops/server.go
+++ b/fbops/server.go
@@ -76,6 +76,8 @@
 	VM         string `json:"vm"`
 	DataCentre string `json:"data_centre"`
 	Version    uint64 `json:"version"`
+	Newest     uint64 `json:"newest"`
+	Reason     string `json:"reason,omitempty"`
 	Ready      bool   `json:"ready"`
 	PlatformUp bool   `json:"platform_up"`
 }
@@ -88,7 +90,9 @@
 	return c.JSON(http.StatusOK, settingsReply{
 		VM:         string(r.VM()),
 		DataCentre: string(r.DataCentre()),
-		Version:    r.Settings(),
+		Version:    r.Settings().Version(),
+		Newest:     r.Settings().Newest(),
+		Reason:     r.Settings().Reason(),
 		Ready:      h.d.Ready(),
 		PlatformUp: r.PlatformUp(),
 	})
