Burn: services are read one at a time, and single points can be seen

The page of a daemon that had just started, seen in Chromium, showed its points at the very edge as small rings; the axis now ends with the present step, and points are filled.

At most 1,024 services are counted, not 2,048, so that a reply with all series (9,715 bytes a service that had answers in every bucket) stays below the 16 MB that the command line reads.

The property test of the windows failed: its model forgot that an answer before the book's start counts at the start.

--- a/fbburn/book.go
+++ b/fbburn/book.go
@@ -1,10 +1,14 @@
 package fbburn
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // MaxServices is the number of services that a Book counts. It bounds a book's
-// memory.
-const MaxServices = 2048
+// memory and the size of a snapshot with all series.
+const MaxServices = 1024
 
 // evictPeriod is the least time between two searches for idle services in a
 // full book.
@@ -47,30 +51,43 @@
 }
 
 // Snapshot returns the counts at a moment, with the series of buckets if asked
-// for. The objective function, if not nil, gives the objective in force; a
-// service that it doesn't know keeps the one of its last answer.
-func (b *Book) Snapshot(now time.Time, withSeries bool, objective func(Key) (Objective, bool)) Snapshot {
-	b.advance(now)
-	out := Snapshot{now: b.now, since: b.since, dropped: b.dropped}
-	for k, s := range b.series {
-		s.minutes.advance(b.now)
-		s.hours.advance(b.now)
-		service := Service{key: k, objective: s.objective, windows: make(map[Window]Counts)}
-		if objective != nil {
-			if current, ok := objective(k); ok {
-				service.objective = current
-			}
-		}
-		for _, w := range Windows() {
-			service.windows[w] = s.window(w)
-		}
-		if withSeries {
-			service.minutes, service.hours = s.minutes.points(), s.hours.points()
+// for, under the objective of each service's last answer.
+func (b *Book) Snapshot(now time.Time, withSeries bool) Snapshot {
+	out, keys := b.Outline(now)
+	services := make([]Service, 0, len(keys))
+	for _, k := range keys {
+		if s, ok := b.Service(now, k, withSeries); ok {
+			services = append(services, s)
 		}
-		out.services = append(out.services, service)
 	}
-	out.sort()
-	return out
+	return out.WithServices(services...)
+}
+
+// Outline returns a snapshot at a moment without services, and the keys of the
+// services, so that a caller can take a snapshot of a large book step by step.
+func (b *Book) Outline(now time.Time) (Snapshot, []Key) {
+	b.advance(now)
+	return Snapshot{now: b.now, since: b.since, dropped: b.dropped}, slices.Collect(maps.Keys(b.series))
+}
+
+// Service returns the counts of one service at a moment, with its series of
+// buckets if asked for, or false if there are none.
+func (b *Book) Service(now time.Time, k Key, withSeries bool) (Service, bool) {
+	b.advance(now)
+	s, ok := b.series[k]
+	if !ok {
+		return Service{}, false
+	}
+	s.minutes.advance(b.now)
+	s.hours.advance(b.now)
+	out := Service{key: k, objective: s.objective, windows: make(map[Window]Counts)}
+	for _, w := range Windows() {
+		out.windows[w] = s.window(w)
+	}
+	if withSeries {
+		out.minutes, out.hours = s.minutes.points(), s.hours.points()
+	}
+	return out, true
 }
 
 func (b *Book) advance(now time.Time) {
--- a/fbburn/burn_test.go
+++ b/fbburn/burn_test.go
@@ -80,7 +80,7 @@
 				}
 			}
 			got := VerdictNone
-			for _, s := range b.Snapshot(now, false, nil).Services() {
+			for _, s := range b.Snapshot(now, false).Services() {
 				got = s.Verdict()
 			}
 			if got != tt.want {
@@ -113,13 +113,13 @@
 }
 
 // model counts the answers of a window one by one. A clock that goes backwards
-// counts as one that stands still.
+// counts as one that stands still, also before the book's start.
 func model(answers []answer, k Key, w Window) Counts {
 	width := minute
 	if w == Window3d {
 		width = hour
 	}
-	var latest time.Time
+	latest := start
 	moments := make([]time.Time, len(answers))
 	for i, a := range answers {
 		if a.outcome != OutcomeIgnored && a.at.After(latest) {
@@ -149,7 +149,7 @@
 				end = a.at
 			}
 		}
-		got := whole.Snapshot(end, true, nil)
+		got := whole.Snapshot(end, true)
 		for _, s := range got.Services() {
 			for _, w := range Windows() {
 				if diff := cmp.Diff(model(answers, s.Key(), w), s.Counts(w), cmp.AllowUnexported(Counts{})); diff != "" {
@@ -188,9 +188,9 @@
 		}
 		var snapshots []Snapshot
 		for _, b := range parts {
-			snapshots = append(snapshots, b.Snapshot(end, true, nil))
+			snapshots = append(snapshots, b.Snapshot(end, true))
 		}
-		if diff := cmp.Diff(whole.Snapshot(end, true, nil), Merge(snapshots...), compareAll, cmp.Transformer("empty", dropEmpty)); diff != "" {
+		if diff := cmp.Diff(whole.Snapshot(end, true), Merge(snapshots...), compareAll, cmp.Transformer("empty", dropEmpty)); diff != "" {
 			t.Errorf("merged (-want +got):\n%s", diff)
 		}
 	})
@@ -207,13 +207,13 @@
 	for i := range MaxServices + 5 {
 		record(start, i)
 	}
-	s := b.Snapshot(start, false, nil)
+	s := b.Snapshot(start, false)
 	if len(s.Services()) != MaxServices || s.Dropped() != 5 {
 		t.Errorf("%d services, %d dropped, want %d and 5", len(s.Services()), s.Dropped(), MaxServices)
 	}
 	later := start.Add(80 * time.Hour)
 	record(later, -1)
-	if n := len(b.Snapshot(later, false, nil).Services()); n != 1 {
+	if n := len(b.Snapshot(later, false).Services()); n != 1 {
 		t.Errorf("%d services after idle ones had to go, want 1", n)
 	}
 }
@@ -222,7 +222,7 @@
 	snapshot := func(share float64, within time.Duration) Snapshot {
 		b := NewBook(start)
 		b.Record(start, Key{}, NewObjective(share, within), OutcomeGood)
-		return b.Snapshot(start, false, nil)
+		return b.Snapshot(start, false)
 	}
 	got := Merge(snapshot(0.9, time.Second), snapshot(0.99, 2*time.Second), snapshot(0.99, time.Second)).Services()[0].Objective()
 	if want := NewObjective(0.99, time.Second); got != want {
@@ -253,18 +253,38 @@
 	}
 }
 
+// BenchmarkService reads one service that had answers in every bucket.
+func BenchmarkService(b *testing.B) {
+	for name, withSeries := range map[string]bool{"windows": false, "series": true} {
+		b.Run(name, func(b *testing.B) {
+			book, end := fullBook()
+			for range b.N {
+				book.Service(end, NewKey("depot", "ordering", "stock-check"), withSeries)
+			}
+		})
+	}
+}
+
+// fullBook returns a book with a service that had 200 answers in every minute of
+// three days, and the end of that time.
+func fullBook() (*Book, time.Time) {
+	book, end := NewBook(start), start
+	for i := range hours * 60 {
+		end = start.Add(time.Duration(i) * minute)
+		for range 200 {
+			book.Record(end, NewKey("depot", "ordering", "stock-check"), NewObjective(0.99, time.Second), OutcomeGood)
+		}
+	}
+	return book, end
+}
+
 // BenchmarkJSON reports the bytes of a service in a snapshot: of one that had
 // answers in every bucket.
 func BenchmarkJSON(b *testing.B) {
 	for name, withSeries := range map[string]bool{"windows": false, "series": true} {
 		b.Run(name, func(b *testing.B) {
-			book := NewBook(start)
-			for i := range hours * 60 {
-				for range 200 {
-					book.Record(start.Add(time.Duration(i)*minute), NewKey("depot", "ordering", "stock-check"), NewObjective(0.99, time.Second), OutcomeGood)
-				}
-			}
-			s := book.Snapshot(start.Add(hours*hour-minute), withSeries, nil)
+			book, end := fullBook()
+			s := book.Snapshot(end, withSeries)
 			var size int
 			for range b.N {
 				data, err := json.Marshal(s)
--- a/fbburn/example_test.go
+++ b/fbburn/example_test.go
@@ -21,7 +21,7 @@
 		outcome := fbburn.Judge(code, 300*time.Millisecond, objective.Within())
 		book.Record(now, fbburn.NewKey("depot", "ordering", "stock-check"), objective, outcome)
 	}
-	for _, s := range book.Snapshot(now, false, nil).Services() {
+	for _, s := range book.Snapshot(now, false).Services() {
 		fmt.Printf("%s burns at %.0f over an hour: %s\n", s.Key(), s.Burn(fbburn.Window1h), s.Verdict())
 	}
 	// Output: depot/ordering/stock-check burns at 20 over an hour: page
--- a/fbburn/series.go
+++ b/fbburn/series.go
@@ -85,6 +85,9 @@
 	var out []Point
 	for i := r.head - int64(len(r.buckets)) + 1; i <= r.head; i++ {
 		if c := r.at(i); c != (Counts{}) {
+			if out == nil {
+				out = make([]Point, 0, r.head-i+1)
+			}
 			out = append(out, Point{start: time.Unix(i*int64(r.width/time.Second), 0).UTC(), counts: c})
 		}
 	}
--- a/fbburn/snapshot.go
+++ b/fbburn/snapshot.go
@@ -70,6 +70,13 @@
 	hours     []Point
 }
 
+// WithObjective returns a copy of s under another objective. The answers stay
+// judged as they were.
+func (s Service) WithObjective(o Objective) Service {
+	s.objective = o
+	return s
+}
+
 // Key returns what the objective is set for.
 func (s Service) Key() Key { return s.key }
 
@@ -128,6 +135,13 @@
 // Services returns the services in the order of their names.
 func (s Snapshot) Services() []Service { return s.services }
 
+// WithServices returns a copy of s with more services, which it doesn't hold yet.
+func (s Snapshot) WithServices(services ...Service) Snapshot {
+	s.services = slices.Concat(s.services, services)
+	s.sort()
+	return s
+}
+
 // Merge adds up the snapshots of several daemons. While a changed objective
 // spreads they may differ; then the stricter one goes.
 func Merge(snapshots ...Snapshot) Snapshot {
--- a/fbcommand/burn_test.go
+++ b/fbcommand/burn_test.go
@@ -30,7 +30,7 @@
 			http.NotFound(w, r)
 			return
 		}
-		_ = json.NewEncoder(w).Encode(book.Snapshot(now, r.URL.Query().Get("series") == "1", nil))
+		_ = json.NewEncoder(w).Encode(book.Snapshot(now, r.URL.Query().Get("series") == "1"))
 	}))
 	t.Cleanup(server.Close)
 	return server.URL
--- a/fbdaemon/burn.go
+++ b/fbdaemon/burn.go
@@ -26,17 +26,37 @@
 	b.book.Record(now, k, objective, o)
 }
 
-func (b *burn) snapshot(now time.Time, withSeries bool, objective func(fbburn.Key) (fbburn.Objective, bool)) fbburn.Snapshot {
+func (b *burn) outline(now time.Time) (fbburn.Snapshot, []fbburn.Key) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.book.Snapshot(now, withSeries, objective)
+	return b.book.Outline(now)
+}
+
+func (b *burn) service(now time.Time, k fbburn.Key, withSeries bool) (fbburn.Service, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.book.Service(now, k, withSeries)
 }
 
 // Burn returns the counts of the answers that this daemon gave to its own
 // callers, with the series of time buckets if asked for. Deliveries that other
-// daemons forwarded are counted there, so that counts of daemons add up.
+// daemons forwarded are counted there, so that counts of daemons add up. The
+// services are read one at a time, so that no answer waits long to be recorded.
 func (d *Daemon) Burn(withSeries bool) fbburn.Snapshot {
-	return d.burn.snapshot(d.timer.Now(), withSeries, d.objective)
+	now := d.timer.Now()
+	out, keys := d.burn.outline(now)
+	services := make([]fbburn.Service, 0, len(keys))
+	for _, k := range keys {
+		s, ok := d.burn.service(now, k, withSeries)
+		if !ok {
+			continue
+		}
+		if objective, known := d.objective(k); known {
+			s = s.WithObjective(objective)
+		}
+		services = append(services, s)
+	}
+	return out.WithServices(services...)
 }
 
 // recordAnswer counts the answer to a caller's delivery that began at a moment.
--- a/fbreport/burn_plot.go
+++ b/fbreport/burn_plot.go
@@ -10,6 +10,7 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 
 	"github.com/filbertford/filbertford/fbburn"
 )
@@ -28,7 +29,7 @@
 // drawBurnMinutes draws the burn rate of each five minutes of the last six
 // hours.
 func drawBurnMinutes(services []fbburn.Service, now time.Time) ([]byte, error) {
-	p := newTimePlot("Burn rate of the last 6 hours, by 5 minutes", "burn rate", now, burnShort)
+	p := newTimePlot("Burn rate of the last 6 hours, by 5 minutes", "burn rate", now, burnShort, burnStep)
 	for i, s := range services {
 		burn := func(c fbburn.Counts) float64 { return c.Burn(s.Objective().Share()) }
 		if err := addSteps(p, s, i, s.Minutes(), burnStep, burn); err != nil {
@@ -40,7 +41,7 @@
 
 // drawBurnHours draws the burn rate of each hour of the last three days.
 func drawBurnHours(services []fbburn.Service, now time.Time) ([]byte, error) {
-	p := newTimePlot("Burn rate of the last 3 days, by hour", "burn rate", now, burnLong)
+	p := newTimePlot("Burn rate of the last 3 days, by hour", "burn rate", now, burnLong, time.Hour)
 	for i, s := range services {
 		burn := func(c fbburn.Counts) float64 { return c.Burn(s.Objective().Share()) }
 		if err := addSteps(p, s, i, s.Hours(), time.Hour, burn); err != nil {
@@ -52,7 +53,7 @@
 
 // drawAnswers draws the answers that count against the objective.
 func drawAnswers(services []fbburn.Service, now time.Time) ([]byte, error) {
-	p := newTimePlot("Answers of the last 6 hours, by 5 minutes", "answers in 5 minutes", now, burnShort)
+	p := newTimePlot("Answers of the last 6 hours, by 5 minutes", "answers in 5 minutes", now, burnShort, burnStep)
 	for i, s := range services {
 		total := func(c fbburn.Counts) float64 { return float64(c.Total()) }
 		if err := addSteps(p, s, i, s.Minutes(), burnStep, total); err != nil {
@@ -63,11 +64,12 @@
 	return svg(p)
 }
 
-// newTimePlot returns a plot over the time up to now.
-func newTimePlot(title, y string, now time.Time, length time.Duration) *plot.Plot {
+// newTimePlot returns a plot over the time up to the end of the present step.
+func newTimePlot(title, y string, now time.Time, length, step time.Duration) *plot.Plot {
+	end := now.Truncate(step).Add(step)
 	p := newPlot(title, "UTC", y)
-	p.X.Min, p.X.Max = float64(now.Add(-length).Unix()), float64(now.Unix())
-	p.X.Tick.Marker = clockTicks(now, length)
+	p.X.Min, p.X.Max = float64(end.Add(-length).Unix()), float64(end.Unix())
+	p.X.Tick.Marker = clockTicks(end, length)
 	p.Y.Min = 0
 	p.Y.Tick.Marker = shortTicks{}
 	return p
@@ -88,13 +90,13 @@
 }
 
 // clockTicks marks whole hours of six hours, or whole half days of longer times.
-func clockTicks(now time.Time, length time.Duration) plot.ConstantTicks {
+func clockTicks(end time.Time, length time.Duration) plot.ConstantTicks {
 	step, layout := time.Hour, "15:04"
 	if length > burnShort {
 		step, layout = halfDay, "Jan 2, 15:04"
 	}
 	var ticks plot.ConstantTicks
-	for t := now.Add(-length).Truncate(step).Add(step); !t.After(now); t = t.Add(step) {
+	for t := end.Add(-length).Truncate(step).Add(step); !t.After(end); t = t.Add(step) {
 		ticks = append(ticks, plot.Tick{Value: float64(t.Unix()), Label: t.UTC().Format(layout)})
 	}
 	return ticks
@@ -109,7 +111,8 @@
 			return eris.Wrapf(err, "draw the line of %s", s.Key())
 		}
 		line.Color, dots.Color = lineColor(i), lineColor(i)
-		line.Width, dots.Radius = vg.Points(1.5), vg.Points(1.5)
+		line.Width, dots.Radius = vg.Points(1.5), vg.Points(2)
+		dots.Shape = draw.CircleGlyph{}
 		p.Add(line, dots)
 	}
 	return nil
--- a/fbreport/burn_test.go
+++ b/fbreport/burn_test.go
@@ -31,12 +31,12 @@
 			book.Record(at, fbburn.NewKey("atlas", "orders", ""), objective, fbburn.OutcomeOverQuota)
 		}
 	}
-	return book.Snapshot(now, true, nil)
+	return book.Snapshot(now, true)
 }
 
 func TestBurnPage(t *testing.T) {
 	full := fbreport.NewBurn(burnSnapshot(), "http://a:1", "http://b:1")
-	none := fbreport.NewBurn(fbburn.NewBook(time.Unix(0, 0)).Snapshot(time.Unix(0, 0), true, nil), "this daemon")
+	none := fbreport.NewBurn(fbburn.NewBook(time.Unix(0, 0)).Snapshot(time.Unix(0, 0), true), "this daemon")
 	tests := map[string]struct {
 		burn fbreport.Burn
 		part string
