A paused daemon starts nothing of jobs past their deadline

Cause: after a pause, an event before the first tick could start a waiting task of a job whose deadline had passed. Ruled out: checking each start's deadline in dispatch, at a cost for each task. Change: after a suspected pause deadlines are looked at with the leases, before the event; InvariantDeadline asserts it at each start. The daemon's own load counts the slots of targets that serve some services only.

--- a/fbcore/core.go
+++ b/fbcore/core.go
@@ -122,7 +122,7 @@
 // from it. The slice is valid until the next call.
 func (c *Core) Handle(now time.Time, e Event) []Action {
 	c.actions = c.actions[:0]
-	c.keepLeasesAfterPause(now)
+	c.afterPause(now)
 	switch e := e.(type) {
 	case Submit:
 		c.submit(now, e)
@@ -217,10 +217,11 @@
 	}
 }
 
-// keepLeasesAfterPause looks at the leases before anything else when the
-// process may have been paused, so that it learns of a lapse before it acts.
-func (c *Core) keepLeasesAfterPause(now time.Time) {
-	if len(c.starts) > 0 && now.Sub(c.lastTick) >= pauseSuspected {
+// afterPause looks at deadlines and leases before anything else when the process
+// may have been paused, so that it learns what has lapsed before it acts.
+func (c *Core) afterPause(now time.Time) {
+	if c.active+len(c.starts) > 0 && now.Sub(c.lastTick) >= pauseSuspected {
+		c.expire(now)
 		c.keepLeases(now)
 	}
 }
--- a/fbcore/invariant.go
+++ b/fbcore/invariant.go
@@ -19,6 +19,9 @@
 	// InvariantSlots is broken when a daemon runs more tasks at a target than
 	// it has slots.
 	InvariantSlots Invariant = "a target gets no more tasks than it has slots"
+	// InvariantDeadline is broken when a task of a job whose deadline has passed
+	// is started.
+	InvariantDeadline Invariant = "a job past its deadline starts nothing"
 	// InvariantStopped is broken when a drained daemon starts a task.
 	InvariantStopped Invariant = "a drained daemon starts nothing"
 )
--- a/fbcore/job.go
+++ b/fbcore/job.go
@@ -165,6 +165,7 @@
 	c.check(j.states[task] == taskWaiting && !j.mayRun[task], InvariantStartOnce)
 	c.check(t.mine < t.vm.Slots(), InvariantSlots)
 	c.check(!c.drained, InvariantStopped)
+	c.check(now.Before(j.deadline), InvariantDeadline)
 
 	s := &start{id: c.nextStart(), job: j, task: task, target: t, at: now, lease: j.rules.Lease()}
 	if len(t.starts) == 0 {
--- a/fbcore/target.go
+++ b/fbcore/target.go
@@ -31,9 +31,10 @@
 	lease  time.Duration
 }
 
-// eligible reports whether the target may get new work of the service.
+// eligible reports whether the target may get new work of the service, of any if
+// empty.
 func (t *target) eligible(service string) bool {
-	return t.listed && !t.leaving && t.vm.State() == filbertford.VMLive && t.vm.Serves(service)
+	return t.listed && !t.leaving && t.vm.State() == filbertford.VMLive && (service == "" || t.vm.Serves(service))
 }
 
 // free returns the number of slots that the target told to be free, less this
