fbpolicy: mended and only targets come back; fbbound: faster schedule

Cause: the probe budget was earned by jobs alone, so a daemon with little traffic never probed a target that works again, and the only target of a service could be kept in quarantine. Both tests failed first: 'a target that works again since 30m0s is still quarantined', '1 of 20 tasks were placed on the only target'.

Change: one probe in 30 s in any case; at most half of the targets, and never the only one, are kept out (before: 40 %, but at least one).

--- a/fbbound/clairvoyant.go
+++ b/fbbound/clairvoyant.go
@@ -52,6 +52,7 @@
 	free     [][]time.Duration
 	plan     [][]time.Duration
 	soonest  []int
+	fastest  []int
 	order    []int
 	waiting  []*work
 	ends     endHeap
@@ -60,12 +61,14 @@
 
 func newSchedule(jobs []Job, targets []Target, rtt time.Duration) *schedule {
 	s := &schedule{jobs: jobs, targets: targets, rtt: rtt, response: make([]time.Duration, len(jobs))}
-	for _, t := range targets {
+	for i, t := range targets {
+		s.fastest = append(s.fastest, i)
 		s.slots += t.slots
 		s.free = append(s.free, make([]time.Duration, t.slots))
 		s.plan = append(s.plan, make([]time.Duration, t.slots))
 		s.soonest = append(s.soonest, 0)
 	}
+	slices.SortStableFunc(s.fastest, func(a, b int) int { return cmp.Compare(targets[a].factor, targets[b].factor) })
 	for i := range jobs {
 		s.order = append(s.order, i)
 	}
@@ -117,6 +120,9 @@
 
 // dispatch plans the waiting tasks and starts those whose slot is free.
 func (s *schedule) dispatch(now time.Duration) {
+	if len(s.waiting) == 0 || len(s.ends) == s.slots {
+		return
+	}
 	open := s.copyPlan(now)
 	slices.SortStableFunc(s.waiting, func(a, b *work) int { return cmp.Compare(a.rank(), b.rank()) })
 	budget := lookAheadPerSlot*s.slots + lookAheadMore
@@ -155,12 +161,16 @@
 // place plans one task and reports whether it starts now.
 func (s *schedule) place(now time.Duration, w *work, size time.Duration, open *int) bool {
 	target, slot, end := -1, 0, Never
-	for t, plan := range s.plan {
+	for _, t := range s.fastest {
+		plan, run := s.plan[t], s.targets[t].run(size)
+		if now+run >= end {
+			break
+		}
 		if !s.targets[t].Serves(s.jobs[w.job].service) || len(plan) == 0 {
 			continue
 		}
 		k := s.soonest[t]
-		if e := max(plan[k], now) + s.targets[t].run(size); e < end {
+		if e := max(plan[k], now) + run; e < end {
 			target, slot, end = t, k, e
 		}
 	}
--- a/fbpolicy/adaptive.go
+++ b/fbpolicy/adaptive.go
@@ -126,6 +126,7 @@
 		past = 0
 	}
 	a.swept = now
+	a.probes.pass(past)
 	for id, t := range a.targets {
 		t.sweep(now)
 		if len(t.starts) == 0 && now.Sub(t.used) > forgetTargets {
--- a/fbpolicy/budget.go
+++ b/fbpolicy/budget.go
@@ -49,13 +49,17 @@
 const (
 	// probeShare is how many probes of untrusted targets a job allows for.
 	probeShare = 0.002
+	// probeRate is how many probes a second are allowed for in any case.
+	probeRate = 1.0 / 30
 	// maxProbes bounds the probes that can be saved up.
 	maxProbes = 2.0
 )
 
 // probeBudget bounds the jobs that are put at risk to find out whether an
 // untrusted target works again.
-type probeBudget struct{ left float64 }
+type probeBudget struct {
+	left float64
+}
 
 func newProbeBudget() probeBudget { return probeBudget{left: maxProbes} }
 
@@ -64,6 +68,11 @@
 	b.left = min(b.left+probeShare/float64(max(n.Tasks(), 1)), maxProbes)
 }
 
+// pass takes in that time has passed.
+func (b *probeBudget) pass(d time.Duration) {
+	b.left = min(b.left+probeRate*d.Seconds(), maxProbes)
+}
+
 func (b *probeBudget) allow() bool { return b.left >= 1 }
 
-func (b *probeBudget) spend() { b.left-- }
+func (b *probeBudget) spend() { b.left = max(b.left-1, 0) }
--- a/fbpolicy/decisions_test.go
+++ b/fbpolicy/decisions_test.go
@@ -292,3 +292,49 @@
 		}
 	}
 }
+
+func TestMendedTargetIsTrustedAgain(t *testing.T) {
+	const mended, until = 10 * time.Minute, 40 * time.Minute
+	p, standing, bad := fbpolicy.NewAdaptive(1), filbertford.StandingTrusted, -1
+	view := make([]filbertford.Candidate, 10)
+	for at := time.Duration(0); at < until; at += 500 * time.Millisecond {
+		now := epoch.Add(at)
+		for i := range view {
+			view[i] = filbertford.NewCandidate(filbertford.TargetID(fmt.Sprint(i)), 8, 0, 8).WithHeard(now)
+		}
+		n := filbertford.NewNeed(rigService, 100*time.Millisecond, 170, 170, 0).WithQueue(170)
+		i, ok := p.Place(now, n, view)
+		if !ok {
+			t.Fatalf("no target after %v", at)
+		}
+		if bad < 0 {
+			bad = i
+		}
+		o, ran := filbertford.OutcomeDone, 100*time.Millisecond
+		if i == bad && at < mended {
+			o, ran = filbertford.OutcomeTaskFailed, time.Millisecond
+		}
+		p.Observe(now, seen(view[i].ID(), fmt.Sprint(at), o, ran))
+		for _, c := range p.StandingChanges() {
+			standing = c.Standing()
+		}
+	}
+	if standing != filbertford.StandingTrusted {
+		t.Errorf("a target that works again since %v is still %s", until-mended, standing)
+	}
+}
+
+func TestTheOnlyTargetIsAlwaysUsed(t *testing.T) {
+	p, now, placed := fbpolicy.NewAdaptive(1), epoch, 0
+	for i := range 20 {
+		now = now.Add(time.Second)
+		view := []filbertford.Candidate{filbertford.NewCandidate("bad", 8, 0, 8).WithHeard(now)}
+		if _, ok := p.Place(now, need(1), view); ok {
+			placed++
+		}
+		p.Observe(now, seen("bad", fmt.Sprint(i), filbertford.OutcomeTaskFailed, time.Millisecond))
+	}
+	if placed != 20 {
+		t.Errorf("%d of 20 tasks were placed on the only target", placed)
+	}
+}
--- a/fbpolicy/health.go
+++ b/fbpolicy/health.go
@@ -38,7 +38,7 @@
 	lastQuarantine  = 5 * time.Minute
 	// maxQuarantined is the largest share of a service's targets that failures
 	// keep out; if more seem bad, the fault lies elsewhere.
-	maxQuarantined = 0.4
+	maxQuarantined = 0.5
 	// hintPause is the least time between two hints on a target that are heeded,
 	// so that daemons can't keep a good target suspect among themselves.
 	hintPause = 10 * time.Second
@@ -105,7 +105,8 @@
 	}
 }
 
-// mayBe reports whether one more target of the service may get the state.
+// mayBe reports whether one more target of the service may get the state. Of
+// very few targets none may.
 func (s *service) mayBe(state filbertford.TargetStanding, share float64, h *health) bool {
 	if h.state == state {
 		return true
@@ -116,7 +117,7 @@
 			n++
 		}
 	}
-	return float64(n) <= max(1, share*float64(len(s.speeds)))
+	return float64(n) <= share*float64(len(s.speeds))
 }
 
 // Hint takes in a peer's standing of a target: one that a peer keeps in
