--- a/fbview/row.go
+++ b/fbview/row.go
@@ -92,6 +92,14 @@
 	return r.members[i], true
 }
 
+// Vacated returns the row that follows r and has no members, so that any daemon
+// may commit the next. An operator may write it, by compare-and-set, once no
+// member of r runs any more and none can come back. The row must never be
+// removed instead: the keys of a new first view would count as never started.
+func (r Row) Vacated() Row {
+	return NewRow(r.epoch+1).WithPeriod(r.period, max(r.period, r.wait))
+}
+
 // has reports whether the incarnation is a member.
 func (r Row) has(inc filbertford.Incarnation) bool {
 	_, ok := r.Member(inc)
--- a/fbview/view_test.go
+++ b/fbview/view_test.go
@@ -6,7 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbview"
 )
 
 // TestViewStartsNoKeyTwice runs several daemons through drawn faults. At each
@@ -304,3 +308,38 @@
 		t.Errorf("view %v, want two members", row)
 	}
 }
+
+// TestVacated shows that daemons at new addresses don't take over the view of
+// silent ones, and that they do once an operator has vacated it, without
+// deciding on keys that may have been started before.
+func TestVacated(t *testing.T) {
+	w := newWorld()
+	settle := func() {
+		for _, n := range w.live() {
+			w.observe(n, func(*node) bool { return true })
+		}
+		w.run(4*time.Second, func() {})
+	}
+	w.boot("127.0.0.1:7101", 0, 0, time.Second)
+	w.boot("127.0.0.1:7102", 0, 0, time.Second)
+	settle()
+	old := w.nodes
+	w.nodes = nil
+	w.boot("127.0.0.1:7201", 0, 0, time.Second)
+	w.boot("127.0.0.1:7202", 0, 0, time.Second)
+	settle()
+	row, _ := w.nodes[0].view.Row()
+	if len(row.Members()) != 2 || row.Members()[0] != old[0].self {
+		t.Fatalf("members %v, want those of the silent daemons", row.Members())
+	}
+	w.row = filbertford.NewRow(w.row.Key(), row.Vacated().Bytes(), w.row.Version()+1)
+	settle()
+	verdicts := map[fbview.Verdict]int{}
+	for _, n := range w.nodes {
+		verdicts[n.view.Admit("order-1", w.clock(n)).Verdict()]++
+	}
+	want := map[fbview.Verdict]int{fbview.VerdictUndecided: 1, fbview.VerdictElsewhere: 1}
+	if diff := cmp.Diff(want, verdicts); diff != "" {
+		t.Error(diff)
+	}
+}
