A table counts as whole by its number of entries; late replies prove nothing

An heir that was restarted between two parts took the last part for the whole table and said "not run" of submissions that had run. A late reply to an old heartbeat made the directory take a live incarnation for gone, which the view of opaque keys takes at its word. Ruled out: a number for each part, which does not notice a part sent to the heir's former incarnation any better than the count. Change: each part carries the table's total; the heir answers once it has that many, and says so; the owner goes on to another heir unless told that the table is whole. A proof of gone needs the former incarnation to have been known before the question; a reply older than that is ignored.

--- a/fbcore/opaque_test.go
+++ b/fbcore/opaque_test.go
@@ -72,7 +72,7 @@
 	former.Handle(now, fbcore.Cancel{Ref: 2, ID: mustParse(t, "key")})
 	entries := former.OpaqueEntries()
 	heir, _ := spillCore(t, 0)
-	heir.Handle(now, fbcore.Inherited{Part: fbcore.NewPart(9, fbcore.Key{}, 0, 0, entries, false)})
+	heir.Handle(now, fbcore.Inherited{Part: fbcore.NewPart(9, fbcore.Key{}, 0, 0, entries, 0)})
 	if got := deliver(t, heir, now, "key", fbcore.ClaimUndecided); got != filbertford.CodeCancelled {
 		t.Errorf("the heir answered %q", got)
 	}
--- a/fbcore/stop.go
+++ b/fbcore/stop.go
@@ -7,14 +7,14 @@
 )
 
 // Part is a part of the table that a stopping daemon hands to its heir. The
-// heir answers for the incarnation once it has the last part; it never starts
-// any of its tasks.
+// heir answers for the incarnation once it has as many entries as the table has
+// in total; it never starts any of its tasks.
 type Part struct {
 	incarnation filbertford.Incarnation
 	key         Key
 	first, last filbertford.Epoch
 	entries     []Entry
-	final       bool
+	total       int
 }
 
 // Entry is a submission within a Part.
@@ -53,10 +53,10 @@
 func (e Entry) Answer() filbertford.Answer { return e.answer }
 
 // NewPart returns a part with the entries of the pinned submissions of an
-// incarnation whose epochs from first to last were within the horizon. Final
-// marks the last part of the table.
-func NewPart(inc filbertford.Incarnation, k Key, first, last filbertford.Epoch, entries []Entry, final bool) Part {
-	return Part{incarnation: inc, key: k, first: first, last: last, entries: entries, final: final}
+// incarnation whose epochs from first to last were within the horizon. Total is
+// the number of entries of the whole table.
+func NewPart(inc filbertford.Incarnation, k Key, first, last filbertford.Epoch, entries []Entry, total int) Part {
+	return Part{incarnation: inc, key: k, first: first, last: last, entries: entries, total: total}
 }
 
 // Incarnation returns the incarnation whose table it is.
@@ -71,8 +71,8 @@
 // Entries returns the submissions of the part.
 func (p Part) Entries() []Entry { return p.entries }
 
-// Final reports whether the part is the last.
-func (p Part) Final() bool { return p.final }
+// Total returns the number of entries of the whole table.
+func (p Part) Total() int { return p.total }
 
 // heritage is the table of a daemon that has stopped.
 type heritage struct {
@@ -101,7 +101,7 @@
 			own = append(own, NewEntry(k.epoch, k.text, s.digest, s.answer))
 		}
 	}
-	parts := cut(NewPart(c.cfg.Incarnation, c.cfg.Key, c.oldest(now), c.epoch(now), own, true), size)
+	parts := cut(NewPart(c.cfg.Incarnation, c.cfg.Key, c.oldest(now), c.epoch(now), own, len(own)), size)
 	for inc, h := range c.heritages {
 		if !h.whole {
 			continue
@@ -110,7 +110,7 @@
 		for _, e := range h.entries {
 			entries = append(entries, e)
 		}
-		parts = append(parts, cut(NewPart(inc, h.key, h.first, h.last, entries, true), size)...)
+		parts = append(parts, cut(NewPart(inc, h.key, h.first, h.last, entries, len(entries)), size)...)
 	}
 	return parts
 }
@@ -133,7 +133,7 @@
 
 // OpaquePart returns a part that holds entries of opaque keys only.
 func (c *Core) OpaquePart(entries []Entry) Part {
-	return NewPart(c.cfg.Incarnation, c.cfg.Key, 0, 0, entries, false)
+	return NewPart(c.cfg.Incarnation, c.cfg.Key, 0, 0, entries, 0)
 }
 
 // inheritedKey is the entry of an opaque key whose owner has stopped.
@@ -174,25 +174,25 @@
 	}
 }
 
-// cut divides a whole table into parts, the last of which is final.
+// cut divides a whole table into parts, at least one.
 func cut(p Part, size int) []Part {
 	var out []Part
 	for len(p.entries) > size {
-		out = append(out, NewPart(p.incarnation, p.key, p.first, p.last, p.entries[:size], false))
+		out = append(out, NewPart(p.incarnation, p.key, p.first, p.last, p.entries[:size], p.total))
 		p.entries = p.entries[size:]
 	}
 	return append(out, p)
 }
 
-// inherit takes a part of the table of a daemon that has stopped. A part that
-// arrives twice changes nothing.
+// inherit takes a part of the table of a daemon that has stopped. The parts may
+// arrive in any order; one that arrives twice changes nothing.
 func (c *Core) inherit(now time.Time, p Part) {
 	if p.incarnation == c.cfg.Incarnation {
 		return
 	}
 	pinned := c.inheritOpaque(now, p.entries)
-	if len(pinned) == 0 && !p.final {
-		return
+	if len(pinned) == 0 && len(p.entries) > 0 {
+		return // a part of opaque keys only
 	}
 	h := c.heritages[p.incarnation]
 	if h == nil {
@@ -203,7 +203,7 @@
 		h.entries[subKey{epoch: e.epoch, text: e.id}] = e
 	}
 	h.at = now
-	h.whole = h.whole || p.final
+	h.whole = len(h.entries) >= p.total
 }
 
 // Inherited returns the incarnations that this daemon answers for.
--- a/fbdaemon/service.go
+++ b/fbdaemon/service.go
@@ -55,15 +55,20 @@
 	return out, err
 }
 
-// Inherit takes a part of the table of a daemon that stops.
-func (s peerService) Inherit(ctx context.Context, p fbcore.Part) error {
-	return s.d.inquire(ctx, func(c *control, now time.Time) {
+// Inherit takes a part of the table of a daemon that stops. The daemon that has
+// a whole table tells all members at once.
+func (s peerService) Inherit(ctx context.Context, p fbcore.Part) (bool, error) {
+	whole := false
+	err := s.d.inquire(ctx, func(c *control, now time.Time) {
+		before := c.core.AnswersFor(p.Incarnation())
 		c.drive(now, fbcore.Inherited{Part: p})
-		if p.Final() {
-			fbevent.TableInherited.Log(s.d.log, "from", p.Incarnation(), "submissions", len(p.Entries()))
+		whole = c.core.AnswersFor(p.Incarnation())
+		if whole && !before {
+			fbevent.TableInherited.Log(s.d.log, "from", p.Incarnation(), "submissions", p.Total())
 			c.dir.AskAll()
 		}
 	})
+	return whole, err
 }
 
 // ConfirmView replies to a question about the view of opaque keys.
--- a/fbdaemon/stop.go
+++ b/fbdaemon/stop.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbcore"
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbmember"
@@ -99,7 +100,7 @@
 		if err != nil || !found {
 			break
 		}
-		if err := d.handParts(ctx, heir.Address(), parts); err == nil {
+		if whole, err := d.handParts(ctx, heir.Address(), parts); err == nil && whole {
 			fbevent.TableHandedOver.Log(d.log, "heir", heir.Address(), "parts", len(parts))
 			return
 		}
@@ -116,7 +117,7 @@
 		return
 	}
 	for address, list := range parts {
-		if err := d.handParts(ctx, address, list); err != nil {
+		if _, err := d.handParts(ctx, address, list); err != nil {
 			fbevent.HandOverFailed.Log(d.log, "heir", address, "error", err.Error())
 		}
 	}
@@ -151,14 +152,22 @@
 	return parts
 }
 
-func (d *Daemon) handParts(ctx context.Context, heir string, parts []fbcore.Part) error {
+// handParts passes parts to an heir and reports whether it has every table whole.
+func (d *Daemon) handParts(ctx context.Context, heir string, parts []fbcore.Part) (bool, error) {
+	whole := make(map[filbertford.Incarnation]bool)
 	for _, p := range parts {
 		ask, cancel := context.WithTimeout(ctx, d.requestTimeout)
-		err := d.peers.Inherit(ask, heir, p)
+		got, err := d.peers.Inherit(ask, heir, p)
 		cancel()
 		if err != nil {
-			return err
+			return false, err
 		}
+		whole[p.Incarnation()] = got
 	}
-	return nil
+	for _, got := range whole {
+		if !got {
+			return false, nil
+		}
+	}
+	return true, nil
 }
--- a/fbmember/directory.go
+++ b/fbmember/directory.go
@@ -32,6 +32,7 @@
 	asked   time.Time
 	rtt     time.Duration
 	state   State
+	since   time.Time // when the present incarnation became known
 }
 
 // Address returns the address of the member's peer listener.
@@ -132,13 +133,16 @@
 
 // Answered takes the state with which the daemon at the address replied to a
 // heartbeat. Another incarnation than before proves that the former one is gone
-// if it was known when the heartbeat was sent.
+// if it was known when the heartbeat was sent; else the reply is out of date.
 func (d *Directory) Answered(now, asked time.Time, address string, s State) {
 	m := d.members[address]
 	if m == nil || s.address != address {
 		return
 	}
-	if former := m.state.incarnation; former != 0 && former != s.incarnation && m.heard.Before(asked) {
+	if former := m.state.incarnation; former != 0 && former != s.incarnation {
+		if !m.since.Before(asked) {
+			return
+		}
 		d.gone = append(d.gone, former)
 		d.forgetOwners(address)
 	}
@@ -204,6 +208,9 @@
 
 // take keeps a member's state.
 func (d *Directory) take(now time.Time, m *Member, s State) {
+	if m.state.incarnation != s.incarnation {
+		m.since = now
+	}
 	m.state, m.heard = s, now
 	if _, inherited := d.owners[s.incarnation]; !inherited {
 		d.owners[s.incarnation] = s.address
--- a/fbmember/directory_test.go
+++ b/fbmember/directory_test.go
@@ -80,6 +80,19 @@
 	}
 }
 
+// TestLateReplyIsNoProof lets the reply to an old question come after a newer
+// incarnation was heard of: it does not prove that the newer one is gone.
+func TestLateReplyIsNoProof(t *testing.T) {
+	d, now := newDirectory(other)
+	at := func(s int) time.Time { return now.Add(time.Duration(s) * time.Second) }
+	d.Answered(at(2), at(1), other, state(11, other))
+	d.Heard(at(3), state(10, other))
+	d.Answered(at(4), at(0), other, state(10, other))
+	if gone := d.Gone(); len(gone) > 0 {
+		t.Errorf("incarnations %v were taken for gone", gone)
+	}
+}
+
 func TestHeirGoesBeforeTheStopped(t *testing.T) {
 	d, now := newDirectory(other, third)
 	d.Answered(now, now, other, state(7, other))
--- a/fbpeer/client.go
+++ b/fbpeer/client.go
@@ -184,16 +184,11 @@
 	return out, nil
 }
 
-// Inherit hands a part of a table to an heir.
-func (c *Client) Inherit(ctx context.Context, address string, p fbcore.Part) error {
+// Inherit hands a part of a table to an heir. It reports whether the heir has the
+// whole table now.
+func (c *Client) Inherit(ctx context.Context, address string, p fbcore.Part) (bool, error) {
 	reply, err := call(ctx, c, address, partToWire(p), fbwire.DRPCPeerClient.Inherit)
-	if err != nil {
-		return err
-	}
-	if !reply.GetAccepted() {
-		return eris.New("the heir did not accept")
-	}
-	return nil
+	return reply.GetWhole(), err
 }
 
 // PushSettings passes a version on and returns what the daemon holds then.
--- a/fbpeer/convert.go
+++ b/fbpeer/convert.go
@@ -112,7 +112,7 @@
 		Key:         key[:],
 		FirstEpoch:  uint32(first),
 		LastEpoch:   uint32(last),
-		Last:        p.Final(),
+		Total:       uint32(p.Total()),
 	}
 	for _, e := range p.Entries() {
 		w.Submissions = append(w.Submissions, &fbwire.Submission{
@@ -140,7 +140,7 @@
 	return fbcore.NewPart(
 		filbertford.Incarnation(w.GetIncarnation()), key,
 		filbertford.Epoch(w.GetFirstEpoch()), filbertford.Epoch(w.GetLastEpoch()),
-		entries, w.GetLast(),
+		entries, int(w.GetTotal()),
 	)
 }
 
--- a/fbpeer/server.go
+++ b/fbpeer/server.go
@@ -34,8 +34,9 @@
 	Heartbeat(ctx context.Context, s fbmember.State) (fbmember.State, error)
 	// VMs returns the platform's list as the daemon last read it.
 	VMs(ctx context.Context) ([]filbertford.VM, error)
-	// Inherit takes a part of the table of a daemon that stops.
-	Inherit(ctx context.Context, p fbcore.Part) error
+	// Inherit takes a part of the table of a daemon that stops, and reports
+	// whether the table is whole now.
+	Inherit(ctx context.Context, p fbcore.Part) (bool, error)
 	// ConfirmView replies to a question about the view of opaque keys.
 	ConfirmView(ctx context.Context, q ViewQuestion) (ViewPromise, error)
 }
@@ -132,8 +133,8 @@
 
 // Inherit implements fbwire.DRPCPeerServer.
 func (s *Server) Inherit(ctx context.Context, r *fbwire.InheritRequest) (*fbwire.InheritReply, error) {
-	err := s.member.Inherit(ctx, partFromWire(r))
-	return &fbwire.InheritReply{Accepted: err == nil}, nil
+	whole, err := s.member.Inherit(ctx, partFromWire(r))
+	return &fbwire.InheritReply{Whole: whole}, err
 }
 
 // PushSettings implements fbwire.DRPCPeerServer.
