--- a/fbpolicy/goals_test.go
+++ b/fbpolicy/goals_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbpolicy"
 )
 
@@ -80,3 +81,12 @@
 		})
 	}
 }
+
+func TestMessageWeightLowersRefusals(t *testing.T) {
+	e := experiment{mix: "depot", load: 0.8, queues: 3, length: 20 * time.Second}
+	light := e.run(fbpolicy.NameAdaptive, 1)
+	e.rules = filbertford.Rules{}.WithMessageWeight(1)
+	if heavy := e.run(fbpolicy.NameAdaptive, 1); heavy.wasted >= light.wasted {
+		t.Errorf("refused starts %.4f at weight 1, %.4f at weight 0", heavy.wasted, light.wasted)
+	}
+}
