--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -72,6 +72,7 @@
 	stopGrace       time.Duration
 	drainTimeout    time.Duration
 	targetConns     int
+	horizon         time.Duration
 
 	ctx     context.Context // ends when the last traffic must end
 	end     context.CancelFunc
@@ -117,6 +118,7 @@
 		requestTimeout:  cfg.Duration("settings", "request-timeout"),
 		stopGrace:       cfg.Duration("stop", "grace"),
 		drainTimeout:    cfg.Duration("stop", "drain"),
+		horizon:         horizon(cfg),
 		targetConns:     cfg.Int("policy", "target-connections"),
 		ctx:             ctx,
 		end:             end,
@@ -149,14 +151,18 @@
 	return nil
 }
 
+// horizon returns the resubmission horizon.
+func horizon(cfg *fbconfig.Config) time.Duration {
+	return cfg.Duration("ownership", "epoch") * time.Duration(cfg.Int("ownership", "horizon"))
+}
+
 // viewOptions returns the times that govern the view of opaque keys.
 func viewOptions(cfg *fbconfig.Config) fbview.Options {
 	lease := cfg.Duration("membership", "view-lease")
-	horizon := cfg.Duration("ownership", "epoch") * time.Duration(cfg.Int("ownership", "horizon"))
 	return fbview.NewOptions().
 		WithPeriod(lease).
 		WithDrift(float64(cfg.Duration("membership", "clock-drift")) / float64(lease)).
-		WithHorizon(horizon)
+		WithHorizon(horizon(cfg))
 }
 
 func newControl(d *Daemon, cfg *fbconfig.Config, policy filbertford.Policy) *control {
--- a/fbdaemon/submit.go
+++ b/fbdaemon/submit.go
@@ -99,7 +99,11 @@
 	if j.Timeout() == 0 {
 		j = j.WithTimeout(rules.Timeout())
 	}
-	if longest := rules.MaxTimeout(); longest > 0 && j.Timeout() > longest {
+	longest := d.horizon // an opaque key is undecided at a new owner for so long
+	if most := rules.MaxTimeout(); most > 0 {
+		longest = min(longest, most)
+	}
+	if j.Timeout() > longest {
 		return refused(filbertford.CodeMalformed, fmt.Sprintf("a timeout of %v is longer than the %v allowed", j.Timeout(), longest))
 	}
 	return j, rules, nil
