--- a/fbcore/core.go
+++ b/fbcore/core.go
@@ -254,6 +254,14 @@
 	return nil
 }
 
+// Hint tells the policy, if it judges targets, that another daemon of the data
+// centre keeps a target in quarantine.
+func (c *Core) Hint(now time.Time, id filbertford.TargetID) {
+	if p, ok := c.policy.(filbertford.Standing); ok {
+		p.Hint(now, id, filbertford.StandingQuarantined)
+	}
+}
+
 func (c *Core) renewed(e LeaseRenewed) {
 	if t := c.targets[e.Target]; t != nil && e.Asked.After(t.leased) {
 		t.leased = e.Asked
--- a/fbdaemon/control.go
+++ b/fbdaemon/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +28,8 @@
 	lastView time.Time
 	lastSent time.Time
 	wasReady bool
+
+	quarantined map[filbertford.TargetID]struct{}
 }
 
 // viewPeriod is the time between two looks at the view of opaque keys.
@@ -66,15 +70,18 @@
 	}
 }
 
-// logStandings logs what the policy has changed its mind on.
+// logStandings logs what the policy has changed its mind on, and keeps the
+// targets in quarantine for the other daemons.
 func (c *control) logStandings() {
 	for _, change := range c.core.Standings() {
 		e := fbevent.TargetTrusted
+		delete(c.quarantined, change.Target())
 		switch change.Standing() {
 		case filbertford.StandingSuspect:
 			e = fbevent.TargetSuspected
 		case filbertford.StandingQuarantined:
 			e = fbevent.TargetQuarantined
+			c.quarantined[change.Target()] = struct{}{}
 		}
 		e.Log(c.d.log, "target", change.Target())
 	}
@@ -154,6 +161,17 @@
 	to <- o
 }
 
+// takeHints lets the policy know of the targets that a daemon of the data centre
+// keeps in quarantine.
+func (c *control) takeHints(now time.Time, s fbmember.State) {
+	if s.DataCentre() != c.d.dataCentre {
+		return
+	}
+	for _, id := range s.Quarantined() {
+		c.core.Hint(now, id)
+	}
+}
+
 // state returns what the daemon tells of itself.
 func (c *control) state(now time.Time) fbmember.State {
 	token := ""
@@ -165,5 +183,6 @@
 		WithSettings(c.d.settings.Load().Version()).
 		WithLoad(c.core.Load(), token).
 		WithInherited(c.core.Inherited()).
-		WithTeams(c.core.TeamBusy())
+		WithTeams(c.core.TeamBusy()).
+		WithQuarantined(slices.Sorted(maps.Keys(c.quarantined)))
 }
--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -179,13 +179,14 @@
 		MaxAnswerBytes: cfg.Int("limits", "max-answers"),
 	}, policy)
 	return &control{
-		d:       d,
-		core:    core,
-		view:    fbview.NewView(viewOptions(cfg), d.dataCentre, fbview.NewMember(d.incarnation, d.peerAddress)),
-		dir:     fbmember.NewDirectory(d.peerAddress, d.dataCentre, cfg.Duration("membership", "heartbeat"), cfg.Duration("membership", "timeout"), cfg.List("daemon", "seeds")),
-		waiters: make(map[fbcore.Ref]chan<- outcome),
-		drained: make(chan struct{}),
-		spilled: make(map[filbertford.StartID]context.CancelFunc),
+		d:           d,
+		core:        core,
+		view:        fbview.NewView(viewOptions(cfg), d.dataCentre, fbview.NewMember(d.incarnation, d.peerAddress)),
+		dir:         fbmember.NewDirectory(d.peerAddress, d.dataCentre, cfg.Duration("membership", "heartbeat"), cfg.Duration("membership", "timeout"), cfg.List("daemon", "seeds")),
+		waiters:     make(map[fbcore.Ref]chan<- outcome),
+		drained:     make(chan struct{}),
+		quarantined: make(map[filbertford.TargetID]struct{}),
+		spilled:     make(map[filbertford.StartID]context.CancelFunc),
 	}
 }
 
--- a/fbdaemon/member.go
+++ b/fbdaemon/member.go
@@ -172,6 +172,7 @@
 
 func (m memberAnswered) handle(c *control, now time.Time) {
 	c.dir.Answered(now, m.asked, m.address, m.state)
+	c.takeHints(now, m.state)
 }
 
 // memberHeard brings a heartbeat of another daemon to the control goroutine.
@@ -182,6 +183,7 @@
 
 func (m memberHeard) handle(c *control, now time.Time) {
 	c.dir.Heard(now, m.state)
+	c.takeHints(now, m.state)
 	own := c.state(now)
 	if m.state.DataCentre() != own.DataCentre() {
 		own = own.Abroad()
--- a/fbmember/state.go
+++ b/fbmember/state.go
@@ -19,6 +19,7 @@
 	token       string
 	inherited   []filbertford.Incarnation
 	teams       map[string]int
+	quarantined []filbertford.TargetID
 }
 
 // NewState returns the state of a daemon whose peer listener is at the address.
@@ -61,10 +62,18 @@
 // Abroad returns a copy of s without what only daemons of its own data centre
 // use: the owner token and the tasks by team.
 func (s State) Abroad() State {
+	s.quarantined = nil
 	s.token, s.teams = "", nil
 	return s
 }
 
+// WithQuarantined returns a copy of s with the targets that the daemon keeps in
+// quarantine.
+func (s State) WithQuarantined(targets []filbertford.TargetID) State {
+	s.quarantined = slices.Clone(targets)
+	return s
+}
+
 // VM returns the daemon's VM.
 func (s State) VM() filbertford.VMID { return s.vm }
 
@@ -94,3 +103,6 @@
 
 // Teams returns the waiting and running tasks by team.
 func (s State) Teams() map[string]int { return s.teams }
+
+// Quarantined returns the targets that the daemon keeps in quarantine.
+func (s State) Quarantined() []filbertford.TargetID { return s.quarantined }
--- a/fbpeer/convert.go
+++ b/fbpeer/convert.go
@@ -76,6 +76,9 @@
 	for _, inc := range s.Inherited() {
 		w.Inherited = append(w.Inherited, uint64(inc))
 	}
+	for _, id := range s.Quarantined() {
+		w.Quarantined = append(w.Quarantined, string(id))
+	}
 	for team, n := range s.Teams() {
 		w.TeamUse = append(w.TeamUse, &fbwire.TeamUse{Team: team, Busy: int64(n)})
 	}
@@ -91,6 +94,10 @@
 	for _, u := range w.GetTeamUse() {
 		teams[u.GetTeam()] = int(u.GetBusy())
 	}
+	quarantined := make([]filbertford.TargetID, len(w.GetQuarantined()))
+	for i, id := range w.GetQuarantined() {
+		quarantined[i] = filbertford.TargetID(id)
+	}
 	load := filbertford.NewLoad(int(w.GetWaiting()), int(w.GetRunning()), int(w.GetSlots()), 0)
 	return fbmember.NewState(
 		filbertford.VMID(w.GetVm()),
@@ -101,7 +108,8 @@
 		WithSettings(w.GetSettingsVersion()).
 		WithLoad(load, w.GetToken()).
 		WithInherited(inherited).
-		WithTeams(teams)
+		WithTeams(teams).
+		WithQuarantined(quarantined)
 }
 
 func partToWire(p fbcore.Part) *fbwire.InheritRequest {
