Door of the adaptive policy: drain by the daemon's share of the slots

The wait was worked out from the tasks that happened to run, and only a tenth of the spare time was allowed. Change: as many at once as the daemon's share of the slots; a quarter of the spare time.

--- a/fbpolicy/admit.go
+++ b/fbpolicy/admit.go
@@ -14,7 +14,7 @@
 	// waitShare is the share of the time that a job has to spare which all that
 	// waits, the job included, may be expected to take. Jobs with little work
 	// left overtake, so that big ones wait several times as long.
-	waitShare = 0.1
+	waitShare = 0.25
 	// burstWindow is how long a team may use its whole burst.
 	burstWindow = 10 * time.Second
 )
@@ -33,7 +33,7 @@
 	}
 	tasks := len(j.Tasks())
 	if over := l.Waiting() + tasks - r.MaxQueue(); r.MaxQueue() > 0 && over > 0 {
-		return filbertford.NewRejection(filbertford.CodeOverloaded, retryAfter(s.drain(over, l)))
+		return filbertford.NewRejection(filbertford.CodeOverloaded, retryAfter(a.drain(s, over, l)))
 	}
 	timeout := j.Timeout()
 	if timeout == 0 {
@@ -43,7 +43,7 @@
 		return filbertford.Verdict{}
 	}
 	spare := max(timeout-s.longest(j), timeout/2)
-	late := s.drain(l.Waiting()+tasks, l) - time.Duration(waitShare*float64(spare))
+	late := a.drain(s, l.Waiting()+tasks, l) - time.Duration(waitShare*float64(spare))
 	if late > 0 {
 		return filbertford.NewRejection(filbertford.CodeDeadlineNow, retryAfter(late))
 	}
@@ -51,10 +51,11 @@
 }
 
 // drain returns how long the daemon takes to start n waiting tasks while it
-// runs as many at once as now (Little's law).
-func (s *service) drain(n int, l filbertford.Load) time.Duration {
-	running := max(l.Running(), 1)
-	return time.Duration(float64(n) / float64(running) * float64(s.run))
+// runs as many at once as now, or as its share of the slots allows (Little's
+// law).
+func (a *Adaptive) drain(s *service, n int, l filbertford.Load) time.Duration {
+	atOnce := max(l.Running(), l.Slots()/max(a.daemons, 1), 1)
+	return time.Duration(float64(n) / float64(atOnce) * float64(s.run))
 }
 
 // longest returns the expected run time of the job's longest task.
