Fewer control messages: one heartbeat a pair, renewals at half a lease

Ruled out: reading the list of entry VMs more seldom, which would refuse a new daemon's tokens for longer. Change: the daemon of the lower address sends the pair's heartbeat, the other waits half a period more; leases are 10 s and renewed at half.

--- a/fbcore/target.go
+++ b/fbcore/target.go
@@ -89,8 +89,17 @@
 	c.targetIDs = ids
 }
 
-// keepLeases renews the leases that are a third old and gives up the starts
-// under leases that have lapsed.
+// Renewal of a lease, as parts of it.
+const (
+	// renewAfter is the part of a lease after which it is renewed.
+	renewAfter = 2
+	// renewAgain is the part of a lease after which an unanswered renewal is
+	// sent again.
+	renewAgain = 6
+)
+
+// keepLeases renews the leases that are half over and gives up the starts under
+// leases that have lapsed.
 func (c *Core) keepLeases(now time.Time) {
 	for _, id := range c.targetIDs {
 		t := c.targets[id]
@@ -102,7 +111,7 @@
 			c.loseLease(now, t)
 			continue
 		}
-		if now.Sub(t.leased) >= lease/3 && now.Sub(t.asked) >= lease/3 {
+		if now.Sub(t.leased) >= lease/renewAfter && now.Sub(t.asked) >= lease/renewAgain {
 			t.asked = now
 			c.emit(RenewLease{Target: t.vm, Lease: lease})
 		}
--- a/fbdaemon/traffic.go
+++ b/fbdaemon/traffic.go
@@ -34,7 +34,7 @@
 func (d *Daemon) renewLease(a fbcore.RenewLease) {
 	asked := d.timer.Now()
 	d.traffic.Go(func() error {
-		ctx, cancel := context.WithTimeout(d.ctx, min(d.requestTimeout, a.Lease/3))
+		ctx, cancel := context.WithTimeout(d.ctx, min(d.requestTimeout, a.Lease/6))
 		defer cancel()
 		if err := d.stopper.Renew(ctx, a.Target, d.incarnation, a.Lease); err != nil {
 			return nil
--- a/fbmember/directory.go
+++ b/fbmember/directory.go
@@ -319,14 +319,22 @@
 	return best
 }
 
-// Due returns the addresses that a heartbeat should be sent to now: a member
-// that has told nothing for the period in a heartbeat of its own. The more
-// recent of two heartbeats serves both sides, so a pair exchanges one a period.
-// The period is longer for members of other data centres where there are many.
+// leadPart is the part of a heartbeat period for which the daemon of the higher
+// address leaves the heartbeat of a pair to the other.
+const leadPart = 2
+
+// Due returns the addresses that a heartbeat should be sent to now: members
+// from whom nothing was heard for the period. One heartbeat serves both sides,
+// so a pair exchanges one a period, which the daemon of the lower address
+// sends. The period is longer for members of other data centres where there are
+// many.
 func (d *Directory) Due(now time.Time, period time.Duration) []string {
 	var out []string
 	for a, m := range d.members {
 		p := m.stretched(period)
+		if a < d.self && !m.heard.IsZero() {
+			p += p / leadPart
+		}
 		if now.Sub(m.heard) >= p && now.Sub(m.asked) >= p {
 			m.asked = now
 			out = append(out, a)
--- a/fbtree/key.go
+++ b/fbtree/key.go
@@ -154,7 +154,7 @@
 		},
 	},
 	{
-		name: KeyLease, typ: TypeDuration, limits: lasting(100*time.Millisecond, 10*time.Minute), usual: "5s", levels: []Level{LevelOrganisation},
+		name: KeyLease, typ: TypeDuration, limits: lasting(100*time.Millisecond, 10*time.Minute), usual: "10s", levels: []Level{LevelOrganisation},
 		doc:   "How long a target lets a daemon's tasks run without a renewal. One lease covers all tasks of a daemon at a target, so it is set for the organisation only.",
 		apply: func(r filbertford.Rules, v value) filbertford.Rules { return r.WithLease(v.duration()) },
 	},
