Routing of requests in one place, by hop

Cause: whether a request was forwarded, and to whom, was passed as two values through six functions, and told apart twice; two data centres whose settings files name different data centres could have passed an opaque key back and forth. Change: fbdaemon/route.go with the hops caller, home and owner; a passed-on request is passed on at most once more, within its home.

--- a/fbdaemon/control.go
+++ b/fbdaemon/control.go
@@ -22,6 +22,7 @@
 	dir      *fbmember.Directory
 	waiters  map[fbcore.Ref]chan<- outcome
 	lastRef  fbcore.Ref
+	lastHome int
 	vms      []filbertford.VM
 	drained  chan struct{}
 	spilled  map[filbertford.StartID]context.CancelFunc
--- a/fbdaemon/service.go
+++ b/fbdaemon/service.go
@@ -21,17 +21,17 @@
 
 // Submit takes a delivery that another daemon forwarded.
 func (s peerService) Submit(ctx context.Context, owner filbertford.Incarnation, del filbertford.Delivery) filbertford.Answer {
-	return s.d.submit(ctx, owner, del, true)
+	return s.d.submit(ctx, hopOf(owner), del)
 }
 
 // Cancel cancels a submission for another daemon.
 func (s peerService) Cancel(ctx context.Context, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Answer {
-	return s.d.cancel(ctx, id, team, true, owner)
+	return s.d.cancel(ctx, hopOf(owner), id, team)
 }
 
 // Status tells another daemon what is known of a submission.
 func (s peerService) Status(ctx context.Context, owner filbertford.Incarnation, id filbertford.SubmissionID, team string) filbertford.Status {
-	return s.d.status(ctx, id, team, true, owner)
+	return s.d.status(ctx, hopOf(owner), id, team)
 }
 
 // Heartbeat takes another daemon's state and returns this one's.
--- a/fbdaemon/spill.go
+++ b/fbdaemon/spill.go
@@ -83,16 +83,11 @@
 	if err != nil {
 		return filbertford.NewRefusal(filbertford.CodeMalformed, err.Error())
 	}
-	job, rules, refusal := d.prepare(j)
+	m, refusal := d.newDelivered(hopCaller, filbertford.NewDelivery(id, j))
 	if refusal != nil {
 		return *refusal
 	}
-	m := &delivered{
-		delivery: filbertford.NewDelivery(id, job),
-		digest:   fbcore.Digest(job),
-		rules:    rules.WithSpill(0),
-		reply:    make(chan outcome, 1),
-	}
+	m.rules = m.rules.WithSpill(0)
 	if !d.offer(m) {
 		return filbertford.NewRefusal(filbertford.CodeBusy, "")
 	}
@@ -107,7 +102,7 @@
 		return o.answer
 	case <-ctx.Done():
 		unheard := make(chan outcome, 1)
-		_ = d.send(d.ctx, question{id: m.delivery.ID(), reply: unheard, event: func(ref fbcore.Ref) fbcore.Event {
+		_ = d.send(d.ctx, question{id: m.delivery.ID(), hop: hopOwner, reply: unheard, event: func(ref fbcore.Ref) fbcore.Event {
 			return fbcore.Cancel{Ref: ref, ID: m.delivery.ID()}
 		}})
 		return filbertford.NewRefusal(filbertford.CodeCancelled, "")
--- a/fbdaemon/submit.go
+++ b/fbdaemon/submit.go
@@ -7,7 +7,6 @@
 
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbcore"
-	"github.com/filbertford/filbertford/fbview"
 )
 
 // outcome is what the control goroutine makes of a request: an answer, a
@@ -30,56 +29,61 @@
 // Submit answers a caller's delivery, by way of its owner.
 func (d *Daemon) Submit(ctx context.Context, del filbertford.Delivery) filbertford.Answer {
 	began := d.timer.Now()
-	a := d.submit(ctx, 0, del, false)
+	a := d.submit(ctx, hopCaller, del)
 	d.recordAnswer(ctx, del.Job(), a, began)
 	return a
 }
 
-// submit answers a delivery. A forwarded one names its owner, or none if it is
-// an opaque key that came from another data centre.
-func (d *Daemon) submit(ctx context.Context, owner filbertford.Incarnation, del filbertford.Delivery, forwarded bool) filbertford.Answer {
-	job, rules, refusal := d.prepare(del.Job())
+// submit answers a delivery that came by the given hop.
+func (d *Daemon) submit(ctx context.Context, h hop, del filbertford.Delivery) filbertford.Answer {
+	m, refusal := d.newDelivered(h, del)
 	if refusal != nil {
 		return *refusal
 	}
-	reply := make(chan outcome, 1)
-	m := &delivered{
-		delivery:  filbertford.NewDelivery(del.ID(), job),
-		digest:    fbcore.Digest(job),
-		rules:     rules,
-		owner:     owner,
-		forwarded: forwarded,
-		reply:     reply,
-	}
 	if !d.offer(m) {
 		return filbertford.NewRefusal(filbertford.CodeBusy, "").WithRetryAfter(busyRetry)
 	}
-	return d.await(ctx, m, reply)
-}
-
-// await waits for the outcome of a delivery, and forwards it if need be. An
-// owner that is silent for longer than the job may take leaves the outcome
-// unknown.
-func (d *Daemon) await(ctx context.Context, m *delivered, reply <-chan outcome) filbertford.Answer {
 	select {
-	case o := <-reply:
-		if o.forward == "" {
-			return o.answer
+	case o := <-m.reply:
+		if o.forward != "" {
+			return d.forward(ctx, o, m.delivery)
 		}
-		d.metrics.forwards.Inc(1)
-		ctx, cancel := context.WithTimeout(ctx, m.delivery.Job().Timeout()+d.requestTimeout)
-		defer cancel()
-		a := d.peers.Forward(ctx, o.forward, o.owner, m.delivery)
-		if a.Code() == filbertford.CodeOwnerUnreached && !m.delivery.ID().Pinned() {
-			a = a.WithRetryAfter(ownerRetry) // an opaque key will have another owner
-		}
-		return a
+		return o.answer
 	case <-ctx.Done():
 		d.offer(abandoned{m})
 		return filbertford.NewRefusal(filbertford.CodeOutcomeUnknown, "the caller went away")
 	}
 }
 
+// forward passes a delivery on. An owner that is silent for longer than the job
+// may take leaves the outcome unknown.
+func (d *Daemon) forward(ctx context.Context, o outcome, del filbertford.Delivery) filbertford.Answer {
+	d.metrics.forwards.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, del.Job().Timeout()+d.requestTimeout)
+	defer cancel()
+	a := d.peers.Forward(ctx, o.forward, o.owner, del)
+	if a.Code() == filbertford.CodeOwnerUnreached && !del.ID().Pinned() {
+		return a.WithRetryAfter(ownerRetry) // the key will have another owner
+	}
+	return a
+}
+
+// newDelivered returns the message of a delivery, or the refusal of a job that
+// the settings don't allow.
+func (d *Daemon) newDelivered(h hop, del filbertford.Delivery) (*delivered, *filbertford.Answer) {
+	job, rules, refusal := d.prepare(del.Job())
+	if refusal != nil {
+		return nil, refusal
+	}
+	return &delivered{
+		delivery: filbertford.NewDelivery(del.ID(), job),
+		digest:   fbcore.Digest(job),
+		rules:    rules,
+		hop:      h,
+		reply:    make(chan outcome, 1),
+	}, nil
+}
+
 // prepare checks a job against the settings and fills in its timeout.
 func (d *Daemon) prepare(j filbertford.Job) (filbertford.Job, filbertford.Rules, *filbertford.Answer) {
 	settings := d.settings.Load()
@@ -116,22 +120,16 @@
 
 // delivered brings a delivery to the control goroutine.
 type delivered struct {
-	delivery  filbertford.Delivery
-	digest    uint64
-	rules     filbertford.Rules
-	owner     filbertford.Incarnation
-	forwarded bool
-	reply     chan outcome
-	ref       fbcore.Ref
+	delivery filbertford.Delivery
+	digest   uint64
+	rules    filbertford.Rules
+	hop      hop
+	reply    chan outcome
+	ref      fbcore.Ref
 }
 
 func (m *delivered) handle(c *control, now time.Time) {
-	id := m.delivery.ID()
-	claim := fbcore.ClaimPinned
-	o, local := c.routePinned(id, m.forwarded)
-	if !id.Pinned() {
-		claim, o, local = c.routeOpaque(id, now, m.forwarded && m.owner != 0)
-	}
+	claim, o, local := c.route(m.delivery.ID(), now, m.hop)
 	if !local {
 		m.reply <- o
 		return
@@ -148,91 +146,34 @@
 	c.drive(now, fbcore.Abandon{Ref: m.delivery.ref})
 }
 
-// routePinned decides where a pinned ID goes. A forwarded request is always
-// taken here, so that it can't be passed round.
-func (c *control) routePinned(id filbertford.SubmissionID, forwarded bool) (outcome, bool) {
-	inc := id.Token().Incarnation()
-	if forwarded || inc == c.d.incarnation || c.core.AnswersFor(inc) {
-		return outcome{}, true
-	}
-	if address, ok := c.dir.Owner(inc); ok {
-		return outcome{forward: address, owner: inc}, false
-	}
-	if address := id.Token().Address(); c.dir.Known(address) {
-		return outcome{forward: address, owner: inc}, false
-	}
-	return outcome{answer: filbertford.NewRefusal(filbertford.CodeOwnerGone, "")}, false
-}
-
-// routeOpaque decides where an opaque key goes: to a member of its home data
-// centre, there to its owner under the view. A request that was forwarded to
-// this daemon as the owner is taken or refused, never passed on.
-func (c *control) routeOpaque(id filbertford.SubmissionID, now time.Time, final bool) (fbcore.Claim, outcome, bool) {
-	if c.core.Remembers(id) {
-		return fbcore.ClaimUnsure, outcome{}, true
-	}
-	key := id.String()
-	home := fbview.Home(key, c.d.dataCentres)
-	if home != c.d.dataCentre {
-		return fbcore.ClaimUnsure, c.towards(home, now), false
-	}
-	a := c.view.Admit(key, now)
-	switch a.Verdict() {
-	case fbview.VerdictStart:
-		return fbcore.ClaimOwned, outcome{}, true
-	case fbview.VerdictUndecided:
-		return fbcore.ClaimUndecided, outcome{}, true
-	case fbview.VerdictTooOld:
-		return fbcore.ClaimTooOld, outcome{}, true
-	case fbview.VerdictFuture:
-		return fbcore.ClaimFuture, outcome{}, true
-	case fbview.VerdictElsewhere:
-		if owner := a.Owner(); !final && c.dir.Known(owner.Address()) {
-			return fbcore.ClaimUnsure, outcome{forward: owner.Address(), owner: owner.Incarnation()}, false
-		}
-	}
-	return fbcore.ClaimUnsure, outcome{}, true
-}
-
-// towards picks a live daemon of another data centre.
-func (c *control) towards(home filbertford.DataCentre, now time.Time) outcome {
-	live := c.dir.Live(now, home)
-	if len(live) == 0 {
-		detail := fmt.Sprintf("no daemon of data centre %s can be reached", home)
-		return outcome{answer: filbertford.NewRefusal(filbertford.CodeOwnerUnreached, detail).WithRetryAfter(time.Second)}
-	}
-	c.lastRef++
-	return outcome{forward: live[int(c.lastRef)%len(live)].Address()}
-}
-
 // Cancel cancels a submission of the team, any if empty, by way of its owner.
 func (d *Daemon) Cancel(ctx context.Context, id filbertford.SubmissionID, team string) filbertford.Answer {
-	return d.cancel(ctx, id, team, false, 0)
+	return d.cancel(ctx, hopCaller, id, team)
 }
 
-func (d *Daemon) cancel(ctx context.Context, id filbertford.SubmissionID, team string, forwarded bool, owner filbertford.Incarnation) filbertford.Answer {
-	o, ok := d.ask(ctx, id, forwarded, owner, func(ref fbcore.Ref) fbcore.Event {
+func (d *Daemon) cancel(ctx context.Context, h hop, id filbertford.SubmissionID, team string) filbertford.Answer {
+	o := d.ask(ctx, h, id, func(ref fbcore.Ref) fbcore.Event {
 		return fbcore.Cancel{Ref: ref, ID: id, Team: team}
 	})
-	if ok && o.forward != "" {
-		ctx, cancel := context.WithTimeout(ctx, d.requestTimeout)
-		defer cancel()
-		return d.peers.Cancel(ctx, o.forward, o.owner, id, team)
+	if o.forward == "" {
+		return o.answer
 	}
-	return o.answer
+	ctx, cancel := context.WithTimeout(ctx, d.requestTimeout)
+	defer cancel()
+	return d.peers.Cancel(ctx, o.forward, o.owner, id, team)
 }
 
 // Status tells a team, any if empty, what the owner knows of a submission.
 func (d *Daemon) Status(ctx context.Context, id filbertford.SubmissionID, team string) filbertford.Status {
-	return d.status(ctx, id, team, false, 0)
+	return d.status(ctx, hopCaller, id, team)
 }
 
-func (d *Daemon) status(ctx context.Context, id filbertford.SubmissionID, team string, forwarded bool, owner filbertford.Incarnation) filbertford.Status {
-	o, ok := d.ask(ctx, id, forwarded, owner, func(ref fbcore.Ref) fbcore.Event {
+func (d *Daemon) status(ctx context.Context, h hop, id filbertford.SubmissionID, team string) filbertford.Status {
+	o := d.ask(ctx, h, id, func(ref fbcore.Ref) fbcore.Event {
 		return fbcore.Query{Ref: ref, ID: id, Team: team}
 	})
 	switch {
-	case ok && o.forward != "":
+	case o.forward != "":
 		ctx, cancel := context.WithTimeout(ctx, d.requestTimeout)
 		defer cancel()
 		return d.peers.Status(ctx, o.forward, o.owner, id, team)
@@ -244,34 +185,30 @@
 
 // ask hands an event about a known submission to the core, or tells whom to
 // ask.
-func (d *Daemon) ask(ctx context.Context, id filbertford.SubmissionID, forwarded bool, owner filbertford.Incarnation, event func(fbcore.Ref) fbcore.Event) (outcome, bool) {
+func (d *Daemon) ask(ctx context.Context, h hop, id filbertford.SubmissionID, event func(fbcore.Ref) fbcore.Event) outcome {
 	reply := make(chan outcome, 1)
-	err := d.send(ctx, question{id: id, forwarded: forwarded, owner: owner, event: event, reply: reply})
+	err := d.send(ctx, question{id: id, hop: h, event: event, reply: reply})
 	if err == nil {
 		select {
 		case o := <-reply:
-			return o, true
+			return o
 		case <-ctx.Done():
 			err = ctx.Err()
 		}
 	}
-	return outcome{answer: filbertford.NewRefusal(filbertford.CodeBusy, err.Error())}, false
+	return outcome{answer: filbertford.NewRefusal(filbertford.CodeBusy, err.Error())}
 }
 
 // question brings a cancellation or a query to the control goroutine.
 type question struct {
-	id        filbertford.SubmissionID
-	forwarded bool
-	owner     filbertford.Incarnation
-	event     func(fbcore.Ref) fbcore.Event
-	reply     chan outcome
+	id    filbertford.SubmissionID
+	hop   hop
+	event func(fbcore.Ref) fbcore.Event
+	reply chan outcome
 }
 
 func (m question) handle(c *control, now time.Time) {
-	o, local := c.routePinned(m.id, m.forwarded)
-	if !m.id.Pinned() {
-		_, o, local = c.routeOpaque(m.id, now, m.forwarded && m.owner != 0)
-	}
+	_, o, local := c.route(m.id, now, m.hop)
 	if !local {
 		m.reply <- o
 		return
