--- a/fbcommand/answer.go
+++ b/fbcommand/answer.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbclient"
 )
 
 // answerOutput is an answer as commands print it.
@@ -93,80 +94,81 @@
 	}
 }
 
-func newStatus(s Streams) *ffcli.Command {
+// finding is what a command about one submission prints, and the error that it
+// ends with after that, nil for success.
+type finding struct {
+	printed answerOutput
+	exit    error
+}
+
+// newAboutOne returns a command about one submission, whose ID is its argument.
+func newAboutOne(s Streams, c *ffcli.Command, ask func(ctx context.Context, client *fbclient.Client, id filbertford.SubmissionID) (finding, error)) *ffcli.Command {
 	var to access
-	fs := newFlagSet("status", s)
-	to.register(fs)
-	asJSON := fs.Bool("json", false, "print JSON")
-	return &ffcli.Command{
-		Name:       "status",
-		ShortUsage: "filbertford status [flags] ID",
-		ShortHelp:  "Prints what the owner knows of a submission.",
-		LongHelp: "The exit code is 0 for a running job, else that of its answer as for submit.\n\n" +
-			example("filbertford status fb1.AAAA.order-17"),
-		FlagSet: fs,
-		Options: fromEnvironment(),
-		Exec: func(ctx context.Context, args []string) error {
-			id, err := oneID(args)
-			if err != nil {
-				return err
-			}
-			client, err := to.client(s)
-			if err != nil {
-				return err
-			}
-			defer client.Close()
-			status, err := client.Status(ctx, id)
-			if err != nil {
-				return err
-			}
-			w := newAnswerOutput(id.String(), status.Answer())
-			w.State = string(status.State())
-			if err := printAnswer(s.out, w, *asJSON); err != nil {
-				return err
-			}
-			if status.State() == filbertford.StateRunning {
-				return nil
-			}
-			return exitOf(status.Answer())
-		},
+	c.FlagSet = newFlagSet(c.Name, s)
+	to.register(c.FlagSet)
+	asJSON := c.FlagSet.Bool("json", false, "print JSON")
+	c.ShortUsage = "filbertford " + c.Name + " [flags] ID"
+	c.LongHelp += "\n\n" + example("filbertford "+c.Name+" fb1.AAAA.order-17")
+	c.Options = fromEnvironment()
+	c.Exec = func(ctx context.Context, args []string) error {
+		id, err := oneID(args)
+		if err != nil {
+			return err
+		}
+		client, err := to.client(s)
+		if err != nil {
+			return err
+		}
+		defer client.Close()
+		found, err := ask(ctx, client, id)
+		if err != nil {
+			return err
+		}
+		if err := printAnswer(s.out, found.printed, *asJSON); err != nil {
+			return err
+		}
+		return found.exit
+	}
+	return c
+}
+
+func newStatus(s Streams) *ffcli.Command {
+	return newAboutOne(s, &ffcli.Command{
+		Name:      "status",
+		ShortHelp: "Prints what the owner knows of a submission.",
+		LongHelp:  "The exit code is 0 for a running job, else that of its answer as for submit.",
+	}, askStatus)
+}
+
+func askStatus(ctx context.Context, client *fbclient.Client, id filbertford.SubmissionID) (finding, error) {
+	status, err := client.Status(ctx, id)
+	if err != nil {
+		return finding{}, err
 	}
+	out := newAnswerOutput(id.String(), status.Answer())
+	out.State = string(status.State())
+	if status.State() == filbertford.StateRunning {
+		return finding{printed: out}, nil
+	}
+	return finding{printed: out, exit: exitOf(status.Answer())}, nil
 }
 
 func newCancel(s Streams) *ffcli.Command {
-	var to access
-	fs := newFlagSet("cancel", s)
-	to.register(fs)
-	asJSON := fs.Bool("json", false, "print JSON")
-	return &ffcli.Command{
-		Name:       "cancel",
-		ShortUsage: "filbertford cancel [flags] ID",
-		ShortHelp:  "Cancels a submission and prints its answer.",
-		LongHelp: "The exit code is 0 if the job is cancelled, else that of its answer as for submit.\n\n" +
-			example("filbertford cancel fb1.AAAA.order-17"),
-		FlagSet: fs,
-		Options: fromEnvironment(),
-		Exec: func(ctx context.Context, args []string) error {
-			id, err := oneID(args)
-			if err != nil {
-				return err
-			}
-			client, err := to.client(s)
-			if err != nil {
-				return err
-			}
-			defer client.Close()
-			a, err := client.Cancel(ctx, id)
-			if err != nil {
-				return err
-			}
-			if err := printAnswer(s.out, newAnswerOutput(id.String(), a), *asJSON); err != nil {
-				return err
-			}
-			if a.Code() == filbertford.CodeCancelled {
-				return nil
-			}
-			return exitOf(a)
-		},
+	return newAboutOne(s, &ffcli.Command{
+		Name:      "cancel",
+		ShortHelp: "Cancels a submission and prints its answer.",
+		LongHelp:  "The exit code is 0 if the job is cancelled, else that of its answer as for submit.",
+	}, askCancel)
+}
+
+func askCancel(ctx context.Context, client *fbclient.Client, id filbertford.SubmissionID) (finding, error) {
+	a, err := client.Cancel(ctx, id)
+	if err != nil {
+		return finding{}, err
+	}
+	out := newAnswerOutput(id.String(), a)
+	if a.Code() == filbertford.CodeCancelled {
+		return finding{printed: out}, nil
 	}
+	return finding{printed: out, exit: exitOf(a)}, nil
 }
