Quarantines are told at once

Ruled out: shifting the time of the last heartbeat, as AskAll did, which shows members as silent and needs not make a heartbeat due.

--- a/fbdaemon/control.go
+++ b/fbdaemon/control.go
@@ -59,11 +59,11 @@
 		c.lastView = now
 		c.view.PeersChanged(c.livePeers(now), c.dir.Gone())
 		c.actOnView(c.view.Tick(now))
+		c.followStandings()
 	}
 	if now.Sub(c.lastSent) >= metricsPeriod {
 		c.lastSent = now
 		c.d.metrics.report(c)
-		c.logStandings()
 	}
 	if !c.wasReady && c.d.Ready() {
 		c.wasReady = true
@@ -71,9 +71,9 @@
 	}
 }
 
-// logStandings logs what the policy has changed its mind on, and keeps the
-// targets in quarantine for the other daemons.
-func (c *control) logStandings() {
+// followStandings logs what the policy has changed its mind on, and lets the other
+// daemons of the data centre know at once of targets in quarantine.
+func (c *control) followStandings() {
 	for _, change := range c.core.Standings() {
 		e := fbevent.TargetTrusted
 		delete(c.quarantined, change.Target())
@@ -83,6 +83,7 @@
 		case filbertford.StandingQuarantined:
 			e = fbevent.TargetQuarantined
 			c.quarantined[change.Target()] = struct{}{}
+			c.dir.AskNear()
 		}
 		e.Log(c.d.log, "target", change.Target())
 	}
--- a/fbmember/directory.go
+++ b/fbmember/directory.go
@@ -30,6 +30,7 @@
 	stretch time.Duration
 	heard   time.Time
 	asked   time.Time
+	hurry   bool // a heartbeat is due whatever the period
 	rtt     time.Duration
 	state   State
 	since   time.Time // when the present incarnation became known
@@ -335,8 +336,8 @@
 		if a < d.self && !m.heard.IsZero() {
 			p += p / leadPart
 		}
-		if now.Sub(m.heard) >= p && now.Sub(m.asked) >= p {
-			m.asked = now
+		if m.hurry || now.Sub(m.heard) >= p && now.Sub(m.asked) >= p {
+			m.asked, m.hurry = now, false
 			out = append(out, a)
 		}
 	}
@@ -347,7 +348,14 @@
 // AskAll makes a heartbeat due to every member.
 func (d *Directory) AskAll() {
 	for _, m := range d.members {
-		m.heard, m.asked = m.heard.Add(-m.stretched(d.timeout)/2), time.Time{}
+		m.hurry = true
+	}
+}
+
+// AskNear makes a heartbeat due to the members of the data centre.
+func (d *Directory) AskNear() {
+	for _, m := range d.members {
+		m.hurry = m.hurry || !m.far
 	}
 }
 
--- a/fbmember/directory_test.go
+++ b/fbmember/directory_test.go
@@ -169,3 +169,31 @@
 		})
 	}
 }
+
+func TestHeartbeatsOutOfTurn(t *testing.T) {
+	tests := map[string]struct {
+		ask  func(d *fbmember.Directory)
+		want []string
+	}{
+		"none": {ask: func(*fbmember.Directory) {}},
+		"near": {ask: (*fbmember.Directory).AskNear, want: []string{other}},
+		"all":  {ask: (*fbmember.Directory).AskAll, want: []string{other, third}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, now := newDirectory(other)
+			far := filbertford.NewVM("far", filbertford.RoleEntry, "elsewhere", third)
+			d.SetVMs(now, append(entries(other), far))
+			for _, a := range d.Due(now, time.Second) {
+				d.Answered(now, now, a, state(7, a))
+			}
+			tt.ask(d)
+			if diff := cmp.Diff(tt.want, d.Due(now, time.Second)); diff != "" {
+				t.Errorf("due (-want +got):\n%s", diff)
+			}
+			if again := d.Due(now, time.Second); len(again) > 0 {
+				t.Errorf("due again at once: %v", again)
+			}
+		})
+	}
+}
