Tests of the command line have a loopback address of their own

Ports were asked for on 127.0.0.1, where connections take them too. Ruled out: more tries, which leave it to chance. Change: an address of 127/8 for each system, with fixed ports, as the process tests of the daemon have.

--- a/cmd/filbertford/main_test.go
+++ b/cmd/filbertford/main_test.go
@@ -8,7 +8,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -43,13 +45,14 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	ports := freePorts(t, 7)
-	s.platform = ports[0]
-	s.targets = targetBase(t, s)
-	s.start(t, "fbstandin", "-serve", "platform", "-platform", s.platform, "-vm-lag", "100ms", "-targets", "4",
-		"-target-base", s.targets, "-entries", "nordnes="+ports[2]+",nordnes="+ports[5])
+	host := nextHost()
+	at := func(port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
+	s.platform, s.targets = at(platformPort), at(targetPort)
+	s.start(t, "fbstandin", "-platform", s.platform, "-vm-lag", "100ms", "-targets", "4", "-target-base", s.targets,
+		"-entries", "nordnes="+at(daemonPort+1)+",nordnes="+at(daemonPort+4))
 	for i := range 2 {
-		callers, peers, operations := ports[3*i+1], ports[3*i+2], ports[3*i+3]
+		first := daemonPort + 3*i
+		callers, peers, operations := at(first), at(first+1), at(first+2)
 		s.daemons = append(s.daemons, s.start(t, "filbertfordd", "-set", fmt.Sprintf("daemon.vm=entry-%d", i+1),
 			"-set", "daemon.platform="+s.platform, "-set", "daemon.callers="+callers, "-set", "daemon.peers="+peers,
 			"-set", "daemon.operations="+operations, "-set", "stop.grace=0s", "-set", "daemon.data-centres=nordnes"))
@@ -60,36 +63,6 @@
 	return s
 }
 
-// targetBase starts four targets on successive ports and returns the first's
-// address. The targets are a process of their own, so that another base can be
-// tried if one of the ports is taken.
-func targetBase(t *testing.T, s *system) string {
-	t.Helper()
-	for range 10 {
-		base := freePorts(t, 1)[0]
-		c := s.start(t, "fbstandin", "-serve", "targets", "-targets", "4", "-target-base", base)
-		if answers(base) {
-			return base
-		}
-		_ = c.Process.Kill()
-	}
-	t.Fatal("no four successive ports are free")
-	return ""
-}
-
-// answers reports whether a connection to the address succeeds.
-func answers(address string) bool {
-	for range 100 {
-		conn, err := net.Dial("tcp", address)
-		if err == nil {
-			_ = conn.Close()
-			return true
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return false
-}
-
 // start starts a program that ends with the test.
 func (s *system) start(t *testing.T, name string, args ...string) *exec.Cmd {
 	t.Helper()
@@ -118,19 +91,21 @@
 	return string(out)
 }
 
-// freePorts returns loopback addresses that were free a moment ago.
-func freePorts(t *testing.T, n int) []string {
-	t.Helper()
-	out := make([]string, n)
-	for i := range out {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		out[i] = l.Addr().String()
-	}
-	return out
+// Ports of a system, each of which has a loopback address of its own.
+const (
+	platformPort = 20000
+	daemonPort   = 20100 // three for each daemon
+	targetPort   = 20200 // one for each target
+)
+
+// hosts counts the loopback addresses that were given out.
+var hosts atomic.Int64
+
+// nextHost returns a loopback address that no other system uses. Connections on
+// this machine start from 127.0.0.1, so that none holds a port there.
+func nextHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>8&63, pid&255, hosts.Add(1))
 }
 
 // TestThousandConcurrentJobs checks that each of 1,000 concurrent jobs gets its
