What a core does depends on its events alone

Ruled out: sorting in the test, which would leave the daemon's own behaviour to chance. Change: stops in the order of the starts, entries in the order of epochs and IDs, heritages in the order of incarnations.

--- a/fbcore/job.go
+++ b/fbcore/job.go
@@ -297,7 +297,7 @@
 	c.teamDone(j.spec.Team(), j.left)
 	c.waiting.take(j)
 	c.deadlines.take(j)
-	for _, st := range j.running {
+	for _, st := range sortedStarts(j.running) {
 		c.stopLater(st)
 	}
 	for _, ref := range s.waiters {
@@ -355,10 +355,11 @@
 	c.emit(Reply{Ref: ref, Answer: a})
 }
 
-// sortedStarts returns a target's starts in the order in which they were made.
-func sortedStarts(t *target) []*start {
-	out := make([]*start, 0, len(t.starts))
-	for _, s := range t.starts {
+// sortedStarts returns starts in the order in which they were made, so that what
+// a core does depends on its events alone.
+func sortedStarts(m map[filbertford.StartID]*start) []*start {
+	out := make([]*start, 0, len(m))
+	for _, s := range m {
 		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b *start) int {
--- a/fbcore/stop.go
+++ b/fbcore/stop.go
@@ -1,6 +1,8 @@
 package fbcore
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -101,15 +103,15 @@
 			own = append(own, NewEntry(k.epoch, k.text, s.digest, s.answer))
 		}
 	}
+	sortEntries(own)
 	parts := cut(NewPart(c.cfg.Incarnation, c.cfg.Key, c.oldest(now), c.epoch(now), own, len(own)), size)
-	for inc, h := range c.heritages {
-		if !h.whole {
-			continue
-		}
+	for _, inc := range c.Inherited() {
+		h := c.heritages[inc]
 		entries := make([]Entry, 0, len(h.entries))
 		for _, e := range h.entries {
 			entries = append(entries, e)
 		}
+		sortEntries(entries)
 		parts = append(parts, cut(NewPart(inc, h.key, h.first, h.last, entries, len(entries)), size)...)
 	}
 	return parts
@@ -128,9 +130,17 @@
 	for _, i := range c.opaque {
 		out = append(out, i.entry)
 	}
+	sortEntries(out)
 	return out
 }
 
+// sortEntries brings entries into the order of their epochs and IDs.
+func sortEntries(entries []Entry) {
+	slices.SortFunc(entries, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.epoch, b.epoch), cmp.Compare(a.id, b.id))
+	})
+}
+
 // OpaquePart returns a part that holds entries of opaque keys only.
 func (c *Core) OpaquePart(entries []Entry) Part {
 	return NewPart(c.cfg.Incarnation, c.cfg.Key, 0, 0, entries, 0)
@@ -214,6 +224,7 @@
 			out = append(out, inc)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
--- a/fbcore/target.go
+++ b/fbcore/target.go
@@ -134,7 +134,7 @@
 // stopped them or is about to.
 func (c *Core) loseLease(now time.Time, t *target) {
 	lost := filbertford.NewReport(filbertford.OutcomeUnknown).WithDetail("the lease lapsed")
-	for _, s := range sortedStarts(t) {
+	for _, s := range sortedStarts(t.starts) {
 		c.startEnded(now, s.id, lost)
 	}
 }
