A job's caller sets its patience; targets' records are read at a pace

Cause: 504 at the route's timeout for the longest jobs, and one store call a heartbeat of each target.

--- a/fbnode/mirror.go
+++ b/fbnode/mirror.go
@@ -17,6 +17,9 @@
 	// store can't be reached; it doubles.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
+	// targetPace is the time between two reads of the targets' records, which
+	// each target writes with every heartbeat.
+	targetPace = 400 * time.Millisecond
 )
 
 // mirror keeps a copy of a table of the store up to date.
@@ -24,6 +27,9 @@
 	store filbertford.Store
 	table filbertford.TableName
 	log   *log.Logger
+	// pace is the least time between two reads of changes: a table whose rows are
+	// written all the time would else be read for each of them.
+	pace time.Duration
 	// apply takes the whole table or its changes.
 	apply func(full bool, s filbertford.Snapshot)
 }
@@ -54,6 +60,7 @@
 			}
 			m.apply(!synced, snap)
 			version, synced, lost, pause = snap.Version(), true, false, firstPause
+			m.sleep(ctx, m.pace)
 		}
 	}
 	return ctx.Err()
@@ -67,6 +74,9 @@
 }
 
 func (m *mirror) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -29,9 +29,10 @@
 		filbertford.TableNodes:   n.nodesChanged,
 	}
 	var out []*mirror
+	paces := map[filbertford.TableName]time.Duration{filbertford.TableTargets: targetPace}
 	for table, apply := range applies {
 		out = append(out, &mirror{
-			store: n.parts.Store, table: table, log: n.parts.Log,
+			store: n.parts.Store, table: table, log: n.parts.Log, pace: paces[table],
 			apply: func(full bool, s filbertford.Snapshot) {
 				n.post(func(now time.Duration) { apply(now, full, s) })
 			},
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -11,7 +11,8 @@
 
 // Limits of a coordinator.
 const (
-	// usualPatience is how long a caller waits that doesn't say.
+	// usualPatience is how long a caller waits that doesn't say, on a route
+	// without a timeout.
 	usualPatience = 5 * time.Second
 	// answerMargin is the part of a caller's patience that is left for the
 	// answer's way back.
@@ -159,10 +160,7 @@
 		return
 	}
 	if patience <= 0 {
-		patience = usualPatience
-	}
-	if t := r.Timeout(); t > 0 {
-		patience = min(patience, t)
+		patience = cmp.Or(r.Timeout(), usualPatience)
 	}
 	chain := chainOf(w.Steps())
 	j := &job{
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -43,20 +43,20 @@
 // run is a run of a task on a target. A run without a task is an orphan, or is
 // being stopped.
 type run struct {
-	target   *target
-	key      filbertford.TaskKey
-	number   uint64
-	task     *task
-	state    runState
-	demand   filbertford.Demand
+	target    *target
+	key       filbertford.TaskKey
+	number    uint64
+	task      *task
+	state     runState
+	demand    filbertford.Demand
 	began     time.Duration
 	confirmed time.Duration // when the target answered the start
 	expected  time.Duration
 	lease     int64 // the end of the start's own lease on the target's clock
-	listed   bool
-	percent  int
-	advanced time.Duration // when the percent last rose
-	stopSent time.Duration
+	listed    bool
+	percent   int
+	advanced  time.Duration // when the percent last rose
+	stopSent  time.Duration
 	// stopped is when the target confirmed a stop: a look sent later that does
 	// not list the run proves that it never runs.
 	stopped time.Duration
