--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -180,14 +180,15 @@
 	}
 }
 
-// look asks a target for its lists if there is a reason to.
+// look asks a target for its lists if there is a reason to. The lease of one
+// that does not answer is not prolonged, so that its runs come to an end.
 func (p *Pool) look(now time.Duration, t *target) {
 	if t.looking || t.listed && len(t.runs) == 0 && t.seen == t.acked && t.misses == 0 {
 		return
 	}
 	var lease int64
 	var wait time.Duration
-	if t.clock.known && len(t.runs) > 0 {
+	if t.clock.known && len(t.runs) > 0 && t.misses == 0 {
 		lease = t.clock.at(now) + leaseTerm.Milliseconds()
 		t.lease = max(t.lease, lease)
 	}
