Jobs that can't end in time are given up at once, truthfully; sooner claims after a start

Change: a queued task that can't start in time ends its job; pools return the tasks and tell whether any has run, so that 'not run' is true. Daemons claim 250 ms after their start, and a starting daemon holds up no claim of another. Found by the randomised test: an expired task of an earlier owner was placed again while its run went on (minimal case: two owners in a row, one late start). Ruled out: placing expired tasks on another pool.

--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -18,7 +18,9 @@
 	// three heartbeats and the delay of a busy machine.
 	silenceTerm = 400 * time.Millisecond
 	// startTerm is how long a daemon listens before it claims anything.
-	startTerm = 600 * time.Millisecond
+	startTerm = 250 * time.Millisecond
+	// refusalTerm is how long a refused connection shows that no process is there.
+	refusalTerm = time.Second
 	// returnTerm is how long a daemon must be heard before it gets a pool back
 	// that another one looks after.
 	returnTerm = 3 * time.Second
@@ -183,9 +185,12 @@
 	for _, id := range slices.Sorted(maps.Keys(f.mine)) {
 		claims = append(claims, NewClaim(id, f.mine[id]))
 	}
-	return NewBeat(f.self, f.draining, heard, claims)
+	return NewBeat(f.self, f.draining, heard, claims).WithStarting(f.starting(now))
 }
 
+// starting reports whether the daemon may not have heard of all owners yet.
+func (f *Fleet) starting(now time.Duration) bool { return now-f.began < startTerm }
+
 // Heard takes in a heartbeat.
 func (f *Fleet) Heard(now time.Duration, b Beat) {
 	m := b.member
@@ -208,6 +213,7 @@
 		p.listedAt = now
 	}
 	p.member, p.met, p.down, p.heardAt, p.draining, p.claims = m, true, false, now, b.draining, b.claims
+	p.starting = b.starting
 	if p.hearsUs = b.heard[f.self.node]; p.hearsUs {
 		p.hearsAt = now
 	}
@@ -224,7 +230,12 @@
 // connections are refused.
 func (f *Fleet) Gone(now time.Duration, node filbertford.NodeID, incarnation uint64) {
 	p := f.peers[node]
-	if p == nil || p.down || p.member.incarnation != incarnation || !p.met {
+	if p == nil || p.down || p.member.incarnation != incarnation {
+		return
+	}
+	if !p.met {
+		p.refused = now
+		f.claim(now)
 		return
 	}
 	f.lose(p, "its connections are refused")
@@ -348,7 +359,7 @@
 
 // claim takes the pools that this daemon is to own.
 func (f *Fleet) claim(now time.Duration) {
-	if f.draining || now-f.began < startTerm {
+	if f.draining || f.starting(now) {
 		return
 	}
 	for _, s := range f.pools {
@@ -369,6 +380,9 @@
 		if !f.linked(now, p) || p.draining || id == owner.node && !settled {
 			continue
 		}
+		if p.starting && (p.member.zone != s.zone || f.self.zone == s.zone) {
+			continue // it claims later than this daemon can
+		}
 		if compareRanks(f.rank(p.member, s), self) < 0 {
 			return false
 		}
@@ -414,6 +428,9 @@
 	}
 	all, heard, zone, zoneHeard, away := 1, 1, 1, 1, 0
 	for _, p := range f.peers {
+		if !p.met && p.refused != 0 && now-p.refused < refusalTerm {
+			continue // it has not come back after all were killed
+		}
 		linked := f.linked(now, p)
 		all++
 		if linked {
--- a/fbfleet/member.go
+++ b/fbfleet/member.go
@@ -54,6 +54,7 @@
 // Beat is a heartbeat of a daemon.
 type Beat struct {
 	member   Member
+	starting bool
 	draining bool
 	heard    map[filbertford.NodeID]bool
 	claims   []Claim
@@ -67,6 +68,16 @@
 // Member returns the sender.
 func (b Beat) Member() Member { return b.member }
 
+// WithStarting returns a copy of b of a daemon that claims nothing yet.
+func (b Beat) WithStarting(on bool) Beat {
+	b.starting = on
+	return b
+}
+
+// Starting reports whether the sender claims nothing yet, since it may not have
+// heard of the owners of pools.
+func (b Beat) Starting() bool { return b.starting }
+
 // Draining reports whether the sender is about to stop.
 func (b Beat) Draining() bool { return b.draining }
 
@@ -100,8 +111,10 @@
 	met      bool // a heartbeat of this life was heard
 	hearsUs  bool
 	hearsAt  time.Duration // when it last said that it hears us
+	starting bool
 	draining bool
 	claims   []Claim
-	down     bool // its process is gone
+	refused  time.Duration // when its address last refused a connection
+	down     bool          // its process is gone
 	listedAt time.Duration
 }
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -84,7 +84,7 @@
 }
 
 func beatToWire(b Beat) *fbwire.Beat {
-	w := &fbwire.Beat{Draining: b.beat.Draining(), Routes: b.routes}
+	w := &fbwire.Beat{Starting: b.beat.Starting(), Draining: b.beat.Draining(), Routes: b.routes}
 	for n := range b.beat.Heard() {
 		w.Heard = append(w.Heard, nameHash(n))
 	}
@@ -117,7 +117,8 @@
 			rooms[pool] = append(rooms[pool], roomFromWire(r))
 		}
 	}
-	return NewBeat(fbfleet.NewBeat(sender, w.GetDraining(), heard, claims), rooms, w.GetRoutes())
+	beat := fbfleet.NewBeat(sender, w.GetDraining(), heard, claims).WithStarting(w.GetStarting())
+	return NewBeat(beat, rooms, w.GetRoutes())
 }
 
 func roomToWire(r fbsched.Room) *fbwire.Room {
@@ -189,10 +190,11 @@
 	return &fbwire.Report{
 		Pool: string(r.Pool()), Job: string(k.Job()), Occurrence: uint32(k.Occurrence()), Step: uint32(k.Step()),
 		Index: uint32(k.Index()), Verdict: string(r.Verdict()), Failures: uint32(r.Failures()), Fence: r.Fence(),
+		Started: r.Started(),
 	}
 }
 
 func reportFromWire(w *fbwire.Report) fbsched.Report {
 	key := filbertford.NewTaskKey(filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetStep()), int(w.GetIndex()))
-	return fbsched.NewReport(filbertford.PoolID(w.GetPool()), w.GetFence(), key, fbsched.Verdict(w.GetVerdict()), int(w.GetFailures()))
+	return fbsched.NewReport(filbertford.PoolID(w.GetPool()), w.GetFence(), key, fbsched.Verdict(w.GetVerdict()), int(w.GetFailures())).WithStarted(w.GetStarted())
 }
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -17,6 +17,12 @@
 	// answerMargin is the part of a caller's patience that is left for the
 	// answer's way back.
 	answerMargin = 20 * time.Millisecond
+	// lateFactor is how many times its objective a job may take and still be of
+	// use, as the platform counts it.
+	lateFactor = 3
+	// returnTerm is how long the pools have to return the tasks of a job that is
+	// given up.
+	returnTerm = 100 * time.Millisecond
 	// maxReturns is how often a task is offered anew after a pool returned it.
 	maxReturns = 8
 	// nearBias is the share of a task's demand by which the home pool is
@@ -57,9 +63,12 @@
 	requests []uint64
 	began    time.Duration
 	due      time.Duration
+	limit    time.Duration // when a job that has not begun is given up
 	end      time.Duration
 	steps    []stepState
-	offered  bool
+	started  bool          // a run of a task may have begun
+	givingUp time.Duration // until when pools may return its tasks, 0 if it goes on
+	reason   string
 }
 
 // stepState tells how far a step is.
@@ -142,6 +151,9 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[key]
+		if j.givingUp != 0 {
+			continue
+		}
 		for number := range j.steps {
 			var items []Item
 			for index, t := range j.steps[number].tasks {
@@ -171,14 +183,15 @@
 	j := &job{
 		workload: w, route: r, requests: []uint64{request}, began: now,
 		due: now + r.Objective(chain), end: now + patience - answerMargin,
+		limit: now + min(lateFactor*r.Objective(chain), patience-answerMargin),
 		steps: make([]stepState, len(w.Steps())),
 	}
 	for i, s := range w.Steps() {
 		j.steps[i] = stepState{left: s.Count(), tasks: make([]taskState, s.Count())}
 	}
 	c.jobs[w.Key()], c.byReq[request] = j, j
-	if !c.reachable() {
-		c.finish(now, j, filbertford.AnswerNotRun, "no pool can be reached")
+	if wait := c.shortestDrain(r.Service()); now+wait+chain > j.limit {
+		c.finish(now, j, filbertford.AnswerNotRun, "the queues are too long")
 		return
 	}
 	c.advance(now, j)
@@ -233,6 +246,12 @@
 		return
 	}
 	t.failures = max(t.failures, r.Failures())
+	j.started = j.started || r.Started()
+	if j.givingUp != 0 {
+		t.pool = ""
+		c.concludeGivenUp(now, j)
+		return
+	}
 	switch r.Verdict() {
 	case VerdictDone:
 		t.done = true
@@ -241,11 +260,15 @@
 	case VerdictFailed:
 		c.finish(now, j, filbertford.AnswerFailed, "a task has failed as often as allowed")
 	case VerdictTaken:
+		t.pool = ""
 		c.finish(now, j, filbertford.AnswerUnknown, "another daemon runs the job")
+	case VerdictExpired:
+		t.pool = ""
+		c.giveUp(now, j, "no target for a task in time")
 	case VerdictReturned:
 		t.pool = ""
 		if t.returns++; t.returns > maxReturns {
-			c.finish(now, j, filbertford.AnswerUnknown, "no pool keeps a task")
+			c.giveUp(now, j, "no pool keeps a task")
 			return
 		}
 		c.advance(now, j)
@@ -256,14 +279,56 @@
 func (c *Coordinator) Tick(now time.Duration) {
 	for _, key := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[key]
-		if now < j.end {
-			continue
+		switch {
+		case j.givingUp != 0 && now >= j.givingUp:
+			c.finish(now, j, filbertford.AnswerUnknown, j.reason)
+		case j.givingUp != 0:
+		case now >= j.end:
+			c.giveUp(now, j, "out of time")
+		case now >= j.limit && j.waits():
+			c.giveUp(now, j, "no pool for a task in time")
 		}
-		c.finish(now, j, filbertford.AnswerUnknown, "out of time")
 	}
 	c.placeWaiting(now)
 }
 
+// waits reports whether any task waits for a pool.
+func (j *job) waits() bool {
+	for number, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.pool == "" && !t.done && j.ready(number) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// giveUp takes the tasks of a job back. When the pools have returned them it is
+// known whether any has run.
+func (c *Coordinator) giveUp(now time.Duration, j *job, reason string) {
+	j.givingUp, j.reason = now+returnTerm, reason
+	c.withdraw(j)
+	c.concludeGivenUp(now, j)
+}
+
+// concludeGivenUp answers a job that is given up once no pool has any task of
+// it.
+func (c *Coordinator) concludeGivenUp(now time.Duration, j *job) {
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.pool != "" && !t.done {
+				return
+			}
+		}
+	}
+	if j.started {
+		c.finish(now, j, filbertford.AnswerUnknown, j.reason)
+		return
+	}
+	c.finish(now, j, filbertford.AnswerNotRun, j.reason)
+}
+
 // placeWaiting offers the tasks that wait for a pool.
 func (c *Coordinator) placeWaiting(now time.Duration) {
 	for _, key := range slices.Sorted(maps.Keys(c.jobs)) {
@@ -275,6 +340,9 @@
 
 // advance offers what can run, and answers a job whose steps are done.
 func (c *Coordinator) advance(now time.Duration, j *job) {
+	if j.givingUp != 0 {
+		return
+	}
 	left := 0
 	for number := range j.steps {
 		left += j.steps[number].left
@@ -314,7 +382,6 @@
 		for _, i := range batch {
 			j.steps[number].tasks[i.index].pool = part.pool
 		}
-		j.offered = true
 		c.send(c.pools[part.pool], c.batch(now, j, number, part.pool, batch), j)
 		c.do(Note{Kind: NotePlaced, Pool: part.pool, Task: filbertford.NewTaskKey(j.workload.Key(), 0, number, batch[0].index), Age: now - j.began})
 	}
@@ -438,7 +505,7 @@
 	return NewBatch(pool, j.workload.Key(), 0, number, j.workload.Steps()[number], items).
 		WithWork(j.workload.Spec(), j.route.Service(), j.route.Attempts()).
 		WithPriority(j.route.Priority()).
-		WithTimes(j.due-now, j.end-now)
+		WithTimes(j.due-now, j.limit-now-j.workload.Steps()[number].Estimate())
 }
 
 // send offers a batch to the pool's present owner.
@@ -449,16 +516,6 @@
 	c.do(SendBatch{To: v.owner, Batch: b.WithFence(v.fence)})
 }
 
-// reachable reports whether any pool has an owner.
-func (c *Coordinator) reachable() bool {
-	for _, v := range c.pools {
-		if v.owner != "" {
-			return true
-		}
-	}
-	return false
-}
-
 // finish answers all requests of a job and takes its tasks back.
 func (c *Coordinator) finish(now time.Duration, j *job, kind filbertford.AnswerKind, reason string) {
 	key := j.workload.Key()
@@ -466,9 +523,6 @@
 		return
 	}
 	delete(c.jobs, key)
-	if kind == filbertford.AnswerUnknown && !j.offered {
-		kind = filbertford.AnswerNotRun
-	}
 	answer := filbertford.NewWorkloadAnswer(kind, reason)
 	if kind == filbertford.AnswerNotRun {
 		answer = answer.WithRetryAfter(c.shortestDrain(j.route.Service()))
@@ -499,12 +553,12 @@
 }
 
 // shortestDrain returns how long the shortest queue for a service takes to
-// drain.
+// drain, 0 if none is known.
 func (c *Coordinator) shortestDrain(service string) time.Duration {
-	shortest := time.Second
+	shortest, known := time.Duration(0), false
 	for _, v := range c.pools {
-		if room := v.rooms[service]; room != nil && v.owner != "" {
-			shortest = min(shortest, room.drain())
+		if room := v.rooms[service]; room != nil && v.owner != "" && (!known || room.drain() < shortest) {
+			shortest, known = room.drain(), true
 		}
 	}
 	return shortest
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -70,7 +70,7 @@
 	best.lease = max(best.lease, r.lease)
 	best.runs[t.key], p.live[t.key] = r, r
 	best.used = best.used.Plus(r.demand)
-	t.run, p.changed = r, true
+	t.run, t.started, p.changed = r, true, true
 	p.note(Note{Kind: NoteStart, Task: t.key, Target: best.id(), Run: r.number, Age: now - t.queued})
 	p.do(StartCall{Order: filbertford.NewStartOrder(best.rec.Boot(), best.rec.Address(), t.key, r.number, t.batch.spec, r.lease, p.fence)})
 	p.look(now, best)
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -129,7 +129,8 @@
 	return filbertford.NewTaskKey(b.job, b.occurrence, b.number, index)
 }
 
-// Withdrawal takes all tasks of a job back from a pool.
+// Withdrawal takes all tasks of a job back from a pool, which returns each of
+// them.
 type Withdrawal struct {
 	pool filbertford.PoolID
 	job  filbertford.JobKey
@@ -155,6 +156,8 @@
 	VerdictDone Verdict = "done"
 	// VerdictFailed tells that the task has failed as often as allowed.
 	VerdictFailed Verdict = "failed"
+	// VerdictExpired tells that the task could not start in time and won't.
+	VerdictExpired Verdict = "expired"
 	// VerdictReturned tells that the pool doesn't and won't run the task.
 	VerdictReturned Verdict = "returned"
 	// VerdictTaken tells that another coordinator has offered the task since.
@@ -168,6 +171,7 @@
 	task     filbertford.TaskKey
 	verdict  Verdict
 	failures int
+	started  bool
 }
 
 // NewReport returns the verdict on a task of the pool's owner with the fencing
@@ -176,6 +180,15 @@
 	return Report{pool: pool, fence: fence, task: task, verdict: v, failures: failures}
 }
 
+// WithStarted returns a copy of r of a task that a run was begun for.
+func (r Report) WithStarted(on bool) Report {
+	r.started = on
+	return r
+}
+
+// Started reports whether a run of the task may have begun in the pool.
+func (r Report) Started() bool { return r.started }
+
 // Pool returns the pool.
 func (r Report) Pool() filbertford.PoolID { return r.pool }
 
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -67,6 +68,7 @@
 	resume      bool
 	notBefore   time.Duration // when a run of an earlier owner is surely over
 	run         *run
+	started     bool // a run was begun or adopted
 }
 
 // finish is the verdict on a task that has ended.
@@ -157,7 +159,7 @@
 
 // adopt lets a task go on in a run that an earlier owner or coordinator began.
 func (p *Pool) adopt(now time.Duration, t *task, r *run) {
-	t.run, r.task = r, t
+	t.run, r.task, t.started = r, t, true
 	if r.demand == (filbertford.Demand{}) {
 		r.demand = t.batch.step.Demand()
 		r.target.used = r.target.used.Plus(r.demand)
@@ -178,10 +180,25 @@
 // Withdraw takes the job's tasks of a coordinator back: what waits is dropped,
 // what runs is stopped.
 func (p *Pool) Withdraw(now time.Duration, from filbertford.NodeID, job filbertford.JobKey) {
+	for _, t := range p.tasksOf(from, job) {
+		p.returnTask(t, VerdictReturned)
+	}
 	p.drop(now, func(t *task) bool { return t.coordinator == from && t.key.Job() == job }, "withdrawn")
 	p.dispatch(now)
 }
 
+// tasksOf returns a coordinator's tasks of a job, by step and index.
+func (p *Pool) tasksOf(from filbertford.NodeID, job filbertford.JobKey) []*task {
+	var out []*task
+	for key, t := range p.tasks {
+		if key.Job() == job && t.coordinator == from {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b *task) int { return cmp.Compare(a.key.String(), b.key.String()) })
+	return out
+}
+
 // CoordinatorGone drops all tasks of a coordinator that can't be reached.
 func (p *Pool) CoordinatorGone(now time.Duration, node filbertford.NodeID) {
 	p.drop(now, func(t *task) bool { return t.coordinator == node }, "coordinator gone")
@@ -215,9 +232,9 @@
 		p.tendTarget(now, t)
 	}
 	p.settle(now)
+	p.dispatch(now)
 	p.expire(now)
 	p.forget(now)
-	p.dispatch(now)
 }
 
 // settle notes when every target has been listed: from then on a task that is
@@ -236,7 +253,7 @@
 	p.note(Note{Kind: NoteSettled, Age: now - p.began})
 }
 
-// expire returns the tasks that nobody waits for any more.
+// expire gives up the tasks that could not start in time.
 func (p *Pool) expire(now time.Duration) {
 	expired := false
 	for _, t := range p.queue {
@@ -246,7 +263,7 @@
 		expired = true
 		delete(p.tasks, t.key)
 		p.note(Note{Kind: NoteExpired, Task: t.key, Age: now - t.queued})
-		p.report(t.coordinator, t.key, VerdictReturned, t.failures)
+		p.returnTask(t, VerdictExpired)
 	}
 	if expired {
 		p.queue = slices.DeleteFunc(p.queue, func(t *task) bool { return p.tasks[t.key] != t })
@@ -280,7 +297,12 @@
 }
 
 func (p *Pool) report(to filbertford.NodeID, key filbertford.TaskKey, v Verdict, failures int) {
-	p.do(SendReport{To: to, Report: NewReport(p.id, p.fence, key, v, failures)})
+	p.do(SendReport{To: to, Report: NewReport(p.id, p.fence, key, v, failures).WithStarted(true)})
+}
+
+// returnTask tells the coordinator that the pool will not run a task any more.
+func (p *Pool) returnTask(t *task, v Verdict) {
+	p.do(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, v, t.failures).WithStarted(t.started || t.resume)})
 }
 
 func (p *Pool) do(a Action) { p.out = append(p.out, a) }
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -27,7 +27,7 @@
 		"target is down":  {tasks: 6, want: filbertford.AnswerCompleted, within: 300 * time.Millisecond, fault: func(w *fakeWorld) { w.targets["t02"].down = true }},
 		"target vanishes": {tasks: 6, want: filbertford.AnswerCompleted, within: 1400 * time.Millisecond, fault: func(w *fakeWorld) { w.after(50*time.Millisecond, func() { w.targets["t02"].down = true }) }},
 		"drained target":  {tasks: 6, want: filbertford.AnswerCompleted, within: 300 * time.Millisecond, fault: func(w *fakeWorld) { w.targets["t00"].draining = true }},
-		"nothing answers": {tasks: 1, want: filbertford.AnswerUnknown, within: 8 * time.Second, fault: func(w *fakeWorld) { w.eachTarget(func(t *fakeTarget) { t.down = true }) }},
+		"nothing answers": {tasks: 1, want: filbertford.AnswerNotRun, within: time.Second, fault: func(w *fakeWorld) { w.eachTarget(func(t *fakeTarget) { t.down = true }) }},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -234,8 +234,9 @@
 			rt.Fatal(w.broken)
 		}
 		for r := range w.answers {
-			if w.answers[r] == filbertford.AnswerNotRun {
-				rt.Fatalf("request %d was answered as not run", r)
+			key := filbertford.JobKey(fmt.Sprintf("%016x", r-1))
+			if w.answers[r] == filbertford.AnswerNotRun && w.begun[key] {
+				rt.Fatalf("request %d was answered as not run, but has run", r)
 			}
 		}
 	})
--- a/fbsched/world_test.go
+++ b/fbsched/world_test.go
@@ -1,8 +1,11 @@
 package fbsched
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -43,9 +46,15 @@
 	t.w.ended(key, how)
 }
 
+// keys returns the tasks that run, in order.
+func (t *fakeTarget) keys() []filbertford.TaskKey {
+	return slices.SortedFunc(maps.Keys(t.runs), func(a, b filbertford.TaskKey) int { return cmp.Compare(a.String(), b.String()) })
+}
+
 // settle ends what is due.
 func (t *fakeTarget) settle() {
-	for key, r := range t.runs {
+	for _, key := range t.keys() {
+		r := t.runs[key]
 		if t.clock() > t.lease {
 			t.end(key, filbertford.EndLapsed)
 		} else if t.w.now >= r.ends {
@@ -135,7 +144,8 @@
 	}
 	t.ended = kept
 	var running []filbertford.RunStatus
-	for key, r := range t.runs {
+	for _, key := range t.keys() {
+		r := t.runs[key]
 		percent := 100 - int(100*(r.ends-t.w.now)/max(1, time.Duration(float64(t.w.work)*t.speed)))
 		if t.hanging {
 			percent = 10
@@ -196,6 +206,7 @@
 	running     map[filbertford.TaskKey]int
 	done        map[filbertford.TaskKey]int
 	starts      int
+	begun       map[filbertford.JobKey]bool
 	answers     map[uint64]filbertford.AnswerKind
 	answered    map[uint64]time.Duration
 	notes       []Note
@@ -211,6 +222,7 @@
 		targets:     make(map[filbertford.TargetID]*fakeTarget),
 		coordinator: NewCoordinator(poolName),
 		running:     make(map[filbertford.TaskKey]int),
+		begun:       make(map[filbertford.JobKey]bool),
 		done:        make(map[filbertford.TaskKey]int),
 		answers:     make(map[uint64]filbertford.AnswerKind),
 		answered:    make(map[uint64]time.Duration),
@@ -245,6 +257,7 @@
 
 func (w *fakeWorld) started(key filbertford.TaskKey, t *fakeTarget) {
 	w.starts++
+	w.begun[key.Job()] = true
 	if w.running[key]++; w.running[key] > 1 {
 		w.broken = append(w.broken, fmt.Sprintf("%v: two runs of %v at once, the second at %s", w.now, key, t.rec.Boot().ID()))
 	}
@@ -268,8 +281,8 @@
 	for len(w.queue) > 0 && w.queue[0].at <= end {
 		e := heap.Pop(&w.queue).(event)
 		w.now = max(w.now, e.at)
-		for _, t := range w.targets {
-			t.settle()
+		for _, id := range slices.Sorted(maps.Keys(w.targets)) {
+			w.targets[id].settle()
 		}
 		e.do()
 		w.flush()
@@ -280,7 +293,8 @@
 // records returns what the platform lists.
 func (w *fakeWorld) records() []filbertford.TargetRecord {
 	var out []filbertford.TargetRecord
-	for _, t := range w.targets {
+	for _, id := range slices.Sorted(maps.Keys(w.targets)) {
+		t := w.targets[id]
 		out = append(out, t.rec.WithDraining(t.draining))
 	}
 	return out
