Pools tell coordinators where a task was started

Change: a report names the target of each start; a new owner starts such a task only once that target is listed, or the run is surely over. Ruled out: keeping the records of departed targets alone (a restarted daemon has none).

--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -149,10 +149,16 @@
 			EstimateUs: uint64(s.Estimate().Microseconds()), Label: s.Label(), Rack: s.Rack(), MaxPerTarget: uint32(s.MaxPerTarget()),
 		},
 	}
-	failed := false
+	failed, placed := false, false
 	for _, i := range b.Items() {
 		w.Indexes = append(w.Indexes, uint32(i.Index()))
 		failed = failed || i.Failures() > 0
+		placed = placed || i.Target() != ""
+	}
+	if placed {
+		for _, i := range b.Items() {
+			w.Targets = append(w.Targets, string(i.Target()))
+		}
 	}
 	if failed {
 		for _, i := range b.Items() {
@@ -173,6 +179,9 @@
 			failures = int(w.GetFailures()[i])
 		}
 		items[i] = fbsched.NewItem(int(index), failures)
+		if i < len(w.GetTargets()) {
+			items[i] = items[i].WithTarget(filbertford.TargetID(w.GetTargets()[i]))
+		}
 	}
 	b := fbsched.NewBatch(filbertford.PoolID(w.GetPool()), filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetNumber()), step, items).
 		WithWork(w.GetSpec(), w.GetService(), int(w.GetAttempts())).
@@ -190,11 +199,12 @@
 	return &fbwire.Report{
 		Pool: string(r.Pool()), Job: string(k.Job()), Occurrence: uint32(k.Occurrence()), Step: uint32(k.Step()),
 		Index: uint32(k.Index()), Verdict: string(r.Verdict()), Failures: uint32(r.Failures()), Fence: r.Fence(),
-		Started: r.Started(),
+		Started: r.Started(), Target: string(r.Target()),
 	}
 }
 
 func reportFromWire(w *fbwire.Report) fbsched.Report {
 	key := filbertford.NewTaskKey(filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetStep()), int(w.GetIndex()))
-	return fbsched.NewReport(filbertford.PoolID(w.GetPool()), w.GetFence(), key, fbsched.Verdict(w.GetVerdict()), int(w.GetFailures())).WithStarted(w.GetStarted())
+	return fbsched.NewReport(filbertford.PoolID(w.GetPool()), w.GetFence(), key, fbsched.Verdict(w.GetVerdict()), int(w.GetFailures())).WithStarted(w.GetStarted()).
+		WithTarget(filbertford.TargetID(w.GetTarget()))
 }
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -80,8 +80,9 @@
 
 // taskState tells where a task is.
 type taskState struct {
-	pool     filbertford.PoolID // empty while the task waits for a pool
-	fence    uint64             // of the owner that the task was offered to last
+	pool     filbertford.PoolID   // empty while the task waits for a pool
+	fence    uint64               // of the owner that the task was offered to last
+	target   filbertford.TargetID // that the task was last started on
 	done     bool
 	failures int
 	returns  int
@@ -158,7 +159,7 @@
 			var items []Item
 			for index, t := range j.steps[number].tasks {
 				if t.pool == pool && !t.done {
-					items = append(items, NewItem(index, t.failures))
+					items = append(items, NewItem(index, t.failures).WithTarget(t.target))
 				}
 			}
 			if len(items) > 0 {
@@ -248,11 +249,15 @@
 	t.failures = max(t.failures, r.Failures())
 	j.started = j.started || r.Started()
 	if j.givingUp != 0 {
-		t.pool = ""
-		c.concludeGivenUp(now, j)
+		if r.Verdict() != VerdictStarted {
+			t.pool = ""
+			c.concludeGivenUp(now, j)
+		}
 		return
 	}
 	switch r.Verdict() {
+	case VerdictStarted:
+		t.target = r.Target()
 	case VerdictDone:
 		t.done = true
 		step.left--
@@ -266,7 +271,7 @@
 		t.pool = ""
 		c.giveUp(now, j, "no target for a task in time")
 	case VerdictReturned:
-		t.pool = ""
+		t.pool, t.target = "", ""
 		if t.returns++; t.returns > maxReturns {
 			c.giveUp(now, j, "no pool keeps a task")
 			return
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -53,7 +53,7 @@
 
 // startTask starts a task if a target has room for it.
 func (p *Pool) startTask(now time.Duration, t *task) bool {
-	if p.live[t.key] != nil || t.resume && !p.settled && now < t.notBefore {
+	if p.live[t.key] != nil || !p.surelyOver(now, t) {
 		return false
 	}
 	best := p.choose(now, t)
@@ -73,10 +73,24 @@
 	t.run, t.started, p.changed = r, true, true
 	p.note(Note{Kind: NoteStart, Task: t.key, Target: best.id(), Run: r.number, Age: now - t.queued})
 	p.do(StartCall{Order: filbertford.NewStartOrder(best.rec.Boot(), best.rec.Address(), t.key, r.number, t.batch.spec, r.lease, p.fence)})
+	p.reportStart(t, best.id())
 	p.look(now, best)
 	return true
 }
 
+// surelyOver reports whether no run of an earlier owner can be at work on a
+// task that this owner does not know to run.
+func (p *Pool) surelyOver(now time.Duration, t *task) bool {
+	switch {
+	case !t.resume || now >= t.notBefore:
+		return true
+	case t.startedOn == "":
+		return p.settled
+	}
+	on := p.targets[t.startedOn]
+	return on != nil && on.listed
+}
+
 // choose returns the target on which the task ends first. Among equals it takes
 // the one whose room the task fills best.
 func (p *Pool) choose(now time.Duration, t *task) *target {
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -10,12 +10,24 @@
 type Item struct {
 	index    int
 	failures int
+	target   filbertford.TargetID
 }
 
 // NewItem returns the task with the index, which has failed the given number of
 // times so far.
 func NewItem(index, failures int) Item { return Item{index: index, failures: failures} }
 
+// WithTarget returns a copy of i of a task that an earlier owner has started on
+// the target.
+func (i Item) WithTarget(id filbertford.TargetID) Item {
+	i.target = id
+	return i
+}
+
+// Target returns the target that the task was last started on, empty if none is
+// known.
+func (i Item) Target() filbertford.TargetID { return i.target }
+
 // Index returns the task's index within its step.
 func (i Item) Index() int { return i.index }
 
@@ -152,6 +164,8 @@
 
 // The verdicts of a pool.
 const (
+	// VerdictStarted tells that a run of the task was begun.
+	VerdictStarted Verdict = "started"
 	// VerdictDone tells that the task is done.
 	VerdictDone Verdict = "done"
 	// VerdictFailed tells that the task has failed as often as allowed.
@@ -172,6 +186,7 @@
 	verdict  Verdict
 	failures int
 	started  bool
+	target   filbertford.TargetID
 }
 
 // NewReport returns the verdict on a task of the pool's owner with the fencing
@@ -186,6 +201,15 @@
 	return r
 }
 
+// WithTarget returns a copy of r of a run on the target.
+func (r Report) WithTarget(id filbertford.TargetID) Report {
+	r.target = id
+	return r
+}
+
+// Target returns the target of the run that was begun, empty in other reports.
+func (r Report) Target() filbertford.TargetID { return r.target }
+
 // Started reports whether a run of the task may have begun in the pool.
 func (r Report) Started() bool { return r.started }
 
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -66,7 +66,8 @@
 	end         time.Duration
 	queued      time.Duration
 	resume      bool
-	notBefore   time.Duration // when a run of an earlier owner is surely over
+	notBefore   time.Duration        // when a run of an earlier owner is surely over
+	startedOn   filbertford.TargetID // by an earlier owner, empty if not known
 	run         *run
 	started     bool // a run was begun or adopted
 }
@@ -147,7 +148,7 @@
 	t := &task{
 		key: key, coordinator: from, batch: b, failures: item.failures,
 		due: now + b.due, end: now + b.end, queued: now, resume: b.resume,
-		notBefore: now + orphanTerm - b.orphaned,
+		notBefore: now + orphanTerm - b.orphaned, startedOn: item.target,
 	}
 	p.tasks[key] = t
 	if r, ok := p.live[key]; ok && r.adoptable() {
@@ -164,6 +165,7 @@
 		r.demand = t.batch.step.Demand()
 		r.target.used = r.target.used.Plus(r.demand)
 	}
+	p.reportStart(t, r.target.id())
 	p.note(Note{Kind: NoteAdopted, Task: t.key, Target: r.target.id(), Run: r.number, Age: now - r.began})
 }
 
@@ -291,7 +293,7 @@
 
 // requeueTask lets a task wait for another run.
 func (p *Pool) requeueTask(now time.Duration, t *task, reason string) {
-	t.run, t.resume = nil, false
+	t.run, t.resume, t.startedOn = nil, false, ""
 	p.note(Note{Kind: NoteRequeue, Task: t.key, Reason: reason, Age: now - t.queued})
 	p.enqueue(t)
 }
@@ -300,6 +302,12 @@
 	p.do(SendReport{To: to, Report: NewReport(p.id, p.fence, key, v, failures).WithStarted(true)})
 }
 
+// reportStart tells the coordinator where a task runs, so that a later owner
+// knows where to look for the run.
+func (p *Pool) reportStart(t *task, on filbertford.TargetID) {
+	p.do(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, VerdictStarted, t.failures).WithStarted(true).WithTarget(on)})
+}
+
 // returnTask tells the coordinator that the pool will not run a task any more.
 func (p *Pool) returnTask(t *task, v Verdict) {
 	p.do(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, v, t.failures).WithStarted(t.started || t.resume)})
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -123,9 +123,10 @@
 // target that its successor can't reach. The successor doesn't start the task
 // elsewhere while the run may go on.
 func TestResumedTaskWaitsForUnlistedTarget(t *testing.T) {
-	tests := map[string]struct{ record bool }{
-		"record there": {record: true},
-		"record gone":  {record: false},
+	tests := map[string]struct{ record, ghost bool }{
+		"record there":   {record: true},
+		"record gone":    {ghost: true},
+		"never heard of": {},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -144,8 +145,10 @@
 			hidden := w.targets["t01"]
 			w.fate = func() fate { return fate{there: time.Millisecond, back: time.Millisecond} }
 			w.owners = append(w.owners, b)
-			if !tt.record {
+			if tt.ghost {
 				b.pool.SetGhosts([]filbertford.TargetID{"t01"})
+			}
+			if !tt.record {
 				records = []filbertford.TargetRecord{w.targets["t00"].rec}
 			}
 			delete(w.targets, "t01")
