Log lines never hold up a daemon; latency histograms in the collectors' form

Change: fblog queues lines for a slow output, bounds each event to 300 lines a second and tells what was left out; histograms of answer latency and start wait.

--- a/cmd/filbertfordnode/main.go
+++ b/cmd/filbertfordnode/main.go
@@ -14,9 +14,11 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/peterbourgon/ff/v3"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/filbertford/filbertford/fbconfig"
 	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fblog"
 )
 
 // Exit codes.
@@ -66,15 +68,23 @@
 		fmt.Fprintln(stderr, "the settings are valid")
 		return exitOK
 	}
-	logger := newLogger(stdout, cfg.Text("log", "format"))
+	lines := fblog.NewWriter(stdout)
+	logger := newLogger(lines, cfg.Text("log", "format"))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := serve(ctx, cfg, opts, logger); err != nil {
+	code := exitOK
+	writing, end := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return lines.Run(writing) })
+	if err := serve(ctx, cfg, opts, logger, lines); err != nil {
 		fbevent.DaemonFailed.Log(logger, "error", err.Error())
-		return exitFailed
+		code = exitFailed
+	} else {
+		fbevent.NodeStopped.Log(logger)
 	}
-	fbevent.NodeStopped.Log(logger)
-	return exitOK
+	end()
+	_ = g.Wait() // it ends with the context
+	return code
 }
 
 func parse(args []string, stderr io.Writer) (options, error) {
--- a/cmd/filbertfordnode/serve.go
+++ b/cmd/filbertfordnode/serve.go
@@ -16,6 +16,7 @@
 	"github.com/filbertford/filbertford/fbconfig"
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbfleet"
+	"github.com/filbertford/filbertford/fblog"
 	"github.com/filbertford/filbertford/fbmetrics"
 	"github.com/filbertford/filbertford/fbnode"
 	"github.com/filbertford/filbertford/fbtimer"
@@ -42,7 +43,7 @@
 }
 
 // serve runs a daemon until the context ends, and then stops it gracefully.
-func serve(ctx context.Context, cfg *fbconfig.Config, opts options, l *log.Logger) error {
+func serve(ctx context.Context, cfg *fbconfig.Config, opts options, l *log.Logger, lines *fblog.Writer) error {
 	debug.SetMemoryLimit(int64(float64(cfg.Int("node", "memory-mb")) * memoryShare * (1 << 20)))
 	ls, err := listen(cfg)
 	if err != nil {
@@ -56,7 +57,7 @@
 	targets := platform.NewTargets()
 	defer targets.Close()
 	node := fbnode.New(nodeOptions(cfg), fbnode.Parts{
-		Timer: timer, Store: store, Executor: targets, Decoder: platform.Decoder{}, Log: l, Metrics: scope,
+		Timer: timer, Store: store, Executor: targets, Decoder: platform.Decoder{}, Log: l, Metrics: scope, LostLines: lines.Lost,
 	})
 	fbevent.NodeStarting.Log(l, "node", cfg.Text("node", "name"), "zone", cfg.Text("node", "data-centre"),
 		"callers", ls.callers.Addr(), "peers", ls.peers.Addr(), "store", cfg.Text("node", "store"))
--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -7,6 +7,7 @@
 	NodeStopped       = info("FE7003", "daemon has stopped")
 	NodeRegistered    = info("FE7004", "daemon is listed in the store")
 	NodeSuspended     = warn("FE7005", "daemon was suspended or had no processor time")
+	LinesOmitted      = warn("FE7007", "log lines were left out")
 	NodeReloaded      = info("FE7006", "settings file was read again")
 	StoreLost         = warn("FE7011", "store can't be reached; the daemon goes on with what it last knew")
 	StoreBack         = info("FE7012", "store can be reached again")
--- /dev/null
+++ b/fblog/limiter.go
@@ -0,0 +1,67 @@
+package fblog
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// PerSecond is the number of lines of one event that are written in a second.
+const PerSecond = 300
+
+// Limiter bounds how often each event is logged. Its methods may be called by
+// many goroutines.
+type Limiter struct {
+	mu      sync.Mutex
+	second  int64
+	counts  map[string]int
+	omitted map[string]int
+}
+
+// Omission is a number of lines of an event that were left out.
+type Omission struct {
+	event string
+	count int
+}
+
+// Event returns the event's number.
+func (o Omission) Event() string { return o.event }
+
+// Count returns how many lines were left out.
+func (o Omission) Count() int { return o.count }
+
+// NewLimiter returns a limiter.
+func NewLimiter() *Limiter {
+	return &Limiter{counts: make(map[string]int), omitted: make(map[string]int)}
+}
+
+// Allow reports whether a line of the event may be written at the given time,
+// and counts it as left out if not.
+func (l *Limiter) Allow(event string, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := int64(now / time.Second); s != l.second {
+		l.second = s
+		clear(l.counts)
+	}
+	if l.counts[event] >= PerSecond {
+		l.omitted[event]++
+		return false
+	}
+	l.counts[event]++
+	return true
+}
+
+// TakeOmissions returns what was left out since the last call, by event.
+func (l *Limiter) TakeOmissions() []Omission {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Omission
+	for _, e := range slices.SortedFunc(maps.Keys(l.omitted), cmp.Compare[string]) {
+		out = append(out, Omission{event: e, count: l.omitted[e]})
+	}
+	clear(l.omitted)
+	return out
+}
--- a/fbmetrics/reporter.go
+++ b/fbmetrics/reporter.go
@@ -3,6 +3,7 @@
 package fbmetrics
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -18,19 +19,23 @@
 const reportPeriod = time.Second
 
 // Reporter is a tally.StatsReporter that adds counters up and keeps the last
-// value of each gauge. Timers and histograms are kept as a count and a sum in
-// seconds.
+// value of each gauge. Timers are kept as a count and a sum in seconds,
+// histograms of durations as the counts of their buckets besides.
 type Reporter struct {
-	mu     sync.Mutex
-	values map[string]float64
-	kinds  map[string]string
+	mu      sync.Mutex
+	values  map[string]float64
+	kinds   map[string]string
+	buckets map[series]map[float64]float64
 }
 
+// series is a histogram's name with its tags.
+type series struct{ name, tags string }
+
 var _ tally.StatsReporter = (*Reporter)(nil)
 
 // NewScope returns a scope with its reporter. Closing it ends its reports.
 func NewScope() (tally.Scope, *Reporter, io.Closer) {
-	r := &Reporter{values: make(map[string]float64), kinds: make(map[string]string)}
+	r := &Reporter{values: make(map[string]float64), kinds: make(map[string]string), buckets: make(map[series]map[float64]float64)}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: r, OmitCardinalityMetrics: true}, reportPeriod)
 	return scope, r, closer
 }
@@ -53,9 +58,43 @@
 			return err
 		}
 	}
+	return r.writeBuckets(w)
+}
+
+// writeBuckets writes the histograms, with cumulative buckets.
+func (r *Reporter) writeBuckets(w io.Writer) error {
+	keys := slices.SortedFunc(maps.Keys(r.buckets), func(a, b series) int {
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.tags, b.tags))
+	})
+	for _, k := range keys {
+		if _, err := fmt.Fprintf(w, "# TYPE filbertford_%s_seconds histogram\n", k.name); err != nil {
+			return err
+		}
+		total, sum := 0.0, 0.0
+		for _, upper := range slices.Sorted(maps.Keys(r.buckets[k])) {
+			n := r.buckets[k][upper]
+			total += n
+			if upper >= longestBucket {
+				continue
+			}
+			sum += upper * n
+			if _, err := fmt.Fprintf(w, "filbertford_%s_seconds_bucket{%sle=\"%g\"} %g\n", k.name, k.tags, upper, total); err != nil {
+				return err
+			}
+		}
+		_, err := fmt.Fprintf(w, "filbertford_%s_seconds_bucket{%sle=\"+Inf\"} %g\nfilbertford_%s_seconds_sum %g\nfilbertford_%s_seconds_count %g\n",
+			k.name, k.tags, total, k.name, sum, k.name, total)
+		if err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// longestBucket is the upper bound, in seconds, from which a bucket stands for
+// all that is longer.
+const longestBucket = 1e6
+
 // Capabilities implements tally.BaseStatsReporter.
 func (r *Reporter) Capabilities() tally.Capabilities { return r }
 
@@ -95,8 +134,16 @@
 
 // ReportHistogramDurationSamples implements tally.StatsReporter.
 func (r *Reporter) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
-	r.add(label(name+"_count", tags), float64(samples))
-	r.add(label(name+"_seconds", tags), upper.Seconds()*float64(samples))
+	k := series{name: name}
+	for _, t := range slices.Sorted(maps.Keys(tags)) {
+		k.tags += fmt.Sprintf("%s=%q,", t, tags[t])
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.buckets[k] == nil {
+		r.buckets[k] = make(map[float64]float64)
+	}
+	r.buckets[k][upper.Seconds()] += float64(samples)
 }
 
 func (r *Reporter) add(key string, value float64) {
--- a/fbnode/book.go
+++ b/fbnode/book.go
@@ -8,6 +8,7 @@
 
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbfleet"
+	"github.com/filbertford/filbertford/fblog"
 	"github.com/filbertford/filbertford/fbsched"
 )
 
@@ -16,10 +17,26 @@
 	log    *log.Logger
 	scope  tally.Scope
 	counts map[fbsched.NoteKind]tally.Counter
+	// jobs and waits are latencies of answers and of starts.
+	jobs    tally.Histogram
+	waits   tally.Histogram
+	limiter *fblog.Limiter
+	flushed time.Duration
+	lost    func() uint64 // lines that the output did not take
+	told    uint64
 }
 
-func newBook(l *log.Logger, s tally.Scope) *book {
-	return &book{log: l, scope: s, counts: make(map[fbsched.NoteKind]tally.Counter)}
+// latencies are the buckets of histograms, from 1 ms to 16 s.
+var latencies = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// omissionPeriod is the time between two lines that tell what was left out.
+const omissionPeriod = time.Second
+
+func newBook(l *log.Logger, s tally.Scope, lost func() uint64) *book {
+	return &book{
+		log: l, scope: s, counts: make(map[fbsched.NoteKind]tally.Counter), limiter: fblog.NewLimiter(), lost: lost,
+		jobs: s.Histogram("answer_latency", latencies), waits: s.Histogram("start_wait", latencies),
+	}
 }
 
 // noteEvents maps decisions to log events.
@@ -45,18 +62,26 @@
 	fbsched.NoteAnswered:    fbevent.JobAnswered,
 }
 
-func (b *book) note(n fbsched.Note) {
+func (b *book) note(now time.Duration, n fbsched.Note) {
 	c, ok := b.counts[n.Kind]
 	if !ok {
 		c = b.scope.Tagged(map[string]string{"kind": string(n.Kind)}).Counter("decisions")
 		b.counts[n.Kind] = c
 	}
 	c.Inc(1)
+	switch n.Kind {
+	case fbsched.NoteAnswered:
+		b.jobs.RecordDuration(n.Age)
+	case fbsched.NoteStart:
+		b.waits.RecordDuration(n.Age)
+	}
 	e, ok := noteEvents[n.Kind]
 	if !ok {
 		return
 	}
-	e.Log(b.log, noteFields(n)...)
+	if b.limiter.Allow(e.ID(), now) {
+		e.Log(b.log, noteFields(n)...)
+	}
 }
 
 func noteFields(n fbsched.Note) []any {
@@ -98,4 +123,17 @@
 	fbevent.NodeSuspended.Log(b.log, "gap_ms", gap.Milliseconds())
 }
 
-func (b *book) flush(time.Duration) {}
+// flush tells which lines were left out.
+func (b *book) flush(now time.Duration) {
+	if now-b.flushed < omissionPeriod {
+		return
+	}
+	b.flushed = now
+	for _, o := range b.limiter.TakeOmissions() {
+		fbevent.LinesOmitted.Log(b.log, "of", o.Event(), "count", o.Count())
+	}
+	if lost := b.lost(); lost > b.told {
+		fbevent.LinesOmitted.Log(b.log, "of", "all", "count", lost-b.told)
+		b.told = lost
+	}
+}
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -53,6 +53,8 @@
 	Decoder  Decoder
 	Log      *log.Logger
 	Metrics  tally.Scope
+	// LostLines returns the number of log lines that the output did not take.
+	LostLines func() uint64
 }
 
 // Options are the settings of a daemon.
@@ -111,7 +113,7 @@
 		table:       newTargetTable(parts.Decoder, parts.Log),
 		pending:     make(map[uint64]chan filbertford.WorkloadAnswer),
 		lastTick:    now,
-		book:        newBook(parts.Log, parts.Metrics),
+		book:        newBook(parts.Log, parts.Metrics, parts.LostLines),
 	}
 	n.hub = fblink.NewHub(opts.Member, n)
 	n.fleet.SetPools(n.poolSpecs())
@@ -308,7 +310,7 @@
 			n.fleet.Fenced(now, v.Pool, p.Fence())
 		}
 	case fbsched.Note:
-		n.book.note(v)
+		n.book.note(now, v)
 	}
 }
 
