--- a/fbnode/call.go
+++ b/fbnode/call.go
@@ -50,8 +50,12 @@
 	})
 }
 
-// probeCount is the number of targets that a probe of a pool calls.
-const probeCount = 3
+const (
+	// probeCount is the number of targets that a probe of a pool calls.
+	probeCount = 3
+	// probeTimeout is the time that they have to answer.
+	probeTimeout = 200 * time.Millisecond
+)
 
 // probe asks whether any of a pool's targets can be reached. A look without a
 // fencing token changes nothing there.
@@ -60,7 +64,7 @@
 	for i := range min(probeCount, len(records)) {
 		rec := records[i*len(records)/probeCount%len(records)]
 		n.calls.Go(func() error {
-			ctx, cancel := context.WithTimeout(n.ctx, fbsched.StartTimeout())
+			ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
 			defer cancel()
 			r := n.parts.Executor.Look(ctx, filbertford.NewLookOrder(rec.Boot(), rec.Address(), 0, 0, 0, 0))
 			if r.Outcome() != filbertford.CallUnknown {
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -79,12 +79,14 @@
 }
 
 // surelyOver reports whether no run of an earlier owner can be at work on a
-// task that this owner does not know to run.
+// task that this owner does not know to run. All targets must be listed, since
+// the coordinator may not have heard of the last start, and so must the one that
+// it has heard of, whose record may be missing.
 func (p *Pool) surelyOver(now time.Duration, t *task) bool {
-	switch {
-	case !t.resume || now >= t.notBefore:
+	if !t.resume || now >= t.notBefore {
 		return true
-	case t.startedOn == "":
+	}
+	if !p.settled || t.startedOn == "" {
 		return p.settled
 	}
 	on := p.targets[t.startedOn]
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -253,3 +253,32 @@
 	w.tell(o)
 	return o
 }
+
+// TestResumedTaskWaitsForAllTargets: a coordinator has heard of an earlier start
+// of a task only. The task was since started on a target that is not listed yet.
+func TestResumedTaskWaitsForAllTargets(t *testing.T) {
+	w := newFakeWorld(2, 2)
+	p := NewPool(poolName, 2, 1_000_000, w.now)
+	p.SetTargets(w.now, w.records())
+	p.TakeActions()
+	first, second := w.targets["t00"], w.targets["t01"]
+	look := func(target *fakeTarget, running ...filbertford.RunStatus) {
+		o := filbertford.NewLookOrder(target.rec.Boot(), target.rec.Address(), 2, 0, 0, 0)
+		r := filbertford.NewCallReply(filbertford.CallDone, 1000).WithLists(running, nil)
+		p.LookReply(w.now, o, r, w.now, w.now)
+	}
+	look(first)
+	step := filbertford.NewStep(1, filbertford.NewDemand(1000, 1, 0), 100*time.Millisecond)
+	batch := NewBatch(poolName, "00000000000000aa", 0, 0, step, []Item{NewItem(0, 0).WithTarget("t00")}).
+		WithWork("", "ordering", 3).WithTimes(time.Second, time.Second).WithFence(2).WithResume(0)
+	p.Offer(w.now, "c", batch)
+	for _, a := range p.TakeActions() {
+		if s, ok := a.(StartCall); ok {
+			t.Fatalf("the task was started on %s before t01 was listed", s.Order.Boot().ID())
+		}
+	}
+	look(second, filbertford.NewRunStatus(batch.key(0), 7, 50))
+	if task := p.tasks[batch.key(0)]; task == nil || task.run == nil || task.run.target.id() != "t01" {
+		t.Error("the run on t01 was not adopted")
+	}
+}
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -346,14 +346,18 @@
 	}
 }
 
-// startTimeout is the time that a target has to answer a start or a stop.
-const startTimeout = 300 * time.Millisecond
+// startTimeout is the time that a target has to answer a start or a stop: many
+// times the way there and back, and short against a task.
+const startTimeout = 80 * time.Millisecond
+
+// lookMargin is the time that a target has to answer a look after its wait.
+const lookMargin = 250 * time.Millisecond
 
 // StartTimeout returns the time that a target has to answer a start or a stop.
 func StartTimeout() time.Duration { return startTimeout }
 
 // LookTimeout returns the time that a target has to answer a look.
-func LookTimeout(o filbertford.LookOrder) time.Duration { return o.Wait() + startTimeout }
+func LookTimeout(o filbertford.LookOrder) time.Duration { return o.Wait() + lookMargin }
 
 // runEnded takes in a run that the target lists as ended.
 func (p *Pool) runEnded(now time.Duration, t *target, e filbertford.RunEnd) {
