--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -380,7 +380,7 @@
 		if !f.linked(now, p) || p.draining || id == owner.node && !settled {
 			continue
 		}
-		if p.starting && (p.member.zone != s.zone || f.self.zone == s.zone) {
+		if p.starting && s.zone != "" && (p.member.zone != s.zone || f.self.zone == s.zone) {
 			continue // it claims later than this daemon can
 		}
 		if compareRanks(f.rank(p.member, s), self) < 0 {
@@ -452,7 +452,7 @@
 	switch {
 	case 2*heard > all:
 		f.lost[s.id] = false
-		return f.self.zone == s.zone || f.hearsZone(now, s.zone) || f.reaches(now, s.id)
+		return s.zone == "" || f.self.zone == s.zone || f.hearsZone(now, s.zone) || f.reaches(now, s.id)
 	case f.stale[s.id]:
 		return waited
 	}
--- a/fbfleet/member.go
+++ b/fbfleet/member.go
@@ -87,7 +87,8 @@
 // Claims returns the pools that the sender owns.
 func (b Beat) Claims() []Claim { return b.claims }
 
-// PoolSpec is a pool and the data centre of its targets.
+// PoolSpec is a pool and the data centre of its targets. One without a data
+// centre is a shard of the stored jobs.
 type PoolSpec struct {
 	id   filbertford.PoolID
 	zone filbertford.DataCentre
--- /dev/null
+++ b/fbkeep/row.go
@@ -0,0 +1,145 @@
+package fbkeep
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbsched"
+)
+
+// State is the state of a stored job.
+type State string
+
+// The states of stored jobs.
+const (
+	StateQueued    State = "queued"
+	StateRunning   State = "running"
+	StateCompleted State = "completed"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+	StateGone      State = "gone"
+)
+
+// over reports whether nothing more happens to a job in the state.
+func (s State) over() bool {
+	return s == StateCompleted || s == StateFailed || s == StateCancelled
+}
+
+// job is a stored job.
+type job struct {
+	workload filbertford.Workload
+	route    filbertford.Route
+	state    State
+	done     [][]bool
+	failures map[string]int // by the name of the task
+	version  uint64         // of the row, 0 if it is not committed
+	begun    bool           // a run was begun; not stored
+	records  []record       // ends to confirm after the next commit
+	// unsettled tells that the job's final state is not committed.
+	unsettled bool
+	ended     time.Duration
+}
+
+func newJob(r filbertford.Route, w filbertford.Workload) *job {
+	j := &job{workload: w, route: r, state: StateQueued, failures: make(map[string]int)}
+	for _, s := range w.Steps() {
+		j.done = append(j.done, make([]bool, s.Count()))
+	}
+	return j
+}
+
+// progress returns what is recorded of a task.
+func (j *job) progress(step, index int) fbsched.Progress {
+	key := filbertford.NewTaskKey(j.workload.Key(), 0, step, index)
+	return fbsched.NewProgress(j.done[step][index], j.failures[key.String()])
+}
+
+// The wire form of rows.
+
+type claimRow struct {
+	Node  string `json:"node"`
+	Fence uint64 `json:"fence"`
+}
+
+type stepRow struct {
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu"`
+	Memory       int    `json:"memory"`
+	GPU          int    `json:"gpu,omitempty"`
+	EstimateUS   int64  `json:"estimate_us"`
+	After        []int  `json:"after,omitempty"`
+	Label        string `json:"label,omitempty"`
+	Rack         string `json:"rack,omitempty"`
+	MaxPerTarget int    `json:"max_per_target,omitempty"`
+	Done         []int  `json:"done,omitempty"`
+}
+
+type jobRow struct {
+	State    State          `json:"state"`
+	Host     string         `json:"host"`
+	Prefix   string         `json:"prefix"`
+	Service  string         `json:"service"`
+	Priority int            `json:"priority"`
+	Attempts int            `json:"attempts"`
+	Stretch  float64        `json:"stretch"`
+	SlackUS  int64          `json:"slack_us"`
+	Spec     string         `json:"spec"`
+	Steps    []stepRow      `json:"steps"`
+	Failures map[string]int `json:"failures,omitempty"`
+}
+
+func encodeJob(j *job) ([]byte, error) {
+	r := j.route
+	row := jobRow{
+		State: j.state, Host: r.Host(), Prefix: r.Prefix(), Service: r.Service(), Priority: r.Priority(),
+		Attempts: r.Attempts(), Stretch: r.Stretch(), SlackUS: r.Slack().Microseconds(), Spec: j.workload.Spec(), Failures: j.failures,
+	}
+	for i, s := range j.workload.Steps() {
+		step := stepRow{
+			Count: s.Count(), CPU: s.Demand().CPU(), Memory: s.Demand().Memory(), GPU: s.Demand().GPU(),
+			EstimateUS: s.Estimate().Microseconds(), After: s.After(), Label: s.Label(), Rack: s.Rack(), MaxPerTarget: s.MaxPerTarget(),
+		}
+		for index, done := range j.done[i] {
+			if done {
+				step.Done = append(step.Done, index)
+			}
+		}
+		row.Steps = append(row.Steps, step)
+	}
+	return json.Marshal(row)
+}
+
+func decodeJob(key filbertford.JobKey, value []byte) (*job, error) {
+	var row jobRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return nil, eris.Wrap(err, "decoding a stored job")
+	}
+	steps := make([]filbertford.Step, len(row.Steps))
+	for i, s := range row.Steps {
+		steps[i] = filbertford.NewStep(s.Count, filbertford.NewDemand(s.CPU, s.Memory, s.GPU), time.Duration(s.EstimateUS)*time.Microsecond).
+			WithAfter(s.After...).WithPlacement(s.Label, s.Rack, s.MaxPerTarget)
+	}
+	w := filbertford.NewWorkload(key, row.Spec, steps...)
+	if err := w.Validate(); err != nil {
+		return nil, eris.Wrap(err, "a stored job")
+	}
+	route := filbertford.NewRoute(row.Host, row.Prefix, row.Service).WithPolicy(row.Priority, row.Attempts).
+		WithObjective(row.Stretch, time.Duration(row.SlackUS)*time.Microsecond, 0)
+	j := newJob(route, w)
+	j.state = row.State
+	for name, n := range row.Failures {
+		j.failures[name] = n
+	}
+	for i, s := range row.Steps {
+		for _, index := range s.Done {
+			if index < 0 || index >= len(j.done[i]) {
+				return nil, eris.Errorf("a stored job has no task %d in step %d", index, i)
+			}
+			j.done[i][index] = true
+		}
+	}
+	return j, nil
+}
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -49,6 +49,13 @@
 		return &fbwire.Message{Kind: &fbwire.Message_Withdrawal{Withdrawal: w}}, nil
 	case fbsched.Report:
 		return &fbwire.Message{Kind: &fbwire.Message_Report{Report: reportToWire(v)}}, nil
+	case fbsched.Confirm:
+		return &fbwire.Message{Kind: &fbwire.Message_Confirm{Confirm: confirmToWire(v)}}, nil
+	case StoredRequest:
+		return &fbwire.Message{Kind: &fbwire.Message_StoredRequest{StoredRequest: storedToWire(v)}}, nil
+	case StoredReply:
+		r := &fbwire.StoredReply{Number: v.number, State: v.state, Accepted: v.accepted, Waiting: uint32(v.waiting)}
+		return &fbwire.Message{Kind: &fbwire.Message_StoredReply{StoredReply: r}}, nil
 	case RoutesPull:
 		return &fbwire.Message{Kind: &fbwire.Message_RoutesPull{RoutesPull: &fbwire.RoutesPull{Have: v.have}}}, nil
 	case RoutesPush:
@@ -75,6 +82,13 @@
 		return fbsched.NewWithdrawal(filbertford.PoolID(v.Withdrawal.GetPool()), filbertford.JobKey(v.Withdrawal.GetJob())), nil
 	case *fbwire.Message_Report:
 		return reportFromWire(v.Report), nil
+	case *fbwire.Message_Confirm:
+		return confirmFromWire(v.Confirm), nil
+	case *fbwire.Message_StoredRequest:
+		return storedFromWire(v.StoredRequest), nil
+	case *fbwire.Message_StoredReply:
+		r := v.StoredReply
+		return NewStoredReply(r.GetNumber(), r.GetState(), r.GetAccepted(), int(r.GetWaiting())), nil
 	case *fbwire.Message_RoutesPull:
 		return NewRoutesPull(v.RoutesPull.GetHave()), nil
 	case *fbwire.Message_RoutesPush:
@@ -144,10 +158,7 @@
 		Spec: b.Spec(), Service: b.Service(), Attempts: uint32(b.Attempts()), Priority: uint32(b.Priority()),
 		DueUs: b.Due().Microseconds(), EndUs: b.End().Microseconds(), Resume: b.Resume(),
 		Fence: b.Fence(), OrphanedUs: uint64(max(0, b.Orphaned()).Microseconds()),
-		Step: &fbwire.Step{
-			Count: uint32(s.Count()), Cpu: uint32(s.Demand().CPU()), Memory: uint32(s.Demand().Memory()), Gpu: uint32(s.Demand().GPU()),
-			EstimateUs: uint64(s.Estimate().Microseconds()), Label: s.Label(), Rack: s.Rack(), MaxPerTarget: uint32(s.MaxPerTarget()),
-		},
+		Durable: b.Durable(), Search: b.Search(), Step: stepToWire(s),
 	}
 	failed, placed := false, false
 	for _, i := range b.Items() {
@@ -169,9 +180,7 @@
 }
 
 func batchFromWire(w *fbwire.Batch) fbsched.Batch {
-	s := w.GetStep()
-	step := filbertford.NewStep(int(s.GetCount()), filbertford.NewDemand(int(s.GetCpu()), int(s.GetMemory()), int(s.GetGpu())),
-		time.Duration(s.GetEstimateUs())*time.Microsecond).WithPlacement(s.GetLabel(), s.GetRack(), int(s.GetMaxPerTarget()))
+	step := stepFromWire(w.GetStep())
 	items := make([]fbsched.Item, len(w.GetIndexes()))
 	for i, index := range w.GetIndexes() {
 		failures := 0
@@ -187,7 +196,7 @@
 		WithWork(w.GetSpec(), w.GetService(), int(w.GetAttempts())).
 		WithPriority(int(w.GetPriority())).
 		WithTimes(time.Duration(w.GetDueUs())*time.Microsecond, time.Duration(w.GetEndUs())*time.Microsecond).
-		WithFence(w.GetFence())
+		WithFence(w.GetFence()).WithDurable(w.GetDurable(), w.GetSearch())
 	if w.GetResume() {
 		return b.WithResume(time.Duration(w.GetOrphanedUs()) * time.Microsecond)
 	}
@@ -208,3 +217,63 @@
 	return fbsched.NewReport(filbertford.PoolID(w.GetPool()), w.GetFence(), key, fbsched.Verdict(w.GetVerdict()), int(w.GetFailures())).WithStarted(w.GetStarted()).
 		WithTarget(filbertford.TargetID(w.GetTarget()))
 }
+
+func stepToWire(s filbertford.Step) *fbwire.Step {
+	w := &fbwire.Step{
+		Count: uint32(s.Count()), Cpu: uint32(s.Demand().CPU()), Memory: uint32(s.Demand().Memory()), Gpu: uint32(s.Demand().GPU()),
+		EstimateUs: uint64(s.Estimate().Microseconds()), Label: s.Label(), Rack: s.Rack(), MaxPerTarget: uint32(s.MaxPerTarget()),
+	}
+	for _, a := range s.After() {
+		w.After = append(w.After, uint32(a))
+	}
+	return w
+}
+
+func stepFromWire(s *fbwire.Step) filbertford.Step {
+	after := make([]int, len(s.GetAfter()))
+	for i, a := range s.GetAfter() {
+		after[i] = int(a)
+	}
+	return filbertford.NewStep(int(s.GetCount()), filbertford.NewDemand(int(s.GetCpu()), int(s.GetMemory()), int(s.GetGpu())),
+		time.Duration(s.GetEstimateUs())*time.Microsecond).
+		WithPlacement(s.GetLabel(), s.GetRack(), int(s.GetMaxPerTarget())).
+		WithAfter(after...)
+}
+
+func confirmToWire(c fbsched.Confirm) *fbwire.Confirm {
+	k := c.Task()
+	return &fbwire.Confirm{
+		Pool: string(c.Pool()), Job: string(k.Job()), Occurrence: uint32(k.Occurrence()), Step: uint32(k.Step()), Index: uint32(k.Index()),
+		Done: c.Done(), Failures: uint32(c.Failures()),
+	}
+}
+
+func confirmFromWire(w *fbwire.Confirm) fbsched.Confirm {
+	key := filbertford.NewTaskKey(filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetStep()), int(w.GetIndex()))
+	return fbsched.NewConfirm(filbertford.PoolID(w.GetPool()), key, w.GetDone(), int(w.GetFailures()))
+}
+
+func storedToWire(r StoredRequest) *fbwire.StoredRequest {
+	w := &fbwire.StoredRequest{Number: r.number, Shard: string(r.shard), Kind: string(r.kind), Job: string(r.workload.Key()), Spec: r.workload.Spec()}
+	for _, s := range r.workload.Steps() {
+		w.Steps = append(w.Steps, stepToWire(s))
+	}
+	w.Route = &fbwire.Route{
+		Host: r.route.Host(), Prefix: r.route.Prefix(), Service: r.route.Service(), Priority: uint32(r.route.Priority()),
+		Attempts: uint32(r.route.Attempts()), Stretch: r.route.Stretch(), SlackUs: r.route.Slack().Microseconds(),
+	}
+	return w
+}
+
+func storedFromWire(w *fbwire.StoredRequest) StoredRequest {
+	steps := make([]filbertford.Step, len(w.GetSteps()))
+	for i, s := range w.GetSteps() {
+		steps[i] = stepFromWire(s)
+	}
+	r := w.GetRoute()
+	route := filbertford.NewRoute(r.GetHost(), r.GetPrefix(), r.GetService()).
+		WithPolicy(int(r.GetPriority()), int(r.GetAttempts())).
+		WithObjective(r.GetStretch(), time.Duration(r.GetSlackUs())*time.Microsecond, 0)
+	return NewStoredRequest(w.GetNumber(), filbertford.PoolID(w.GetShard()), StoredKind(w.GetKind()), route,
+		filbertford.NewWorkload(filbertford.JobKey(w.GetJob()), w.GetSpec(), steps...))
+}
--- a/fblink/message.go
+++ b/fblink/message.go
@@ -7,7 +7,7 @@
 )
 
 // Message is what a daemon tells another: one of the types of this file, or a
-// fbsched.Batch, fbsched.Withdrawal or fbsched.Report.
+// fbsched.Batch, fbsched.Withdrawal, fbsched.Report or fbsched.Confirm.
 type Message any
 
 // Beat is a heartbeat with the rooms of the sender's pools and the version of
@@ -67,3 +67,71 @@
 
 // Value returns the routes as the operator wrote them.
 func (p RoutesPush) Value() []byte { return p.value }
+
+// StoredKind tells what a request about a stored job asks for.
+type StoredKind string
+
+// The kinds of requests about stored jobs.
+const (
+	StoredSubmit  StoredKind = "submit"
+	StoredState   StoredKind = "state"
+	StoredCancel  StoredKind = "cancel"
+	StoredWaiting StoredKind = "waiting"
+)
+
+// StoredRequest is a caller's request about a stored job, for the keeper of its
+// shard.
+type StoredRequest struct {
+	number   uint64
+	shard    filbertford.PoolID
+	kind     StoredKind
+	route    filbertford.Route
+	workload filbertford.Workload
+}
+
+// NewStoredRequest returns a request that the sender numbers. Only a submission
+// needs the whole workload, the others its key.
+func NewStoredRequest(number uint64, shard filbertford.PoolID, kind StoredKind, r filbertford.Route, w filbertford.Workload) StoredRequest {
+	return StoredRequest{number: number, shard: shard, kind: kind, route: r, workload: w}
+}
+
+// Number returns the sender's number of the request.
+func (r StoredRequest) Number() uint64 { return r.number }
+
+// Shard returns the shard of the job.
+func (r StoredRequest) Shard() filbertford.PoolID { return r.shard }
+
+// Kind returns what is asked for.
+func (r StoredRequest) Kind() StoredKind { return r.kind }
+
+// Route returns the route of the request.
+func (r StoredRequest) Route() filbertford.Route { return r.route }
+
+// Workload returns the job.
+func (r StoredRequest) Workload() filbertford.Workload { return r.workload }
+
+// StoredReply answers a StoredRequest.
+type StoredReply struct {
+	number   uint64
+	state    string
+	accepted bool
+	waiting  int
+}
+
+// NewStoredReply returns the answer to the request with the sender's number: the
+// job's state, whether a submission is stored, and the number of jobs that wait.
+func NewStoredReply(number uint64, state string, accepted bool, waiting int) StoredReply {
+	return StoredReply{number: number, state: state, accepted: accepted, waiting: waiting}
+}
+
+// Number returns the number of the request.
+func (r StoredReply) Number() uint64 { return r.number }
+
+// State returns the job's state.
+func (r StoredReply) State() string { return r.state }
+
+// Accepted reports whether a submission is stored.
+func (r StoredReply) Accepted() bool { return r.accepted }
+
+// Waiting returns the number of jobs that wait.
+func (r StoredReply) Waiting() int { return r.waiting }
--- a/fbnode/frontend.go
+++ b/fbnode/frontend.go
@@ -16,10 +16,6 @@
 // Stopping reports whether the daemon is about to end.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
 
-// Waiting returns the number of accepted jobs of the route that wait. Jobs in
-// memory are answered at their end and count as none.
-func (n *Node) Waiting(filbertford.Route) int { return 0 }
-
 // Execute runs a best-effort job to its end.
 func (n *Node) Execute(ctx context.Context, r filbertford.Route, w filbertford.Workload, patience time.Duration) filbertford.WorkloadAnswer {
 	n.inFlight.Add(1)
--- a/fbnode/mirror.go
+++ b/fbnode/mirror.go
@@ -70,7 +70,7 @@
 	if synced {
 		return m.store.Watch(ctx, m.table, version)
 	}
-	return m.store.List(ctx, m.table)
+	return m.store.List(ctx, m.table, "")
 }
 
 func (m *mirror) sleep(ctx context.Context, d time.Duration) {
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -13,6 +13,7 @@
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbfleet"
+	"github.com/filbertford/filbertford/fbkeep"
 	"github.com/filbertford/filbertford/fblink"
 	"github.com/filbertford/filbertford/fbsched"
 	"github.com/filbertford/filbertford/fbtimer"
@@ -89,6 +90,10 @@
 	table       *targetTable
 	routesValue []byte
 	pending     map[uint64]chan filbertford.WorkloadAnswer
+	keepers     map[filbertford.PoolID]*fbkeep.Keeper
+	asked       map[uint64]*askedStored
+	origins     map[uint64]origin
+	lastOrigin  uint64
 	lastTick    time.Duration
 	lastBeat    time.Duration
 	lastRoster  time.Duration
@@ -112,6 +117,9 @@
 		pools:       make(map[filbertford.PoolID]*fbsched.Pool),
 		table:       newTargetTable(parts.Decoder, parts.Log),
 		pending:     make(map[uint64]chan filbertford.WorkloadAnswer),
+		keepers:     make(map[filbertford.PoolID]*fbkeep.Keeper),
+		asked:       make(map[uint64]*askedStored),
+		origins:     make(map[uint64]origin),
 		lastTick:    now,
 		book:        newBook(parts.Log, parts.Metrics, parts.LostLines),
 	}
@@ -133,6 +141,9 @@
 			out = append(out, fbfleet.NewPoolSpec(homePool(zone), zone))
 		}
 	}
+	for i := range shardCount {
+		out = append(out, fbfleet.NewPoolSpec(shardName(i), ""))
+	}
 	return out
 }
 
@@ -209,6 +220,7 @@
 		p.Tick(now, wall)
 	}
 	n.coordinator.Tick(now)
+	n.tickStored(now)
 	n.ready.Store(n.routes.Load() != nil && !n.stopping.Load() && n.reachesPool())
 	n.book.flush(now)
 }
@@ -217,7 +229,7 @@
 // target is known.
 func (n *Node) reachesPool() bool {
 	for _, s := range n.poolSpecs() {
-		if n.fleet.Owner(s.ID()).Node() != "" {
+		if s.Zone() != "" && n.fleet.Owner(s.ID()).Node() != "" {
 			return true
 		}
 	}
@@ -239,6 +251,7 @@
 			moved = true
 			n.act(now, a)
 		}
+		moved = n.flushKeepers(now) || moved
 		n.fleetEvents(now)
 	}
 	n.beat(now)
@@ -250,13 +263,22 @@
 		n.book.fleet(e)
 		switch e.Kind() {
 		case fbfleet.EventAcquired:
+			if isShard(e.Pool()) {
+				n.keepers[e.Pool()] = fbkeep.New(e.Pool(), n.opts.Member.Node(), e.Owner().Fence())
+				continue
+			}
 			p := fbsched.NewPool(e.Pool(), e.Owner().Fence(), fbtimer.WallOffset(), now)
 			n.pools[e.Pool()] = p
 			p.SetGhosts(n.table.departures(e.Pool()))
 			p.SetTargets(now, n.table.pool(e.Pool()))
 		case fbfleet.EventReleased:
 			delete(n.pools, e.Pool())
+			n.dropKeeper(e.Pool())
 		case fbfleet.EventOwner:
+			if isShard(e.Pool()) {
+				n.resendStored(now, e.Pool())
+				continue
+			}
 			n.coordinator.SetOwner(now, e.Pool(), e.Owner().Node(), e.Owner().Fence())
 		case fbfleet.EventPeerLost:
 			for _, p := range n.pools {
@@ -305,6 +327,18 @@
 		}
 	case fbsched.Answer:
 		n.answer(v)
+	case fbsched.SendConfirm:
+		if v.To != n.opts.Member.Node() {
+			n.hub.Send(v.To, v.Confirm)
+		} else if p := n.pools[v.Confirm.Pool()]; p != nil {
+			p.Confirm(now, v.Confirm)
+		}
+	case fbsched.RecordEnd:
+		n.record(v)
+	case fbsched.JobBegun:
+		if k := n.keepers[shardOf(v.Job)]; k != nil {
+			k.Begun(v.Job)
+		}
 	case fbsched.LosePool:
 		if p := n.pools[v.Pool]; p != nil {
 			n.fleet.Fenced(now, v.Pool, p.Fence())
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -61,6 +61,14 @@
 		}
 	case fbsched.Report:
 		n.coordinator.TakeReport(now, v)
+	case fbsched.Confirm:
+		if p := n.pools[v.Pool()]; p != nil {
+			p.Confirm(now, v)
+		}
+	case fblink.StoredRequest:
+		n.takeStored(from.Node(), v)
+	case fblink.StoredReply:
+		n.replyStored(v)
 	case fblink.RoutesPull:
 		if n.routesVersion() > v.Have() && n.routesValue != nil {
 			n.hub.Send(from.Node(), fblink.NewRoutesPush(n.routesVersion(), n.routesValue))
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -129,7 +129,7 @@
 }
 
 func (n *Node) writeMember(ctx context.Context, value []byte) error {
-	snap, err := n.parts.Store.List(ctx, filbertford.TableNodes)
+	snap, err := n.parts.Store.List(ctx, filbertford.TableNodes, "")
 	if err != nil {
 		return err
 	}
@@ -140,5 +140,7 @@
 			version = c.Row().Version()
 		}
 	}
-	return n.parts.Store.Commit(ctx, filbertford.TableNodes, filbertford.NewWrite(key, value, version))
+	t := filbertford.NewTransaction("").Expect(filbertford.TableNodes, key, version).Put(filbertford.TableNodes, key, value)
+	_, err = n.parts.Store.Commit(ctx, t)
+	return err
 }
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -43,6 +43,28 @@
 	Answer  filbertford.WorkloadAnswer
 }
 
+// SendConfirm tells a pool's owner that the end of a task is recorded.
+type SendConfirm struct {
+	To      filbertford.NodeID
+	Confirm Confirm
+}
+
+// RecordEnd asks for a record of a task's end: done, or a failed run.
+type RecordEnd struct {
+	Task     filbertford.TaskKey
+	Done     bool
+	Failures int
+}
+
+// JobEnded tells that a stored job has completed, or failed.
+type JobEnded struct {
+	Job  filbertford.JobKey
+	Kind filbertford.AnswerKind
+}
+
+// JobBegun tells that a run of a stored job's task was begun.
+type JobBegun struct{ Job filbertford.JobKey }
+
 // LosePool tells that a newer owner has called a target of the pool.
 type LosePool struct{ Pool filbertford.PoolID }
 
@@ -91,4 +113,8 @@
 func (SendWithdrawal) action() {}
 func (Answer) action()         {}
 func (LosePool) action()       {}
+func (SendConfirm) action()    {}
+func (RecordEnd) action()      {}
+func (JobEnded) action()       {}
+func (JobBegun) action()       {}
 func (Note) action()           {}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -66,9 +66,11 @@
 	limit    time.Duration // when a job that has not begun is given up
 	end      time.Duration
 	steps    []stepState
-	started  bool          // a run of a task may have begun
+	started  bool // a run of a task may have begun
+	durable  bool
 	givingUp time.Duration // until when pools may return its tasks, 0 if it goes on
 	reason   string
+	begun    bool // a run of a stored job was begun
 }
 
 // stepState tells how far a step is.
@@ -86,6 +88,13 @@
 	done     bool
 	failures int
 	returns  int
+	search   *search // for a task that an earlier coordinator may have placed
+}
+
+// search is a look for a task in all pools.
+type search struct {
+	since  time.Duration
+	absent map[filbertford.PoolID]uint64 // the token of the owner that lacks it
 }
 
 // NewCoordinator returns a coordinator that prefers the home pool.
@@ -165,6 +174,7 @@
 			if len(items) > 0 {
 				c.send(v, c.batch(now, j, number, pool, items).WithResume(now-v.lost), j)
 			}
+			c.searchIn(now, j, number, pool)
 		}
 	}
 }
@@ -243,6 +253,12 @@
 	}
 	step := &j.steps[key.Step()]
 	t := &step.tasks[key.Index()]
+	if t.search != nil && !c.found(now, j, t, r) {
+		return
+	}
+	if t.done && j.durable && r.Verdict() == VerdictDone {
+		c.confirm(r.Pool(), key, true, t.failures)
+	}
 	if t.done || t.pool != r.Pool() || t.fence != r.Fence() && r.Verdict() != VerdictDone {
 		return
 	}
@@ -258,21 +274,42 @@
 	switch r.Verdict() {
 	case VerdictStarted:
 		t.target = r.Target()
+		if j.durable && !j.begun {
+			j.begun = true
+			c.do(JobBegun{Job: key.Job()})
+		}
+	case VerdictRetried:
+		c.do(RecordEnd{Task: key, Failures: t.failures})
 	case VerdictDone:
+		if j.durable {
+			c.do(RecordEnd{Task: key, Done: true, Failures: t.failures})
+			return
+		}
 		t.done = true
 		step.left--
 		c.advance(now, j)
 	case VerdictFailed:
+		if j.durable {
+			c.do(RecordEnd{Task: key, Failures: t.failures})
+			return
+		}
 		c.finish(now, j, filbertford.AnswerFailed, "a task has failed as often as allowed")
 	case VerdictTaken:
+		if j.durable {
+			return // the shard has moved to another keeper
+		}
 		t.pool = ""
 		c.finish(now, j, filbertford.AnswerUnknown, "another daemon runs the job")
 	case VerdictExpired:
 		t.pool = ""
+		if j.durable {
+			c.advance(now, j)
+			return
+		}
 		c.giveUp(now, j, "no target for a task in time")
 	case VerdictReturned:
 		t.pool, t.target = "", ""
-		if t.returns++; t.returns > maxReturns {
+		if t.returns++; t.returns > maxReturns && !j.durable {
 			c.giveUp(now, j, "no pool keeps a task")
 			return
 		}
@@ -287,7 +324,7 @@
 		switch {
 		case j.givingUp != 0 && now >= j.givingUp:
 			c.finish(now, j, filbertford.AnswerUnknown, j.reason)
-		case j.givingUp != 0:
+		case j.givingUp != 0, j.durable:
 		case now >= j.end:
 			c.giveUp(now, j, "out of time")
 		case now >= j.limit && j.waits():
@@ -334,8 +371,12 @@
 	c.finish(now, j, filbertford.AnswerNotRun, j.reason)
 }
 
+// poolIDs returns the pools that are known, in order.
+func (c *Coordinator) poolIDs() []filbertford.PoolID { return slices.Sorted(maps.Keys(c.pools)) }
+
 // placeWaiting offers the tasks that wait for a pool.
 func (c *Coordinator) placeWaiting(now time.Duration) {
+	c.endSearches(now)
 	for _, key := range slices.Sorted(maps.Keys(c.jobs)) {
 		if j, ok := c.jobs[key]; ok {
 			c.advance(now, j)
@@ -374,7 +415,7 @@
 func (c *Coordinator) placeStep(now time.Duration, j *job, number int) {
 	var items []Item
 	for index, t := range j.steps[number].tasks {
-		if !t.done && t.pool == "" {
+		if !t.done && t.pool == "" && t.search == nil {
 			items = append(items, NewItem(index, t.failures))
 		}
 	}
@@ -405,7 +446,7 @@
 	step, service := j.workload.Steps()[number], j.route.Service()
 	cpu := max(1, step.Demand().CPU())
 	var candidates []candidate
-	for _, id := range slices.Sorted(maps.Keys(c.pools)) {
+	for _, id := range c.poolIDs() {
 		v := c.pools[id]
 		if v.owner == "" {
 			continue
@@ -507,10 +548,15 @@
 }
 
 func (c *Coordinator) batch(now time.Duration, j *job, number int, pool filbertford.PoolID, items []Item) Batch {
+	due, end := j.due-now, j.limit-now-j.workload.Steps()[number].Estimate()
+	if j.durable {
+		end = storedEnd
+	}
 	return NewBatch(pool, j.workload.Key(), 0, number, j.workload.Steps()[number], items).
+		WithDurable(j.durable, false).
 		WithWork(j.workload.Spec(), j.route.Service(), j.route.Attempts()).
 		WithPriority(j.route.Priority()).
-		WithTimes(j.due-now, j.limit-now-j.workload.Steps()[number].Estimate())
+		WithTimes(due, end)
 }
 
 // send offers a batch to the pool's present owner.
@@ -528,6 +574,11 @@
 		return
 	}
 	delete(c.jobs, key)
+	if j.durable {
+		c.do(JobEnded{Job: key, Kind: kind})
+		c.withdraw(j)
+		return
+	}
 	answer := filbertford.NewWorkloadAnswer(kind, reason)
 	if kind == filbertford.AnswerNotRun {
 		answer = answer.WithRetryAfter(c.shortestDrain(j.route.Service()))
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -53,7 +53,7 @@
 
 // startTask starts a task if a target has room for it.
 func (p *Pool) startTask(now time.Duration, t *task) bool {
-	if p.live[t.key] != nil || !p.surelyOver(now, t) {
+	if t.parked != 0 || p.live[t.key] != nil || !p.surelyOver(now, t) {
 		return false
 	}
 	best := p.choose(now, t)
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -49,6 +49,8 @@
 	end        time.Duration
 	fence      uint64
 	resume     bool
+	durable    bool
+	search     bool
 	orphaned   time.Duration
 	items      []Item
 }
@@ -91,6 +93,20 @@
 	return b
 }
 
+// WithDurable returns a copy of b of a stored job. Its tasks outlast their
+// coordinator, and their ends are kept until they are confirmed. In a search, the
+// pool takes only what it has and returns the rest.
+func (b Batch) WithDurable(durable, search bool) Batch {
+	b.durable, b.search = durable, search
+	return b
+}
+
+// Durable reports whether the tasks belong to a stored job.
+func (b Batch) Durable() bool { return b.durable }
+
+// Search reports whether the pool is to take only what it has.
+func (b Batch) Search() bool { return b.search }
+
 // Pool returns the pool that the batch is offered to.
 func (b Batch) Pool() filbertford.PoolID { return b.pool }
 
@@ -159,6 +175,32 @@
 // Job returns the key of the job.
 func (w Withdrawal) Job() filbertford.JobKey { return w.job }
 
+// Confirm tells a pool that the end of a task of a stored job is recorded.
+type Confirm struct {
+	pool     filbertford.PoolID
+	task     filbertford.TaskKey
+	done     bool
+	failures int
+}
+
+// NewConfirm returns the confirmation of a task's end, or of its failed runs so
+// far.
+func NewConfirm(pool filbertford.PoolID, task filbertford.TaskKey, done bool, failures int) Confirm {
+	return Confirm{pool: pool, task: task, done: done, failures: failures}
+}
+
+// Pool returns the pool.
+func (c Confirm) Pool() filbertford.PoolID { return c.pool }
+
+// Task returns the task.
+func (c Confirm) Task() filbertford.TaskKey { return c.task }
+
+// Done reports whether the task's end as done is recorded.
+func (c Confirm) Done() bool { return c.done }
+
+// Failures returns how many failed runs are recorded.
+func (c Confirm) Failures() int { return c.failures }
+
 // Verdict tells what became of a task in a pool.
 type Verdict string
 
@@ -166,6 +208,9 @@
 const (
 	// VerdictStarted tells that a run of the task was begun.
 	VerdictStarted Verdict = "started"
+	// VerdictRetried tells that a run of the task has failed and that another
+	// follows.
+	VerdictRetried Verdict = "retried"
 	// VerdictDone tells that the task is done.
 	VerdictDone Verdict = "done"
 	// VerdictFailed tells that the task has failed as often as allowed.
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,8 +25,14 @@
 	// target was first listed: two heartbeats of a coordinator.
 	adoptionTerm = 300 * time.Millisecond
 	// memoryTerm is how long the end of a task is kept for a coordinator that
-	// offers it again.
-	memoryTerm = 5 * time.Second
+	// offers it again, foreignTerm how long one that an earlier owner began.
+	memoryTerm  = 5 * time.Second
+	foreignTerm = time.Minute
+	// parkTerm is how long the tasks of a stored job go on without a coordinator.
+	parkTerm = 8 * time.Second
+	// repeatPeriod is the time between two reports of an end that is not
+	// confirmed.
+	repeatPeriod = time.Second
 	// retryPause is the time between two looks at a target that does not answer.
 	retryPause = 100 * time.Millisecond
 	// wallStep is how far, in milliseconds, run numbers move ahead after a target
@@ -45,6 +52,7 @@
 	live     map[filbertford.TaskKey]*run
 	runs     map[filbertford.TaskKey]uint64
 	finished map[filbertford.TaskKey]finish
+	foreign  map[filbertford.TaskKey]int   // failed runs that earlier owners began
 	ghosts   map[filbertford.TargetID]bool // left the pool before they were listed
 	queue    []*task
 	sorted   bool
@@ -68,15 +76,20 @@
 	resume      bool
 	notBefore   time.Duration        // when a run of an earlier owner is surely over
 	startedOn   filbertford.TargetID // by an earlier owner, empty if not known
+	search      bool                 // wanted only if it is here
+	parked      time.Duration        // since when its coordinator is gone, 0 if it is there
 	run         *run
 	started     bool // a run was begun or adopted
 }
 
 // finish is the verdict on a task that has ended.
 type finish struct {
-	verdict  Verdict
-	failures int
-	at       time.Duration
+	verdict     Verdict
+	failures    int
+	at          time.Duration
+	kept        time.Duration // how long it is remembered
+	coordinator filbertford.NodeID
+	repeat      time.Duration // when it is reported again if not confirmed, 0 for never
 }
 
 // NewPool returns the pool of a new owner, whose fencing token is above that of
@@ -90,6 +103,7 @@
 		live:     make(map[filbertford.TaskKey]*run),
 		runs:     make(map[filbertford.TaskKey]uint64),
 		finished: make(map[filbertford.TaskKey]finish),
+		foreign:  make(map[filbertford.TaskKey]int),
 		ghosts:   make(map[filbertford.TargetID]bool),
 		speeds:   newSpeeds(),
 		changed:  true,
@@ -132,32 +146,63 @@
 
 func (p *Pool) offerTask(now time.Duration, from filbertford.NodeID, b *Batch, item Item) {
 	key := b.key(item.index)
-	if f, ok := p.finished[key]; ok && b.resume {
-		p.report(from, key, f.verdict, f.failures)
+	if f, ok := p.finished[key]; ok && (b.resume || b.durable) {
+		f.coordinator = from
+		p.finished[key] = f
+		p.report(from, key, f.verdict, max(f.failures, item.failures))
 		return
 	}
 	if t, ok := p.tasks[key]; ok {
-		if t.coordinator != from {
-			p.report(t.coordinator, key, VerdictTaken, t.failures)
-		}
-		t.coordinator, t.batch = from, b
-		t.due, t.end = now+b.due, now+b.end
-		p.sorted = false
+		p.reassign(now, t, from, b)
 		return
 	}
 	t := &task{
 		key: key, coordinator: from, batch: b, failures: item.failures,
 		due: now + b.due, end: now + b.end, queued: now, resume: b.resume,
-		notBefore: now + orphanTerm - b.orphaned, startedOn: item.target,
+		notBefore: now + orphanTerm - b.orphaned, startedOn: item.target, search: b.search,
 	}
+	t.failures = max(t.failures, p.foreign[key])
 	p.tasks[key] = t
 	if r, ok := p.live[key]; ok && r.adoptable() {
 		p.adopt(now, t, r)
 		return
 	}
+	if t.search {
+		p.endSearch(now, t)
+		return
+	}
 	p.enqueue(t)
 }
 
+// reassign gives a task that is here to the coordinator that offers it now.
+func (p *Pool) reassign(now time.Duration, t *task, from filbertford.NodeID, b *Batch) {
+	if t.coordinator != from && t.parked == 0 {
+		p.report(t.coordinator, t.key, VerdictTaken, t.failures)
+	}
+	t.coordinator, t.batch, t.parked = from, b, 0
+	t.due, t.end = now+b.due, now+b.end
+	if t.search && !b.search {
+		t.search = false
+		p.enqueue(t)
+	}
+	if b.durable {
+		var on filbertford.TargetID
+		if t.run != nil {
+			on = t.run.target.id()
+		}
+		p.reportStart(t, on)
+	}
+	p.sorted = false
+}
+
+// endSearch returns a task that is surely not here.
+func (p *Pool) endSearch(now time.Duration, t *task) {
+	if t.run == nil && p.live[t.key] == nil && p.surelyOver(now, t) {
+		delete(p.tasks, t.key)
+		p.returnTask(t, VerdictReturned)
+	}
+}
+
 // adopt lets a task go on in a run that an earlier owner or coordinator began.
 func (p *Pool) adopt(now time.Duration, t *task, r *run) {
 	t.run, r.task, t.started = r, t, true
@@ -185,15 +230,38 @@
 	for _, t := range p.tasksOf(from, job) {
 		p.returnTask(t, VerdictReturned)
 	}
-	p.drop(now, func(t *task) bool { return t.coordinator == from && t.key.Job() == job }, "withdrawn")
+	p.drop(now, func(t *task) bool { return t.key.Job() == job && t.isOf(from) }, "withdrawn")
+	p.releaseEnds(now, job)
 	p.dispatch(now)
 }
 
+// isOf reports whether the coordinator may withdraw the task.
+func (t *task) isOf(coordinator filbertford.NodeID) bool {
+	return t.coordinator == coordinator || t.parked != 0
+}
+
+// releaseEnds lets targets forget the ends of a job that is over.
+func (p *Pool) releaseEnds(now time.Duration, job filbertford.JobKey) {
+	for key, f := range p.finished {
+		if key.Job() == job {
+			f.repeat = 0
+			p.finished[key] = f
+		}
+	}
+	for _, t := range p.order {
+		n := len(t.unconfirmed)
+		maps.DeleteFunc(t.unconfirmed, func(_ uint64, u Confirm) bool { return u.task.Job() == job })
+		if len(t.unconfirmed) < n {
+			p.look(now, t)
+		}
+	}
+}
+
 // tasksOf returns a coordinator's tasks of a job, by step and index.
 func (p *Pool) tasksOf(from filbertford.NodeID, job filbertford.JobKey) []*task {
 	var out []*task
 	for key, t := range p.tasks {
-		if key.Job() == job && t.coordinator == from {
+		if key.Job() == job && t.isOf(from) {
 			out = append(out, t)
 		}
 	}
@@ -201,12 +269,49 @@
 	return out
 }
 
-// CoordinatorGone drops all tasks of a coordinator that can't be reached.
+// CoordinatorGone drops all tasks of a coordinator that can't be reached. Those
+// of stored jobs go on for a while, but none is started.
 func (p *Pool) CoordinatorGone(now time.Duration, node filbertford.NodeID) {
-	p.drop(now, func(t *task) bool { return t.coordinator == node }, "coordinator gone")
+	for _, t := range p.tasks {
+		if t.coordinator == node && t.batch.durable && t.parked == 0 {
+			t.parked = now
+		}
+	}
+	p.drop(now, func(t *task) bool { return t.coordinator == node && t.parked == 0 }, "coordinator gone")
 	p.dispatch(now)
 }
 
+// Confirm takes in that the end of a task, or its failed runs, are recorded.
+func (p *Pool) Confirm(now time.Duration, c Confirm) {
+	if f, ok := p.finished[c.task]; ok && (c.done || c.failures >= f.failures) {
+		f.repeat, f.kept = 0, now-f.at+memoryTerm
+		p.finished[c.task] = f
+	}
+	for _, t := range p.order {
+		if t.confirm(c) {
+			p.look(now, t)
+		}
+	}
+}
+
+// tendStored returns what was searched for in vain, drops what no coordinator
+// has taken over, and reports ends again that are not confirmed.
+func (p *Pool) tendStored(now time.Duration) {
+	for _, t := range p.tasks {
+		if t.search {
+			p.endSearch(now, t)
+		}
+	}
+	p.drop(now, func(t *task) bool { return t.parked != 0 && now-t.parked > parkTerm }, "no coordinator")
+	for key, f := range p.finished {
+		if f.repeat != 0 && now >= f.repeat {
+			f.repeat = now + repeatPeriod
+			p.finished[key] = f
+			p.report(f.coordinator, key, f.verdict, f.failures)
+		}
+	}
+}
+
 func (p *Pool) drop(now time.Duration, match func(*task) bool, reason string) {
 	var stopped []*run
 	for key, t := range p.tasks {
@@ -234,6 +339,7 @@
 		p.tendTarget(now, t)
 	}
 	p.settle(now)
+	p.tendStored(now)
 	p.dispatch(now)
 	p.expire(now)
 	p.forget(now)
@@ -275,8 +381,9 @@
 
 func (p *Pool) forget(now time.Duration) {
 	for key, f := range p.finished {
-		if now-f.at > memoryTerm {
+		if now-f.at > f.kept {
 			delete(p.finished, key)
+			delete(p.foreign, key)
 			if p.tasks[key] == nil && p.live[key] == nil {
 				delete(p.runs, key)
 			}
@@ -287,7 +394,11 @@
 // finishTask ends a task with a verdict.
 func (p *Pool) finishTask(now time.Duration, t *task, v Verdict) {
 	delete(p.tasks, t.key)
-	p.finished[t.key] = finish{verdict: v, failures: t.failures, at: now}
+	f := finish{verdict: v, failures: t.failures, at: now, kept: memoryTerm, coordinator: t.coordinator}
+	if t.batch.durable {
+		f.kept, f.repeat = foreignTerm, now+repeatPeriod
+	}
+	p.finished[t.key] = f
 	p.report(t.coordinator, t.key, v, t.failures)
 }
 
--- /dev/null
+++ b/fbsched/stored.go
@@ -0,0 +1,187 @@
+package fbsched
+
+import (
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// Times of stored jobs.
+const (
+	// storedEnd is when a task of a stored job expires in a queue: never, in
+	// effect.
+	storedEnd = 24 * time.Hour
+	// searchTerm is the longest that a task is looked for in pools that have no
+	// owner.
+	searchTerm = 20 * time.Second
+)
+
+// Progress is what is recorded of a task of a stored job.
+type Progress struct {
+	done     bool
+	failures int
+}
+
+// NewProgress returns the record of a task.
+func NewProgress(done bool, failures int) Progress { return Progress{done: done, failures: failures} }
+
+// Done reports whether the task is done.
+func (p Progress) Done() bool { return p.done }
+
+// Failures returns how many runs have failed.
+func (p Progress) Failures() int { return p.failures }
+
+// BeginStored begins a stored job, or goes on with one that an earlier
+// coordinator has begun: then all pools are asked for its tasks first.
+func (c *Coordinator) BeginStored(now time.Duration, r filbertford.Route, w filbertford.Workload, progress func(step, index int) Progress, begun bool) {
+	if c.jobs[w.Key()] != nil {
+		return
+	}
+	chain := chainOf(w.Steps())
+	j := &job{
+		workload: w, route: r, began: now, due: now + r.Objective(chain), durable: true,
+		steps: make([]stepState, len(w.Steps())),
+	}
+	for number, s := range w.Steps() {
+		state := stepState{left: s.Count(), tasks: make([]taskState, s.Count())}
+		for index := range state.tasks {
+			p := progress(number, index)
+			state.tasks[index].done, state.tasks[index].failures = p.done, p.failures
+			if p.done {
+				state.left--
+			} else if begun {
+				state.tasks[index].search = &search{since: now, absent: make(map[filbertford.PoolID]uint64)}
+			}
+		}
+		j.steps[number] = state
+	}
+	c.jobs[w.Key()] = j
+	for _, pool := range c.poolIDs() {
+		for number := range j.steps {
+			c.searchIn(now, j, number, pool)
+		}
+		if begun {
+			c.confirmDone(j, pool)
+		}
+	}
+	c.advance(now, j)
+}
+
+// confirmDone tells a pool which tasks are recorded as done, since an earlier
+// coordinator may not have.
+func (c *Coordinator) confirmDone(j *job, pool filbertford.PoolID) {
+	for number, s := range j.steps {
+		for index, t := range s.tasks {
+			if t.done {
+				c.confirm(pool, filbertford.NewTaskKey(j.workload.Key(), 0, number, index), true, t.failures)
+			}
+		}
+	}
+}
+
+// DropStored forgets a stored job without a word to the pools: its shard has
+// another keeper.
+func (c *Coordinator) DropStored(job filbertford.JobKey) {
+	if j := c.jobs[job]; j != nil && j.durable {
+		delete(c.jobs, job)
+	}
+}
+
+// CancelStored takes the tasks of a stored job that is over back from all pools.
+func (c *Coordinator) CancelStored(job filbertford.JobKey) {
+	delete(c.jobs, job)
+	for _, id := range c.poolIDs() {
+		if v := c.pools[id]; v.owner != "" {
+			c.do(SendWithdrawal{To: v.owner, Withdrawal: NewWithdrawal(id, job)})
+		}
+	}
+}
+
+// Recorded takes in that the end of a task of a stored job is recorded.
+func (c *Coordinator) Recorded(now time.Duration, key filbertford.TaskKey, p Progress) {
+	j := c.jobs[key.Job()]
+	if j == nil || !j.durable {
+		return
+	}
+	t := &j.steps[key.Step()].tasks[key.Index()]
+	c.confirm(t.pool, key, p.done, p.failures)
+	switch {
+	case p.done && !t.done:
+		t.done = true
+		j.steps[key.Step()].left--
+		c.advance(now, j)
+	case !p.done && p.failures >= j.route.Attempts():
+		c.finish(now, j, filbertford.AnswerFailed, "a task has failed as often as allowed")
+	}
+}
+
+func (c *Coordinator) confirm(pool filbertford.PoolID, key filbertford.TaskKey, done bool, failures int) {
+	if v := c.pools[pool]; v != nil && v.owner != "" {
+		c.do(SendConfirm{To: v.owner, Confirm: NewConfirm(pool, key, done, failures)})
+	}
+}
+
+// searchIn asks a pool for the tasks of a step that are looked for.
+func (c *Coordinator) searchIn(now time.Duration, j *job, number int, pool filbertford.PoolID) {
+	v := c.pools[pool]
+	if v == nil || v.owner == "" {
+		return
+	}
+	var items []Item
+	for index, t := range j.steps[number].tasks {
+		if t.search != nil && !t.done {
+			items = append(items, NewItem(index, t.failures))
+		}
+	}
+	if len(items) == 0 {
+		return
+	}
+	b := c.batch(now, j, number, pool, items).WithDurable(true, true).WithResume(0)
+	c.do(SendBatch{To: v.owner, Batch: b.WithFence(v.fence)})
+}
+
+// found takes in what a pool says of a task that is looked for, and reports
+// whether the search has ended with the pool that has it.
+func (c *Coordinator) found(now time.Duration, j *job, t *taskState, r Report) bool {
+	v := c.pools[r.Pool()]
+	if v == nil || v.fence != r.Fence() {
+		return false
+	}
+	if r.Verdict() != VerdictReturned {
+		t.search, t.pool, t.fence = nil, r.Pool(), r.Fence()
+		return true
+	}
+	t.search.absent[r.Pool()] = r.Fence()
+	if c.absent(now, t.search) {
+		t.search = nil
+		c.advance(now, j)
+	}
+	return false
+}
+
+// absent reports whether no pool has a task that is looked for.
+func (c *Coordinator) absent(now time.Duration, s *search) bool {
+	for id := range c.pools {
+		if _, ok := s.absent[id]; !ok && now-s.since < searchTerm {
+			return false
+		}
+	}
+	return true
+}
+
+// endSearches ends the searches that pools without an owner hold up.
+func (c *Coordinator) endSearches(now time.Duration) {
+	for _, j := range c.jobs {
+		if !j.durable {
+			continue
+		}
+		for number := range j.steps {
+			for index := range j.steps[number].tasks {
+				t := &j.steps[number].tasks[index]
+				if t.search != nil && c.absent(now, t.search) {
+					t.search = nil
+				}
+			}
+		}
+	}
+}
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -10,23 +10,24 @@
 
 // target is what a pool knows of one life of a target.
 type target struct {
-	rec      filbertford.TargetRecord
-	removed  bool // the record went away
-	listed   bool // the lists were read with the pool's fence
-	listedAt time.Duration
-	clock    clock
-	lease    int64 // the latest end of a lease that was sent
-	seen     uint64
-	acked    uint64
-	looking  bool
-	lookSent time.Duration
-	looked   time.Duration // when the last look ended
-	answered time.Duration
-	misses   int
-	runs     map[filbertford.TaskKey]*run
-	used     filbertford.Demand
-	health   health
-	full     time.Duration // no start before this time, for want of room
+	rec         filbertford.TargetRecord
+	removed     bool // the record went away
+	listed      bool // the lists were read with the pool's fence
+	listedAt    time.Duration
+	clock       clock
+	lease       int64 // the latest end of a lease that was sent
+	seen        uint64
+	acked       uint64
+	unconfirmed map[uint64]Confirm // ends of stored jobs that are not recorded
+	looking     bool
+	lookSent    time.Duration
+	looked      time.Duration // when the last look ended
+	answered    time.Duration
+	misses      int
+	runs        map[filbertford.TaskKey]*run
+	used        filbertford.Demand
+	health      health
+	full        time.Duration // no start before this time, for want of room
 }
 
 // runState tells how far a run is.
@@ -111,7 +112,7 @@
 		return
 	}
 	t = &target{
-		rec: rec, runs: make(map[filbertford.TaskKey]*run),
+		rec: rec, runs: make(map[filbertford.TaskKey]*run), unconfirmed: make(map[uint64]Confirm),
 		answered: now,
 	}
 	p.targets[id] = t
@@ -183,9 +184,12 @@
 // look asks a target for its lists if there is a reason to. The lease of one
 // that does not answer is not prolonged, so that its runs come to an end.
 func (p *Pool) look(now time.Duration, t *target) {
-	if t.looking || t.listed && len(t.runs) == 0 && t.seen == t.acked && t.misses == 0 {
+	if t.looking || t.listed && len(t.runs) == 0 && t.ackable() == t.acked && t.misses == 0 {
 		return
 	}
+	if len(t.unconfirmed) > 0 && now-t.looked < minCheck {
+		return // the target would answer at once with the ends that are not recorded
+	}
 	var lease int64
 	var wait time.Duration
 	if t.clock.known && len(t.runs) > 0 && t.misses == 0 {
@@ -196,7 +200,7 @@
 		wait = t.nextCheck(now)
 	}
 	t.looking, t.lookSent = true, now
-	p.do(LookCall{Order: filbertford.NewLookOrder(t.rec.Boot(), t.rec.Address(), p.fence, t.seen, lease, wait)})
+	p.do(LookCall{Order: filbertford.NewLookOrder(t.rec.Boot(), t.rec.Address(), p.fence, t.ackable(), lease, wait)})
 }
 
 // nextCheck returns how long the target may hold back its answer if no run
@@ -369,6 +373,9 @@
 	p.clearRun(r)
 	task := r.task
 	p.note(Note{Kind: NoteEnd, Task: e.Task(), Target: t.id(), Run: e.Run(), Reason: string(e.Ending()), Age: now - r.began})
+	if task != nil && task.batch.durable {
+		t.keep(e, task.failures)
+	}
 	if task == nil {
 		p.learn(now, t, r, e.Ending())
 		return
@@ -388,17 +395,23 @@
 // may be waiting to resume.
 func (p *Pool) foreignEnd(now time.Duration, t *target, e filbertford.RunEnd) {
 	p.runs[e.Task()] = max(p.runs[e.Task()], e.Run())
+	if e.Ending() == filbertford.EndFailed {
+		p.foreign[e.Task()]++
+	}
 	if e.Ending() != filbertford.EndDone {
 		return
 	}
 	waiting := p.tasks[e.Task()]
 	if waiting == nil {
 		if _, ok := p.finished[e.Task()]; !ok {
-			p.finished[e.Task()] = finish{verdict: VerdictDone, at: now}
+			p.finished[e.Task()] = finish{verdict: VerdictDone, at: now, kept: foreignTerm}
 		}
 		return
 	}
 	if waiting.run == nil && waiting.resume {
+		if waiting.batch.durable {
+			t.keep(e, 0)
+		}
 		p.dequeue(waiting)
 		p.note(Note{Kind: NoteEnd, Task: e.Task(), Target: t.id(), Run: e.Run(), Reason: string(e.Ending())})
 		p.finishTask(now, waiting, VerdictDone)
@@ -414,9 +427,42 @@
 		p.finishTask(now, task, VerdictFailed)
 		return
 	}
+	if task.batch.durable {
+		p.report(task.coordinator, task.key, VerdictRetried, task.failures)
+	}
 	p.requeueTask(now, task, "failed")
 }
 
+// keep notes an end that must be recorded before the target may forget it.
+func (t *target) keep(e filbertford.RunEnd, failures int) {
+	switch e.Ending() {
+	case filbertford.EndDone:
+		t.unconfirmed[e.Number()] = Confirm{task: e.Task(), done: true}
+	case filbertford.EndFailed:
+		t.unconfirmed[e.Number()] = Confirm{task: e.Task(), failures: failures + 1}
+	}
+}
+
+// confirm drops the ends that are recorded, and reports whether there were any.
+func (t *target) confirm(c Confirm) bool {
+	n := len(t.unconfirmed)
+	for number, u := range t.unconfirmed {
+		if u.task == c.task && (c.done || !u.done && u.failures <= c.failures) {
+			delete(t.unconfirmed, number)
+		}
+	}
+	return len(t.unconfirmed) < n
+}
+
+// ackable returns the number up to which the target may forget ends.
+func (t *target) ackable() uint64 {
+	n := t.seen
+	for number := range t.unconfirmed {
+		n = min(n, number-1)
+	}
+	return n
+}
+
 // loseRun ends a run that surely is not and will not be at work.
 func (p *Pool) loseRun(now time.Duration, r *run, reason string) {
 	p.clearRun(r)
--- a/frontend.go
+++ b/frontend.go
@@ -18,6 +18,10 @@
 	AnswerNotRun AnswerKind = "not-run"
 	// AnswerUnknown tells that the job's outcome is not known.
 	AnswerUnknown AnswerKind = "unknown"
+	// AnswerAccepted tells that the job is stored.
+	AnswerAccepted AnswerKind = "accepted"
+	// AnswerState tells a stored job's state.
+	AnswerState AnswerKind = "state"
 	// AnswerGone tells that the job is not known.
 	AnswerGone AnswerKind = "gone"
 )
@@ -27,6 +31,7 @@
 	kind       AnswerKind
 	retryAfter time.Duration
 	reason     string
+	state      string
 }
 
 // NewWorkloadAnswer returns an answer with the reason for logs.
@@ -41,6 +46,15 @@
 	return a
 }
 
+// WithState returns a copy of a with a stored job's state.
+func (a WorkloadAnswer) WithState(state string) WorkloadAnswer {
+	a.state = state
+	return a
+}
+
+// State returns a stored job's state.
+func (a WorkloadAnswer) State() string { return a.state }
+
 // Kind returns the kind of the answer.
 func (a WorkloadAnswer) Kind() AnswerKind { return a.kind }
 
@@ -62,6 +76,13 @@
 	// Execute runs a best-effort job to its end. The job is cancelled when the
 	// context ends. The patience is how long the caller waits, 0 if unknown.
 	Execute(ctx context.Context, r Route, w Workload, patience time.Duration) WorkloadAnswer
-	// Waiting returns the number of accepted jobs of the route that wait.
-	Waiting(r Route) int
+	// Submit stores a job, which then runs to its end whatever happens.
+	Submit(ctx context.Context, r Route, w Workload, patience time.Duration) WorkloadAnswer
+	// State tells a stored job's state.
+	State(ctx context.Context, r Route, key JobKey, patience time.Duration) WorkloadAnswer
+	// Cancel cancels a stored job.
+	Cancel(ctx context.Context, r Route, key JobKey, patience time.Duration) WorkloadAnswer
+	// Waiting returns the number of stored jobs of the route of which no task has
+	// begun.
+	Waiting(ctx context.Context, r Route) int
 }
--- a/route.go
+++ b/route.go
@@ -55,6 +55,12 @@
 // Timeout returns the time after which a request is given up, 0 for none.
 func (r Route) Timeout() time.Duration { return r.timeout }
 
+// Stretch returns the factor of the latency objective.
+func (r Route) Stretch() float64 { return r.stretch }
+
+// Slack returns the constant part of the latency objective.
+func (r Route) Slack() time.Duration { return r.slack }
+
 // Objective returns the latency objective of a job whose longest chain of tasks
 // takes the given time.
 func (r Route) Objective(chain time.Duration) time.Duration {
