--- a/fbkeep/keeper.go
+++ b/fbkeep/keeper.go
@@ -14,9 +14,9 @@
 
 // Limits of a keeper.
 const (
-	// maxBatch is the number of rows of a transaction, less than the platform
-	// allows with the claim.
-	maxBatch = 90
+	// maxBatch is the number of jobs of a transaction: the platform takes 100
+	// entries, of which the claim is one and a job two.
+	maxBatch = 49
 	// maxBytes is the size of a transaction's rows, less than the platform allows.
 	maxBytes = 700 << 10
 	// retryPause is the time between two tries while the store refuses calls.
--- a/fbnode/mirror.go
+++ b/fbnode/mirror.go
@@ -17,6 +17,9 @@
 	// store can't be reached; it doubles.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
+	// watchWait is the longest that the store holds back an answer without
+	// changes. A connection that went silent is noticed that much later.
+	watchWait = 2 * time.Second
 	// targetPace is the time between two reads of the targets' records, which
 	// each target writes with every heartbeat.
 	targetPace = 400 * time.Millisecond
@@ -68,7 +71,7 @@
 
 func (m *mirror) read(ctx context.Context, synced bool, version uint64) (filbertford.Snapshot, error) {
 	if synced {
-		return m.store.Watch(ctx, m.table, version)
+		return m.store.Watch(ctx, m.table, version, watchWait)
 	}
 	return m.store.List(ctx, m.table, "")
 }
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -124,10 +124,21 @@
 		book:        newBook(parts.Log, parts.Metrics, parts.LostLines),
 	}
 	n.hub = fblink.NewHub(opts.Member, n)
-	n.fleet.SetPools(n.poolSpecs())
+	n.setPools()
 	return n
 }
 
+// setPools names the pools that are known.
+func (n *Node) setPools() {
+	specs := n.poolSpecs()
+	n.fleet.SetPools(specs)
+	for _, s := range specs {
+		if !isShard(s.ID()) {
+			n.coordinator.AddPool(s.ID())
+		}
+	}
+}
+
 // homePool returns the pool of a data centre's targets.
 func homePool(zone filbertford.DataCentre) filbertford.PoolID { return filbertford.PoolID(zone) }
 
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -72,7 +72,7 @@
 
 // recordsChanged gives the pools their targets.
 func (n *Node) recordsChanged(now time.Duration) {
-	n.fleet.SetPools(n.poolSpecs())
+	n.setPools()
 	for id, p := range n.pools {
 		p.SetTargets(now, n.table.pool(id))
 	}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -130,6 +130,14 @@
 	}
 }
 
+// AddPool names a pool that is to have an owner, so that tasks are looked for
+// there too.
+func (c *Coordinator) AddPool(pool filbertford.PoolID) {
+	if c.pools[pool] == nil {
+		c.pools[pool] = &poolView{}
+	}
+}
+
 // SetOwner takes in who owns a pool; an empty owner stands for none. Tasks in
 // the pool are offered to a new owner again.
 func (c *Coordinator) SetOwner(now time.Duration, pool filbertford.PoolID, owner filbertford.NodeID, fence uint64) {
@@ -274,7 +282,7 @@
 	switch r.Verdict() {
 	case VerdictStarted:
 		t.target = r.Target()
-		if j.durable && !j.begun {
+		if j.durable && !j.begun && r.Target() != "" {
 			j.begun = true
 			c.do(JobBegun{Job: key.Job()})
 		}
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -282,3 +282,23 @@
 		t.Error("the run on t01 was not adopted")
 	}
 }
+
+// TestEndBeforeResume: a run of an earlier owner is listed, and ends, before its
+// coordinator offers the task to the new owner.
+func TestEndBeforeResume(t *testing.T) {
+	w := newFakeWorld(1, 2)
+	a := w.own("a", 1)
+	w.run(30 * time.Millisecond)
+	w.tell(a)
+	w.submit(1, "00000000000000aa", 1)
+	w.run(80 * time.Millisecond)
+	a.dead = true
+	w.tell(nil)
+	b := w.own("b", 2)
+	w.run(100 * time.Millisecond)
+	w.tell(b)
+	w.run(500 * time.Millisecond)
+	if got := w.answers[1]; got != filbertford.AnswerCompleted || w.starts != 1 {
+		t.Errorf("answer is %q after %d starts, want completed after 1", got, w.starts)
+	}
+}
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -378,6 +378,9 @@
 	}
 	if task == nil {
 		p.learn(now, t, r, e.Ending())
+		if !r.stop {
+			p.foreignEnd(now, t, e)
+		}
 		return
 	}
 	switch e.Ending() {
--- a/store.go
+++ b/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // ErrHistoryGone is returned by Store.Watch when the store has dropped the
@@ -162,9 +163,9 @@
 	// List returns all rows of a part of a table.
 	List(ctx context.Context, table TableName, part string) (Snapshot, error)
 	// Watch returns the changes of a table after the version as soon as there
-	// is one, or none after a while. It returns ErrHistoryGone if they are not
+	// is one, or none after the wait. It returns ErrHistoryGone if they are not
 	// known any more.
-	Watch(ctx context.Context, table TableName, after uint64) (Snapshot, error)
+	Watch(ctx context.Context, table TableName, after uint64, wait time.Duration) (Snapshot, error)
 	// Commit applies a transaction and returns the version that its rows have
 	// then. It returns ErrConflict if a condition does not hold, and ErrRefused
 	// if the store did nothing. After ErrUnavailable the transaction may have
