A stand-in of the users' platform, process tests, and claims renewed in the store

Cause: the repository had no platform to run the fleet on without the users' bench. Found by the new process tests: jobs were refused while a pool's new owner had not read its targets (answer not-run, Retry-After 3600); a daemon that was left alone by two kills claimed nothing for 15 s. A job waits while no targets are known. Owners renew their claims in the store every 1.5 s; a daemon that hears too few others claims a pool whose claim is stale for 4 s.

--- /dev/null
+++ b/cmd/fbstandfleet/main.go
@@ -0,0 +1,136 @@
+// Command fbstandfleet serves stand-ins for the users' platform: its metadata
+// store, workers and an operator, so that filbertfordnode can be tried without
+// the users' machines. Faults are switched by PUT /faults at the store and at
+// each worker.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fbstand"
+)
+
+// options are the command line.
+type options struct {
+	store   string
+	host    string
+	port    int
+	workers int
+	zones   string
+	cpu     int
+	rack    int
+}
+
+// headerTimeout is the time that a request's header may take.
+const headerTimeout = 5 * time.Second
+
+func main() {
+	logger := log.New(os.Stderr)
+	err := serve(context.Background(), logger, os.Args[1:])
+	switch {
+	case err == nil:
+	case errors.Is(err, flag.ErrHelp):
+		os.Exit(2)
+	default:
+		fbevent.StandInFailed.Log(logger, "err", err.Error())
+		os.Exit(1)
+	}
+}
+
+func parse(args []string) (options, error) {
+	var o options
+	fs := flag.NewFlagSet("fbstandfleet", flag.ContinueOnError)
+	fs.StringVar(&o.store, "store", "127.0.0.1:7000", "`address` of the metadata store")
+	fs.StringVar(&o.host, "host", "127.0.0.1", "`address` of the workers")
+	fs.IntVar(&o.port, "first-port", 7300, "`port` of the first worker")
+	fs.IntVar(&o.workers, "workers", 6, "`number` of workers")
+	fs.StringVar(&o.zones, "zones", "nordnes", "data centres with commas between, which the workers take in turn")
+	fs.IntVar(&o.cpu, "cpu", 4000, "`thousandths` of a core of each worker")
+	fs.IntVar(&o.rack, "rack", 3, "`number` of workers of a rack")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("FBSTANDFLEET")); err != nil {
+		return o, err
+	}
+	switch {
+	case fs.NArg() > 0:
+		return o, fmt.Errorf("unexpected argument %q", fs.Arg(0))
+	case o.workers < 1 || o.cpu < 1 || o.rack < 1 || o.zones == "":
+		return o, errors.New("workers, cpu and rack must be at least 1, and zones must name one")
+	}
+	return o, nil
+}
+
+// serve runs the stand-ins until a signal or the end of the context.
+func serve(ctx context.Context, logger *log.Logger, args []string) error {
+	o, err := parse(args)
+	if err != nil {
+		return err
+	}
+	store := fbstand.NewRowStore()
+	if err := store.PutRoutes(1, routes()...); err != nil {
+		return err
+	}
+	var g run.Group
+	g.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
+	if err := addServer(&g, logger, "store", o.store, store.Handler()); err != nil {
+		return err
+	}
+	ledger := fbstand.NewLedger()
+	zones := strings.Split(o.zones, ",")
+	for i := range o.workers {
+		id := fmt.Sprintf("w%d", i)
+		address := net.JoinHostPort(o.host, fmt.Sprint(o.port+i))
+		if err := addServer(&g, logger, id, address, fbstand.NewWorker(id, o.cpu, ledger).Handler()); err != nil {
+			return err
+		}
+		addRecord(&g, store, id, fbstand.WorkerRecord{
+			Service: "ordering", Address: address, Zone: zones[i%len(zones)], Version: "v1", Slots: 8, State: "ready",
+			Capacity: fbstand.WorkerCapacity{CPU: o.cpu, Memory: 8192}, Labels: []string{"a", fmt.Sprintf("r%d", i/o.rack)},
+			Born: time.Now().UnixMilli(),
+		})
+	}
+	err = g.Run()
+	var signal *run.SignalError
+	if errors.As(err, &signal) || errors.Is(err, context.Canceled) {
+		fbevent.StandInStopped.Log(logger, "cause", err)
+		return nil
+	}
+	return err
+}
+
+// routes returns what the stand-in's operator has configured.
+func routes() []fbstand.RouteRow {
+	return []fbstand.RouteRow{{
+		Name: "jobs", Host: "depot.example", Prefix: "/jobs/", TimeoutMS: 5000, TargetDurationMS: 60,
+		Service: "ordering", Attempts: 3, Stretch: 1.6,
+	}}
+}
+
+func addServer(g *run.Group, logger *log.Logger, what, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	g.Add(func() error { return s.Serve(l) }, func(error) { _ = s.Close() })
+	fbevent.StandInServing.Log(logger, "what", what, "address", l.Addr())
+	return nil
+}
+
+func addRecord(g *run.Group, store *fbstand.RowStore, id string, r fbstand.WorkerRecord) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return store.Register(ctx, id, r) }, func(error) { cancel() })
+}
--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -15,6 +15,7 @@
 	RoutesInForce     = info("FE7014", "routes are in force")
 	RoutesRefused     = fault("FE7015", "routes can't be read; those in force stay")
 	RecordMalformed   = warn("FE7016", "a record of the store can't be read and is left out")
+	RenewalFailed     = warn("FE7017", "claims of this daemon's pools could not be renewed in the store")
 	PeerMet           = info("FE7021", "another daemon can be reached")
 	PeerLost          = warn("FE7022", "another daemon can't be reached")
 	MessageMalformed  = fault("FE7023", "a message of another daemon can't be read")
--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -181,11 +181,7 @@
 			heard[id] = true
 		}
 	}
-	var claims []Claim
-	for _, id := range slices.Sorted(maps.Keys(f.mine)) {
-		claims = append(claims, NewClaim(id, f.mine[id]))
-	}
-	return NewBeat(f.self, f.draining, heard, claims).WithStarting(f.starting(now))
+	return NewBeat(f.self, f.draining, heard, f.Claims()).WithStarting(f.starting(now))
 }
 
 // starting reports whether the daemon may not have heard of all owners yet.
@@ -347,6 +343,8 @@
 		if f.owners[s.id] != best {
 			if best.node == "" {
 				f.vacant[s.id] = now
+			} else {
+				delete(f.stale, s.id)
 			}
 			f.owners[s.id] = best
 			f.emit(Event{kind: EventOwner, pool: s.id, owner: best})
@@ -426,16 +424,9 @@
 	if f.owners[s.id].node != "" {
 		return true
 	}
-	all, heard, zone, zoneHeard, away := 1, 1, 1, 1, 0
+	zone, zoneHeard, away := 1, 1, 0
 	for _, p := range f.peers {
-		if !p.met && p.refused != 0 && now-p.refused < refusalTerm {
-			continue // it has not come back after all were killed
-		}
 		linked := f.linked(now, p)
-		all++
-		if linked {
-			heard++
-		}
 		if p.member.zone == f.self.zone {
 			zone++
 			if linked {
@@ -450,7 +441,7 @@
 	}
 	waited := now-f.vacant[s.id] >= yieldTerm
 	switch {
-	case 2*heard > all:
+	case f.hearsMost(now):
 		f.lost[s.id] = false
 		return s.zone == "" || f.self.zone == s.zone || f.hearsZone(now, s.zone) || f.reaches(now, s.id)
 	case f.stale[s.id]:
@@ -459,6 +450,46 @@
 	return f.self.zone == s.zone && away == 0 && 2*zoneHeard > zone && !f.lost[s.id] && waited
 }
 
+// Doubtful returns the pools without an owner that this daemon may not claim,
+// since it hears too few others: the store is to tell whether their claims are
+// renewed.
+func (f *Fleet) Doubtful(now time.Duration) []filbertford.PoolID {
+	if f.draining || f.starting(now) || f.hearsMost(now) {
+		return nil
+	}
+	var out []filbertford.PoolID
+	for _, s := range f.pools {
+		if f.owners[s.id].node == "" {
+			out = append(out, s.id)
+		}
+	}
+	return out
+}
+
+// Claims returns the pools that this daemon owns, by name.
+func (f *Fleet) Claims() []Claim {
+	var out []Claim
+	for _, id := range slices.Sorted(maps.Keys(f.mine)) {
+		out = append(out, NewClaim(id, f.mine[id]))
+	}
+	return out
+}
+
+// hearsMost reports whether this daemon hears more than half of the fleet.
+func (f *Fleet) hearsMost(now time.Duration) bool {
+	all, heard := 1, 1
+	for _, p := range f.peers {
+		if !p.met && p.refused != 0 && now-p.refused < refusalTerm {
+			continue // it has not come back after all were killed
+		}
+		all++
+		if f.linked(now, p) {
+			heard++
+		}
+	}
+	return 2*heard > all
+}
+
 // hearsZone reports whether any daemon of the data centre is heard: then the
 // data centre is not cut off.
 func (f *Fleet) hearsZone(now time.Duration, zone filbertford.DataCentre) bool {
--- a/fbnode/book.go
+++ b/fbnode/book.go
@@ -123,6 +123,12 @@
 	fbevent.NodeSuspended.Log(b.log, "gap_ms", gap.Milliseconds())
 }
 
+func (b *book) renewalFailed(now time.Duration, err error) {
+	if b.limiter.Allow(fbevent.RenewalFailed.ID(), now) {
+		fbevent.RenewalFailed.Log(b.log, "error", err)
+	}
+}
+
 // flush tells which lines were left out.
 func (b *book) flush(now time.Duration) {
 	if now-b.flushed < omissionPeriod {
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -94,6 +94,7 @@
 	asked       map[uint64]*askedStored
 	origins     map[uint64]origin
 	lastOrigin  uint64
+	claims      claimWatch
 	lastTick    time.Duration
 	lastBeat    time.Duration
 	lastRoster  time.Duration
@@ -232,6 +233,7 @@
 	}
 	n.coordinator.Tick(now)
 	n.tickStored(now)
+	n.tickClaims(now)
 	n.ready.Store(n.routes.Load() != nil && !n.stopping.Load() && n.reachesPool())
 	n.book.flush(now)
 }
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -23,6 +23,8 @@
 	// returnTerm is how long the pools have to return the tasks of a job that is
 	// given up.
 	returnTerm = 100 * time.Millisecond
+	// longestRetry is the latest that a refused caller is asked to come back.
+	longestRetry = 5 * time.Second
 	// maxReturns is how often a task is offered anew after a pool returned it.
 	maxReturns = 8
 	// nearBias is the share of a task's demand by which the home pool is
@@ -589,7 +591,7 @@
 	}
 	answer := filbertford.NewWorkloadAnswer(kind, reason)
 	if kind == filbertford.AnswerNotRun {
-		answer = answer.WithRetryAfter(c.shortestDrain(j.route.Service()))
+		answer = answer.WithRetryAfter(min(c.shortestDrain(j.route.Service()), longestRetry))
 	}
 	for _, r := range j.requests {
 		delete(c.byReq, r)
@@ -621,7 +623,11 @@
 func (c *Coordinator) shortestDrain(service string) time.Duration {
 	shortest, known := time.Duration(0), false
 	for _, v := range c.pools {
-		if room := v.rooms[service]; room != nil && v.owner != "" && (!known || room.drain() < shortest) {
+		room := v.rooms[service]
+		if room == nil || v.owner == "" || room.total == 0 {
+			continue // its owner may not have read the targets yet
+		}
+		if !known || room.drain() < shortest {
 			shortest, known = room.drain(), true
 		}
 	}
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -302,3 +302,19 @@
 		t.Errorf("answer is %q after %d starts, want completed after 1", got, w.starts)
 	}
 }
+
+// TestJobWaitsForTargets submits a job before the new owner of the pool has read
+// its targets: it waits instead of being refused.
+func TestJobWaitsForTargets(t *testing.T) {
+	w := newFakeWorld(2, 2)
+	o := &fakeOwner{node: "a", pool: NewPool(poolName, 1, 1_000_000, w.now)}
+	w.owners = append(w.owners, o)
+	o.pool.SetTargets(w.now, w.records())
+	w.tick(o)
+	w.tell(o)
+	w.submit(1, "00000000000000aa", 2)
+	w.run(time.Second)
+	if got := w.answers[1]; got != filbertford.AnswerCompleted {
+		t.Errorf("answer is %q", got)
+	}
+}
--- /dev/null
+++ b/fbstand/fleet.go
@@ -0,0 +1,92 @@
+package fbstand
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+)
+
+// heartbeatPeriod is the time between two heartbeats of a worker.
+const heartbeatPeriod = 500 * time.Millisecond
+
+// WorkerRecord is what a worker tells of itself in the store.
+type WorkerRecord struct {
+	Service  string         `json:"service"`
+	Address  string         `json:"addr"`
+	Zone     string         `json:"zone"`
+	Version  string         `json:"version"`
+	Slots    int            `json:"slots"`
+	State    string         `json:"state"`
+	Capacity WorkerCapacity `json:"capacity"`
+	Labels   []string       `json:"labels"`
+	Born     int64          `json:"born"`
+	Seq      uint64         `json:"seq"`
+}
+
+// WorkerCapacity is what a worker offers to tasks.
+type WorkerCapacity struct {
+	CPU    int `json:"cpu"`
+	Memory int `json:"memMb"`
+	GPU    int `json:"gpu"`
+}
+
+// RouteRow is a route of the stand-in's operator.
+type RouteRow struct {
+	Name             string  `json:"name"`
+	Host             string  `json:"host"`
+	Prefix           string  `json:"prefix"`
+	TimeoutMS        int     `json:"timeoutMs"`
+	TargetDurationMS int     `json:"targetDurationMs"`
+	Priority         int     `json:"priority"`
+	Service          string  `json:"service"`
+	Attempts         int     `json:"attempts"`
+	Stretch          float64 `json:"stretch"`
+}
+
+type configRow struct {
+	Version  uint64           `json:"version"`
+	Routes   []RouteRow       `json:"routes"`
+	Services []map[string]any `json:"services"`
+	Limits   map[string]int   `json:"limits"`
+}
+
+// PutRoutes writes a version of the routes, as the operator does.
+func (s *RowStore) PutRoutes(version uint64, routes ...RouteRow) error {
+	data, err := json.Marshal(configRow{Version: version, Routes: routes, Limits: map[string]int{"bodyBytes": maxBody}})
+	if err != nil {
+		return err
+	}
+	s.Put("op", "", "config", data)
+	return nil
+}
+
+// PutRecord writes a worker's record.
+func (s *RowStore) PutRecord(id string, r WorkerRecord) error {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	s.Put("servers", "", id, data)
+	return nil
+}
+
+// Register writes a worker's record with every heartbeat until the context ends,
+// and then removes it. While the store shows itself down, no heartbeat arrives.
+func (s *RowStore) Register(ctx context.Context, id string, r WorkerRecord) error {
+	ticker := time.NewTicker(heartbeatPeriod)
+	defer ticker.Stop()
+	for {
+		r.Seq++
+		if s.currentFaults().Down == "" {
+			if err := s.PutRecord(id, r); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			s.Remove("servers", "", id)
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
--- a/store.go
+++ b/store.go
@@ -24,7 +24,8 @@
 	TableTargets TableName = "targets"
 	// TableNodes holds the daemons' own records.
 	TableNodes TableName = "nodes"
-	// TableClaims holds which daemon keeps a shard of the stored jobs.
+	// TableClaims holds who owns which pool, and a part for each shard of the
+	// stored jobs with its keeper.
 	TableClaims TableName = "claims"
 	// TableJobs holds the stored jobs, a part for each shard.
 	TableJobs TableName = "jobs"
