A refusal after a resume says so; heartbeats are rarer in large fleets

Change: a job that was resumed is never answered as not run; heartbeats every 200 ms from 12 daemons on.

--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -12,11 +12,17 @@
 
 // Times of the fleet.
 const (
-	// BeatPeriod is the time between two heartbeats.
-	BeatPeriod = 100 * time.Millisecond
-	// silenceTerm is the silence after which a daemon counts as unreachable:
-	// three heartbeats and the delay of a busy machine.
-	silenceTerm = 400 * time.Millisecond
+	// beatPeriod is the time between two heartbeats of a small fleet.
+	beatPeriod = 100 * time.Millisecond
+	// silentBeats is the number of heartbeats that are missing when a daemon
+	// counts as unreachable: three, and the delay of a busy machine.
+	silentBeats = 4
+	// smallFleet is the number of daemons from which on heartbeats are rarer, so
+	// that their cost at each daemon stays about the same.
+	smallFleet = 12
+	// largestStretch bounds how much rarer they get: a daemon that is lost must
+	// be noticed before callers send their jobs again.
+	largestStretch = 2
 	// startTerm is how long a daemon listens before it claims anything.
 	startTerm = 250 * time.Millisecond
 	// refusalTerm is how long a refused connection shows that no process is there.
@@ -184,6 +190,17 @@
 	return NewBeat(f.self, f.draining, heard, f.Claims()).WithStarting(f.starting(now))
 }
 
+// Stretch returns by how much heartbeats are rarer for the size of the fleet.
+func (f *Fleet) Stretch() time.Duration {
+	return time.Duration(min(largestStretch, 1+len(f.peers)/smallFleet))
+}
+
+// BeatPeriod returns the time between two heartbeats.
+func (f *Fleet) BeatPeriod() time.Duration { return beatPeriod * f.Stretch() }
+
+// silence returns the silence after which a daemon counts as unreachable.
+func (f *Fleet) silence() time.Duration { return silentBeats * f.BeatPeriod() }
+
 // starting reports whether the daemon may not have heard of all owners yet.
 func (f *Fleet) starting(now time.Duration) bool { return now-f.began < startTerm }
 
@@ -204,7 +221,7 @@
 		p = &peer{member: m, listedAt: now}
 		f.peers[m.node] = p
 	}
-	if !p.met || p.down || now-p.heardAt > silenceTerm {
+	if !p.met || p.down || now-p.heardAt > f.silence() {
 		f.emit(Event{kind: EventPeerMet, node: m.node})
 		p.listedAt = now
 	}
@@ -292,7 +309,7 @@
 	f.wall = wall
 	for _, id := range slices.Sorted(maps.Keys(f.peers)) {
 		p := f.peers[id]
-		if p.met && !p.down && now-p.heardAt > silenceTerm {
+		if p.met && !p.down && now-p.heardAt > f.silence() {
 			f.lose(p, "it is silent")
 		}
 		if now-max(p.heardAt, p.listedAt) > forgetTerm {
@@ -305,12 +322,12 @@
 
 // hears reports whether a daemon was heard lately.
 func (f *Fleet) hears(now time.Duration, p *peer) bool {
-	return p.met && !p.down && now-p.heardAt <= silenceTerm
+	return p.met && !p.down && now-p.heardAt <= f.silence()
 }
 
 // linked reports whether this daemon and the other hear each other.
 func (f *Fleet) linked(now time.Duration, p *peer) bool {
-	return f.hears(now, p) && now-p.hearsAt <= silenceTerm
+	return f.hears(now, p) && now-p.hearsAt <= f.silence()
 }
 
 // Hears reports whether the daemon was heard lately but does not hear this one.
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -381,11 +381,11 @@
 // beat sends heartbeats when they are due, and sooner if the room has changed.
 func (n *Node) beat(now time.Duration) {
 	age := now - n.lastBeat
-	if age < roomPeriod {
+	if age < roomPeriod*n.fleet.Stretch() {
 		return
 	}
 	changed := false
-	if age < fbfleet.BeatPeriod {
+	if age < n.fleet.BeatPeriod() {
 		for _, p := range n.pools {
 			changed = p.TakeChanged() || changed
 		}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -182,6 +182,8 @@
 				}
 			}
 			if len(items) > 0 {
+				// A report that crosses this batch doesn't prove that none has run.
+				j.started = true
 				c.send(v, c.batch(now, j, number, pool, items).WithResume(now-v.lost), j)
 			}
 			c.searchIn(now, j, number, pool)
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -318,3 +318,20 @@
 		t.Errorf("answer is %q", got)
 	}
 }
+
+// TestReportCrossesResume: a pool gives a task up while the coordinator offers it
+// again, after a stream was made anew. Then it may yet run, and "not run" would
+// not be true.
+func TestReportCrossesResume(t *testing.T) {
+	c := NewCoordinator("p")
+	c.SetOwner(0, "p", "a", 1)
+	step := filbertford.NewStep(1, filbertford.NewDemand(1, 1, 0), time.Second)
+	c.Submit(0, 1, filbertford.NewRoute("h", "/", "s"), filbertford.NewWorkload("00000000000000aa", "", step), time.Minute)
+	c.Resume(time.Second, "p")
+	c.TakeReport(time.Second, NewReport("p", 1, filbertford.NewTaskKey("00000000000000aa", 0, 0, 0), VerdictExpired, 0))
+	for _, a := range c.TakeActions() {
+		if answer, ok := a.(Answer); ok && answer.Answer.Kind() == filbertford.AnswerNotRun {
+			t.Errorf("answered as %q", answer.Answer.Kind())
+		}
+	}
+}
