--- a/fbcommand/root.go
+++ b/fbcommand/root.go
@@ -112,6 +112,7 @@
 			NewSettings(s),
 			newLoad(s),
 			newReport(s),
+			newExplain(s),
 		},
 	}
 	root.Exec = func(context.Context, []string) error {
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -214,7 +215,8 @@
 	}
 	c.jobs[w.Key()], c.byReq[request] = j, j
 	if wait := c.shortestDrain(r.Service()); now+wait+chain > j.limit {
-		c.finish(now, j, filbertford.AnswerNotRun, "the queues are too long")
+		c.finish(now, j, filbertford.AnswerNotRun, fmt.Sprintf("the queues are too long: shortest %v, estimate %v, useful for %v",
+			wait.Round(time.Millisecond), chain, j.limit-now))
 		return
 	}
 	c.advance(now, j)
@@ -441,7 +443,10 @@
 			j.steps[number].tasks[i.index].pool = part.pool
 		}
 		c.send(c.pools[part.pool], c.batch(now, j, number, part.pool, batch), j)
-		c.do(Note{Kind: NotePlaced, Pool: part.pool, Task: filbertford.NewTaskKey(j.workload.Key(), 0, number, batch[0].index), Age: now - j.began})
+		c.do(Note{
+			Kind: NotePlaced, Pool: part.pool, Task: filbertford.NewTaskKey(j.workload.Key(), 0, number, batch[0].index), Age: now - j.began,
+			Reason: fmt.Sprintf("%d tasks to %s, due in %v", len(batch), c.pools[part.pool].owner, (j.due - now).Round(time.Millisecond)),
+		})
 	}
 }
 
--- a/fbsched/health.go
+++ b/fbsched/health.go
@@ -68,6 +68,9 @@
 
 // strike counts a failure, and reports whether it led to a quarantine.
 func (h *health) strike(now time.Duration, weight int) bool {
+	if now < h.quarantine {
+		return false // a run from before the quarantine
+	}
 	h.strikes += weight
 	h.suspect = true
 	if h.strikes < strikesAllowed && !h.probing {
@@ -108,6 +111,9 @@
 		}
 		return
 	}
+	if now < t.health.quarantine {
+		return
+	}
 	if t.health.strike(now, 1) {
 		p.note(Note{Kind: NoteQuarantine, Target: t.id(), Task: failed.key, Age: t.health.term, Reason: "failed runs"})
 		return
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -335,3 +335,20 @@
 		}
 	}
 }
+
+// TestQuarantineGrowsOncePerProbe: several runs that hang at once are one reason
+// to mistrust a target.
+func TestQuarantineGrowsOncePerProbe(t *testing.T) {
+	w := newFakeWorld(2, 4)
+	w.targets["t00"].hanging = true
+	o := w.own("a", 1)
+	w.run(30 * time.Millisecond)
+	w.tell(o)
+	w.submit(1, "00000000000000aa", 6)
+	w.run(600 * time.Millisecond)
+	for _, n := range w.notes {
+		if n.Kind == NoteQuarantine && n.Age != quarantineFirst {
+			t.Errorf("quarantine of %v", n.Age)
+		}
+	}
+}
