A task waits for a fast target if a slow one would make it late

Change: delay scheduling: the task waits as long as a fast target can still make it; it counts for no backlog meanwhile.

--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,7 @@
 		return
 	}
 	p.sortQueue(now)
+	p.fastest = p.fastestFactor(now)
 	kept := p.queue[:0]
 	for _, t := range p.queue {
 		if p.tasks[t.key] != t || t.run != nil {
@@ -57,7 +59,8 @@
 		return false
 	}
 	best := p.choose(now, t)
-	if best == nil {
+	t.choosy = best != nil && p.betterToWait(now, t, best)
+	if best == nil || t.choosy {
 		return false
 	}
 	step := t.batch.step
@@ -119,6 +122,29 @@
 	return best
 }
 
+// estimateMargin covers what estimates of callers scatter by.
+const estimateMargin = 1.25
+
+// betterToWait reports whether the task would be late on the target, but can
+// still meet its objective on one of the fastest, which may have room soon.
+func (p *Pool) betterToWait(now time.Duration, t *task, best *target) bool {
+	estimate := float64(t.batch.step.Estimate())
+	left := float64(t.due - now)
+	return estimate*p.factorOf(best) > left && estimate*p.fastest*estimateMargin <= left && best.health.relative <= slowFactor
+}
+
+// fastestFactor returns the least factor by which a run on a target of the pool
+// takes longer than estimated.
+func (p *Pool) fastestFactor(now time.Duration) float64 {
+	fastest := math.Inf(1)
+	for _, t := range p.order {
+		if p.usable(now, t, t.rec.Service()) {
+			fastest = min(fastest, p.factorOf(t))
+		}
+	}
+	return fastest
+}
+
 // farFactor is how many times longer a task takes outside its preferred rack,
 // as the platform states it.
 const farFactor = 1.5
@@ -239,7 +265,7 @@
 	}
 	var work float64
 	for _, t := range p.queue {
-		if t.batch.service == service {
+		if t.batch.service == service && !t.choosy {
 			work += float64(t.batch.step.Estimate()) * float64(t.batch.step.Demand().CPU())
 		}
 	}
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -59,6 +59,7 @@
 	speeds   *speeds
 	began    time.Duration
 	settled  bool
+	fastest  float64 // the factor of the fastest targets
 	changed  bool
 	out      []Action
 }
@@ -77,6 +78,7 @@
 	notBefore   time.Duration        // when a run of an earlier owner is surely over
 	startedOn   filbertford.TargetID // by an earlier owner, empty if not known
 	search      bool                 // wanted only if it is here
+	choosy      bool                 // a target has room, but a faster one is worth the wait
 	parked      time.Duration        // since when its coordinator is gone, 0 if it is there
 	run         *run
 	started     bool // a run was begun or adopted
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -352,3 +352,34 @@
 		}
 	}
 }
+
+// TestWaitsForAFastTarget: a task that would be late on a slow target waits for
+// a fast one that is about to be free; one that has time takes the slow one.
+func TestWaitsForAFastTarget(t *testing.T) {
+	tests := map[string]struct {
+		work   time.Duration
+		starts int
+	}{
+		"late on the slow target":    {work: time.Second, starts: 1},
+		"in time on the slow target": {work: 60 * time.Millisecond, starts: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorld(1, 1)
+			slow := w.addTarget("t99", 1)
+			slow.rec = filbertford.NewTargetRecord(filbertford.NewBoot("t99", 1), "ordering", "t99:80", "nordnes", filbertford.NewDemand(1000, 1000, 0), "b", "r2")
+			o := w.own("a", 1)
+			o.pool.speeds.observe("a", 0.7)
+			o.pool.speeds.observe("b", 1.7)
+			w.run(30 * time.Millisecond)
+			w.work = tt.work
+			w.tell(o)
+			w.submit(1, "00000000000000aa", 1)
+			w.submit(2, "00000000000000bb", 1)
+			w.run(10 * time.Millisecond)
+			if w.starts != tt.starts {
+				t.Errorf("%d tasks were started, want %d", w.starts, tt.starts)
+			}
+		})
+	}
+}
