An isolated daemon refuses at once and closes its connections

Change: after 700 ms without any pool's owner, jobs are refused and those that wait are given up; a daemon that is not ready closes connections after their request.

--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -26,6 +26,9 @@
 	returnTerm = 100 * time.Millisecond
 	// longestRetry is the latest that a refused caller is asked to come back.
 	longestRetry = 5 * time.Second
+	// isolationTerm is how long jobs wait while no pool has an owner: a take-over
+	// or a start takes less. After it this daemon is cut off.
+	isolationTerm = 700 * time.Millisecond
 	// maxReturns is how often a task is offered anew after a pool returned it.
 	maxReturns = 8
 	// nearBias is the share of a task's demand by which the home pool is
@@ -40,7 +43,10 @@
 	jobs  map[filbertford.JobKey]*job
 	byReq map[uint64]*job
 	pools map[filbertford.PoolID]*poolView
-	out   []Action
+	// vacant is when the last owner of any pool was lost, or the first looked for.
+	vacant time.Duration
+	owned  bool // some pool has an owner
+	out    []Action
 }
 
 // poolView is what a coordinator knows of a pool.
@@ -156,6 +162,7 @@
 		v.lost = now
 	}
 	v.owner, v.fence, v.rooms = owner, fence, nil
+	c.noteOwned(now)
 	if owner == "" {
 		return
 	}
@@ -163,6 +170,26 @@
 	c.placeWaiting(now)
 }
 
+// noteOwned takes in whether any pool has an owner.
+func (c *Coordinator) noteOwned(now time.Duration) {
+	owned := false
+	for _, v := range c.pools {
+		owned = owned || v.owner != ""
+	}
+	if c.owned && !owned {
+		c.vacant = now
+	}
+	c.owned = owned
+}
+
+// isolated reports whether no pool has had an owner for a while.
+func (c *Coordinator) isolated(now time.Duration) bool {
+	if c.vacant == 0 {
+		c.vacant = now
+	}
+	return !c.owned && now-c.vacant > isolationTerm
+}
+
 // Resume offers all tasks in a pool to its owner again, which may have missed
 // some, or whose reports may have been lost.
 func (c *Coordinator) Resume(now time.Duration, pool filbertford.PoolID) {
@@ -214,6 +241,10 @@
 		j.steps[i] = stepState{left: s.Count(), tasks: make([]taskState, s.Count())}
 	}
 	c.jobs[w.Key()], c.byReq[request] = j, j
+	if c.isolated(now) {
+		c.finish(now, j, filbertford.AnswerNotRun, fmt.Sprintf("no pool can be reached for %v", now-c.vacant))
+		return
+	}
 	if wait := c.shortestDrain(r.Service()); now+wait+chain > j.limit {
 		c.finish(now, j, filbertford.AnswerNotRun, fmt.Sprintf("the queues are too long: shortest %v, estimate %v, useful for %v",
 			wait.Round(time.Millisecond), chain, j.limit-now))
@@ -341,18 +372,19 @@
 		case j.givingUp != 0, j.durable:
 		case now >= j.end:
 			c.giveUp(now, j, "out of time")
-		case now >= j.limit && j.waits():
+		case now >= j.limit && c.waits(j), c.isolated(now) && c.waits(j):
 			c.giveUp(now, j, "no pool for a task in time")
 		}
 	}
 	c.placeWaiting(now)
 }
 
-// waits reports whether any task waits for a pool.
-func (j *job) waits() bool {
+// waits reports whether any task waits for a pool, or is in one without an
+// owner.
+func (c *Coordinator) waits(j *job) bool {
 	for number, s := range j.steps {
 		for _, t := range s.tasks {
-			if t.pool == "" && !t.done && j.ready(number) {
+			if !t.done && j.ready(number) && (t.pool == "" || c.pools[t.pool].owner == "") {
 				return true
 			}
 		}
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -383,3 +383,30 @@
 		})
 	}
 }
+
+// TestIsolatedCoordinatorRefusesAtOnce: a job that comes while no pool has an
+// owner waits for a take-over, but not for longer.
+func TestIsolatedCoordinatorRefusesAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		vacant time.Duration
+		want   filbertford.AnswerKind
+	}{
+		"take-over": {vacant: 300 * time.Millisecond},
+		"isolated":  {vacant: 2 * time.Second, want: filbertford.AnswerNotRun},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorld(1, 1)
+			o := w.own("a", 1)
+			w.tell(o)
+			w.run(100 * time.Millisecond)
+			o.dead = true
+			w.tell(nil)
+			w.run(tt.vacant)
+			w.submit(1, "00000000000000aa", 1)
+			if got := w.answers[1]; got != tt.want {
+				t.Errorf("answer is %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/frontend.go
+++ b/frontend.go
@@ -68,7 +68,8 @@
 type Frontend interface {
 	// Routes returns the routes in force, nil if there are none yet.
 	Routes() *Routes
-	// Ready reports whether new connections are welcome.
+	// Ready reports whether new connections are welcome. While they are not,
+	// connections are closed after their request.
 	Ready() bool
 	// Stopping reports whether the daemon is about to end, so that connections
 	// are to be closed after their request.
