--- /dev/null
+++ b/cmd/filbertfordnode/harness_test.go
@@ -0,0 +1,276 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford/fbstand"
+)
+
+// program is the path of the daemon under test.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "filbertfordnode")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	program = filepath.Join(dir, "filbertfordnode")
+	build := exec.Command("go", "build", "-o", program, ".")
+	build.Stderr = os.Stderr
+	code := 1
+	if err := build.Run(); err == nil {
+		code = m.Run()
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(code)
+}
+
+// fleet is a number of daemons as processes, with stand-ins for the platform.
+type fleet struct {
+	t       testing.TB
+	store   *fbstand.RowStore
+	ledger  *fbstand.Ledger
+	workers []*fbstand.Worker
+	nodes   []*node
+	base    string
+	group   errgroup.Group
+}
+
+// node is a daemon's process.
+type node struct {
+	name    string
+	zone    string
+	ports   map[string]string
+	command *exec.Cmd
+	logs    *logBuffer
+}
+
+// logBuffer holds what a process writes.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// newFleet starts workers in the data centres in turn, and a daemon for each
+// name of a data centre.
+func newFleet(t testing.TB, workers int, zones ...string) *fleet {
+	f := &fleet{t: t, store: fbstand.NewRowStore(), ledger: fbstand.NewLedger()}
+	server := httptest.NewServer(f.store.Handler())
+	f.base = server.Listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			f.kill(n)
+		}
+		cancel()
+		server.CloseClientConnections()
+		server.Close()
+		if err := f.group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+		if t.Failed() {
+			for _, n := range f.nodes {
+				t.Logf("log of %s:\n%s", n.name, n.logs)
+			}
+		}
+	})
+	if err := f.store.PutRoutes(1, fbstand.RouteRow{
+		Name: "jobs", Host: "depot.example", Prefix: "/jobs/", TargetDurationMS: 60, Service: "ordering", Attempts: 3, Stretch: 1.6,
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range workers {
+		f.addWorker(ctx, fmt.Sprintf("w%d", i), zones[i%len(zones)])
+	}
+	for i, zone := range zones {
+		f.nodes = append(f.nodes, &node{name: fmt.Sprintf("n%d", i), zone: zone, ports: freePorts(t)})
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	for _, n := range f.nodes {
+		f.awaitReady(n)
+	}
+	return f
+}
+
+func (f *fleet) addWorker(ctx context.Context, id, zone string) {
+	w := fbstand.NewWorker(id, 4000, f.ledger)
+	server := httptest.NewServer(w.Handler())
+	f.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	f.workers = append(f.workers, w)
+	record := fbstand.WorkerRecord{
+		Service: "ordering", Address: server.Listener.Addr().String(), Zone: zone, State: "ready", Slots: 8,
+		Capacity: fbstand.WorkerCapacity{CPU: 4000, Memory: 8192}, Labels: []string{"a", "r1"}, Born: 1,
+	}
+	f.group.Go(func() error { return f.store.Register(ctx, id, record) })
+}
+
+func freePorts(t testing.TB) map[string]string {
+	t.Helper()
+	out := make(map[string]string)
+	for _, key := range []string{"callers", "readiness", "peers", "metrics"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		out[key] = l.Addr().String()
+	}
+	return out
+}
+
+func (f *fleet) start(n *node) {
+	zones := make(map[string]bool)
+	var names []string
+	for _, other := range f.nodes {
+		if !zones[other.zone] {
+			zones[other.zone] = true
+			names = append(names, other.zone)
+		}
+	}
+	args := []string{"-set", "node.name=" + n.name, "-set", "node.data-centre=" + n.zone, "-set", "node.data-centres=" + strings.Join(names, ","), "-set", "node.store=" + f.base}
+	for key, address := range n.ports {
+		args = append(args, "-set", "node."+key+"="+address)
+	}
+	n.logs = &logBuffer{}
+	n.command = exec.Command(program, args...)
+	n.command.Stdout, n.command.Stderr = n.logs, n.logs
+	if err := n.command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// kill ends a daemon's process at once and waits for it.
+func (f *fleet) kill(n *node) {
+	if n.command == nil {
+		return
+	}
+	_ = n.command.Process.Kill() // it may have ended
+	_ = n.command.Wait()
+	n.command = nil
+}
+
+func (f *fleet) awaitReady(n *node) {
+	f.t.Helper()
+	f.await("readiness of "+n.name, 10*time.Second, func() bool {
+		resp, err := http.Get("http://" + n.ports["readiness"] + "/-/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+func (f *fleet) await(what string, most time.Duration, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(most); !ok(); {
+		if time.Now().After(end) {
+			f.t.Fatalf("no %s within %v", what, most)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// reply is a daemon's answer to a request.
+type reply struct {
+	status int
+	state  string
+	after  string
+}
+
+// call makes a request about a job.
+func (f *fleet) call(n *node, method, key, body string) (reply, error) {
+	req, err := http.NewRequest(method, "http://"+n.ports["callers"]+"/jobs/"+key, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Host = "depot.example"
+	req.Header.Set("Deadline-Ms", "8000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}, err
+	}
+	var state struct {
+		State string `json:"state"`
+	}
+	if err := json.Unmarshal(data, &state); err != nil {
+		return reply{}, fmt.Errorf("answer %d %q: %w", resp.StatusCode, data, err)
+	}
+	return reply{status: resp.StatusCode, state: state.State, after: resp.Header.Get("Retry-After")}, nil
+}
+
+// job returns the body of a job of one step.
+func job(tasks, runMS int, bestEffort bool) string {
+	return fmt.Sprintf(`{"spec":"{\"run_ms\":%d,\"cpu\":1000}","steps":[{"count":%d,"cpu":1000,"memMb":8,"estimateMs":%d}],"bestEffort":%t}`, runMS, tasks, runMS, bestEffort)
+}
+
+func jobKey(i int) string { return fmt.Sprintf("%016x", i+1) }
+
+// checkOnce fails the test if two runs of a task were at work at one time.
+func (f *fleet) checkOnce() {
+	f.t.Helper()
+	if d := f.ledger.Doubled(); len(d) > 0 {
+		f.t.Errorf("tasks ran twice at a time: %v", d)
+	}
+}
+
+// submitAll submits jobs through all daemons in turn and returns the answers.
+func (f *fleet) submitAll(first, jobs int, body string, nodes ...*node) []reply {
+	f.t.Helper()
+	out := make([]reply, jobs)
+	var g errgroup.Group
+	g.SetLimit(20)
+	for i := range jobs {
+		g.Go(func() error {
+			r, err := f.call(nodes[i%len(nodes)], http.MethodPost, jobKey(first+i), body)
+			out[i] = r
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		f.t.Error(err)
+	}
+	return out
+}
--- a/cmd/filbertfordnode/main.go
+++ b/cmd/filbertfordnode/main.go
@@ -19,6 +19,7 @@
 	"github.com/filbertford/filbertford/fbconfig"
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fblog"
+	"github.com/filbertford/filbertford/platform"
 )
 
 // Exit codes.
@@ -28,16 +29,12 @@
 	exitUsage  = 2
 )
 
-// fileVariable names the environment variable with the path of the settings
-// file, as the platform sets it.
-const fileVariable = "FILBERTFORD_NODE_FILE"
-
 const usage = `filbertfordnode takes jobs from callers and runs their tasks on targets.
 
 Usage:
   filbertfordnode [-config FILE] [-set SECTION.KEY=VALUE]... [-check]
 
-Without -config, the variable ` + fileVariable + ` names the settings file.
+Without -config, the variable ` + platform.SettingsVariable + ` names the settings file.
 
 Flags:
 `
@@ -88,7 +85,7 @@
 }
 
 func parse(args []string, stderr io.Writer) (options, error) {
-	opts := options{file: os.Getenv(fileVariable)}
+	opts := options{file: os.Getenv(platform.SettingsVariable)}
 	fs := flag.NewFlagSet("filbertfordnode", flag.ContinueOnError)
 	fs.SetOutput(stderr)
 	fs.StringVar(&opts.file, "config", opts.file, "INI `file` of settings; embedded defaults if empty")
--- /dev/null
+++ b/fbkeep/action.go
@@ -0,0 +1,55 @@
+package fbkeep
+
+import (
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbsched"
+)
+
+// CallKind tells which call to the store a keeper wants made.
+type CallKind string
+
+// The calls to the store.
+const (
+	CallReadClaim CallKind = "read-claim"
+	CallReadJobs  CallKind = "read-jobs"
+	CallCommit    CallKind = "commit"
+)
+
+// Call is a call to the store. Its result comes back to Called.
+type Call struct {
+	Kind        CallKind
+	Transaction *filbertford.Transaction
+}
+
+// Reply answers a caller's request.
+type Reply struct {
+	Number uint64
+	State  State
+	// Accepted reports whether a submission was stored.
+	Accepted bool
+}
+
+// Begin has a job run. One that was begun before may still run.
+type Begin struct {
+	Route    filbertford.Route
+	Workload filbertford.Workload
+	Progress func(step, index int) fbsched.Progress
+	Begun    bool
+}
+
+// Confirmed tells that the end of a task is recorded.
+type Confirmed struct {
+	Task     filbertford.TaskKey
+	Progress fbsched.Progress
+}
+
+// Lost tells that another keeper has the shard.
+type Lost struct {
+	Fence uint64 // of the other one
+}
+
+// Malformed tells that a row can't be read; its job is left alone.
+type Malformed struct {
+	Key   string
+	Cause error
+}
--- /dev/null
+++ b/fblink/convert_test.go
@@ -0,0 +1,93 @@
+package fblink
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbfleet"
+	"github.com/filbertford/filbertford/fbsched"
+	"github.com/filbertford/filbertford/fbwire"
+)
+
+// exportAll lets go-cmp look into all types.
+var exportAll = cmp.Exporter(func(reflect.Type) bool { return true })
+
+// TestRoundTrip sends each kind of message through its wire form.
+func TestRoundTrip(t *testing.T) {
+	self := filbertford.NodeID("n2")
+	sender := fbfleet.NewMember("n1", 7, "127.0.0.1:1", "z", 400)
+	key := filbertford.NewTaskKey("00000000000000aa", 1, 2, 3)
+	step := filbertford.NewStep(4, filbertford.NewDemand(5, 6, 7), 8*time.Millisecond).WithPlacement("a", "r1", 2).WithAfter(0, 1)
+	items := []fbsched.Item{fbsched.NewItem(0, 0), fbsched.NewItem(1, 2).WithTarget("t1")}
+	batch := fbsched.NewBatch("p", "00000000000000aa", 1, 2, step, items).WithWork("spec", "svc", 3).WithPriority(1).
+		WithTimes(-5*time.Millisecond, time.Second).WithFence(9)
+	route := filbertford.NewRoute("h", "/p/", "svc").WithPolicy(2, 3).WithObjective(1.6, 60*time.Millisecond, 0)
+	claims := []fbfleet.Claim{fbfleet.NewClaim("p", 9)}
+	rooms := map[filbertford.PoolID][]fbsched.Room{"p": {fbsched.NewRoom("svc", []int{1, 2}, 3, 4*time.Millisecond)}}
+	tests := map[string]Message{
+		"beat":         NewBeat(fbfleet.NewBeat(sender, true, map[filbertford.NodeID]bool{self: true}, claims).WithStarting(true), rooms, 4),
+		"roster":       NewRoster([]fbfleet.Member{sender}),
+		"batch":        batch,
+		"resumed":      batch.WithResume(300 * time.Millisecond),
+		"stored":       batch.WithDurable(true, true),
+		"withdrawal":   fbsched.NewWithdrawal("p", "00000000000000aa"),
+		"report":       fbsched.NewReport("p", 9, key, fbsched.VerdictStarted, 2).WithStarted(true).WithTarget("t1"),
+		"confirm":      fbsched.NewConfirm("p", key, true, 2),
+		"request":      NewStoredRequest(5, "jobs/1", StoredSubmit, route, filbertford.NewWorkload("00000000000000aa", "spec", step)),
+		"reply":        NewStoredReply(5, "running", true, 6),
+		"routes asked": NewRoutesPull(3),
+		"routes":       NewRoutesPush(4, []byte("x")),
+	}
+	for name, m := range tests {
+		t.Run(name, func(t *testing.T) {
+			w, err := toWire(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			data, err := proto.Marshal(w)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var back fbwire.Message
+			if err := proto.Unmarshal(data, &back); err != nil {
+				t.Fatal(err)
+			}
+			got, err := fromWire(sender, self, &back)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(m, got, exportAll); diff != "" {
+				t.Errorf("message (-sent +received):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestUnknownMessages are errors, not panics.
+func TestUnknownMessages(t *testing.T) {
+	if _, err := toWire(5); err == nil {
+		t.Error("a number was sent")
+	}
+	if _, err := fromWire(fbfleet.Member{}, "n", &fbwire.Message{}); err == nil {
+		t.Error("an empty message was received")
+	}
+}
+
+// TestAnyBytes reads whatever a peer sends without a panic.
+func TestAnyBytes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var f fbwire.Frame
+		if err := proto.Unmarshal(rapid.SliceOf(rapid.Byte()).Draw(rt, "bytes"), &f); err != nil {
+			return
+		}
+		for _, m := range f.GetMessages() {
+			_, _ = fromWire(memberFromWire(f.GetSender()), "n", m) // an error is a fine answer
+		}
+	})
+}
--- a/fbstand/rows_http.go
+++ b/fbstand/rows_http.go
@@ -1,6 +1,7 @@
 package fbstand
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -65,6 +66,10 @@
 		case "busy":
 			return c.NoContent(http.StatusServiceUnavailable)
 		case "silent":
+			// The end of the connection is noticed once the body is read.
+			if _, err := io.Copy(io.Discard, c.Request().Body); err != nil {
+				return nil // the caller has gone
+			}
 			<-c.Request().Context().Done()
 			return nil
 		}
