The last daemon that lives claims at once when the others' machines refuse

Change: a daemon claims when all that it doesn't hear refuse connections; one that was fenced off since leaves the pool alone, so that a cut that refuses makes owners change once, not in turns. Ruled out: load (the test fails alone too); a shorter term of the store's claims.

--- a/fbfleet/claim.go
+++ b/fbfleet/claim.go
@@ -129,10 +129,24 @@
 		return s.zone == "" || f.self.zone == s.zone || f.hearsZone(now, s.zone) || f.reaches(now, s.id)
 	case f.stale[s.id]:
 		return waited
+	case f.leftAlone(now) && !f.lost[s.id]:
+		return true
 	}
 	return f.self.zone == s.zone && away == 0 && 2*zoneHeard > zone && !f.lost[s.id] && waited
 }
 
+// leftAlone reports whether the machines of all daemons that are not heard refuse
+// connections, so that their processes are gone. A cut that refuses looks the
+// same: then the others take a pool back, and this daemon leaves it to them.
+func (f *Fleet) leftAlone(now time.Duration) bool {
+	for _, p := range f.peers {
+		if !f.linked(now, p) && (p.refused == 0 || now-p.refused > refusalTerm) {
+			return false
+		}
+	}
+	return len(f.peers) > 0
+}
+
 // Doubtful returns the pools without an owner that this daemon may not claim,
 // since it hears too few others: the store is to tell whether their claims are
 // renewed.
--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -205,14 +205,19 @@
 // connections are refused.
 func (f *Fleet) Gone(now time.Duration, node filbertford.NodeID, incarnation uint64) {
 	p := f.peers[node]
-	if p == nil || p.down || p.member.incarnation != incarnation {
+	if p == nil || p.member.incarnation != incarnation {
 		return
 	}
-	if !p.met {
+	if p.down {
 		p.refused = now
 		f.claim(now)
 		return
 	}
+	p.refused = now
+	if !p.met {
+		f.claim(now)
+		return
+	}
 	f.lose(p, "its connections are refused")
 	f.updateOwners(now)
 	f.claim(now)
--- a/fbfleet/fleet_test.go
+++ b/fbfleet/fleet_test.go
@@ -248,3 +248,43 @@
 		}
 	})
 }
+
+// TestLastDaemonClaims kills all daemons but one: their machines refuse
+// connections, so it takes the pools at once. One that was fenced off since, as
+// in a cut that refuses, leaves the pool alone.
+func TestLastDaemonClaims(t *testing.T) {
+	for name, fenced := range map[string]bool{"killed": false, "cut that refuses": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newFleetWorld(map[filbertford.DataCentre]int{"casa": 3})
+			w.run(2 * time.Second)
+			last := filbertford.NodeID("casa-2")
+			f := w.nodes[last]
+			for _, id := range w.order {
+				if id != last {
+					w.down[id] = true
+				}
+			}
+			refuse := func() {
+				for _, id := range w.order {
+					f.Gone(w.now, id, 1)
+				}
+			}
+			refuse()
+			w.run(100 * time.Millisecond)
+			owner := f.Owner("casa")
+			if owner.Node() != last {
+				t.Fatalf("the pool's owner is %q", owner.Node())
+			}
+			if fenced {
+				f.Fenced(w.now, "casa", owner.Fence())
+				for range 10 {
+					w.run(200 * time.Millisecond)
+					refuse()
+				}
+				if got := f.Owner("casa").Node(); got != "" {
+					t.Errorf("the pool was claimed again by %q", got)
+				}
+			}
+		})
+	}
+}
