--- a/cmd/filbertfordnode/fleet_test.go
+++ b/cmd/filbertfordnode/fleet_test.go
@@ -58,13 +58,17 @@
 }
 
 // TestOwnerIsKilled kills daemons one after the other while jobs run through
-// another one: all are answered as completed.
+// another one: all are answered as completed, none as late as a daemon that has
+// to ask the store would.
 func TestOwnerIsKilled(t *testing.T) {
 	f := newFleet(t, 6, "nordnes", "nordnes", "nordnes")
 	var g errgroup.Group
 	survivor := f.nodes[2]
 	g.Go(func() error {
 		for i, r := range f.submitAll(0, 150, job(2, 60, true), survivor) {
+			if r.took > 2500*time.Millisecond {
+				t.Errorf("job %d took %v", i, r.took)
+			}
 			if r.status != http.StatusOK || r.state != "completed" {
 				t.Errorf("job %d: %+v", i, r)
 			}
