Dispatch, heartbeats and ownership cost a daemon its own work

Cause: the grown sites collapsed for want of processor time. A pool sorted its whole queue and looked at all targets for every waiting task on every event, with keys formatted for each comparison; a heartbeat recomputed the owners of all pools; every daemon told every other five times a second and sent 42 rosters; daemons without a pool read all records of targets as often as owners. Change: the queue is kept in order, openings are gathered once a dispatch, and a dispatch serves all events of a turn; owners are recomputed when claims change; in a large fleet daemons that own nothing and rank low tell each other once a second, faster while a pool has no owner; records are read every 2 s without a pool and at once when one is claimed; a pool moves to a daemon of twice the weight, since the first to start may be the weakest. Ruled out: the store's calls and the feed (0.5 % of a core).

--- /dev/null
+++ b/fbfleet/bench_test.go
@@ -0,0 +1,62 @@
+package fbfleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// BenchmarkFleet measures what heartbeats and ticks cost a daemon of a fleet
+// with four data centres and eight shards.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{9, 43, 300} {
+		now := time.Minute
+		f, beats := fleetOf(size, now)
+		b.Run(fmt.Sprintf("heard/daemons=%d", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				f.Heard(now, beats[i%len(beats)])
+			}
+		})
+		b.Run(fmt.Sprintf("tick/daemons=%d", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f.Tick(now, 1_000_000)
+				f.TakeEvents()
+			}
+		})
+	}
+}
+
+// fleetOf returns the view of one daemon of a fleet that all hear each other,
+// and the heartbeats of the others. The first daemons own the pools.
+func fleetOf(size int, now time.Duration) (*Fleet, []Beat) {
+	zones := []filbertford.DataCentre{"a", "b", "c", "d"}
+	var pools []PoolSpec
+	for _, z := range zones {
+		pools = append(pools, NewPoolSpec(filbertford.PoolID(z), z))
+	}
+	for i := range 8 {
+		pools = append(pools, NewPoolSpec(filbertford.PoolID(fmt.Sprintf("shard-%d", i)), ""))
+	}
+	self := NewMember("node-000", 1, "10.0.0.0:1", zones[0], 1)
+	f := New(self, now-time.Minute)
+	f.SetPools(pools)
+	var beats []Beat
+	for i := 1; i < size; i++ {
+		m := NewMember(filbertford.NodeID(fmt.Sprintf("node-%03d", i)), 1, fmt.Sprintf("10.0.0.%d:1", i), zones[i%len(zones)], 8)
+		var claims []Claim
+		for k, p := range pools {
+			if k%8+1 == i {
+				claims = append(claims, NewClaim(p.ID(), uint64(1000+k)))
+			}
+		}
+		beats = append(beats, NewBeat(m, false, map[filbertford.NodeID]bool{self.Node(): true}, claims))
+	}
+	for _, b := range beats {
+		f.Heard(now, b)
+	}
+	return f, beats
+}
--- a/fbfleet/claim.go
+++ b/fbfleet/claim.go
@@ -56,9 +56,12 @@
 func (f *Fleet) first(now time.Duration, s PoolSpec) bool {
 	owner := f.owners[s.id]
 	settled := owner.node != "" && !f.drains(owner.node)
+	if settled && !f.outranks(now, s, owner.node) {
+		return false
+	}
 	self := f.rank(f.self, s)
 	for id, p := range f.peers {
-		if !f.linked(now, p) || p.draining || id == owner.node && !settled {
+		if !f.rivals(now, p, s) || p.draining || id == owner.node && !settled {
 			continue
 		}
 		if p.starting && s.zone != "" && (p.member.zone != s.zone || f.self.zone == s.zone) {
@@ -68,18 +71,30 @@
 			return false
 		}
 	}
-	if !settled {
-		return true
+	return true
+}
+
+// rivals reports whether another daemon may claim the pool too. One with rare
+// heartbeats has some time to show itself after the pool has lost its owner.
+func (f *Fleet) rivals(now time.Duration, p *peer, s PoolSpec) bool {
+	if f.owners[s.id].node == "" && now-f.vacant[s.id] <= 2*f.BeatPeriod() {
+		return f.linked(now, p)
 	}
-	return f.outranks(now, s, owner.node)
+	return f.present(now, p)
 }
 
 // outranks reports whether a pool is to move here from an owner that works: only
-// back to its own data centre, and after a while.
+// back to its own data centre, or to a much stronger daemon, and after a while.
 func (f *Fleet) outranks(now time.Duration, s PoolSpec, owner filbertford.NodeID) bool {
 	p := f.peers[owner]
-	return p != nil && f.self.zone == s.zone && p.member.zone != s.zone &&
-		now-f.began >= returnTerm && now-p.listedAt >= returnTerm
+	if p == nil || now-f.began < returnTerm || now-p.listedAt < returnTerm {
+		return false
+	}
+	if f.self.zone == s.zone && p.member.zone != s.zone {
+		return true
+	}
+	near := s.zone == "" || f.self.zone == s.zone
+	return near && f.self.weight >= strongerFactor*p.member.weight
 }
 
 func (f *Fleet) drains(node filbertford.NodeID) bool {
@@ -109,7 +124,7 @@
 	}
 	zone, zoneHeard, away := 1, 1, 0
 	for _, p := range f.peers {
-		linked := f.linked(now, p)
+		linked := f.present(now, p)
 		if p.member.zone == f.self.zone {
 			zone++
 			if linked {
@@ -140,7 +155,7 @@
 // same: then the others take a pool back, and this daemon leaves it to them.
 func (f *Fleet) leftAlone(now time.Duration) bool {
 	for _, p := range f.peers {
-		if !f.linked(now, p) && (p.refused == 0 || now-p.refused > refusalTerm) {
+		if !f.present(now, p) && (p.refused == 0 || now-p.refused > refusalTerm) {
 			return false
 		}
 	}
@@ -171,7 +186,7 @@
 			continue // it has not come back after all were killed
 		}
 		all++
-		if f.linked(now, p) {
+		if f.present(now, p) {
 			heard++
 		}
 	}
@@ -182,7 +197,7 @@
 // data centre is not cut off.
 func (f *Fleet) hearsZone(now time.Duration, zone filbertford.DataCentre) bool {
 	for _, p := range f.peers {
-		if p.member.zone == zone && f.hears(now, p) {
+		if p.member.zone == zone && f.hears(now, p) && now-p.heardAt <= f.silence() {
 			return true
 		}
 	}
--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -22,6 +22,14 @@
 	// largestStretch bounds how much rarer they get: a daemon that is lost must
 	// be noticed before callers send their jobs again.
 	largestStretch = 2
+	// rarePeriod is the time between two heartbeats of daemons in a large fleet
+	// that own nothing and rank too low to claim anything soon.
+	rarePeriod = time.Second
+	// leadersPerZone is the number of daemons of each data centre that rank high
+	// enough to claim its pool when its owner is lost, and another one with it.
+	leadersPerZone = 2
+	// leadersPeriod is the time between two looks at who they are.
+	leadersPeriod = time.Second
 	// startTerm is how long a daemon listens before it claims anything.
 	startTerm = 250 * time.Millisecond
 	// refusalTerm is how long a refused connection shows that no process is there.
@@ -29,6 +37,9 @@
 	// returnTerm is how long a daemon must be heard before it gets a pool back
 	// that another one looks after.
 	returnTerm = 3 * time.Second
+	// strongerFactor is how many times the weight of a pool's owner a daemon must
+	// have to take the pool over from it.
+	strongerFactor = 2
 	// forgetTerm is the silence after which a daemon no longer counts as part of
 	// the fleet.
 	forgetTerm = 15 * time.Second
@@ -52,10 +63,13 @@
 	lost     map[filbertford.PoolID]bool // lost to another owner, not to be taken back while cut off
 	highest  map[filbertford.PoolID]uint64
 	owners   map[filbertford.PoolID]Owner
+	best     map[filbertford.PoolID]Owner         // used by updateOwners only
 	stale    map[filbertford.PoolID]bool          // the store shows that the claim is not renewed
 	vacant   map[filbertford.PoolID]time.Duration // since when a pool has no owner
 	fencedAt map[filbertford.PoolID]time.Duration
 	probes   map[filbertford.PoolID]probe
+	leaders  map[filbertford.NodeID]bool
+	ledAt    time.Duration // when the leaders were last looked at
 	draining bool
 	wall     int64
 	out      []Event
@@ -88,10 +102,12 @@
 		lost:     make(map[filbertford.PoolID]bool),
 		highest:  make(map[filbertford.PoolID]uint64),
 		owners:   make(map[filbertford.PoolID]Owner),
+		best:     make(map[filbertford.PoolID]Owner),
 		stale:    make(map[filbertford.PoolID]bool),
 		vacant:   make(map[filbertford.PoolID]time.Duration),
 		fencedAt: make(map[filbertford.PoolID]time.Duration),
 		probes:   make(map[filbertford.PoolID]probe),
+		leaders:  make(map[filbertford.NodeID]bool),
 	}
 }
 
@@ -160,9 +176,53 @@
 // BeatPeriod returns the time between two heartbeats.
 func (f *Fleet) BeatPeriod() time.Duration { return beatPeriod * f.Stretch() }
 
-// silence returns the silence after which a daemon counts as unreachable.
+// PeriodTo returns the time between two heartbeats to a daemon. It is longer in
+// a large fleet if neither owns a pool or is likely to claim one, except while a
+// pool has no owner: then all tell each other that they are there.
+func (f *Fleet) PeriodTo(node filbertford.NodeID) time.Duration {
+	usual := f.BeatPeriod()
+	if len(f.peers) < smallFleet || len(f.mine) > 0 || f.leaders[f.self.node] || f.leaders[node] || f.anyVacant() {
+		return usual
+	}
+	if p := f.peers[node]; p == nil || len(p.claims) > 0 {
+		return usual
+	}
+	return max(usual, rarePeriod)
+}
+
+func (f *Fleet) anyVacant() bool {
+	return slices.ContainsFunc(f.pools, func(s PoolSpec) bool { return f.owners[s.id].node == "" })
+}
+
+// electLeaders looks at which daemons rank first in their data centres.
+func (f *Fleet) electLeaders(now time.Duration) {
+	if f.ledAt != 0 && now-f.ledAt < leadersPeriod {
+		return
+	}
+	f.ledAt = now
+	zones := map[filbertford.DataCentre][]Member{f.self.zone: {f.self}}
+	for _, p := range f.peers {
+		if p.met && !p.down && !p.draining {
+			zones[p.member.zone] = append(zones[p.member.zone], p.member)
+		}
+	}
+	clear(f.leaders)
+	for zone, members := range zones {
+		pool := PoolSpec{id: filbertford.PoolID(zone), zone: zone}
+		slices.SortFunc(members, func(a, b Member) int { return compareRanks(f.rank(a, pool), f.rank(b, pool)) })
+		for _, m := range members[:min(leadersPerZone, len(members))] {
+			f.leaders[m.node] = true
+		}
+	}
+}
+
+// silence returns the silence after which a daemon with the usual period counts
+// as unreachable.
 func (f *Fleet) silence() time.Duration { return silentBeats * f.BeatPeriod() }
 
+// silenceOf returns the silence after which the daemon counts as unreachable.
+func (f *Fleet) silenceOf(p *peer) time.Duration { return max(f.silence(), silentBeats*p.period) }
+
 // starting reports whether the daemon may not have heard of all owners yet.
 func (f *Fleet) starting(now time.Duration) bool { return now-f.began < startTerm }
 
@@ -183,12 +243,13 @@
 		p = &peer{member: m, listedAt: now}
 		f.peers[m.node] = p
 	}
-	if !p.met || p.down || now-p.heardAt > f.silence() {
+	changed := !slices.Equal(p.claims, b.claims)
+	if !p.met || p.down || now-p.heardAt > f.silenceOf(p) {
 		f.emit(Event{kind: EventPeerMet, node: m.node})
-		p.listedAt = now
+		p.listedAt, changed = now, true
 	}
 	p.member, p.met, p.down, p.heardAt, p.draining, p.claims = m, true, false, now, b.draining, b.claims
-	p.starting = b.starting
+	p.starting, p.period = b.starting, min(b.period, rarePeriod)
 	if p.hearsUs = b.heard[f.self.node]; p.hearsUs {
 		p.hearsAt = now
 	}
@@ -196,9 +257,12 @@
 		f.highest[c.pool] = max(f.highest[c.pool], c.fence)
 		if mine, ok := f.mine[c.pool]; ok && c.fence > mine {
 			f.release(c.pool, "claimed by "+string(m.node))
+			changed = true
 		}
 	}
-	f.updateOwners(now)
+	if changed {
+		f.updateOwners(now)
+	}
 }
 
 // Gone takes in that the process of a daemon is surely or likely gone: its
@@ -246,25 +310,32 @@
 	f.wall = wall
 	for _, id := range slices.Sorted(maps.Keys(f.peers)) {
 		p := f.peers[id]
-		if p.met && !p.down && now-p.heardAt > f.silence() {
+		if p.met && !p.down && now-p.heardAt > f.silenceOf(p) {
 			f.lose(p, "it is silent")
 		}
 		if now-max(p.heardAt, p.listedAt) > forgetTerm {
 			delete(f.peers, id)
 		}
 	}
+	f.electLeaders(now)
 	f.updateOwners(now)
 	f.claim(now)
 }
 
 // hears reports whether a daemon was heard lately.
 func (f *Fleet) hears(now time.Duration, p *peer) bool {
-	return p.met && !p.down && now-p.heardAt <= f.silence()
+	return p.met && !p.down && now-p.heardAt <= f.silenceOf(p)
 }
 
 // linked reports whether this daemon and the other hear each other.
 func (f *Fleet) linked(now time.Duration, p *peer) bool {
-	return f.hears(now, p) && now-p.hearsAt <= f.silence()
+	return f.hears(now, p) && now-p.hearsAt <= f.silenceOf(p)
+}
+
+// present reports whether this daemon and the other have heard each other so
+// lately that the other surely lives, however rare their heartbeats are.
+func (f *Fleet) present(now time.Duration, p *peer) bool {
+	return f.linked(now, p) && now-min(p.heardAt, p.hearsAt) <= f.silence()
 }
 
 // Hears reports whether the daemon was heard lately but does not hear this one.
@@ -276,33 +347,37 @@
 	return f.hears(now, p), f.linked(now, p)
 }
 
+// Knows reports whether a daemon counts as part of the fleet.
+func (f *Fleet) Knows(node filbertford.NodeID) bool { return f.peers[node] != nil }
+
 // updateOwners brings the owners of pools in line with what is heard.
 func (f *Fleet) updateOwners(now time.Duration) {
-	for _, s := range f.pools {
-		best := Owner{}
-		if fence, ok := f.mine[s.id]; ok {
-			best = Owner{node: f.self.node, fence: fence}
+	clear(f.best)
+	for pool, fence := range f.mine {
+		f.best[pool] = Owner{node: f.self.node, fence: fence}
+	}
+	for id, p := range f.peers {
+		if len(p.claims) == 0 || !f.hears(now, p) {
+			continue
 		}
-		for _, id := range slices.Sorted(maps.Keys(f.peers)) {
-			p := f.peers[id]
-			if !f.hears(now, p) {
-				continue
-			}
-			for _, c := range p.claims {
-				if c.pool == s.id && c.fence > best.fence {
-					best = Owner{node: id, fence: c.fence}
-				}
+		for _, c := range p.claims {
+			if c.fence > f.best[c.pool].fence {
+				f.best[c.pool] = Owner{node: id, fence: c.fence}
 			}
 		}
-		if f.owners[s.id] != best {
-			if best.node == "" {
-				f.vacant[s.id] = now
-			} else {
-				delete(f.stale, s.id)
-			}
-			f.owners[s.id] = best
-			f.emit(Event{kind: EventOwner, pool: s.id, owner: best})
+	}
+	for _, s := range f.pools {
+		best := f.best[s.id]
+		if f.owners[s.id] == best {
+			continue
+		}
+		if best.node == "" {
+			f.vacant[s.id] = now
+		} else {
+			delete(f.stale, s.id)
 		}
+		f.owners[s.id] = best
+		f.emit(Event{kind: EventOwner, pool: s.id, owner: best})
 	}
 }
 
--- a/fbfleet/fleet_test.go
+++ b/fbfleet/fleet_test.go
@@ -288,3 +288,29 @@
 		})
 	}
 }
+
+// TestStrongDaemonGetsPool: daemons that start first claim the pools; a much
+// stronger one that starts later gets its data centre's pool after a while, one
+// of about the same strength doesn't.
+func TestStrongDaemonGetsPool(t *testing.T) {
+	for name, c := range map[string]struct {
+		weight int
+		want   filbertford.NodeID
+	}{
+		"stronger": {weight: 1000, want: "casa-2"},
+		"equal":    {weight: 500, want: "casa-1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFleetWorld(threeEach)
+			w.down["casa-0"], w.down["casa-2"] = true, true
+			w.run(time.Second)
+			w.down["casa-2"] = false
+			w.nodes["casa-2"] = New(NewMember("casa-2", 2, "casa-2:1", "casa", c.weight), w.now)
+			w.nodes["casa-2"].SetPools(w.nodes["casa-1"].pools)
+			w.run(2 * returnTerm)
+			if got := w.claimants("casa"); len(got) != 1 || got[0] != c.want {
+				t.Errorf("the pool is claimed by %v, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/fbfleet/member.go
+++ b/fbfleet/member.go
@@ -58,6 +58,7 @@
 	draining bool
 	heard    map[filbertford.NodeID]bool
 	claims   []Claim
+	period   time.Duration
 }
 
 // NewBeat returns a heartbeat that names whom the daemon hears and what it owns.
@@ -78,6 +79,15 @@
 // heard of the owners of pools.
 func (b Beat) Starting() bool { return b.starting }
 
+// WithPeriod returns a copy of b that says when the next one follows.
+func (b Beat) WithPeriod(d time.Duration) Beat {
+	b.period = d
+	return b
+}
+
+// Period returns the time to the sender's next heartbeat, 0 if it doesn't say.
+func (b Beat) Period() time.Duration { return b.period }
+
 // Draining reports whether the sender is about to stop.
 func (b Beat) Draining() bool { return b.draining }
 
@@ -116,6 +126,7 @@
 	draining bool
 	claims   []Claim
 	refused  time.Duration // when its address last refused a connection
+	period   time.Duration // between its heartbeats to us, 0 for the usual
 	down     bool          // its process is gone
 	listedAt time.Duration
 }
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -34,6 +34,8 @@
 // toWire returns the wire form of a message.
 func toWire(m Message) (*fbwire.Message, error) {
 	switch v := m.(type) {
+	case *fbwire.Message:
+		return v, nil
 	case Beat:
 		return &fbwire.Message{Kind: &fbwire.Message_Beat{Beat: beatToWire(v)}}, nil
 	case Roster:
@@ -98,7 +100,10 @@
 }
 
 func beatToWire(b Beat) *fbwire.Beat {
-	w := &fbwire.Beat{Starting: b.beat.Starting(), Draining: b.beat.Draining(), Routes: b.routes}
+	w := &fbwire.Beat{
+		Starting: b.beat.Starting(), Draining: b.beat.Draining(), Routes: b.routes,
+		PeriodMs: uint32(b.beat.Period().Milliseconds()),
+	}
 	for n := range b.beat.Heard() {
 		w.Heard = append(w.Heard, nameHash(n))
 	}
@@ -131,7 +136,8 @@
 			rooms[pool] = append(rooms[pool], roomFromWire(r))
 		}
 	}
-	beat := fbfleet.NewBeat(sender, w.GetDraining(), heard, claims).WithStarting(w.GetStarting())
+	beat := fbfleet.NewBeat(sender, w.GetDraining(), heard, claims).WithStarting(w.GetStarting()).
+		WithPeriod(time.Duration(w.GetPeriodMs()) * time.Millisecond)
 	return NewBeat(beat, rooms, w.GetRoutes())
 }
 
--- a/fblink/hub.go
+++ b/fblink/hub.go
@@ -133,6 +133,17 @@
 	})
 }
 
+// Prepare returns a message that is sent to many daemons in its wire form, so
+// that it is converted once. A message that has none is returned as it is.
+func (h *Hub) Prepare(m Message) Message {
+	w, err := toWire(m)
+	if err != nil {
+		h.receiver.Malformed(h.self.Node(), err)
+		return m
+	}
+	return w
+}
+
 // Send queues a message to a daemon. It is dropped if there is no stream.
 func (h *Hub) Send(to filbertford.NodeID, m Message) {
 	h.mu.Lock()
--- a/fbnode/beat.go
+++ b/fbnode/beat.go
@@ -9,20 +9,25 @@
 	"github.com/filbertford/filbertford/fbsched"
 )
 
-// beat sends heartbeats when they are due, and sooner if the room has changed.
+// sentBeat is the last heartbeat to a daemon.
+type sentBeat struct {
+	at     time.Duration
+	period time.Duration // after which the next one was promised
+}
+
+// beat sends heartbeats when they are due, and sooner to all if the room of a
+// pool has changed.
 func (n *Node) beat(now time.Duration) {
 	age := now - n.lastBeat
 	if age < roomPeriod*n.fleet.Stretch() {
 		return
 	}
 	changed := false
-	if age < n.fleet.BeatPeriod() {
-		for _, p := range n.pools {
-			changed = p.TakeChanged() || changed
-		}
-		if !changed {
-			return
-		}
+	for _, p := range n.pools {
+		changed = p.TakeChanged() || changed
+	}
+	if !changed && age < n.fleet.BeatPeriod() {
+		return
 	}
 	n.lastBeat = now
 	rooms := make(map[filbertford.PoolID][]fbsched.Room, len(n.pools))
@@ -30,20 +35,48 @@
 		rooms[id] = p.Rooms(now)
 		n.coordinator.SetRooms(id, p.Fence(), rooms[id])
 	}
-	m := fblink.NewBeat(n.fleet.Beat(now), rooms, n.routesVersion())
 	members := n.fleet.Members()
 	n.hub.SetMembers(n.linkTargets(now, members))
+	n.sendBeats(now, members, rooms)
+	if now-n.lastRoster > rosterPeriod*n.fleet.Stretch() {
+		n.sendRoster(now, members)
+	}
+}
+
+// sendBeats sends heartbeats to the daemons to which they are due.
+func (n *Node) sendBeats(now time.Duration, members []fbfleet.Member, rooms map[filbertford.PoolID][]fbsched.Room) {
+	beat := n.fleet.Beat(now)
+	byPeriod := make(map[time.Duration]fblink.Message)
 	for _, member := range members {
+		period := n.fleet.PeriodTo(member.Node())
+		last := n.sentBeats[member.Node()]
+		if len(rooms) == 0 && last.period > n.fleet.BeatPeriod() && now-last.at < min(period, last.period) {
+			continue
+		}
+		n.sentBeats[member.Node()] = sentBeat{at: now, period: period}
+		m := byPeriod[period]
+		if m == nil {
+			m = n.hub.Prepare(fblink.NewBeat(beat.WithPeriod(period), rooms, n.routesVersion()))
+			byPeriod[period] = m
+		}
 		n.hub.Send(member.Node(), m)
-		if heard, hearsUs := n.fleet.Hears(now, member.Node()); heard && !hearsUs && now-n.lastRoster > rosterPeriod {
+	}
+}
+
+// sendRoster names all daemons to all, and replaces the links to those that are
+// heard but don't hear this one.
+func (n *Node) sendRoster(now time.Duration, members []fbfleet.Member) {
+	n.lastRoster = now
+	roster := n.hub.Prepare(fblink.NewRoster(members))
+	for _, member := range members {
+		n.hub.Send(member.Node(), roster)
+		if heard, hearsUs := n.fleet.Hears(now, member.Node()); heard && !hearsUs {
 			n.hub.Redial(member.Node())
 		}
 	}
-	if now-n.lastRoster > rosterPeriod {
-		n.lastRoster = now
-		roster := fblink.NewRoster(members)
-		for _, member := range members {
-			n.hub.Send(member.Node(), roster)
+	for node := range n.sentBeats {
+		if !n.fleet.Knows(node) {
+			delete(n.sentBeats, node)
 		}
 	}
 }
--- a/fbnode/mirror.go
+++ b/fbnode/mirror.go
@@ -20,9 +20,11 @@
 	// watchWait is the longest that the store holds back an answer without
 	// changes. A connection that went silent is noticed that much later.
 	watchWait = 2 * time.Second
-	// targetPace is the time between two reads of the targets' records, which
-	// each target writes with every heartbeat.
-	targetPace = 400 * time.Millisecond
+	// ownerPace is the time between two reads of the targets' records, which each
+	// target writes with every heartbeat, by a daemon that owns a pool; idlePace
+	// that by one that owns none.
+	ownerPace = 400 * time.Millisecond
+	idlePace  = 2 * time.Second
 )
 
 // mirror keeps a copy of a table of the store up to date.
@@ -30,9 +32,11 @@
 	store filbertford.Store
 	table filbertford.TableName
 	log   *log.Logger
-	// pace is the least time between two reads of changes: a table whose rows are
-	// written all the time would else be read for each of them.
-	pace time.Duration
+	// pace returns the least time between two reads of changes: a table whose rows
+	// are written all the time would else be read for each of them.
+	pace func() time.Duration
+	// hurry ends the pause before the next read.
+	hurry chan struct{}
 	// apply takes the whole table or its changes.
 	apply func(full bool, s filbertford.Snapshot)
 }
@@ -63,7 +67,7 @@
 			}
 			m.apply(!synced, snap)
 			version, synced, lost, pause = snap.Version(), true, false, firstPause
-			m.sleep(ctx, m.pace)
+			m.sleep(ctx, m.pace())
 		}
 	}
 	return ctx.Err()
@@ -82,6 +86,7 @@
 	}
 	select {
 	case <-ctx.Done():
+	case <-m.hurry:
 	case <-time.After(d):
 	}
 }
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -25,7 +25,7 @@
 	tickPeriod = 20 * time.Millisecond
 	// roomPeriod is the shortest time between two heartbeats that tell room.
 	roomPeriod = 30 * time.Millisecond
-	// rosterPeriod is the time between two rosters to each daemon.
+	// rosterPeriod is the time between two rosters to each daemon of a small fleet.
 	rosterPeriod = time.Second
 	// suspicion is the gap between two ticks that counts as a suspension.
 	suspicion = 300 * time.Millisecond
@@ -82,6 +82,9 @@
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	requests atomic.Uint64
+	owning   atomic.Bool // a pool of targets
+
+	readTargets chan struct{}
 
 	// Below is the control goroutine's.
 	fleet       *fbfleet.Fleet
@@ -98,6 +101,8 @@
 	lastTick    time.Duration
 	lastBeat    time.Duration
 	lastRoster  time.Duration
+	sentBeats   map[filbertford.NodeID]sentBeat
+	specs       []fbfleet.PoolSpec // of the pools that are known
 	joined      bool
 	book        *book
 }
@@ -121,6 +126,8 @@
 		keepers:     make(map[filbertford.PoolID]*fbkeep.Keeper),
 		asked:       make(map[uint64]*askedStored),
 		origins:     make(map[uint64]origin),
+		readTargets: make(chan struct{}, 1),
+		sentBeats:   make(map[filbertford.NodeID]sentBeat),
 		lastTick:    now,
 		book:        newBook(parts.Log, parts.Metrics, parts.LostLines),
 	}
@@ -131,9 +138,9 @@
 
 // setPools names the pools that are known.
 func (n *Node) setPools() {
-	specs := n.poolSpecs()
-	n.fleet.SetPools(specs)
-	for _, s := range specs {
+	n.specs = n.poolSpecs()
+	n.fleet.SetPools(n.specs)
+	for _, s := range n.specs {
 		if !isShard(s.ID()) {
 			n.coordinator.AddPool(s.ID())
 		}
@@ -241,7 +248,7 @@
 // reachesPool reports whether any pool has an owner that can be reached, or no
 // target is known.
 func (n *Node) reachesPool() bool {
-	for _, s := range n.poolSpecs() {
+	for _, s := range n.specs {
 		if s.Zone() != "" && n.fleet.Owner(s.ID()).Node() != "" {
 			return true
 		}
@@ -255,7 +262,7 @@
 	for moved := true; moved; {
 		moved = false
 		for _, p := range n.pools {
-			for _, a := range p.TakeActions() {
+			for _, a := range p.TakeActions(now) {
 				moved = true
 				n.act(now, a)
 			}
@@ -282,10 +289,13 @@
 			}
 			p := fbsched.NewPool(e.Pool(), e.Owner().Fence(), fbtimer.WallOffset(), now)
 			n.pools[e.Pool()] = p
+			n.owning.Store(true)
+			n.hurryTargets()
 			p.SetGhosts(n.table.departures(e.Pool()))
 			p.SetTargets(now, n.table.pool(e.Pool()))
 		case fbfleet.EventReleased:
 			delete(n.pools, e.Pool())
+			n.owning.Store(len(n.pools) > 0)
 			n.dropKeeper(e.Pool())
 		case fbfleet.EventOwner:
 			if isShard(e.Pool()) {
@@ -308,7 +318,7 @@
 // resume offers the tasks in a daemon's pools again, since messages of either
 // direction may have been lost.
 func (n *Node) resume(now time.Duration, node filbertford.NodeID) {
-	for _, s := range n.poolSpecs() {
+	for _, s := range n.specs {
 		if n.fleet.Owner(s.ID()).Node() == node {
 			n.coordinator.Resume(now, s.ID())
 		}
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -29,18 +29,39 @@
 		filbertford.TableNodes:   n.nodesChanged,
 	}
 	var out []*mirror
-	paces := map[filbertford.TableName]time.Duration{filbertford.TableTargets: targetPace}
 	for table, apply := range applies {
-		out = append(out, &mirror{
-			store: n.parts.Store, table: table, log: n.parts.Log, pace: paces[table],
+		m := &mirror{
+			store: n.parts.Store, table: table, log: n.parts.Log,
+			pace: func() time.Duration { return 0 },
 			apply: func(full bool, s filbertford.Snapshot) {
 				n.post(func(now time.Duration) { apply(now, full, s) })
 			},
-		})
+		}
+		if table == filbertford.TableTargets {
+			m.pace, m.hurry = n.targetPace, n.readTargets
+		}
+		out = append(out, m)
 	}
 	return out
 }
 
+// targetPace returns the time between two reads of the targets' records.
+func (n *Node) targetPace() time.Duration {
+	if n.owning.Load() {
+		return ownerPace
+	}
+	return idlePace
+}
+
+// hurryTargets lets the targets' records be read at once: an owner must not go
+// by old ones.
+func (n *Node) hurryTargets() {
+	select {
+	case n.readTargets <- struct{}{}:
+	default:
+	}
+}
+
 func (n *Node) routesChanged(_ time.Duration, _ bool, s filbertford.Snapshot) {
 	for _, c := range s.Changes() {
 		if n.parts.Decoder.IsRoutes(c.Row()) && !c.Removed() {
--- /dev/null
+++ b/fbsched/bench_test.go
@@ -0,0 +1,80 @@
+package fbsched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// BenchmarkBacklog measures what the end of a run costs a pool whose targets are
+// full and whose queue is long: the end, a look and the next start.
+func BenchmarkBacklog(b *testing.B) {
+	for _, queued := range []int{0, 100, 1000} {
+		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+			benchmarkBacklog(b, 88, queued)
+		})
+	}
+}
+
+func benchmarkBacklog(b *testing.B, targets, queued int) {
+	now := time.Minute
+	p := NewPool("nordnes", 1, 1_000_000, now)
+	records := make([]filbertford.TargetRecord, targets)
+	for i := range records {
+		id := filbertford.TargetID(fmt.Sprintf("t%02d", i))
+		records[i] = filbertford.NewTargetRecord(filbertford.NewBoot(id, 1), "ordering", string(id)+":80", "nordnes",
+			filbertford.NewDemand(16000, 64000, 0), "a", "r1")
+	}
+	p.SetTargets(now, records)
+	ended := make(map[filbertford.TargetID]uint64)
+	jobs := 0
+	offer := func() {
+		jobs++
+		step := filbertford.NewStep(1, filbertford.NewDemand(7000+jobs%5*500, 64, 0), 100*time.Millisecond)
+		batch := NewBatch("nordnes", filbertford.JobKey(fmt.Sprintf("%016x", jobs)), 0, 0, step, []Item{NewItem(0, 0)}).
+			WithWork("", "ordering", 3).WithTimes(time.Hour, time.Hour)
+		p.Offer(now, "node-1", batch)
+	}
+	var started []filbertford.StartOrder
+	act := func() {
+		for _, a := range p.TakeActions(now) {
+			switch v := a.(type) {
+			case LookCall:
+				p.LookReply(now, v.Order, filbertford.NewCallReply(filbertford.CallDone, now.Milliseconds()), now, now)
+			case StartCall:
+				p.StartReply(now, v.Order, filbertford.NewCallReply(filbertford.CallDone, now.Milliseconds()), now, now)
+				started = append(started, v.Order)
+			}
+		}
+	}
+	act()
+	for range 2*targets + queued {
+		offer()
+	}
+	act()
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Millisecond
+		o := started[0]
+		started = started[1:]
+		id := o.Boot().ID()
+		ended[id]++
+		end := filbertford.NewRunEnd(ended[id], o.Task(), o.Run(), filbertford.EndDone)
+		look := filbertford.NewLookOrder(o.Boot(), o.Address(), 1, 0, 0, 0)
+		offer()
+		var running []filbertford.RunStatus
+		for _, s := range started {
+			if s.Boot() == o.Boot() {
+				running = append(running, filbertford.NewRunStatus(s.Task(), s.Run(), 50))
+			}
+		}
+		p.LookReply(now, look, filbertford.NewCallReply(filbertford.CallDone, now.Milliseconds()).WithLists(running, []filbertford.RunEnd{end}), now, now)
+		for _, a := range p.TakeActions(now) {
+			if v, ok := a.(StartCall); ok {
+				started = append(started, v.Order)
+			}
+		}
+	}
+}
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -1,8 +1,6 @@
 package fbsched
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -15,59 +13,38 @@
 
 // dispatch starts the tasks that wait, the most urgent first.
 func (p *Pool) dispatch(now time.Duration) {
-	if len(p.queue) == 0 {
+	p.due = false
+	if p.queue.len() == 0 {
 		return
 	}
-	p.sortQueue(now)
-	p.fastest = p.fastestFactor(now)
-	kept := p.queue[:0]
-	for _, t := range p.queue {
-		if p.tasks[t.key] != t || t.run != nil {
-			continue
-		}
-		if !p.startTask(now, t) {
-			kept = append(kept, t)
-		}
-	}
-	clear(p.queue[len(kept):])
-	p.queue = kept
-}
-
-// sortQueue orders the queue by the time by which a task must start to meet its
-// objective. Those that can't meet it any more come last, by the same order.
-func (p *Pool) sortQueue(now time.Duration) {
-	late := func(t *task) int {
-		if t.latestStart() < now {
-			return 1
+	markets := p.markets(now)
+	started := false
+	p.queue.each(now, func(t *task) {
+		if m := markets[t.batch.service]; m != nil && t.batch.step.Demand().Fits(m.most) && p.startTask(now, t, m) {
+			started = true
 		}
-		return 0
-	}
-	slices.SortStableFunc(p.queue, func(a, b *task) int {
-		return cmp.Or(
-			cmp.Compare(late(a), late(b)),
-			cmp.Compare(a.latestStart(), b.latestStart()),
-			cmp.Compare(a.key.String(), b.key.String()),
-		)
 	})
+	if started {
+		p.queue.removeFunc(func(t *task) bool { return t.run != nil })
+	}
 }
 
-func (t *task) latestStart() time.Duration { return t.due - t.batch.step.Estimate() }
-
-// startTask starts a task if a target has room for it.
-func (p *Pool) startTask(now time.Duration, t *task) bool {
+// startTask starts a task if a target of its service has room for it.
+func (p *Pool) startTask(now time.Duration, t *task, m *market) bool {
 	if t.parked != 0 || p.live[t.key] != nil || !p.surelyOver(now, t) {
 		return false
 	}
-	best := p.choose(now, t)
-	t.choosy = best != nil && p.betterToWait(now, t, best)
-	if best == nil || t.choosy {
+	chosen := p.choose(t, m)
+	t.choosy = chosen != nil && betterToWait(now, t, chosen, m.fastest)
+	if chosen == nil || t.choosy {
 		return false
 	}
+	best := chosen.target
 	step := t.batch.step
 	r := &run{
 		target: best, key: t.key, number: p.nextRun(now, t.key), task: t, state: runStarting,
 		demand: step.Demand(), began: now, advanced: now,
-		expected: time.Duration(float64(step.Estimate()) * p.factorOf(best)),
+		expected: time.Duration(float64(step.Estimate()) * chosen.factor),
 		lease:    best.clock.at(now) + leaseTerm.Milliseconds(),
 	}
 	best.lease = max(best.lease, r.lease)
@@ -78,6 +55,8 @@
 	p.do(StartCall{Order: filbertford.NewStartOrder(best.rec.Boot(), best.rec.Address(), t.key, r.number, t.batch.spec, r.lease, p.fence)})
 	p.reportStart(t, best.id())
 	p.look(now, best)
+	chosen.closed = !best.health.takes(now, len(best.runs))
+	m.take(chosen, r.demand)
 	return true
 }
 
@@ -96,23 +75,21 @@
 	return on != nil && on.listed
 }
 
-// choose returns the target on which the task ends first. Among equals it takes
+// choose returns the opening in which the task ends first. Among equals it takes
 // the one whose room the task fills best.
-func (p *Pool) choose(now time.Duration, t *task) *target {
+func (p *Pool) choose(t *task, m *market) *opening {
 	step := t.batch.step
-	var best *target
+	var best *opening
 	var bestCost float64
 	var bestLeft int
-	for _, c := range p.order {
-		if !p.usable(now, c, t.batch.service) || !c.rec.HasLabel(step.Label()) || slices.Contains(t.avoid, c.id()) && !p.noChoice(t) {
-			continue
-		}
-		free := c.rec.Capacity().Minus(c.used)
-		if !step.Demand().Fits(free) || !c.health.takes(now, len(c.runs)) || c.holds(t, step.MaxPerTarget()) {
+	for i := range m.openings {
+		c := &m.openings[i]
+		if c.closed || !step.Demand().Fits(c.free) || !c.target.rec.HasLabel(step.Label()) ||
+			slices.Contains(t.avoid, c.target.id()) && !p.noChoice(t) || c.target.holds(t, step.MaxPerTarget()) {
 			continue
 		}
-		cost, left := p.factorOf(c), free.CPU()-step.Demand().CPU()
-		if step.Rack() != "" && !c.rec.HasLabel(step.Rack()) {
+		cost, left := c.factor, c.free.CPU()-step.Demand().CPU()
+		if step.Rack() != "" && !c.target.rec.HasLabel(step.Rack()) {
 			cost *= farFactor
 		}
 		if best == nil || cost < bestCost || cost == bestCost && left < bestLeft {
@@ -125,24 +102,13 @@
 // estimateMargin covers what estimates of callers scatter by.
 const estimateMargin = 1.25
 
-// betterToWait reports whether the task would be late on the target, but can
-// still meet its objective on one of the fastest, which may have room soon.
-func (p *Pool) betterToWait(now time.Duration, t *task, best *target) bool {
+// betterToWait reports whether the task would be late in the opening, but can
+// still meet its objective on a target with the fastest factor, which may have
+// room soon.
+func betterToWait(now time.Duration, t *task, o *opening, fastest float64) bool {
 	estimate := float64(t.batch.step.Estimate())
 	left := float64(t.due - now)
-	return estimate*p.factorOf(best) > left && estimate*p.fastest*estimateMargin <= left && best.health.relative <= slowFactor
-}
-
-// fastestFactor returns the least factor by which a run on a target of the pool
-// takes longer than estimated.
-func (p *Pool) fastestFactor(now time.Duration) float64 {
-	fastest := math.Inf(1)
-	for _, t := range p.order {
-		if p.usable(now, t, t.rec.Service()) {
-			fastest = min(fastest, p.factorOf(t))
-		}
-	}
-	return fastest
+	return estimate*o.factor > left && estimate*fastest*estimateMargin <= left && o.target.health.relative <= slowFactor
 }
 
 // farFactor is how many times longer a task takes outside its preferred rack,
@@ -200,7 +166,7 @@
 		return
 	}
 	p.startRefused(now, t, r, reply)
-	p.dispatch(now)
+	p.due = true
 }
 
 // startRefused takes in the refusal of a start: the run is not and will not be
@@ -264,7 +230,7 @@
 		return time.Minute
 	}
 	var work float64
-	for _, t := range p.queue {
+	for _, t := range p.queue.tasks {
 		if t.batch.service == service && !t.choosy {
 			work += float64(t.batch.step.Estimate()) * float64(t.batch.step.Demand().CPU())
 		}
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -1,7 +1,6 @@
 package fbsched
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -54,12 +53,11 @@
 	finished map[filbertford.TaskKey]finish
 	foreign  map[filbertford.TaskKey]int   // failed runs that earlier owners began
 	ghosts   map[filbertford.TargetID]bool // left the pool before they were listed
-	queue    []*task
-	sorted   bool
+	queue    queue
 	speeds   *speeds
 	began    time.Duration
 	settled  bool
-	fastest  float64 // the factor of the fastest targets
+	due      bool // tasks may have become startable
 	changed  bool
 	out      []Action
 }
@@ -72,6 +70,7 @@
 	failures    int
 	avoid       []filbertford.TargetID
 	due         time.Duration
+	latestStart time.Duration // due less the estimate
 	end         time.Duration
 	queued      time.Duration
 	resume      bool
@@ -118,8 +117,12 @@
 // Fence returns the fencing token of the pool's owner.
 func (p *Pool) Fence() uint64 { return p.fence }
 
-// TakeActions returns what is to be done since the last call.
-func (p *Pool) TakeActions() []Action {
+// TakeActions starts the tasks that can start, and returns what is to be done
+// since the last call.
+func (p *Pool) TakeActions(now time.Duration) []Action {
+	if p.due {
+		p.dispatch(now)
+	}
 	out := p.out
 	p.out = nil
 	return out
@@ -133,7 +136,7 @@
 }
 
 // Queued returns the number of tasks that wait for a target.
-func (p *Pool) Queued() int { return len(p.queue) }
+func (p *Pool) Queued() int { return p.queue.len() }
 
 // Running returns the number of runs on the pool's targets.
 func (p *Pool) Running() int { return len(p.live) }
@@ -143,7 +146,7 @@
 	for _, item := range b.items {
 		p.offerTask(now, from, &b, item)
 	}
-	p.dispatch(now)
+	p.due = true
 }
 
 func (p *Pool) offerTask(now time.Duration, from filbertford.NodeID, b *Batch, item Item) {
@@ -160,9 +163,10 @@
 	}
 	t := &task{
 		key: key, coordinator: from, batch: b, failures: item.failures,
-		due: now + b.due, end: now + b.end, queued: now, resume: b.resume,
+		end: now + b.end, queued: now, resume: b.resume,
 		notBefore: now + orphanTerm - b.orphaned, startedOn: item.target, search: b.search,
 	}
+	t.setDue(now + b.due)
 	t.failures = max(t.failures, p.foreign[key])
 	p.tasks[key] = t
 	if r, ok := p.live[key]; ok && r.adoptable() {
@@ -182,7 +186,9 @@
 		p.report(t.coordinator, t.key, VerdictTaken, t.failures)
 	}
 	t.coordinator, t.batch, t.parked = from, b, 0
-	t.due, t.end = now+b.due, now+b.end
+	t.setDue(now + b.due)
+	t.end = now + b.end
+	p.queue.sort()
 	if t.search && !b.search {
 		t.search = false
 		p.enqueue(t)
@@ -194,7 +200,10 @@
 		}
 		p.reportStart(t, on)
 	}
-	p.sorted = false
+}
+
+func (t *task) setDue(due time.Duration) {
+	t.due, t.latestStart = due, due-t.batch.step.Estimate()
 }
 
 // endSearch returns a task that is surely not here.
@@ -217,12 +226,12 @@
 }
 
 func (p *Pool) enqueue(t *task) {
-	p.queue = append(p.queue, t)
-	p.sorted, p.changed = false, true
+	p.queue.add(t)
+	p.due, p.changed = true, true
 }
 
 func (p *Pool) dequeue(t *task) {
-	p.queue = slices.DeleteFunc(p.queue, func(q *task) bool { return q == t })
+	p.queue.removeFunc(func(q *task) bool { return q == t })
 	p.changed = true
 }
 
@@ -234,7 +243,7 @@
 	}
 	p.drop(now, func(t *task) bool { return t.key.Job() == job && t.isOf(from) }, "withdrawn")
 	p.releaseEnds(now, job)
-	p.dispatch(now)
+	p.due = true
 }
 
 // isOf reports whether the coordinator may withdraw the task.
@@ -267,7 +276,7 @@
 			out = append(out, t)
 		}
 	}
-	slices.SortFunc(out, func(a, b *task) int { return cmp.Compare(a.key.String(), b.key.String()) })
+	slices.SortFunc(out, func(a, b *task) int { return a.key.Compare(b.key) })
 	return out
 }
 
@@ -280,7 +289,7 @@
 		}
 	}
 	p.drop(now, func(t *task) bool { return t.coordinator == node && t.parked == 0 }, "coordinator gone")
-	p.dispatch(now)
+	p.due = true
 }
 
 // Confirm takes in that the end of a task, or its failed runs, are recorded.
@@ -330,7 +339,7 @@
 	for _, r := range stopped {
 		p.stopRun(now, r, reason)
 	}
-	p.queue = slices.DeleteFunc(p.queue, func(t *task) bool { return p.tasks[t.key] != t })
+	p.queue.removeFunc(func(t *task) bool { return p.tasks[t.key] != t })
 	p.changed = true
 }
 
@@ -366,7 +375,7 @@
 // expire gives up the tasks that could not start in time.
 func (p *Pool) expire(now time.Duration) {
 	expired := false
-	for _, t := range p.queue {
+	for _, t := range p.queue.tasks {
 		if now < t.end {
 			continue
 		}
@@ -376,7 +385,7 @@
 		p.returnTask(t, VerdictExpired)
 	}
 	if expired {
-		p.queue = slices.DeleteFunc(p.queue, func(t *task) bool { return p.tasks[t.key] != t })
+		p.queue.removeFunc(func(t *task) bool { return p.tasks[t.key] != t })
 		p.changed = true
 	}
 }
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -260,7 +260,7 @@
 	w := newFakeWorld(2, 2)
 	p := NewPool(poolName, 2, 1_000_000, w.now)
 	p.SetTargets(w.now, w.records())
-	p.TakeActions()
+	p.TakeActions(w.now)
 	first, second := w.targets["t00"], w.targets["t01"]
 	look := func(target *fakeTarget, running ...filbertford.RunStatus) {
 		o := filbertford.NewLookOrder(target.rec.Boot(), target.rec.Address(), 2, 0, 0, 0)
@@ -272,7 +272,7 @@
 	batch := NewBatch(poolName, "00000000000000aa", 0, 0, step, []Item{NewItem(0, 0).WithTarget("t00")}).
 		WithWork("", "ordering", 3).WithTimes(time.Second, time.Second).WithFence(2).WithResume(0)
 	p.Offer(w.now, "c", batch)
-	for _, a := range p.TakeActions() {
+	for _, a := range p.TakeActions(w.now) {
 		if s, ok := a.(StartCall); ok {
 			t.Fatalf("the task was started on %s before t01 was listed", s.Order.Boot().ID())
 		}
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -89,8 +89,7 @@
 			p.note(Note{Kind: NoteTargetGone, Target: t.id(), Age: now - t.answered})
 		}
 	}
-	p.changed = true
-	p.dispatch(now)
+	p.changed, p.due = true, true
 }
 
 func (p *Pool) setTarget(now time.Duration, rec filbertford.TargetRecord) {
@@ -230,7 +229,7 @@
 	}
 	p.look(now, t)
 	p.settle(now)
-	p.dispatch(now)
+	p.due = true
 }
 
 // hear takes in what every answer tells, and reports whether there was one
@@ -344,5 +343,8 @@
 }
 
 func compareRuns(a, b *run) int {
-	return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.key.String(), b.key.String()))
+	if c := cmp.Compare(a.number, b.number); c != 0 {
+		return c
+	}
+	return a.key.Compare(b.key)
 }
--- a/fbsched/world_test.go
+++ b/fbsched/world_test.go
@@ -259,7 +259,7 @@
 			if o.dead || o.paused {
 				continue
 			}
-			for _, a := range o.pool.TakeActions() {
+			for _, a := range o.pool.TakeActions(w.now) {
 				moved = true
 				w.act(o, a)
 			}
--- a/workload.go
+++ b/workload.go
@@ -1,6 +1,7 @@
 package filbertford
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -49,6 +50,20 @@
 	return NewTaskKey(JobKey(parts[0]), numbers[0], numbers[1], numbers[2]), nil
 }
 
+// Compare orders keys by job, occurrence, step and index.
+func (k TaskKey) Compare(o TaskKey) int {
+	if c := cmp.Compare(k.job, o.job); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(k.occurrence, o.occurrence); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(k.step, o.step); c != 0 {
+		return c
+	}
+	return cmp.Compare(k.index, o.index)
+}
+
 // Job returns the key of the task's job.
 func (k TaskKey) Job() JobKey { return k.job }
 
@@ -86,6 +101,11 @@
 // GPU returns the number of accelerators.
 func (d Demand) GPU() int { return d.gpu }
 
+// Most returns the larger of d and o in each part.
+func (d Demand) Most(o Demand) Demand {
+	return NewDemand(max(d.cpu, o.cpu), max(d.memory, o.memory), max(d.gpu, o.gpu))
+}
+
 // Fits reports whether the demand is covered by what is free.
 func (d Demand) Fits(free Demand) bool {
 	return d.cpu <= free.cpu && d.memory <= free.memory && d.gpu <= free.gpu
