Ends that nobody claims are left at targets for a second

Cause: after a start of all daemons a pool had three owners within 10 ms. Change: the end of a run that nobody claims is acknowledged after a second. TestForeignEndIsLeftForNextOwner fails without it (acknowledged after 20 ms).

--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -131,6 +131,7 @@
 	if waiting == nil {
 		if _, ok := p.finished[e.Task()]; !ok {
 			p.finished[e.Task()] = finish{verdict: VerdictDone, at: now, kept: foreignTerm}
+			t.hold(now, e.Number())
 		}
 		return
 	}
@@ -169,6 +170,13 @@
 	}
 }
 
+// hold lets the target keep the ends from the number on for a while.
+func (t *target) hold(now time.Duration, number uint64) {
+	if t.heldFrom == 0 {
+		t.heldFrom, t.heldUntil = number, now+foreignHold
+	}
+}
+
 // confirm drops the ends that are recorded, and reports whether there were any.
 func (t *target) confirm(c Confirm) bool {
 	n := len(t.unconfirmed)
@@ -183,6 +191,9 @@
 // ackable returns the number up to which the target may forget ends.
 func (t *target) ackable() uint64 {
 	n := t.seen
+	if t.heldFrom != 0 {
+		n = min(n, t.heldFrom-1)
+	}
 	for number := range t.unconfirmed {
 		n = min(n, number-1)
 	}
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -27,6 +27,11 @@
 	// offers it again, foreignTerm how long one that an earlier owner began.
 	memoryTerm  = 5 * time.Second
 	foreignTerm = time.Minute
+	// foreignHold is how long a target keeps the end of a run that nobody claims,
+	// so that another owner finds it if the pool moves on at once. heldCheck is the
+	// time between two looks meanwhile: the target holds back no answer.
+	foreignHold = time.Second
+	heldCheck   = 50 * time.Millisecond
 	// parkTerm is how long the tasks of a stored job go on without a coordinator.
 	parkTerm = 8 * time.Second
 	// repeatPeriod is the time between two reports of an end that is not
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -410,3 +410,42 @@
 		})
 	}
 }
+
+// TestForeignEndIsLeftForNextOwner: an owner that reads the end of a run that
+// nobody claims lets the target keep it for a while: if the pool moves on at once,
+// as after a start of all daemons, the next owner must find it.
+func TestForeignEndIsLeftForNextOwner(t *testing.T) {
+	now := time.Minute
+	p := NewPool(poolName, 1, 1_000_000, now)
+	boot := filbertford.NewBoot("t00", 1)
+	rec := filbertford.NewTargetRecord(boot, "ordering", "t00:80", "nordnes", filbertford.NewDemand(4000, 1000, 0), "a", "r1")
+	p.SetTargets(now, []filbertford.TargetRecord{rec})
+	end := filbertford.NewRunEnd(1, filbertford.NewTaskKey("00000000000000aa", 0, 0, 0), 7, filbertford.EndDone)
+	seen := func() uint64 {
+		var most uint64
+		for _, a := range p.TakeActions(now) {
+			if l, ok := a.(LookCall); ok {
+				most = max(most, l.Order.Seen())
+				r := filbertford.NewCallReply(filbertford.CallDone, 1000).WithLists(nil, []filbertford.RunEnd{end})
+				p.LookReply(now, l.Order, r, now, now)
+			}
+		}
+		return most
+	}
+	for elapsed := time.Duration(0); elapsed < 900*time.Millisecond; elapsed += 20 * time.Millisecond {
+		if n := seen(); n != 0 {
+			t.Fatalf("ends up to %d are acknowledged after %v", n, elapsed)
+		}
+		now += 20 * time.Millisecond
+		p.Tick(now, 1_000_000)
+	}
+	acknowledged := uint64(0)
+	for range 10 {
+		now += 20 * time.Millisecond
+		p.Tick(now, 1_000_000)
+		acknowledged = max(acknowledged, seen())
+	}
+	if acknowledged != 1 {
+		t.Errorf("ends up to %d are acknowledged in the end, want 1", acknowledged)
+	}
+}
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -19,6 +19,8 @@
 	seen        uint64
 	acked       uint64
 	unconfirmed map[uint64]Confirm // ends of stored jobs that are not recorded
+	heldFrom    uint64             // the first end that nobody claims and that is held, 0 for none
+	heldUntil   time.Duration
 	looking     bool
 	lookSent    time.Duration
 	looked      time.Duration // when the last look ended
@@ -152,6 +154,9 @@
 		p.checkProgress(now, r)
 	}
 	t.health.tick(now)
+	if t.heldFrom != 0 && now >= t.heldUntil {
+		t.heldFrom = 0
+	}
 	if !t.looking && (t.misses == 0 || now-t.looked > retryPause) {
 		p.look(now, t)
 	}
@@ -186,8 +191,8 @@
 	if t.looking || t.listed && len(t.runs) == 0 && t.ackable() == t.acked && t.misses == 0 {
 		return
 	}
-	if len(t.unconfirmed) > 0 && now-t.looked < minCheck {
-		return // the target would answer at once with the ends that are not recorded
+	if now-t.looked < t.leastCheck() {
+		return
 	}
 	var lease int64
 	var wait time.Duration
@@ -202,6 +207,18 @@
 	p.do(LookCall{Order: filbertford.NewLookOrder(t.rec.Boot(), t.rec.Address(), p.fence, t.ackable(), lease, wait)})
 }
 
+// leastCheck returns the time between two looks while the target answers at once
+// with the ends that it has to keep.
+func (t *target) leastCheck() time.Duration {
+	switch {
+	case len(t.unconfirmed) > 0:
+		return minCheck
+	case t.heldFrom != 0:
+		return heldCheck
+	}
+	return 0
+}
+
 // nextCheck returns how long the target may hold back its answer if no run
 // ends.
 func (t *target) nextCheck(now time.Duration) time.Duration {
