--- a/fbkeep/action.go
+++ b/fbkeep/action.go
@@ -13,6 +13,8 @@
 	CallReadClaim CallKind = "read-claim"
 	CallReadJobs  CallKind = "read-jobs"
 	CallCommit    CallKind = "commit"
+	// CallVerifyClaim reads the claim to see that it still is the keeper's.
+	CallVerifyClaim CallKind = "verify-claim"
 )
 
 // Call is a call to the store. Its result comes back to Called.
--- a/fbkeep/commit.go
+++ b/fbkeep/commit.go
@@ -68,6 +68,8 @@
 		k.jobsRead(now, s, err)
 	case CallCommit:
 		k.committed(now, version, err)
+	case CallVerifyClaim:
+		k.claimVerified(now, s, err)
 	}
 }
 
@@ -209,6 +211,7 @@
 		}
 	}
 	k.phase = phaseServing
+	k.verifiedByClaim()
 	k.serve()
 }
 
--- a/fbkeep/keeper.go
+++ b/fbkeep/keeper.go
@@ -49,7 +49,9 @@
 	dirty   []filbertford.JobKey // jobs whose rows are to be written
 	flight  *flight
 	retry   time.Duration // when a call may be tried again, 0 if none waits
-	out     []Action
+
+	verification verification
+	out          []Action
 }
 
 // request is a caller's request that is not answered yet.
@@ -74,7 +76,7 @@
 }
 
 // Action is something that a keeper wants done: a Call, Reply, Begin, Cancel,
-// Confirmed or Lost.
+// Confirmed, Verified, Malformed or Lost.
 type Action any
 
 // Cancel has a job's tasks stopped.
@@ -199,6 +201,7 @@
 			k.open()
 		}
 	}
+	k.tickVerification(now)
 	for key, j := range k.jobs {
 		if j.ended == 0 && j.state.over() {
 			j.ended = now
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -303,6 +303,7 @@
 				continue
 			}
 			n.coordinator.SetOwner(now, e.Pool(), e.Owner().Node(), e.Owner().Fence())
+			n.verifyKeepers(e.Pool())
 		case fbfleet.EventPeerLost:
 			for _, p := range n.pools {
 				p.CoordinatorGone(now, e.Node())
@@ -321,6 +322,7 @@
 	for _, s := range n.specs {
 		if n.fleet.Owner(s.ID()).Node() == node {
 			n.coordinator.Resume(now, s.ID())
+			n.verifyKeepers(s.ID())
 		}
 	}
 }
--- a/fbnode/stored.go
+++ b/fbnode/stored.go
@@ -270,6 +270,10 @@
 		n.coordinator.CancelStored(v.Job)
 	case fbkeep.Confirmed:
 		n.coordinator.Recorded(now, v.Task, v.Progress)
+	case fbkeep.Verified:
+		for _, pool := range v.Pools {
+			n.coordinator.ResumeStored(now, pool)
+		}
 	case fbkeep.Lost:
 		n.fleet.Fenced(now, shard, k.Fence())
 	case fbkeep.Malformed:
@@ -277,6 +281,14 @@
 	}
 }
 
+// verifyKeepers has this daemon's keepers look whether they still have their
+// shards before tasks of stored jobs are offered to a pool again.
+func (n *Node) verifyKeepers(pool filbertford.PoolID) {
+	for _, k := range n.keepers {
+		k.Verify(pool)
+	}
+}
+
 // callStore makes a keeper's call beside the control goroutine.
 func (n *Node) callStore(shard filbertford.PoolID, k *fbkeep.Keeper, c fbkeep.Call) {
 	n.calls.Go(func() error {
@@ -284,7 +296,7 @@
 		var version uint64
 		var err error
 		switch c.Kind {
-		case fbkeep.CallReadClaim:
+		case fbkeep.CallReadClaim, fbkeep.CallVerifyClaim:
 			snap, err = n.parts.Store.List(n.ctx, filbertford.TableClaims, string(shard))
 		case fbkeep.CallReadJobs:
 			snap, err = n.parts.Store.List(n.ctx, filbertford.TableJobs, string(shard))
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// SetOwner takes in who owns a pool; an empty owner stands for none. Tasks in
-// the pool are offered to a new owner again.
+// SetOwner takes in who owns a pool; an empty owner stands for none. Tasks of
+// best-effort jobs in the pool are offered to a new owner again.
 func (c *Coordinator) SetOwner(now time.Duration, pool filbertford.PoolID, owner filbertford.NodeID, fence uint64) {
 	v := c.pools[pool]
 	if v == nil {
@@ -149,35 +149,51 @@
 	c.placeWaiting(now)
 }
 
-// Resume offers all tasks in a pool to its owner again, which may have missed
-// some, or whose reports may have been lost.
+// Resume offers the tasks of best-effort jobs in a pool to its owner again, which
+// may have missed some, or whose reports may have been lost.
 func (c *Coordinator) Resume(now time.Duration, pool filbertford.PoolID) {
+	c.resume(now, pool, false)
+}
+
+// ResumeStored does the same for stored jobs, whose keeper must have the shard.
+func (c *Coordinator) ResumeStored(now time.Duration, pool filbertford.PoolID) {
+	c.resume(now, pool, true)
+}
+
+func (c *Coordinator) resume(now time.Duration, pool filbertford.PoolID, durable bool) {
 	v := c.pools[pool]
 	if v == nil || v.owner == "" {
 		return
 	}
 	for _, key := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[key]
-		if j.givingUp != 0 {
+		if j.givingUp != 0 || j.durable != durable {
 			continue
 		}
 		for number := range j.steps {
-			var items []Item
-			for index, t := range j.steps[number].tasks {
-				if t.pool == pool && !t.done {
-					items = append(items, NewItem(index, t.failures).WithTarget(t.target))
-				}
-			}
-			if len(items) > 0 {
-				// A report that crosses this batch doesn't prove that none has run.
-				j.started = true
-				c.send(v, c.batch(now, j, number, pool, items).WithResume(now-v.lost), j)
-			}
-			c.searchIn(now, j, number, pool)
+			c.resumeStep(now, v, j, number, pool)
+		}
+		if durable {
+			c.confirmDone(j, pool) // the owner before may not have heard of it
 		}
 	}
 }
 
+func (c *Coordinator) resumeStep(now time.Duration, v *poolView, j *job, number int, pool filbertford.PoolID) {
+	var items []Item
+	for index, t := range j.steps[number].tasks {
+		if t.pool == pool && !t.done {
+			items = append(items, NewItem(index, t.failures).WithTarget(t.target))
+		}
+	}
+	if len(items) > 0 {
+		// A report that crosses this batch doesn't prove that none has run.
+		j.started = true
+		c.send(v, c.batch(now, j, number, pool, items).WithResume(now-v.lost), j)
+	}
+	c.searchIn(now, j, number, pool)
+}
+
 // Submit begins a job for the request with the number. The patience is how long
 // its caller waits, 0 if unknown.
 func (c *Coordinator) Submit(now time.Duration, request uint64, r filbertford.Route, w filbertford.Workload, patience time.Duration) {
@@ -283,6 +299,8 @@
 		}
 		t.pool = ""
 		c.finish(now, j, filbertford.AnswerUnknown, "another daemon runs the job")
+	case VerdictAbsent:
+		// The answer to a search that has ended, repeated.
 	case VerdictExpired:
 		t.pool = ""
 		if j.durable {
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -42,7 +42,7 @@
 	best := chosen.target
 	step := t.batch.step
 	r := &run{
-		target: best, key: t.key, number: p.nextRun(now, t.key), task: t, state: runStarting,
+		target: best, key: t.key, number: p.nextRun(now, t), task: t, state: runStarting,
 		demand: step.Demand(), began: now, advanced: now,
 		expected: time.Duration(float64(step.Estimate()) * chosen.factor),
 		lease:    best.clock.at(now) + leaseTerm.Milliseconds(),
--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"maps"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -101,7 +102,7 @@
 	}
 	if task == nil {
 		p.learn(now, t, r, e.Ending())
-		if !r.stop {
+		if !r.stop || isStoredRun(r.number) {
 			p.foreignEnd(now, t, e)
 		}
 		return
@@ -131,7 +132,9 @@
 	if waiting == nil {
 		if _, ok := p.finished[e.Task()]; !ok {
 			p.finished[e.Task()] = finish{verdict: VerdictDone, at: now, kept: foreignTerm}
-			t.hold(now, e.Number())
+			if isStoredRun(e.Run()) {
+				t.foreign[e.Number()] = foreignEnd{task: e.Task(), until: now + foreignHold}
+			}
 		}
 		return
 	}
@@ -170,29 +173,25 @@
 	}
 }
 
-// hold lets the target keep the ends from the number on for a while.
-func (t *target) hold(now time.Duration, number uint64) {
-	if t.heldFrom == 0 {
-		t.heldFrom, t.heldUntil = number, now+foreignHold
-	}
-}
-
 // confirm drops the ends that are recorded, and reports whether there were any.
 func (t *target) confirm(c Confirm) bool {
-	n := len(t.unconfirmed)
+	n := len(t.unconfirmed) + len(t.foreign)
+	if c.done {
+		maps.DeleteFunc(t.foreign, func(_ uint64, e foreignEnd) bool { return e.task == c.task })
+	}
 	for number, u := range t.unconfirmed {
 		if u.task == c.task && (c.done || !u.done && u.failures <= c.failures) {
 			delete(t.unconfirmed, number)
 		}
 	}
-	return len(t.unconfirmed) < n
+	return len(t.unconfirmed)+len(t.foreign) < n
 }
 
 // ackable returns the number up to which the target may forget ends.
 func (t *target) ackable() uint64 {
 	n := t.seen
-	if t.heldFrom != 0 {
-		n = min(n, t.heldFrom-1)
+	for number := range t.foreign {
+		n = min(n, number-1)
 	}
 	for number := range t.unconfirmed {
 		n = min(n, number-1)
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -219,6 +219,8 @@
 	VerdictExpired Verdict = "expired"
 	// VerdictReturned tells that the pool doesn't and won't run the task.
 	VerdictReturned Verdict = "returned"
+	// VerdictAbsent tells that a task that was looked for is not in the pool.
+	VerdictAbsent Verdict = "absent"
 	// VerdictTaken tells that another coordinator has offered the task since.
 	VerdictTaken Verdict = "taken"
 )
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -27,10 +27,11 @@
 	// offers it again, foreignTerm how long one that an earlier owner began.
 	memoryTerm  = 5 * time.Second
 	foreignTerm = time.Minute
-	// foreignHold is how long a target keeps the end of a run that nobody claims,
-	// so that another owner finds it if the pool moves on at once. heldCheck is the
-	// time between two looks meanwhile: the target holds back no answer.
-	foreignHold = time.Second
+	// foreignHold is how long a target keeps the end of a stored job's run that
+	// nobody claims: longer than cuts and outages of the store usually last.
+	// heldCheck is the time between two looks meanwhile, since the target holds
+	// back no answer.
+	foreignHold = 20 * time.Second
 	heldCheck   = 50 * time.Millisecond
 	// parkTerm is how long the tasks of a stored job go on without a coordinator.
 	parkTerm = 8 * time.Second
@@ -194,7 +195,10 @@
 	t.setDue(now + b.due)
 	t.end = now + b.end
 	p.queue.sort()
-	if t.search && !b.search {
+	if t.search && b.search {
+		return // it is still looked for here
+	}
+	if t.search {
 		t.search = false
 		p.enqueue(t)
 	}
@@ -215,7 +219,7 @@
 func (p *Pool) endSearch(now time.Duration, t *task) {
 	if t.run == nil && p.live[t.key] == nil && p.surelyOver(now, t) {
 		delete(p.tasks, t.key)
-		p.returnTask(t, VerdictReturned)
+		p.returnTask(t, VerdictAbsent)
 	}
 }
 
@@ -265,9 +269,10 @@
 		}
 	}
 	for _, t := range p.order {
-		n := len(t.unconfirmed)
+		n := len(t.unconfirmed) + len(t.foreign)
 		maps.DeleteFunc(t.unconfirmed, func(_ uint64, u Confirm) bool { return u.task.Job() == job })
-		if len(t.unconfirmed) < n {
+		maps.DeleteFunc(t.foreign, func(_ uint64, e foreignEnd) bool { return e.task.Job() == job })
+		if len(t.unconfirmed)+len(t.foreign) < n {
 			p.look(now, t)
 		}
 	}
@@ -447,9 +452,15 @@
 	p.do(n)
 }
 
-// nextRun returns a number for the next run of a task.
-func (p *Pool) nextRun(now time.Duration, key filbertford.TaskKey) uint64 {
-	n := max(p.runs[key]+1, uint64(p.wall+now.Milliseconds()))
-	p.runs[key] = n
+// nextRun returns a number for the next run of a task. Odd numbers are those of
+// stored jobs, so that an owner that finds a run knows it for one.
+func (p *Pool) nextRun(now time.Duration, t *task) uint64 {
+	n := max(p.runs[t.key]+1, 2*uint64(p.wall+now.Milliseconds()))
+	if isStoredRun(n) != t.batch.durable {
+		n++
+	}
+	p.runs[t.key] = n
 	return n
 }
+
+func isStoredRun(number uint64) bool { return number%2 == 1 }
--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -147,7 +147,7 @@
 	if v == nil || v.fence != r.Fence() {
 		return false
 	}
-	if r.Verdict() != VerdictReturned {
+	if r.Verdict() != VerdictAbsent && r.Verdict() != VerdictReturned {
 		t.search, t.pool, t.fence = nil, r.Pool(), r.Fence()
 		return true
 	}
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,9 +19,8 @@
 	lease       int64 // the latest end of a lease that was sent
 	seen        uint64
 	acked       uint64
-	unconfirmed map[uint64]Confirm // ends of stored jobs that are not recorded
-	heldFrom    uint64             // the first end that nobody claims and that is held, 0 for none
-	heldUntil   time.Duration
+	unconfirmed map[uint64]Confirm    // ends of stored jobs that are not recorded
+	foreign     map[uint64]foreignEnd // ends of stored jobs that nobody claims
 	looking     bool
 	lookSent    time.Duration
 	looked      time.Duration // when the last look ended
@@ -32,6 +32,12 @@
 	full        time.Duration // no start before this time, for want of room
 }
 
+// foreignEnd is the end of a run that an earlier owner began.
+type foreignEnd struct {
+	task  filbertford.TaskKey
+	until time.Duration // when the target may forget it
+}
+
 // runState tells how far a run is.
 type runState string
 
@@ -114,6 +120,7 @@
 	}
 	t = &target{
 		rec: rec, runs: make(map[filbertford.TaskKey]*run), unconfirmed: make(map[uint64]Confirm),
+		foreign:  make(map[uint64]foreignEnd),
 		answered: now,
 	}
 	p.targets[id] = t
@@ -154,9 +161,7 @@
 		p.checkProgress(now, r)
 	}
 	t.health.tick(now)
-	if t.heldFrom != 0 && now >= t.heldUntil {
-		t.heldFrom = 0
-	}
+	maps.DeleteFunc(t.foreign, func(_ uint64, e foreignEnd) bool { return now >= e.until })
 	if !t.looking && (t.misses == 0 || now-t.looked > retryPause) {
 		p.look(now, t)
 	}
@@ -213,7 +218,7 @@
 	switch {
 	case len(t.unconfirmed) > 0:
 		return minCheck
-	case t.heldFrom != 0:
+	case len(t.foreign) > 0:
 		return heldCheck
 	}
 	return 0
