--- a/cmd/filbertfordnode/serve.go
+++ b/cmd/filbertfordnode/serve.go
@@ -78,6 +78,10 @@
 }
 
 func nodeOptions(cfg *fbconfig.Config) fbnode.Options {
+	reached := cfg.Text("node", "peers")
+	if advertised := cfg.Text("node", "advertise"); advertised != "" {
+		reached = advertised
+	}
 	var zones []filbertford.DataCentre
 	for _, z := range cfg.List("node", "data-centres") {
 		zones = append(zones, filbertford.DataCentre(z))
@@ -86,7 +90,7 @@
 		Member: fbfleet.NewMember(
 			filbertford.NodeID(cfg.Text("node", "name")),
 			uint64(time.Now().UnixMilli()),
-			cfg.Text("node", "peers"),
+			reached,
 			filbertford.DataCentre(cfg.Text("node", "data-centre")),
 			int(cfg.Number("node", "processor")*weightPerCore),
 		),
--- /dev/null
+++ b/fbsoak/plan.go
@@ -0,0 +1,107 @@
+package fbsoak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// FaultKind tells what is done to a part of the installation.
+type FaultKind string
+
+// The faults. Those of links and of the store and targets end after a while;
+// processes that end are started again.
+const (
+	FaultKill        FaultKind = "kill"
+	FaultKillAll     FaultKind = "kill-all"
+	FaultStop        FaultKind = "stop"
+	FaultPause       FaultKind = "pause"
+	FaultReload      FaultKind = "reload"
+	FaultPeers       FaultKind = "peers"       // the link to a daemon's listener for peers
+	FaultStoreLink   FaultKind = "store-link"  // a daemon's link to the store
+	FaultTargetLink  FaultKind = "target-link" // the link to a target
+	FaultStoreBusy   FaultKind = "store-busy"
+	FaultStoreSilent FaultKind = "store-silent"
+	FaultStoreSlow   FaultKind = "store-slow"
+	FaultStoreLoses  FaultKind = "store-loses"
+	FaultCompact     FaultKind = "compact"
+	FaultTargetFails FaultKind = "target-fails"
+	FaultTargetHangs FaultKind = "target-hangs"
+	FaultTargetLoses FaultKind = "target-loses"
+	FaultTargetLate  FaultKind = "target-late"
+	FaultRoutes      FaultKind = "routes" // a new version of the routes
+)
+
+// Bounds of drawn faults.
+const (
+	shortestFault = 200 * time.Millisecond
+	longestFault  = 4 * time.Second
+	// linkDelay is the longest delay of a slow link.
+	linkDelay = 120 * time.Millisecond
+)
+
+// meanPauses are the mean times between two faults, of which a run draws one:
+// with the shorter ones most faults overlap.
+var meanPauses = []time.Duration{300 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second}
+
+// Fault is an entry of a plan.
+type Fault struct {
+	At    time.Duration
+	Kind  FaultKind
+	Part  int // number of the daemon or target
+	For   time.Duration
+	Link  LinkState // for faults of links
+	Delay time.Duration
+}
+
+// String returns the fault for logs.
+func (f Fault) String() string {
+	s := fmt.Sprintf("%v %s %d for %v", f.At.Round(time.Millisecond), f.Kind, f.Part, f.For.Round(time.Millisecond))
+	if f.Link != "" {
+		s += " " + string(f.Link)
+	}
+	return s
+}
+
+// Plan draws the faults of a run from the seed.
+func Plan(seed uint64, length time.Duration, nodes, targets int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 1))
+	kinds := []FaultKind{
+		FaultKill, FaultKill, FaultStop, FaultStop, FaultPause, FaultPause, FaultReload, FaultPeers, FaultPeers, FaultPeers,
+		FaultStoreLink, FaultStoreLink, FaultTargetLink, FaultTargetLink, FaultStoreBusy, FaultStoreSilent, FaultStoreSlow,
+		FaultStoreLoses, FaultCompact, FaultTargetFails, FaultTargetHangs, FaultTargetLoses, FaultTargetLate, FaultRoutes, FaultRoutes,
+	}
+	links := []LinkState{LinkSlow, LinkSilent, LinkDeaf, LinkMute, LinkReset}
+	meanPause := meanPauses[r.IntN(len(meanPauses))]
+	var out []Fault
+	for at := time.Second; at < length; at += time.Duration(r.ExpFloat64() * float64(meanPause)) {
+		f := Fault{
+			At: at, Kind: kinds[r.IntN(len(kinds))],
+			For: shortestFault + rand64(r, longestFault-shortestFault),
+		}
+		switch f.Kind {
+		case FaultTargetLink, FaultTargetFails, FaultTargetHangs, FaultTargetLoses, FaultTargetLate:
+			f.Part = r.IntN(targets)
+		default:
+			f.Part = r.IntN(nodes)
+		}
+		if slices.Contains([]FaultKind{FaultPeers, FaultStoreLink, FaultTargetLink}, f.Kind) {
+			f.Link, f.Delay = links[r.IntN(len(links))], rand64(r, linkDelay)
+		}
+		out = append(out, f)
+		if r.IntN(6) == 0 && f.Kind != FaultKillAll { // the same again, overlapping
+			f.At += rand64(r, f.For)
+			out = append(out, f)
+		}
+	}
+	if r.IntN(3) == 0 {
+		out = append(out, Fault{At: rand64(r, length), Kind: FaultKillAll, For: shortestFault + rand64(r, time.Second)})
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
+	return out
+}
+
+func rand64(r *rand.Rand, most time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(most)))
+}
