--- a/fbconfig/key.go
+++ b/fbconfig/key.go
@@ -46,7 +46,7 @@
 	addressKey("node", "callers", "127.0.0.1:7200", "the listener for callers"),
 	addressKey("node", "readiness", "127.0.0.1:7201", "the listener for the balancer's probes"),
 	addressKey("node", "peers", "127.0.0.1:7202", "the listener for other daemons, which reach it at this address unless advertise names another"),
-	addressesKey("node", "advertise", "", "the address at which other daemons reach the listener for peers, if it is another"),
+	optionalAddressKey("node", "advertise", "the address at which other daemons reach the listener for peers, if it is another"),
 	addressKey("node", "metrics", "127.0.0.1:7203", "the listener for metrics"),
 	addressesKey("node", "seeds", "", "peer listeners that are tried from the start, for a boot while the store is out"),
 	addressKey("node", "store", "127.0.0.1:7000", "the platform's store"),
@@ -118,6 +118,15 @@
 	return Key{section, name, usual, "host:port", about, checkAddress}
 }
 
+func optionalAddressKey(section, name, about string) Key {
+	return Key{section, name, "", "host:port or empty", about, func(s string) error {
+		if s == "" {
+			return nil
+		}
+		return checkAddress(s)
+	}}
+}
+
 func addressesKey(section, name, usual, about string) Key {
 	return Key{section, name, usual, "host:port with commas between", about, func(s string) error {
 		for _, a := range splitList(s) {
