--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -64,15 +64,18 @@
 // task that this owner does not know to run. All targets must be listed, since
 // the coordinator may not have heard of the last start, and so must the one that
 // it has heard of, whose record may be missing.
+//
+// A stored task may also be done, on a target that is not listed yet, long after
+// any run of it could be at work.
 func (p *Pool) surelyOver(now time.Duration, t *task) bool {
-	if !t.resume || now >= t.notBefore {
+	if !t.resume || now >= t.notBefore && (!t.batch.durable || now-p.began >= settleTerm) {
 		return true
 	}
 	if !p.settled || t.startedOn == "" {
 		return p.settled
 	}
 	on := p.targets[t.startedOn]
-	return on != nil && on.listed
+	return on != nil && on.listed || on == nil && now >= t.notBefore
 }
 
 // choose returns the opening in which the task ends first. Among equals it takes
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -18,6 +18,9 @@
 	// coordinator and an owner that can't be reached: the owner notes the silence
 	// within a second and stops the run, whose lease runs out if it can't.
 	orphanTerm = 2 * time.Second
+	// settleTerm is the longest that tasks of stored jobs wait for a new owner to
+	// list all targets: longer than cuts and silences usually last.
+	settleTerm = 10 * time.Second
 	// lookWait is the longest that a target holds back the answer to a look.
 	lookWait = 200 * time.Millisecond
 	// adoptionTerm is how long a run that nobody claims goes on after its
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -538,3 +538,41 @@
 		t.Errorf("%d offers after the second answer, want 0", n)
 	}
 }
+
+// TestStoredTaskWaitsForItsTarget: the earlier owner was lost long ago, so none of
+// its runs is at work any more. One has ended as done on a target that the new
+// owner has not listed yet: the task must not start on another one meanwhile.
+func TestStoredTaskWaitsForItsTarget(t *testing.T) {
+	for name, target := range map[string]filbertford.TargetID{"told where it runs": "t01", "not told": ""} {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeWorld(2, 2)
+			p := NewPool(poolName, 2, 1_000_000, w.now)
+			p.SetTargets(w.now, w.records())
+			key := filbertford.NewTaskKey("00000000000000aa", 0, 0, 0)
+			look := func(id filbertford.TargetID, ended ...filbertford.RunEnd) {
+				rec := w.targets[id].rec
+				o := filbertford.NewLookOrder(rec.Boot(), rec.Address(), 2, 0, 0, 0)
+				p.LookReply(w.now, o, filbertford.NewCallReply(filbertford.CallDone, 1000).WithLists(nil, ended), w.now, w.now)
+			}
+			step := filbertford.NewStep(1, filbertford.NewDemand(1000, 1, 0), 100*time.Millisecond)
+			p.Offer(w.now, "c", NewBatch(poolName, key.Job(), 0, 0, step, []Item{NewItem(0, 0).WithTarget(target)}).
+				WithWork("", "ordering", 3).WithTimes(time.Second, time.Hour).WithFence(2).WithDurable(true, false).WithResume(time.Minute))
+			look("t00")
+			for _, a := range p.TakeActions(w.now) {
+				if s, ok := a.(StartCall); ok {
+					t.Fatalf("the task was started on %s before t01 was listed", s.Order.Boot().ID())
+				}
+			}
+			look("t01", filbertford.NewRunEnd(1, key, 7, filbertford.EndDone))
+			var verdict Verdict
+			for _, a := range p.TakeActions(w.now) {
+				if r, ok := a.(SendReport); ok {
+					verdict = r.Report.Verdict()
+				}
+			}
+			if verdict != VerdictDone {
+				t.Errorf("the task is reported as %q, want %q", verdict, VerdictDone)
+			}
+		})
+	}
+}
--- a/fbstand/rows_http.go
+++ b/fbstand/rows_http.go
@@ -130,6 +130,11 @@
 		if !known {
 			return c.NoContent(http.StatusGone)
 		}
+		if len(list) > rowsPageSize {
+			list = list[:rowsPageSize]
+			version = list[rowsPageSize-1].row.version
+			return c.JSON(http.StatusOK, rowsReply{Rows: rowRefs(list), MorePages: true, Ver: version, NowMS: s.now()})
+		}
 		if len(list) > 0 {
 			return c.JSON(http.StatusOK, rowsReply{Rows: rowRefs(list), Ver: version, NowMS: s.now()})
 		}
