--- a/fbsoak/check.go
+++ b/fbsoak/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -21,14 +22,14 @@
 	for _, task := range ledger.Doubled() {
 		c.soak.find("task %s ran twice at a time", task)
 	}
-	starts, done := ledger.Starts(), ledger.Done()
+	starts, done, restarted := ledger.Starts(), ledger.Done(), ledger.Restarted()
 	for _, j := range c.jobs {
-		c.checkJob(j, starts, done)
+		c.checkJob(j, starts, done, restarted)
 	}
 }
 
 // checkJob compares what a caller was told with what the targets did.
-func (c *clients) checkJob(j *submission, starts, done map[string]int) {
+func (c *clients) checkJob(j *submission, starts, done map[string]int, restarted []string) {
 	for i := range j.tasks {
 		task := fmt.Sprintf("%s.0.0.%d", j.key, i)
 		switch {
@@ -36,8 +37,8 @@
 			c.soak.find("task %s was started, but its job was refused", task)
 		case j.verdict == verdictCompleted && done[task] == 0:
 			c.soak.find("task %s is not done, but its job is completed", task)
-		case j.stored && done[task] > 1:
-			c.soak.find("task %s of a stored job was done %d times", task, done[task])
+		case j.stored && slices.Contains(restarted, task):
+			c.soak.find("task %s of a stored job was started again after it was done", task)
 		}
 	}
 }
--- a/fbstand/worker.go
+++ b/fbstand/worker.go
@@ -53,18 +53,24 @@
 	active  map[string]int
 	starts  map[string]int
 	done    map[string]int
+	latest  map[string]time.Time // when each task was last started
+	noted   map[string]time.Time // when it first ended as done, of ends that were acknowledged
 	doubled []string
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{active: make(map[string]int), starts: make(map[string]int), done: make(map[string]int)}
+	return &Ledger{
+		active: make(map[string]int), starts: make(map[string]int), done: make(map[string]int),
+		latest: make(map[string]time.Time), noted: make(map[string]time.Time),
+	}
 }
 
 func (l *Ledger) started(task string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts[task]++
+	l.latest[task] = time.Now()
 	if l.active[task]++; l.active[task] > 1 {
 		l.doubled = append(l.doubled, task)
 	}
@@ -79,6 +85,32 @@
 	}
 }
 
+// note takes in that the end of a task as done was acknowledged while the lease
+// under which it ran still held.
+func (l *Ledger) note(task string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if first, ok := l.noted[task]; !ok || at.Before(first) {
+		l.noted[task] = at
+	}
+}
+
+// Restarted returns the tasks that were started after they had ended as done, if
+// that end was acknowledged then or later. An end whose worker's lease has lapsed
+// before counts for nothing, as the platform's rules have it.
+func (l *Ledger) Restarted() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for task, at := range l.noted {
+		if l.latest[task].After(at) {
+			out = append(out, task)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Doubled returns the tasks of which two runs were at work at one time.
 func (l *Ledger) Doubled() []string {
 	l.mu.Lock()
@@ -114,6 +146,8 @@
 	task   string
 	run    uint64
 	how    string
+	at     time.Time
+	lapsed bool // the lease has run out since
 }
 
 // NewWorker returns a worker with the name and thousandths of a core, whose runs
@@ -142,6 +176,7 @@
 // settle ends what is due; the caller holds the lock.
 func (w *Worker) settle() {
 	now := w.clock()
+	defer w.lapse(now)
 	for task, r := range w.runs {
 		switch {
 		case now > w.lease:
@@ -154,10 +189,20 @@
 	}
 }
 
+// lapse marks the ends that a lease that has run out leaves behind.
+func (w *Worker) lapse(now time.Duration) {
+	if now <= w.lease {
+		return
+	}
+	for i := range w.ended {
+		w.ended[i].lapsed = true
+	}
+}
+
 func (w *Worker) end(task, how string) {
 	w.number++
 	w.ledger.ended(task, how)
-	w.ended = append(w.ended, workerEnd{number: w.number, task: task, run: w.runs[task].run, how: how})
+	w.ended = append(w.ended, workerEnd{number: w.number, task: task, run: w.runs[task].run, how: how, at: time.Now()})
 	delete(w.runs, task)
 }
 
@@ -214,8 +259,11 @@
 func (w *Worker) forget(seen uint64) {
 	var kept []workerEnd
 	for _, e := range w.ended {
-		if e.number > seen {
+		switch {
+		case e.number > seen:
 			kept = append(kept, e)
+		case e.how == "done" && !e.lapsed:
+			w.ledger.note(e.task, e.at)
 		}
 	}
 	w.ended = kept
