Rosters, heartbeats and rooms of a large fleet are smaller

Change: in a large fleet a daemon sends its roster to four others in turn; a heartbeat tells only its receiver whether it is heard; the room of a pool with more than 16 targets is told as counts of equal room, rounded down to a quarter of a core.

--- a/fbfleet/member.go
+++ b/fbfleet/member.go
@@ -79,6 +79,16 @@
 // heard of the owners of pools.
 func (b Beat) Starting() bool { return b.starting }
 
+// For returns a copy of b that tells only whether the named daemon is heard.
+func (b Beat) For(node filbertford.NodeID) Beat {
+	heard := b.heard[node]
+	b.heard = nil
+	if heard {
+		b.heard = map[filbertford.NodeID]bool{node: true}
+	}
+	return b
+}
+
 // WithPeriod returns a copy of b that says when the next one follows.
 func (b Beat) WithPeriod(d time.Duration) Beat {
 	b.period = d
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -143,16 +145,42 @@
 
 func roomToWire(r fbsched.Room) *fbwire.Room {
 	w := &fbwire.Room{Service: r.Service(), Total: uint32(r.Total()), BacklogUs: uint32(r.Backlog().Microseconds())}
+	if len(r.Free()) <= exactRoom {
+		for _, f := range r.Free() {
+			w.Free = append(w.Free, uint32(f))
+		}
+		return w
+	}
+	steps := make(map[uint32]uint32)
 	for _, f := range r.Free() {
-		w.Free = append(w.Free, uint32(f))
+		steps[uint32(f/roomStep*roomStep)]++
+	}
+	for _, f := range slices.Sorted(maps.Keys(steps)) {
+		w.Free, w.Counts = append(w.Free, f), append(w.Counts, steps[f])
 	}
 	return w
 }
 
+// The room of a pool with more than exactRoom targets is told as the number of
+// targets with the same room, rounded down to roomStep thousandths of a core, so
+// that its size doesn't grow with the pool.
+const (
+	exactRoom = 16
+	roomStep  = 250
+	// maxRoom is the number of targets that a message can tell of.
+	maxRoom = 10_000
+)
+
 func roomFromWire(w *fbwire.Room) fbsched.Room {
-	free := make([]int, len(w.GetFree()))
+	free := make([]int, 0, len(w.GetFree()))
 	for i, f := range w.GetFree() {
-		free[i] = int(f)
+		count := uint32(1)
+		if i < len(w.GetCounts()) {
+			count = w.GetCounts()[i]
+		}
+		for range min(int(count), maxRoom-len(free)) {
+			free = append(free, int(f))
+		}
 	}
 	return fbsched.NewRoom(w.GetService(), free, int(w.GetTotal()), time.Duration(w.GetBacklogUs())*time.Microsecond)
 }
--- a/fblink/convert_test.go
+++ b/fblink/convert_test.go
@@ -31,7 +31,7 @@
 	claims := []fbfleet.Claim{fbfleet.NewClaim("p", 9)}
 	rooms := map[filbertford.PoolID][]fbsched.Room{"p": {fbsched.NewRoom("svc", []int{1, 2}, 3, 4*time.Millisecond)}}
 	tests := map[string]Message{
-		"beat":         NewBeat(fbfleet.NewBeat(sender, true, map[filbertford.NodeID]bool{self: true}, claims).WithStarting(true), rooms, 4),
+		"beat":         NewBeat(fbfleet.NewBeat(sender, true, map[filbertford.NodeID]bool{self: true}, claims).WithStarting(true).WithPeriod(time.Second), rooms, 4),
 		"roster":       NewRoster([]fbfleet.Member{sender}),
 		"batch":        batch,
 		"resumed":      batch.WithResume(300 * time.Millisecond),
@@ -91,3 +91,40 @@
 		}
 	})
 }
+
+// TestLargeRoom sends the room of many targets: it is rounded down, never up, and
+// its size doesn't grow with their number.
+func TestLargeRoom(t *testing.T) {
+	for name, targets := range map[string]int{"few": exactRoom, "many": 88, "thousands": 3000} {
+		t.Run(name, func(t *testing.T) {
+			var free []int
+			total := 0
+			for i := range targets {
+				free = append(free, i*37%16000)
+				total += i * 37 % 16000
+			}
+			w := roomToWire(fbsched.NewRoom("svc", free, total, 0))
+			got := 0
+			for _, f := range roomFromWire(w).Free() {
+				got += f
+			}
+			if n := len(roomFromWire(w).Free()); n != targets {
+				t.Errorf("%d targets, want %d", n, targets)
+			}
+			if got > total || total-got > targets*roomStep {
+				t.Errorf("room of %d, want at most %d below %d", got, targets*roomStep, total)
+			}
+			if size := proto.Size(w); size > 400 {
+				t.Errorf("%d bytes", size)
+			}
+		})
+	}
+}
+
+// TestRoomIsBounded reads a room that tells of more targets than there can be.
+func TestRoomIsBounded(t *testing.T) {
+	w := &fbwire.Room{Free: []uint32{1, 2}, Counts: []uint32{1 << 31, 1 << 31}}
+	if n := len(roomFromWire(w).Free()); n != maxRoom {
+		t.Errorf("%d targets, want %d", n, maxRoom)
+	}
+}
--- a/fbnode/beat.go
+++ b/fbnode/beat.go
@@ -46,7 +46,6 @@
 // sendBeats sends heartbeats to the daemons to which they are due.
 func (n *Node) sendBeats(now time.Duration, members []fbfleet.Member, rooms map[filbertford.PoolID][]fbsched.Room) {
 	beat := n.fleet.Beat(now)
-	byPeriod := make(map[time.Duration]fblink.Message)
 	for _, member := range members {
 		period := n.fleet.PeriodTo(member.Node())
 		last := n.sentBeats[member.Node()]
@@ -54,22 +53,24 @@
 			continue
 		}
 		n.sentBeats[member.Node()] = sentBeat{at: now, period: period}
-		m := byPeriod[period]
-		if m == nil {
-			m = n.hub.Prepare(fblink.NewBeat(beat.WithPeriod(period), rooms, n.routesVersion()))
-			byPeriod[period] = m
-		}
-		n.hub.Send(member.Node(), m)
+		n.hub.Send(member.Node(), fblink.NewBeat(beat.For(member.Node()).WithPeriod(period), rooms, n.routesVersion()))
 	}
 }
 
-// sendRoster names all daemons to all, and replaces the links to those that are
-// heard but don't hear this one.
+// sendRoster names all daemons to all, or in a large fleet to a few in turn, and
+// replaces the links to those that are heard but don't hear this one.
 func (n *Node) sendRoster(now time.Duration, members []fbfleet.Member) {
 	n.lastRoster = now
 	roster := n.hub.Prepare(fblink.NewRoster(members))
+	told := len(members)
+	if n.fleet.Stretch() > 1 {
+		told = min(told, rosterFanout)
+	}
+	for i := range told {
+		n.hub.Send(members[(n.rosterNext+i)%len(members)].Node(), roster)
+	}
+	n.rosterNext += told
 	for _, member := range members {
-		n.hub.Send(member.Node(), roster)
 		if heard, hearsUs := n.fleet.Hears(now, member.Node()); heard && !hearsUs {
 			n.hub.Redial(member.Node())
 		}
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -25,8 +25,10 @@
 	tickPeriod = 20 * time.Millisecond
 	// roomPeriod is the shortest time between two heartbeats that tell room.
 	roomPeriod = 30 * time.Millisecond
-	// rosterPeriod is the time between two rosters to each daemon of a small fleet.
+	// rosterPeriod is the time between two rosters in a small fleet; rosterFanout is
+	// the number of daemons that get one at a time in a large fleet.
 	rosterPeriod = time.Second
+	rosterFanout = 4
 	// suspicion is the gap between two ticks that counts as a suspension.
 	suspicion = 300 * time.Millisecond
 	// abandonAfter is the suspension after which jobs are given up: pools have
@@ -101,6 +103,7 @@
 	lastTick    time.Duration
 	lastBeat    time.Duration
 	lastRoster  time.Duration
+	rosterNext  int // the daemon that gets the next roster in a large fleet
 	sentBeats   map[filbertford.NodeID]sentBeat
 	specs       []fbfleet.PoolSpec // of the pools that are known
 	joined      bool
