Runs of the soak side by side draw distinct ports

Runs side by side draw ports at random, and one may be drawn twice before its daemon listens (with 120 ports of 20,000 about once in three runs); that daemon ends. Ruled out by its start: no fault is on by then. Change: ports are counted up from a start by process; the error tells which daemons are not ready and whether they have ended.

--- a/fbsoak/soak.go
+++ b/fbsoak/soak.go
@@ -5,13 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -269,10 +269,18 @@
 	lastPort  = 32000
 )
 
+// drawnPorts counts the ports that were drawn, so that runs side by side in one
+// program never get the same; programs side by side begin at different ones.
+var drawnPorts atomic.Int64
+
+// portStride is the distance between the first ports of two processes.
+const portStride = 331
+
 // freePort returns a loopback address that was free a moment ago.
 func freePort() (string, error) {
 	for range lastPort - firstPort {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		offset := (int64(os.Getpid())*portStride + drawnPorts.Add(1)) % (lastPort - firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, l.Close()
@@ -316,7 +324,7 @@
 			return nil
 		}
 		if time.Now().After(end) {
-			return fmt.Errorf("not all daemons were ready within %v", most)
+			return fmt.Errorf("not all daemons were ready within %v: %s", most, s.describe(ctx))
 		}
 		select {
 		case <-ctx.Done():
@@ -326,6 +334,16 @@
 	}
 }
 
+// describe tells of each daemon whether it is ready and how often it has ended.
+func (s *Soak) describe(ctx context.Context) string {
+	var out []string
+	for _, n := range s.nodes {
+		status, err := get(ctx, n.ports["readiness"], "/-/ready")
+		out = append(out, fmt.Sprintf("%s %d %v, ended %d times", n.name, status, err, n.process.Strange()))
+	}
+	return strings.Join(out, "; ")
+}
+
 func (s *Soak) allReady(ctx context.Context) bool {
 	for _, n := range s.nodes {
 		status, _ := get(ctx, n.ports["readiness"], "/-/ready")
