--- a/fbsoak/check.go
+++ b/fbsoak/check.go
@@ -62,6 +62,9 @@
 			c.soak.find("stored job %s is not known any more", j.key)
 			return
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		if time.Now().After(end) {
 			c.soak.find("stored job %s is %d %q %v after the last fault", j.key, status, state, finishTerm)
 			return
--- a/fbsoak/soak.go
+++ b/fbsoak/soak.go
@@ -126,6 +126,9 @@
 	if err := load.Wait(); err != nil {
 		return err
 	}
+	if ctx.Err() != nil {
+		return ctx.Err() // an interrupted run proves nothing
+	}
 	clients.check(ctx)
 	s.checkCalm(ctx, clients)
 	s.checkStop()
@@ -434,7 +437,7 @@
 		}
 	}
 	s.sleepUntil(ctx, s.opts.Length+longestFault+grace+healTerm)
-	if err := s.awaitReady(ctx, healTerm); err != nil {
+	if err := s.awaitReady(ctx, healTerm); err != nil && ctx.Err() == nil {
 		s.find("after all faults: %v", err)
 	}
 }
