--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -233,14 +233,6 @@
 	t.due, t.latestStart = due, due-t.batch.step.Estimate()
 }
 
-// endSearch returns a task that is surely not here.
-func (p *Pool) endSearch(now time.Duration, t *task) {
-	if t.run == nil && p.live[t.key] == nil && p.surelyOver(now, t) {
-		delete(p.tasks, t.key)
-		p.returnTask(t, VerdictAbsent)
-	}
-}
-
 // adopt lets a task go on in a run that an earlier owner or coordinator began.
 func (p *Pool) adopt(now time.Duration, t *task, r *run) {
 	t.run, r.task, t.started = r, t, true
@@ -278,24 +270,6 @@
 	return t.coordinator == coordinator || t.parked != 0
 }
 
-// releaseEnds lets targets forget the ends of a job that is over.
-func (p *Pool) releaseEnds(now time.Duration, job filbertford.JobKey) {
-	for key, f := range p.finished {
-		if key.Job() == job {
-			f.repeat = 0
-			p.finished[key] = f
-		}
-	}
-	for _, t := range p.order {
-		n := len(t.unconfirmed) + len(t.foreign)
-		maps.DeleteFunc(t.unconfirmed, func(_ uint64, u Confirm) bool { return u.task.Job() == job })
-		maps.DeleteFunc(t.foreign, func(_ uint64, e foreignEnd) bool { return e.task.Job() == job })
-		if len(t.unconfirmed)+len(t.foreign) < n {
-			p.look(now, t)
-		}
-	}
-}
-
 // tasksOf returns a coordinator's tasks of a job, by step and index.
 func (p *Pool) tasksOf(from filbertford.NodeID, job filbertford.JobKey) []*task {
 	var out []*task
@@ -320,37 +294,6 @@
 	p.due = true
 }
 
-// Confirm takes in that the end of a task, or its failed runs, are recorded.
-func (p *Pool) Confirm(now time.Duration, c Confirm) {
-	if f, ok := p.finished[c.task]; ok && (c.done || c.failures >= f.failures) {
-		f.repeat, f.kept = 0, now-f.at+memoryTerm
-		p.finished[c.task] = f
-	}
-	for _, t := range p.order {
-		if t.confirm(c) {
-			p.look(now, t)
-		}
-	}
-}
-
-// tendStored returns what was searched for in vain, drops what no coordinator
-// has taken over, and reports ends again that are not confirmed.
-func (p *Pool) tendStored(now time.Duration) {
-	for _, t := range p.tasks {
-		if t.search {
-			p.endSearch(now, t)
-		}
-	}
-	p.drop(now, func(t *task) bool { return t.parked != 0 && now-t.parked > parkTerm }, "no coordinator")
-	for key, f := range p.finished {
-		if f.repeat != 0 && now >= f.repeat {
-			f.repeat = now + repeatPeriod
-			p.finished[key] = f
-			p.report(f.coordinator, key, f.verdict, f.failures)
-		}
-	}
-}
-
 func (p *Pool) drop(now time.Duration, match func(*task) bool, reason string) {
 	var stopped []*run
 	for key, t := range p.tasks {
