--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -194,8 +194,8 @@
 	return slices.ContainsFunc(f.pools, func(s PoolSpec) bool { return f.owners[s.id].node == "" })
 }
 
-// electLeaders looks at which daemons rank first in their data centres.
-func (f *Fleet) electLeaders(now time.Duration) {
+// noteLeaders looks at which daemons rank first in their data centres.
+func (f *Fleet) noteLeaders(now time.Duration) {
 	if f.ledAt != 0 && now-f.ledAt < leadersPeriod {
 		return
 	}
@@ -317,7 +317,7 @@
 			delete(f.peers, id)
 		}
 	}
-	f.electLeaders(now)
+	f.noteLeaders(now)
 	f.updateOwners(now)
 	f.claim(now)
 }
