Logs tell which owner, instance and lists a start was decided with

Two runs of one task could not be told apart in the logs by their cause: a start named neither the fencing token of its owner nor the instance of the target, a requeued task not the run that was taken for ended, and a second run that was found on a target was stopped without a line.

FE7053 has fence, started and the age of the target's lists; FE7057 target and run; FE7046 the lease and the clock; FE7052 the fence. FE7059 (run found), FE7060 (second run) and FE7061 (start not answered) are new and counted.

--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -40,4 +40,7 @@
 	RunAdopted          = infoEvent("FE7056", "run of an earlier owner or coordinator continues")
 	TaskRequeued        = infoEvent("FE7057", "task waits for another run")
 	TaskExpired         = warnEvent("FE7058", "task expired before it could start")
+	RunFound            = infoEvent("FE7059", "target lists a run that another owner started")
+	SecondRunFound      = errorEvent("FE7060", "a second run of a task was found; stopping it")
+	StartUnanswered     = warnEvent("FE7061", "start was not answered in time; the target's lists decide")
 )
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -49,6 +49,9 @@
 	fbsched.EventTaskExpired:         fbevent.TaskExpired,
 	fbsched.EventRunStopped:          fbevent.RunStopped,
 	fbsched.EventRunAdopted:          fbevent.RunAdopted,
+	fbsched.EventRunFound:            fbevent.RunFound,
+	fbsched.EventSecondRunFound:      fbevent.SecondRunFound,
+	fbsched.EventStartUnanswered:     fbevent.StartUnanswered,
 	fbsched.EventTargetSuspect:       fbevent.TargetSuspect,
 	fbsched.EventTargetQuarantined:   fbevent.TargetQuarantined,
 	fbsched.EventTargetTrusted:       fbevent.TargetTrusted,
@@ -97,9 +100,18 @@
 	if e.Target != "" {
 		fields = append(fields, "target", e.Target)
 	}
+	if e.Started != 0 {
+		fields = append(fields, "started", e.Started)
+	}
 	if e.Run != 0 {
 		fields = append(fields, "run", e.Run)
 	}
+	if e.Fence != 0 {
+		fields = append(fields, "fence", e.Fence)
+	}
+	if e.ListsAge != 0 {
+		fields = append(fields, "lists_age_ms", e.ListsAge.Milliseconds())
+	}
 	if e.Reason != "" {
 		fields = append(fields, "reason", e.Reason)
 	}
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -76,16 +76,23 @@
 // PoolLost reports that a newer owner of the pool has called one of its targets.
 type PoolLost struct{ Pool filbertford.PoolID }
 
-// Event is a decision, or a change of a target's state, for logs and metrics. Age is
-// how long the run, task or state concerned has lasted, or the length of a quarantine.
+// Event is a decision, or a change of a target's state, for logs and metrics.
 type Event struct {
 	Kind   EventKind
 	Pool   filbertford.PoolID
 	Task   filbertford.TaskKey
 	Target filbertford.TargetID
-	Run    uint64
+	// Started is the start time of the target in Unix milliseconds, 0 if unknown.
+	Started int64
+	Run     uint64
+	// Fence is the fencing token that the decision was taken under.
+	Fence  uint64
 	Reason string
-	Age    time.Duration
+	// Age is how long the run, task or state concerned has lasted, or the length of a
+	// quarantine.
+	Age time.Duration
+	// ListsAge is the age of the target's lists that the decision is based on.
+	ListsAge time.Duration
 }
 
 // EventKind is the kind of an Event.
@@ -99,6 +106,9 @@
 	EventTaskExpired         EventKind = "expired"
 	EventRunStopped          EventKind = "stop-run"
 	EventRunAdopted          EventKind = "adopted"
+	EventRunFound            EventKind = "found"
+	EventSecondRunFound      EventKind = "second-run"
+	EventStartUnanswered     EventKind = "unanswered"
 	EventTargetSuspect       EventKind = "suspect"
 	EventTargetQuarantined   EventKind = "quarantine"
 	EventTargetTrusted       EventKind = "trusted"
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -52,7 +52,10 @@
 	best.runs[t.key], p.activeRuns[t.key] = r, r
 	best.used = best.used.Add(r.demand)
 	t.run, t.started, p.capacityChanged = r, true, true
-	p.emitEvent(Event{Kind: EventRunStarted, Task: t.key, Target: best.id(), Run: r.number, Age: now - t.queuedAt})
+	p.emitEvent(Event{
+		Kind: EventRunStarted, Task: t.key, Target: best.id(), Started: best.rec.Instance().StartedAt(), Run: r.number,
+		Fence: p.fence, Age: now - t.queuedAt, ListsAge: now - best.listsAt,
+	})
 	p.emit(StartCall{
 		Request: filbertford.NewStartRunRequest(best.rec.Instance(), best.rec.Address(), t.key, r.number, t.batch.spec, r.leaseExpiry, p.fence),
 		Timeout: p.roundTrips.callTimeout(),
@@ -167,6 +170,7 @@
 	if !replied {
 		if reply.Outcome() == filbertford.CallUnknown && r.state == runStarting {
 			r.state = runUncertain
+			p.emitEvent(Event{Kind: EventStartUnanswered, Task: r.key, Target: t.id(), Run: r.number, Reason: reply.Detail(), Age: now - r.startedAt})
 			t.polling = false // the target may hold the last poll, whose lists are needed now
 		}
 		p.poll(now, t)
--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"fmt"
 	"maps"
 	"time"
 
@@ -55,11 +56,16 @@
 	t.leaseExpiry = max(t.leaseExpiry, t.clock.reading+maxLease.Milliseconds())
 	if other := p.activeRuns[s.Task()]; other != nil {
 		// The task has two runs: stop this one, which an earlier owner started.
+		p.emitEvent(Event{
+			Kind: EventSecondRunFound, Task: r.key, Target: t.id(), Started: t.rec.Instance().StartedAt(), Run: r.number, Fence: p.fence,
+			Reason: fmt.Sprintf("run %d is on %s", other.number, other.target.id()), Age: now - other.startedAt,
+		})
 		r.stopWanted = true
 		t.runs[s.Task()] = r
 		p.sendStop(now, r)
 		return r
 	}
+	p.emitEvent(Event{Kind: EventRunFound, Task: r.key, Target: t.id(), Started: t.rec.Instance().StartedAt(), Run: r.number, Fence: p.fence, Age: now - p.createdAt})
 	t.runs[s.Task()] = r
 	p.activeRuns[s.Task()] = r
 	if waiting := p.tasks[s.Task()]; waiting != nil && waiting.run == nil {
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -50,7 +50,8 @@
 		}
 		c.offer(c.pools[part.pool], c.batch(now, j, number, part.pool, batch), j)
 		c.emit(Event{
-			Kind: EventTasksPlaced, Pool: part.pool, Task: filbertford.NewTaskKey(j.workload.Key(), 0, number, batch[0].index), Age: now - j.submittedAt,
+			Kind: EventTasksPlaced, Pool: part.pool, Task: filbertford.NewTaskKey(j.workload.Key(), 0, number, batch[0].index),
+			Fence: c.pools[part.pool].fence, Age: now - j.submittedAt,
 			Reason: fmt.Sprintf("%d tasks to %s, due in %v", len(batch), c.pools[part.pool].owner, (j.due - now).Round(time.Millisecond)),
 		})
 	}
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -110,7 +110,7 @@
 	}
 	if r.Outcome() == filbertford.CallDone && t.newerLists(c.Number, r.Clock()) {
 		t.acked = max(t.acked, c.Request.Acked())
-		t.listClock, t.listNumber = r.Clock(), c.Number
+		t.listClock, t.listNumber, t.listsAt = r.Clock(), c.Number, now
 		p.applyLists(now, t, r, sent)
 	}
 	p.poll(now, t)
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -355,8 +355,12 @@
 
 // requeueTask queues a task for another run.
 func (p *Pool) requeueTask(now time.Duration, t *task, reason string) {
+	event := Event{Kind: EventTaskRequeued, Task: t.key, Reason: reason, Age: now - t.queuedAt}
+	if r := t.run; r != nil {
+		event.Target, event.Run, event.ListsAge = r.target.id(), r.number, now-r.target.listsAt
+	}
+	p.emitEvent(event)
 	t.run, t.resume, t.startedOn = nil, false, ""
-	p.emitEvent(Event{Kind: EventTaskRequeued, Task: t.key, Reason: reason, Age: now - t.queuedAt})
 	p.enqueue(t)
 }
 
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -30,6 +31,7 @@
 	polledAt     time.Duration // when the last poll ended
 	listClock    int64         // the target's clock when it wrote the lists that were last applied
 	listNumber   uint64        // of the poll that returned them
+	listsAt      time.Duration // when they were applied
 	lastReply    time.Duration
 	misses       int
 	runs         map[filbertford.TaskKey]*run
@@ -133,7 +135,7 @@
 	p.targets[id] = t
 	p.sortedTargets = append(p.sortedTargets, t)
 	slices.SortFunc(p.sortedTargets, func(a, b *target) int { return cmp.Compare(a.id(), b.id()) })
-	p.emitEvent(Event{Kind: EventTargetAdded, Target: id, Reason: rec.MachineKind()})
+	p.emitEvent(Event{Kind: EventTargetAdded, Target: id, Started: rec.Instance().StartedAt(), Reason: rec.MachineKind()})
 	p.poll(now, t)
 }
 
@@ -182,7 +184,10 @@
 	if t.misses == 0 || len(t.runs) == 0 || !t.clock.known || t.clock.earliest(now) <= t.leaseExpiry {
 		return
 	}
-	p.emitEvent(Event{Kind: EventTargetLeasesExpired, Target: t.id(), Age: now - t.lastReply})
+	p.emitEvent(Event{
+		Kind: EventTargetLeasesExpired, Target: t.id(), Started: t.rec.Instance().StartedAt(), Fence: p.fence,
+		Reason: fmt.Sprintf("leases end at %d by its clock, now at least %d", t.leaseExpiry, t.clock.earliest(now)), Age: now - t.lastReply,
+	})
 	for _, r := range sortedRuns(t.runs) {
 		p.discardRun(now, r, "lease expired")
 	}
