A target that has started again under its ID keeps the runs that were started on it

A task had two runs at the same time when a target started again under its ID and got tasks before its new record was read.

Cause: pools compared the start time of records only. The replies of targets carry it too ("born"), but nothing read it. Until the record came, which takes seconds if the target can't reach the store, the new instance was taken for the old one: its lists were ignored, since its clock is lower, its ends too, since their numbers begin anew, and it was told to forget them. When the record came, all runs at the target were taken for ended and their tasks started elsewhere, also those that had been started on the new instance and were executing.

Change: the start time in a reply decides which instance answered. Runs that the earlier instance had listed have ended; all others are left to the lists of the new one, and unanswered starts are stopped there before their tasks start elsewhere. A target whose address answers 421 for another one no longer counts as one that may still run tasks.

--- a/calls.go
+++ b/calls.go
@@ -49,6 +49,13 @@
 	return r
 }
 
+// WithStartedAt returns a copy of r of the instance that started at startedAt, in Unix
+// milliseconds.
+func (r TargetRecord) WithStartedAt(startedAt int64) TargetRecord {
+	r.instance.startedAt = startedAt
+	return r
+}
+
 // Instance returns the instance of the target that wrote the record.
 func (r TargetRecord) Instance() TargetInstance { return r.instance }
 
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -155,7 +155,7 @@
 // the given times. It is called with CallUnknown when there is no reply within the
 // timeout, and again if the reply arrives late.
 func (p *Pool) HandleStartReply(now time.Duration, req filbertford.StartRunRequest, reply filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(req.Instance())
+	t := p.targetOf(now, req.Instance(), reply)
 	if t == nil {
 		return
 	}
--- /dev/null
+++ b/fbsched/instance.go
@@ -0,0 +1,65 @@
+package fbsched
+
+import (
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// lateCallTimeout is how long a call that got no reply may still be carried out: longer
+// than the platform's targets are known to delay calls.
+const lateCallTimeout = 15 * time.Second
+
+// targetOf returns the target that a call was sent to, or nil if the reply is of no use. A
+// target may start again under its ID; the start time in a reply shows it, possibly long
+// before the target's record does. A reply without a start time counts only if the call was
+// sent to the current instance.
+func (p *Pool) targetOf(now time.Duration, called filbertford.TargetInstance, r filbertford.CallReply) *target {
+	t := p.targets[called.ID()]
+	if t == nil {
+		return nil
+	}
+	switch replied := r.StartedAt(); {
+	case replied == 0:
+		if called != t.rec.Instance() && called.StartedAt() != 0 {
+			return nil
+		}
+	case t.startedAt == 0:
+		t.startedAt = replied
+	case replied < t.startedAt:
+		return nil
+	case replied > t.startedAt:
+		return p.replaceInstance(now, t, t.rec.WithStartedAt(replied))
+	}
+	return t
+}
+
+// replaceInstance replaces a target that has started again. Runs that the earlier instance
+// has listed have ended with it. Any other run may be on either instance, or its start may
+// still reach the new one, so that the new one's lists decide.
+func (p *Pool) replaceInstance(now time.Duration, old *target, rec filbertford.TargetRecord) *target {
+	t := newTarget(now, rec)
+	t.pollNumber = old.pollNumber
+	p.targets[t.id()] = t
+	for i, o := range p.sortedTargets {
+		if o == old {
+			p.sortedTargets[i] = t
+		}
+	}
+	p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Started: old.startedAt, Reason: "target restarted", Age: now - old.lastReply})
+	p.emitEvent(Event{Kind: EventTargetAdded, Target: t.id(), Started: t.startedAt, Reason: rec.MachineKind()})
+	for _, r := range sortedRuns(old.runs) {
+		if r.listed {
+			p.discardRun(now, r, "target restarted")
+			continue
+		}
+		r.target = t
+		t.runs[r.key] = r
+		t.used = t.used.Add(r.demand)
+		if r.state == runStarting {
+			r.state = runUncertain
+		}
+	}
+	p.capacityChanged = true
+	return t
+}
--- /dev/null
+++ b/fbsched/instance_test.go
@@ -0,0 +1,133 @@
+package fbsched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// TestRunOnRestartedTargetIsNotRepeated checks a target that starts again under its ID
+// before its new record is read: a task that was started on the new instance keeps its run.
+func TestRunOnRestartedTargetIsNotRepeated(t *testing.T) {
+	tests := map[string]struct {
+		replied bool // the start is answered
+		listed  bool // the new instance lists the run before its record is read
+	}{
+		"run is listed before the record": {replied: true, listed: true},
+		"start is answered only":          {replied: true},
+		"start is not answered":           {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Minute
+			p := NewPool(testPool, 1, 1_000_000, now)
+			p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", 1), recordOf("t01", 1)})
+			for _, id := range []filbertford.TargetID{"t00", "t01"} {
+				answerLists(p, now, id, 1, 500_000)
+			}
+			p.targets["t01"].fullUntil = now + 30*time.Millisecond // so that t00 gets the task
+			p.TakeActions(now)
+
+			step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), time.Second)
+			p.Offer(now, "c", NewBatch(testPool, "00000000000000aa", 0, 0, step, []Item{NewItem(0, 0)}).
+				WithWork("", "ordering", 3).WithTimes(time.Second, time.Minute).WithFence(1))
+			started := startCalls(p.TakeActions(now))
+			if len(started) != 1 || started[0].Instance().ID() != "t00" {
+				t.Fatalf("starts are %v, want one on t00", started)
+			}
+			sent := now
+			now += 5 * time.Millisecond
+			if tt.replied {
+				p.HandleStartReply(now, started[0], filbertford.NewCallReply(filbertford.CallDone, 40), sent, now)
+			}
+			run := filbertford.NewRunStatus(started[0].Task(), started[0].Run(), 10)
+			if tt.listed {
+				now += 20 * time.Millisecond
+				answerLists(p, now, "t00", 2, 65, run)
+			}
+			now += 100 * time.Millisecond
+			p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", 2), recordOf("t01", 1)})
+			p.Tick(now, 1_000_000)
+			if again := startCalls(p.TakeActions(now)); len(again) > 0 {
+				t.Fatalf("the task was started again on %s", again[0].Instance().ID())
+			}
+			now += 20 * time.Millisecond
+			answerLists(p, now, "t00", 2, 200, run)
+			p.Tick(now, 1_000_000)
+			if again := startCalls(p.TakeActions(now)); len(again) > 0 {
+				t.Fatalf("the task was started again on %s", again[0].Instance().ID())
+			}
+			if r := p.activeRuns[started[0].Task()]; r == nil || r.target.id() != "t00" || r.task == nil || !r.listed {
+				t.Error("the run is not assigned to its task")
+			}
+		})
+	}
+}
+
+// TestRestartedTargetIsUsedBeforeItsRecord checks that runs on a target that has started
+// again are listed, end and are acknowledged by the new instance's clock and sequence.
+func TestRestartedTargetIsUsedBeforeItsRecord(t *testing.T) {
+	now := time.Minute
+	p := NewPool(testPool, 1, 1_000_000, now)
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", 1)})
+	earlier := filbertford.NewEndedRun(7, filbertford.NewTaskKey("0000000000000001", 0, 0, 0), 3, filbertford.RunDone)
+	answerPoll(p, now, pollOf(p, "t00"), filbertford.NewCallReply(filbertford.CallDone, 500_000).WithStartedAt(1).
+		WithRuns(nil, []filbertford.EndedRun{earlier}))
+	now += time.Second
+	answerLists(p, now, "t00", 2, 30)
+	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), time.Second)
+	p.Offer(now, "c", NewBatch(testPool, "00000000000000aa", 0, 0, step, []Item{NewItem(0, 0)}).
+		WithWork("", "ordering", 3).WithTimes(time.Second, time.Minute).WithFence(1))
+	started := startCalls(p.TakeActions(now))
+	if len(started) != 1 {
+		t.Fatalf("%d starts, want 1", len(started))
+	}
+	if lease := started[0].Lease(); lease > 30+2*maxLease.Milliseconds() {
+		t.Errorf("the start's lease ends at %d by the clock of the earlier instance", lease)
+	}
+	now += 10 * time.Millisecond
+	p.HandleStartReply(now, started[0], filbertford.NewCallReply(filbertford.CallDone, 40), now, now)
+	now += 10 * time.Millisecond
+	ended := filbertford.NewEndedRun(1, started[0].Task(), started[0].Run(), filbertford.RunDone)
+	answerPoll(p, now, pollOf(p, "t00"), filbertford.NewCallReply(filbertford.CallDone, 50).WithStartedAt(2).
+		WithRuns(nil, []filbertford.EndedRun{ended}))
+	var status Status
+	for _, a := range p.TakeActions(now) {
+		if r, ok := a.(SendReport); ok {
+			status = r.Report.Status()
+		}
+	}
+	if status != StatusDone {
+		t.Errorf("the task is reported as %q, want %q", status, StatusDone)
+	}
+	if n := p.targets["t00"].lastAckable(); n != 1 {
+		t.Errorf("ended runs up to %d are to be acknowledged, want 1", n)
+	}
+}
+
+func recordOf(id filbertford.TargetID, startedAt int64) filbertford.TargetRecord {
+	return filbertford.NewTargetRecord(filbertford.NewTargetInstance(id, startedAt), "ordering", string(id)+":80", "nordnes",
+		filbertford.NewResources(4000, 1000, 0), "a", "r1")
+}
+
+func pollOf(p *Pool, id filbertford.TargetID) filbertford.PollRequest {
+	rec := p.targets[id].rec
+	return filbertford.NewPollRequest(rec.Instance(), rec.Address(), p.fence, 0, 0, 0)
+}
+
+// answerLists answers the last poll of a target as the instance that started at the given
+// time, whose clock has the reading and which lists the runs.
+func answerLists(p *Pool, now time.Duration, id filbertford.TargetID, startedAt, clock int64, running ...filbertford.RunStatus) {
+	answerPoll(p, now, pollOf(p, id), filbertford.NewCallReply(filbertford.CallDone, clock).WithStartedAt(startedAt).WithRuns(running, nil))
+}
+
+func startCalls(actions []Action) []filbertford.StartRunRequest {
+	var out []filbertford.StartRunRequest
+	for _, a := range actions {
+		if c, ok := a.(StartCall); ok {
+			out = append(out, c.Request)
+		}
+	}
+	return out
+}
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -94,7 +94,7 @@
 // times. If another poll has replaced it, only its lists count, unless newer ones have been
 // applied.
 func (p *Pool) HandlePollReply(now time.Duration, c PollCall, r filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(c.Request.Instance())
+	t := p.targetOf(now, c.Request.Instance(), r)
 	if t == nil {
 		return
 	}
@@ -145,9 +145,7 @@
 		p.emit(PoolLost{Pool: p.id})
 		return false
 	case filbertford.CallRestarted:
-		p.targetRestarted(now, t)
-		p.removeTarget(t)
-		p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Reason: "another instance of the target replied"})
+		p.targetReplaced(now, t)
 		return false
 	}
 	if t.misses >= maxMisses {
@@ -155,6 +153,9 @@
 		p.capacityChanged = true
 	}
 	t.misses = 0
+	if first := !t.clock.known && r.Clock() != 0; first && len(t.runs) > 0 {
+		t.leaseExpiry = max(t.leaseExpiry, r.Clock()+maxLease.Milliseconds())
+	}
 	t.clock.update(r.Clock(), sent, received)
 	t.lastReply = received
 	return true
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -15,8 +15,9 @@
 // discarded them. misses counts calls without a reply since the last reply.
 type target struct {
 	rec          filbertford.TargetRecord
-	removed      bool // the record has been removed
-	listed       bool // its lists were read with the pool's fencing token
+	startedAt    int64 // in Unix milliseconds, by the record or the replies; 0 if unknown
+	removed      bool  // the record has been removed
+	listed       bool  // its lists were read with the pool's fencing token
 	listedAt     time.Duration
 	clock        targetClock
 	leaseExpiry  int64 // the latest that was sent, on the target's clock
@@ -112,26 +113,25 @@
 func (p *Pool) setTarget(now time.Duration, rec filbertford.TargetRecord) {
 	id := rec.Instance().ID()
 	t := p.targets[id]
-	if t != nil && rec.Instance().StartedAt() != 0 && t.rec.Instance().StartedAt() != rec.Instance().StartedAt() {
-		if rec.Instance().StartedAt() < t.rec.Instance().StartedAt() {
+	if t != nil {
+		switch startedAt := rec.Instance().StartedAt(); {
+		case startedAt == 0:
+			rec = rec.WithStartedAt(t.rec.Instance().StartedAt())
+		case t.startedAt == 0:
+			t.startedAt = startedAt
+		case startedAt < t.startedAt:
 			return // a late record of an earlier instance
+		case startedAt > t.startedAt:
+			p.poll(now, p.replaceInstance(now, t, rec))
+			return
 		}
-		p.targetRestarted(now, t)
-		p.removeTarget(t)
-		t = nil
-	}
-	if t != nil {
 		if rec.Draining() && !t.rec.Draining() {
 			p.emitEvent(Event{Kind: EventTargetDraining, Target: id})
 		}
 		t.rec, t.removed = rec, false
 		return
 	}
-	t = &target{
-		rec: rec, runs: make(map[filbertford.TaskKey]*run), unconfirmed: make(map[uint64]Confirm),
-		unclaimed: make(map[uint64]unclaimedOutcome),
-		lastReply: now,
-	}
+	t = newTarget(now, rec)
 	p.targets[id] = t
 	p.sortedTargets = append(p.sortedTargets, t)
 	slices.SortFunc(p.sortedTargets, func(a, b *target) int { return cmp.Compare(a.id(), b.id()) })
@@ -139,6 +139,15 @@
 	p.poll(now, t)
 }
 
+func newTarget(now time.Duration, rec filbertford.TargetRecord) *target {
+	return &target{
+		rec: rec, startedAt: rec.Instance().StartedAt(), lastReply: now,
+		runs:        make(map[filbertford.TaskKey]*run),
+		unconfirmed: make(map[uint64]Confirm),
+		unclaimed:   make(map[uint64]unclaimedOutcome),
+	}
+}
+
 func (p *Pool) removeTarget(t *target) {
 	if !t.listed {
 		p.departed[t.id()] = true
@@ -148,11 +157,15 @@
 	p.capacityChanged = true
 }
 
-// targetRestarted discards all runs of a target instance that has ended.
-func (p *Pool) targetRestarted(now time.Duration, t *target) {
+// targetReplaced removes a target at whose address another one replies. The target has
+// ended and carries out no more calls.
+func (p *Pool) targetReplaced(now time.Duration, t *target) {
 	for _, r := range sortedRuns(t.runs) {
 		p.discardRun(now, r, "target restarted")
 	}
+	p.removeTarget(t)
+	delete(p.departed, t.id())
+	p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Started: t.startedAt, Reason: "another target replied at its address"})
 }
 
 // tickTarget handles what depends on time for one target. It removes a target whose
@@ -179,9 +192,13 @@
 }
 
 // expireLeases discards the runs of a target that has not answered for so long that
-// all leases sent to it have expired.
+// all leases sent to it have expired. If this instance of the target has never answered,
+// its clock is unknown, and the runs may be started until lateCallTimeout.
 func (p *Pool) expireLeases(now time.Duration, t *target) {
-	if t.misses == 0 || len(t.runs) == 0 || !t.clock.known || t.clock.earliest(now) <= t.leaseExpiry {
+	if t.misses == 0 || len(t.runs) == 0 {
+		return
+	}
+	if t.clock.known && t.clock.earliest(now) <= t.leaseExpiry || !t.clock.known && now-t.lastReply < lateCallTimeout+maxLease {
 		return
 	}
 	p.emitEvent(Event{
@@ -204,14 +221,6 @@
 	}
 }
 
-func (p *Pool) targetOf(instance filbertford.TargetInstance) *target {
-	t := p.targets[instance.ID()]
-	if t == nil || t.rec.Instance() != instance {
-		return nil
-	}
-	return t
-}
-
 // discardRun removes a run that is certainly not executing and never will be, and
 // queues its task again.
 func (p *Pool) discardRun(now time.Duration, r *run, reason string) {
@@ -255,7 +264,7 @@
 // HandleStopReply handles the reply to a stop request that was sent and received at
 // the given times. Like a reply to a start, it may be called again with a late reply.
 func (p *Pool) HandleStopReply(now time.Duration, req filbertford.StopRunRequest, reply filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(req.Instance())
+	t := p.targetOf(now, req.Instance(), reply)
 	if t == nil || !p.handleReply(now, t, reply, sent, received) {
 		return
 	}
