The lease of a run that is to end is limited

A job that its coordinator has given up, or whose coordinator is lost, is sent again by its caller 1.3 s later, to any daemon, which may place it in another pool. A run of the first attempt could still be executing then.

Cause: a run that is to end was only told to stop, and the stop repeated until a reply came. Meanwhile each poll of the target extended the lease of everything there, that run included. Calls may be lost or carried out seconds later while polls are answered. A new owner did the same for the runs that it found and nobody claimed.

Change: a run that is to be stopped, or that nobody has claimed yet, has a time by which it must have ended: a lease and two retries after the stop, or 50 ms after it counts as unclaimed. No lease at its target lasts beyond that; other runs there lapse with it if no stop gets through. A target that can't be granted 100 ms gets no tasks.

--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -41,12 +41,13 @@
 		return false
 	}
 	best := chosen.target
+	lease := best.nextLease(now) // not 0, since the target is usable
 	step := t.batch.step
 	r := &run{
 		target: best, key: t.key, number: p.nextRunNumber(now, t), task: t, state: runStarting,
 		demand: step.Demand(), startedAt: now, progressedAt: now,
 		expected:    time.Duration(float64(step.Estimate()) * chosen.factor),
-		leaseExpiry: best.clock.estimate(now) + leaseDuration.Milliseconds(),
+		leaseExpiry: lease,
 	}
 	best.leaseExpiry = max(best.leaseExpiry, r.leaseExpiry)
 	best.runs[t.key], p.activeRuns[t.key] = r, r
@@ -133,7 +134,7 @@
 // usable reports whether tasks of the service may be started on the target.
 func (p *Pool) usable(now time.Duration, t *target, service string) bool {
 	return t.rec.Service() == service && t.listed && t.misses < maxMisses && t.clock.known && !t.rec.Draining() &&
-		!t.removed && now >= t.fullUntil
+		!t.removed && now >= t.fullUntil && t.grantsLease(now)
 }
 
 // atTaskLimit reports whether the target runs as many tasks of the task's step as
--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -61,11 +61,13 @@
 			Reason: fmt.Sprintf("run %d is on %s", other.number, other.target.id()), Age: now - other.startedAt,
 		})
 		r.stopWanted = true
+		r.endBy(now + leaseDuration + stopTimeout)
 		t.runs[s.Task()] = r
 		p.sendStop(now, r)
 		return r
 	}
 	p.emitEvent(Event{Kind: EventRunFound, Task: r.key, Target: t.id(), Started: t.rec.Instance().StartedAt(), Run: r.number, Fence: p.fence, Age: now - p.createdAt})
+	r.endBy(now + adoptionTimeout + unclaimedMargin)
 	t.runs[s.Task()] = r
 	p.activeRuns[s.Task()] = r
 	if waiting := p.tasks[s.Task()]; waiting != nil && waiting.run == nil {
@@ -90,6 +92,7 @@
 		p.discardRun(now, r, "lease expired before the run started")
 	case r.stopSentAt == 0:
 		r.stopWanted = true
+		r.endBy(now + leaseDuration + stopTimeout)
 		p.sendStop(now, r)
 	}
 }
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -113,6 +113,7 @@
 // for the task has found it.
 func (p *Pool) adopt(now time.Duration, t *task, r *run) {
 	t.run, r.task, t.started, t.search = r, t, true, false
+	r.leaseLimit = 0
 	if r.demand == (filbertford.Resources{}) {
 		r.demand = t.batch.step.Demand()
 		r.target.used = r.target.used.Add(r.demand)
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -7,7 +7,7 @@
 )
 
 // poll polls a target if there is a reason to. It does not extend the lease of a
-// target that does not answer, so that its runs end.
+// target that does not answer, or that has a run which must have ended, so that its runs end.
 func (p *Pool) poll(now time.Duration, t *target) {
 	if t.polling || t.listed && len(t.runs) == 0 && t.misses == 0 && (t.lastAckable() == t.acked || now-t.polledAt < ackDelay) {
 		return
@@ -18,7 +18,7 @@
 	var lease int64
 	var wait time.Duration
 	if t.clock.known && len(t.runs) > 0 && t.misses == 0 {
-		lease = t.clock.estimate(now) + leaseDuration.Milliseconds()
+		lease = t.nextLease(now)
 		t.leaseExpiry = max(t.leaseExpiry, lease)
 	}
 	if t.listed && t.misses == 0 && len(t.runs) > 0 {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -77,7 +77,8 @@
 	// stopConfirmedAt is when the target confirmed a stop. If the reply to a poll sent
 	// later does not list the run, the run will never start.
 	stopConfirmedAt time.Duration
-	stopWanted      bool // the run is to be stopped
+	stopWanted      bool          // the run is to be stopped
+	leaseLimit      time.Duration // when the run must have ended, 0 if it has a task
 }
 
 func (t *target) id() filbertford.TargetID { return t.rec.Instance().ID() }
@@ -248,6 +249,7 @@
 		return
 	}
 	r.stopWanted = true
+	r.endBy(now + leaseDuration + stopTimeout)
 	p.emitEvent(Event{Kind: EventRunStopped, Task: r.key, Target: r.target.id(), Run: r.number, Reason: reason, Age: now - r.startedAt})
 	p.sendStop(now, r)
 }
