A pool drops the tasks that a reconnected coordinator no longer offers

Cause: a coordinator that gives a job up tells the pools once. If the stream breaks at that moment, as when the connections of a daemon are reset, which breaks those of its callers too, the withdrawal is lost. The pool hears heartbeats over the next stream and keeps the tasks; it may even start them later. Meanwhile the caller sends the job again, and another pool starts it.

Change: a coordinator offers all its tasks on a new stream, as before. The pool now drops those of its best-effort tasks that aren't offered within 0.4 s, and limits their leases until they are. Tasks of stored jobs are left out: they are offered once their shard is verified in the store.

--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -14,6 +14,9 @@
 func (n *Node) Receive(from fbfleet.Member, messages []fblink.Message, newStream bool) {
 	n.post(func(now time.Duration) {
 		if newStream {
+			for _, p := range n.pools {
+				p.CoordinatorConnected(now, from.Node())
+			}
 			n.resumeTasks(now, from.Node())
 		}
 		for _, m := range messages {
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -85,7 +85,10 @@
 	if t.coordinator != from && t.coordinatorUnreachableAt == 0 {
 		p.report(t.coordinator, t.key, StatusReassigned, t.failures)
 	}
-	t.coordinator, t.batch, t.coordinatorUnreachableAt = from, b, 0
+	t.coordinator, t.batch, t.coordinatorUnreachableAt, t.reofferBy = from, b, 0, 0
+	if t.run != nil && !t.run.stopWanted {
+		t.run.leaseLimit = 0
+	}
 	t.setDue(now + b.due)
 	t.deadline = now + b.timeout
 	p.queue.sort()
--- a/fbsched/outcome.go
+++ b/fbsched/outcome.go
@@ -58,7 +58,8 @@
 		}
 	}
 	p.dropTasks(now, func(t *task) bool {
-		return t.coordinatorUnreachableAt != 0 && now-t.coordinatorUnreachableAt > coordinatorTimeout
+		return t.coordinatorUnreachableAt != 0 && now-t.coordinatorUnreachableAt > coordinatorTimeout ||
+			t.reofferBy != 0 && now >= t.reofferBy
 	}, "no coordinator")
 	for key, outcome := range p.outcomes {
 		if outcome.nextReport != 0 && now >= outcome.nextReport {
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -50,6 +50,10 @@
 	// coordinatorTimeout is how long the tasks of a stored job continue without a
 	// coordinator.
 	coordinatorTimeout = 8 * time.Second
+	// reofferTimeout is how long the tasks of a best-effort job are kept after their
+	// coordinator has connected again without offering them. It offers all of its tasks
+	// as soon as it is connected; the rest is for the delay of a busy daemon.
+	reofferTimeout = 400 * time.Millisecond
 	// reportInterval is the time between two reports of an outcome that is not
 	// confirmed.
 	reportInterval = time.Second
@@ -110,6 +114,7 @@
 	search                   bool                 // run only if already in the pool
 	waitsForFaster           bool                 // a target has capacity, but the task waits for a faster one
 	coordinatorUnreachableAt time.Duration        // 0 if the coordinator is reachable
+	reofferBy                time.Duration        // when it is dropped unless it is offered again, 0 for never
 	run                      *run
 	started                  bool // a run was started or adopted
 }
@@ -243,6 +248,20 @@
 	p.dispatchDue = true
 }
 
+// CoordinatorConnected handles a new connection of a coordinator, which offers its tasks of
+// best-effort jobs again. The others are dropped after reofferTimeout: a withdrawal may have
+// been lost with the earlier connection.
+func (p *Pool) CoordinatorConnected(now time.Duration, node filbertford.NodeID) {
+	for _, t := range p.tasks {
+		if t.coordinator == node && !t.batch.stored && t.reofferBy == 0 {
+			t.reofferBy = now + reofferTimeout
+			if t.run != nil {
+				t.run.endBy(now + leaseDuration + stopTimeout)
+			}
+		}
+	}
+}
+
 func (p *Pool) dropTasks(now time.Duration, match func(*task) bool, reason string) {
 	var stopped []*run
 	for key, t := range p.tasks {
