An abandoned job is withdrawn from an owner that is no longer heard

A job answered 504 because its pool had no owner could have runs that went on, and be sent again 1.3 s later.

Cause: a withdrawal was sent to the pool's current owner only. If the coordinator doesn't hear the owner, it has none, although the owner may hear the coordinator, keep its tasks and extend their leases: the two directions are connections of their own, and one may go silent.

Change: the withdrawal goes to the last owner if there is none.

--- a/fbsched/answer.go
+++ b/fbsched/answer.go
@@ -116,7 +116,8 @@
 	c.withdraw(j)
 }
 
-// withdraw withdraws the tasks of a job from the pools that have them.
+// withdraw withdraws the tasks of a job from the pools that have them. An owner that the
+// coordinator doesn't hear any more may still hear the coordinator.
 func (c *Coordinator) withdraw(j *job) {
 	pools := make(map[filbertford.PoolID]bool)
 	for _, s := range j.steps {
@@ -127,8 +128,8 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(pools)) {
-		if v := c.pools[id]; v != nil && v.owner != "" {
-			c.emit(SendWithdrawal{To: v.owner, Withdrawal: NewWithdrawal(id, j.workload.Key())})
+		if v := c.pools[id]; v != nil && v.lastOwner != "" {
+			c.emit(SendWithdrawal{To: v.lastOwner, Withdrawal: NewWithdrawal(id, j.workload.Key())})
 		}
 	}
 }
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -54,7 +54,8 @@
 type poolView struct {
 	owner      filbertford.NodeID
 	fence      uint64
-	lostAt     time.Duration // when the previous owner was lost
+	lastOwner  filbertford.NodeID // the owner or, if there is none, the previous one
+	lostAt     time.Duration      // when the previous owner was lost
 	capacities map[string]*capacityView
 }
 
@@ -142,6 +143,7 @@
 		v.lostAt = now
 	}
 	v.owner, v.fence, v.capacities = owner, fence, nil
+	v.lastOwner = cmp.Or(owner, v.lastOwner)
 	c.updateOwnership(now)
 	if owner == "" {
 		return
