A task isn't started beside a run of it that is being stopped

Cause: a pool knows one run of each task as active. A run of an earlier owner that it found beside that one was stopped, but didn't count: when the active run was rejected or failed, the task was started again, although the stop of the found one may be lost or late. And a run that a target listed with a higher number than the pool's own run there took its place on the target only; the task kept the lower run, which can't start any more and which no list ends.

Change: runs found beside the active one are counted, and a task with one neither starts nor is reported absent. A higher run on the same target replaces the pool's own and has its task.

--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -32,7 +32,7 @@
 // startTask starts a task if a target of its service has capacity for it, and reports
 // whether it did.
 func (p *Pool) startTask(now time.Duration, t *task, capacity *serviceCapacity) bool {
-	if t.coordinatorUnreachableAt != 0 || p.activeRuns[t.key] != nil || !p.earlierRunsEnded(now, t) {
+	if t.coordinatorUnreachableAt != 0 || p.activeRuns[t.key] != nil || p.secondRuns[t.key] > 0 || !p.earlierRunsEnded(now, t) {
 		return false
 	}
 	chosen := p.chooseTarget(t, capacity)
--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -36,7 +36,15 @@
 // runListed handles a run that the target lists as running.
 func (p *Pool) runListed(now time.Duration, t *target, s filbertford.RunStatus) {
 	r := t.runs[s.Task()]
-	if r == nil || r.number < s.Run() {
+	if r != nil && r.number < s.Run() {
+		// The target rejects the lower run from now on, so that the task is free for this one.
+		if r.task != nil {
+			r.task.run = nil
+		}
+		p.releaseRun(r)
+		r = nil
+	}
+	if r == nil {
 		r = p.addInheritedRun(now, t, s)
 	}
 	if r.number != s.Run() {
@@ -60,8 +68,9 @@
 			Kind: EventSecondRunFound, Task: r.key, Target: t.id(), Started: t.rec.Instance().StartedAt(), Run: r.number, Fence: p.fence,
 			Reason: fmt.Sprintf("run %d is on %s", other.number, other.target.id()), Age: now - other.startedAt,
 		})
-		r.stopWanted = true
+		r.stopWanted, r.second = true, true
 		r.endBy(now + leaseDuration + stopTimeout)
+		p.secondRuns[s.Task()]++
 		t.runs[s.Task()] = r
 		p.sendStop(now, r)
 		return r
--- a/fbsched/outcome.go
+++ b/fbsched/outcome.go
@@ -10,7 +10,7 @@
 // finishSearch reports a searched task as absent once it is certain that no run of
 // it remains on the pool's targets.
 func (p *Pool) finishSearch(now time.Duration, t *task) {
-	if t.run == nil && p.activeRuns[t.key] == nil && p.earlierRunsEnded(now, t) {
+	if t.run == nil && p.activeRuns[t.key] == nil && p.secondRuns[t.key] == 0 && p.earlierRunsEnded(now, t) {
 		delete(p.tasks, t.key)
 		p.returnTask(t, StatusAbsent)
 	}
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -79,6 +79,7 @@
 	sortedTargets     []*target
 	tasks             map[filbertford.TaskKey]*task
 	activeRuns        map[filbertford.TaskKey]*run
+	secondRuns        map[filbertford.TaskKey]int // number of runs beside the active one
 	runNumbers        map[filbertford.TaskKey]uint64
 	outcomes          map[filbertford.TaskKey]taskOutcome
 	inheritedFailures map[filbertford.TaskKey]int       // failed runs that earlier owners started
@@ -138,6 +139,7 @@
 		targets:           make(map[filbertford.TargetID]*target),
 		tasks:             make(map[filbertford.TaskKey]*task),
 		activeRuns:        make(map[filbertford.TaskKey]*run),
+		secondRuns:        make(map[filbertford.TaskKey]int),
 		runNumbers:        make(map[filbertford.TaskKey]uint64),
 		outcomes:          make(map[filbertford.TaskKey]taskOutcome),
 		inheritedFailures: make(map[filbertford.TaskKey]int),
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -78,6 +78,7 @@
 	// later does not list the run, the run will never start.
 	stopConfirmedAt time.Duration
 	stopWanted      bool          // the run is to be stopped
+	second          bool          // it was found while another run had the task
 	leaseLimit      time.Duration // when the run must have ended, 0 if it has a task
 }
 
@@ -239,6 +240,11 @@
 	if p.activeRuns[r.key] == r {
 		delete(p.activeRuns, r.key)
 	}
+	if r.second {
+		if p.secondRuns[r.key]--; p.secondRuns[r.key] == 0 {
+			delete(p.secondRuns, r.key)
+		}
+	}
 	t.fullUntil, p.capacityChanged = 0, true
 }
 
