A suspended owner asks its targets before it starts a task

Cause: a daemon that wakes carries on with its queues before it hears that the pool has another owner. Only the targets prevent two runs then, and only those that the new owner has reached with its token: not a target that is slow, or cut off from the new owner alone.

Evidence: TestSuspendedOwnerStartsNothingBeforeSurvey failed ("started on t00 right after the suspension").

Change: after a suspension, which is now checked before each event and not at the next tick only, a pool surveys its targets again: no task starts before each has answered a call that was sent after it, or has left two unanswered. One target that has the newer token ends the pool.

Result: the test passes, and the package's randomised tests.

--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -211,7 +211,7 @@
 		case <-ticks:
 			n.tick(fbtimer.SinceBoot())
 		case f := <-n.events:
-			f(fbtimer.SinceBoot())
+			n.handleEvent(f)
 			n.drainEvents()
 		}
 		n.flush(fbtimer.SinceBoot())
@@ -224,28 +224,46 @@
 	for range 64 {
 		select {
 		case f := <-n.events:
-			f(fbtimer.SinceBoot())
+			n.handleEvent(f)
 		default:
 			return
 		}
 	}
 }
 
-func (n *Node) tick(now time.Duration) {
+func (n *Node) handleEvent(f func(now time.Duration)) {
+	now := fbtimer.SinceBoot()
+	n.checkSuspension(now)
+	f(now)
+}
+
+// checkSuspension handles a suspension of the process before anything else is: what the state
+// machines know may be out of date.
+func (n *Node) checkSuspension(now time.Duration) {
 	gap := now - n.lastTick
+	if gap <= suspensionThreshold {
+		return
+	}
 	n.lastTick = now
-	if gap > suspensionThreshold {
-		n.recorder.recordSuspension(gap)
-		n.fleet.HandleSuspension(now)
-		if gap > abandonAfter {
-			n.coordinator.AbandonAll(now, "the daemon was suspended")
-			for _, s := range n.specs {
-				if !isShard(s.ID()) {
-					n.verifyShards(s.ID())
-				}
-			}
+	n.recorder.recordSuspension(gap)
+	n.fleet.HandleSuspension(now)
+	for _, p := range n.pools {
+		p.HandleSuspension(now)
+	}
+	if gap <= abandonAfter {
+		return
+	}
+	n.coordinator.AbandonAll(now, "the daemon was suspended")
+	for _, s := range n.specs {
+		if !isShard(s.ID()) {
+			n.verifyShards(s.ID())
 		}
 	}
+}
+
+func (n *Node) tick(now time.Duration) {
+	n.checkSuspension(now)
+	n.lastTick = now
 	if n.targets.prune(now) {
 		n.updatePoolTargets(now)
 	}
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -9,7 +9,7 @@
 // poll polls a target if there is a reason to. It does not extend the lease of a
 // target that does not answer, or that has a run which must have ended, so that its runs end.
 func (p *Pool) poll(now time.Duration, t *target) {
-	if t.polling || t.listed && len(t.runs) == 0 && t.misses == 0 && (t.lastAckable() == t.acked || now-t.polledAt < ackDelay) {
+	if t.polling || t.listed && t.listsSent >= p.surveyFrom && len(t.runs) == 0 && t.misses == 0 && (t.lastAckable() == t.acked || now-t.polledAt < ackDelay) {
 		return
 	}
 	if now-t.polledAt < t.pollBackoff() {
@@ -108,6 +108,9 @@
 	if !p.handleReply(now, t, r, sent, received) {
 		return
 	}
+	if r.Outcome() == filbertford.CallDone {
+		t.listsSent = max(t.listsSent, sent)
+	}
 	if r.Outcome() == filbertford.CallDone && t.newerLists(c.Number, r.Clock()) {
 		t.acked = max(t.acked, c.Request.Acked())
 		t.listClock, t.listNumber, t.listsAt = r.Clock(), c.Number, now
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -90,8 +90,9 @@
 	roundTrips        *roundTrips
 	createdAt         time.Duration
 	allListed         bool
-	surveyed          bool // see checkSurveyed
-	dispatchDue       bool // a queued task may be able to start
+	surveyed          bool          // see checkSurveyed
+	surveyFrom        time.Duration // calls that were sent before don't count for the survey
+	dispatchDue       bool          // a queued task may be able to start
 	startsHeldUntil   time.Duration
 	capacityChanged   bool
 	actions           []Action
@@ -135,7 +136,7 @@
 // since boot. Run numbers are derived from it, so that they increase across owners.
 func NewPool(id filbertford.PoolID, fence uint64, wallOffset int64, now time.Duration) *Pool {
 	return &Pool{
-		id: id, fence: fence, wallOffset: wallOffset, createdAt: now,
+		id: id, fence: fence, wallOffset: wallOffset, createdAt: now, surveyFrom: now,
 		targets:           make(map[filbertford.TargetID]*target),
 		tasks:             make(map[filbertford.TaskKey]*task),
 		activeRuns:        make(map[filbertford.TaskKey]*run),
@@ -319,19 +320,30 @@
 // at the latest after surveyTimeout. Before, the pool starts no task, not even one that its
 // coordinator has offered to no other owner: when all daemons start at once, several may own
 // the pool for a moment, and another owner may have started the task at a target that this
-// one has not listed.
+// one has not listed. A suspension begins the survey again.
 func (p *Pool) checkSurveyed(now time.Duration) {
 	if p.surveyed || len(p.sortedTargets) == 0 {
 		return
 	}
 	for _, t := range p.sortedTargets {
-		if !t.listed && t.misses < maxMisses && now-p.createdAt < surveyTimeout {
+		if (!t.listed || t.listsSent < p.surveyFrom) && t.misses < maxMisses && now-p.surveyFrom < surveyTimeout {
 			return
 		}
 	}
 	p.surveyed, p.dispatchDue = true, true
 }
 
+// HandleSuspension handles that the owner was suspended until now. Another daemon may own the
+// pool by now and may have started its tasks. A target rejects this owner's token only if the
+// other one has reached it, so that all targets are asked before any task starts.
+func (p *Pool) HandleSuspension(now time.Duration) {
+	p.surveyed, p.surveyFrom = false, now
+	for _, t := range p.sortedTargets {
+		t.polling = false // a reply to the last poll may be older than the suspension
+		p.poll(now, t)
+	}
+}
+
 // expire drops the tasks that could not start in time.
 func (p *Pool) expire(now time.Duration) {
 	expired := false
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -33,6 +33,7 @@
 	listClock    int64         // the target's clock when it wrote the lists that were last applied
 	listNumber   uint64        // of the poll that returned them
 	listsAt      time.Duration // when they were applied
+	listsSent    time.Duration // when the last answered poll was sent
 	lastReply    time.Duration
 	misses       int
 	runs         map[filbertford.TaskKey]*run
