Lists that a target wrote in the same millisecond have no order

What callers saw: a task with two runs on one target.

Cause: a start that isn't answered in time makes the pool send a second poll beside the one that the target holds. The target wrote one list before it carried out the start and the other after it, in the same millisecond of its clock. Lists with equal clocks were put in order by the number of the poll, and the list without the run counted as the newer one: the run was taken for ended (FE7057 "target no longer lists the run") and the task started again while it executed.

Class: an order was assumed between two replies that have none.

Change: of two lists with the same clock, the one applied first stays; the next poll decides. The ends in a list are applied from any reply, since an end stays true.

--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -8,19 +8,24 @@
 	"github.com/filbertford/filbertford"
 )
 
-// applyLists updates the runs from the lists in the reply to a poll that was sent at
-// the given time.
-func (p *Pool) applyLists(now time.Duration, t *target, r filbertford.CallReply, sent time.Duration) {
-	if !t.listed {
-		t.listed, t.listedAt, p.capacityChanged = true, now, true
-		delete(p.departed, t.id())
-	}
+// applyEnded updates the runs from the list of ended runs in the reply to a poll. An end
+// stays true, however old the list is.
+func (p *Pool) applyEnded(now time.Duration, t *target, r filbertford.CallReply) {
 	for _, e := range r.Ended() {
 		if e.Sequence() > t.lastSequence {
 			t.lastSequence = e.Sequence()
 			p.runEnded(now, t, e)
 		}
 	}
+}
+
+// applyRunning updates the runs from the list of running ones in the reply to a poll that
+// was sent at the given time. The ended runs of the reply have been applied.
+func (p *Pool) applyRunning(now time.Duration, t *target, r filbertford.CallReply, sent time.Duration) {
+	if !t.listed {
+		t.listed, t.listedAt, p.capacityChanged = true, now, true
+		delete(p.departed, t.id())
+	}
 	listed := make(map[filbertford.TaskKey]bool, len(r.Running()))
 	for _, s := range r.Running() {
 		listed[s.Task()] = true
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -91,8 +91,8 @@
 }
 
 // HandlePollReply handles the reply to a poll that was sent and received at the given
-// times. If another poll has replaced it, only its lists count, unless newer ones have been
-// applied.
+// times. If another poll has replaced it, only its lists count; the list of running tasks
+// doesn't if a newer one has been applied.
 func (p *Pool) HandlePollReply(now time.Duration, c PollCall, r filbertford.CallReply, sent, received time.Duration) {
 	t := p.targetOf(now, c.Request.Instance(), r)
 	if t == nil {
@@ -110,11 +110,12 @@
 	}
 	if r.Outcome() == filbertford.CallDone {
 		t.listsSent = max(t.listsSent, sent)
-	}
-	if r.Outcome() == filbertford.CallDone && t.newerLists(c.Number, r.Clock()) {
 		t.acked = max(t.acked, c.Request.Acked())
-		t.listClock, t.listNumber, t.listsAt = r.Clock(), c.Number, now
-		p.applyLists(now, t, r, sent)
+		p.applyEnded(now, t, r)
+	}
+	if r.Outcome() == filbertford.CallDone && t.newerLists(r.Clock()) {
+		t.listClock, t.listsAt = r.Clock(), now
+		p.applyRunning(now, t, r, sent)
 	}
 	p.poll(now, t)
 	p.checkAllListed(now)
@@ -122,11 +123,10 @@
 	p.dispatchDue = true
 }
 
-// newerLists reports whether the lists in the reply to a poll, written at the given time of
-// the target's clock, are newer than those that were last applied.
-func (t *target) newerLists(number uint64, clock int64) bool {
-	return clock > t.listClock || clock == t.listClock && number > t.listNumber
-}
+// newerLists reports whether lists that were written at the given time of the target's clock
+// are newer than those that were last applied. The order of lists of the same millisecond is
+// unknown: polls may overtake each other.
+func (t *target) newerLists(clock int64) bool { return clock > t.listClock }
 
 // recordMiss counts a call that the target has not answered in time.
 func (p *Pool) recordMiss(t *target, reason string) {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -31,7 +31,6 @@
 	pollWait     time.Duration // how long the target may hold it
 	polledAt     time.Duration // when the last poll ended
 	listClock    int64         // the target's clock when it wrote the lists that were last applied
-	listNumber   uint64        // of the poll that returned them
 	listsAt      time.Duration // when they were applied
 	listsSent    time.Duration // when the last answered poll was sent
 	lastReply    time.Duration
