A coordinator doesn't return to an earlier owner of a pool

Cause: a coordinator was frozen while its pool got a new owner. When it woke, it offered its tasks to the new owner and then read, from the connection of the earlier owner, a heartbeat that was older: since the tick had just found all daemons silent, the earlier owner counted as the pool's only one. The coordinator offered the tasks to it too, under its lower token. The earlier owner's answer to the very first offer, "returned", was the next message; the token matched, so that the tasks were placed in another pool, while the new owner had started them.

Class: an old message is taken for news, because tokens order claims at the targets and between daemons, but not in what a coordinator believes.

TestCoordinatorDoesNotReturnToEarlierOwner ("the task was offered again: map[a:2]") and TestTaskOfferedAgainAsResumedWaits ("started on t00 before t01 was listed") failed.

Change: an owner whose token is lower than that of the last one gets no tasks until all runs of the last one must have ended (2 s). A task that was offered under a higher token isn't taken back by an answer under a lower one. A queued task that is offered again as resumed is treated as such: another owner may have started it in between.

Result: both tests pass, and the package's randomised tests.

--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -56,6 +56,9 @@
 	fence      uint64
 	lastOwner  filbertford.NodeID // the owner or, if there is none, the previous one
 	lostAt     time.Duration      // when the previous owner was lost
+	heldOwner  filbertford.NodeID // an earlier owner that still claims the pool, see SetOwner
+	heldFence  uint64
+	lastFence  uint64 // of lastOwner
 	capacities map[string]*capacityView
 }
 
@@ -87,6 +90,7 @@
 type taskState struct {
 	pool     filbertford.PoolID   // empty while the task waits for a pool
 	fence    uint64               // of the owner that the task was last offered to
+	highest  uint64               // highest token of the pool's owners that it was offered to
 	target   filbertford.TargetID // that the task was last started on
 	done     bool
 	failures int
@@ -130,12 +134,21 @@
 
 // SetOwner sets the owner of a pool; an empty owner means that the pool has none. A
 // new owner is offered the tasks of best-effort jobs in the pool again.
+//
+// An owner whose token is lower than that of the last one is an earlier owner, of which the
+// coordinator has read an old message, or which hasn't learned of its successor. It gets no
+// tasks until all runs of the last one must have ended.
 func (c *Coordinator) SetOwner(now time.Duration, pool filbertford.PoolID, owner filbertford.NodeID, fence uint64) {
 	v := c.pools[pool]
 	if v == nil {
 		v = &poolView{}
 		c.pools[pool] = v
 	}
+	v.heldOwner, v.heldFence = "", 0
+	if owner != "" && fence < v.lastFence && (v.owner != "" || now-v.lostAt < earlierRunTimeout) {
+		v.heldOwner, v.heldFence = owner, fence
+		owner, fence = "", 0
+	}
 	if v.owner == owner && v.fence == fence {
 		return
 	}
@@ -143,7 +156,9 @@
 		v.lostAt = now
 	}
 	v.owner, v.fence, v.capacities = owner, fence, nil
-	v.lastOwner = cmp.Or(owner, v.lastOwner)
+	if owner != "" {
+		v.lastOwner, v.lastFence = owner, fence
+	}
 	c.updateOwnership(now)
 	if owner == "" {
 		return
@@ -315,6 +330,9 @@
 		}
 		c.abandon(now, j, "no target for a task in time")
 	case StatusReturned:
+		if t.fence < t.highest {
+			return // it answers the first offer to an owner that has got the task back since
+		}
 		t.pool, t.target = "", ""
 		if t.returns++; t.returns > maxReturns && !j.stored {
 			c.abandon(now, j, "no pool keeps a task")
@@ -326,6 +344,11 @@
 
 // Tick abandons jobs that can't be completed in time and offers waiting tasks.
 func (c *Coordinator) Tick(now time.Duration) {
+	for _, id := range c.poolIDs() {
+		if v := c.pools[id]; v.heldOwner != "" {
+			c.SetOwner(now, id, v.heldOwner, v.heldFence)
+		}
+	}
 	for _, key := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[key]
 		switch {
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -57,13 +57,15 @@
 		return
 	}
 	if t, ok := p.tasks[key]; ok {
-		p.reassign(now, t, from, b)
+		p.reassign(now, t, from, b, item)
 		return
 	}
 	t := &task{
 		key: key, coordinator: from, batch: b, failures: item.failures,
-		deadline: now + b.timeout, queuedAt: now, resume: b.resume,
-		notBefore: now + earlierRunTimeout - b.ownerSilence, startedOn: item.target, search: b.search,
+		deadline: now + b.timeout, queuedAt: now, search: b.search,
+	}
+	if b.resume {
+		t.resumeFrom(now, b, item)
 	}
 	t.setDue(now + b.due)
 	t.failures = max(t.failures, p.inheritedFailures[key])
@@ -81,12 +83,15 @@
 
 // reassign assigns a task that is already in the pool to the coordinator that offers
 // it now.
-func (p *Pool) reassign(now time.Duration, t *task, from filbertford.NodeID, b *Batch) {
+func (p *Pool) reassign(now time.Duration, t *task, from filbertford.NodeID, b *Batch, item Item) {
 	if t.coordinator != from && t.coordinatorUnreachableAt == 0 {
 		p.report(t.coordinator, t.key, StatusReassigned, t.failures)
 	}
 	t.coordinator, t.batch, t.coordinatorUnreachableAt, t.reofferBy = from, b, 0, 0
-	if t.run != nil && !t.run.stopWanted {
+	switch {
+	case t.run == nil && b.resume:
+		t.resumeFrom(now, b, item)
+	case t.run != nil && !t.run.stopWanted:
 		t.run.leaseLimit = 0
 	}
 	t.setDue(now + b.due)
@@ -108,6 +113,11 @@
 	}
 }
 
+// resumeFrom records that another owner may have started the task.
+func (t *task) resumeFrom(now time.Duration, b *Batch, item Item) {
+	t.resume, t.notBefore, t.startedOn = true, now+earlierRunTimeout-b.ownerSilence, item.target
+}
+
 func (t *task) setDue(due time.Duration) {
 	t.due, t.latestStart = due, due-t.batch.step.Estimate()
 }
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -192,7 +192,12 @@
 // offer sends a batch to the pool's current owner.
 func (c *Coordinator) offer(v *poolView, b Batch, j *job) {
 	for _, i := range b.items {
-		j.steps[b.stepNumber].tasks[i.index].fence = v.fence
+		t := &j.steps[b.stepNumber].tasks[i.index]
+		t.fence = v.fence
+		if !b.resume {
+			t.highest = 0
+		}
+		t.highest = max(t.highest, v.fence)
 	}
 	c.emit(SendBatch{To: v.owner, Batch: b.WithFence(v.fence)})
 }
