A run that a truncated list may leave out isn't taken for ended

Cause: a target lists 500 ended runs at a time and keeps those that aren't acknowledged. While an outcome of a stored job waits for the store, all later ends are kept too, and from the 501st on a run that ended was in neither list: it was taken for gone and its task started again, also after "done".

Change: if a reply has 500 ended runs, no run is taken for gone, and a new owner doesn't take the target as listed.

--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -21,8 +21,11 @@
 
 // applyRunning updates the runs from the list of running ones in the reply to a poll that
 // was sent at the given time. The ended runs of the reply have been applied.
+//
+// If the target has not listed all of its ended runs, a run in neither list may be among them.
 func (p *Pool) applyRunning(now time.Duration, t *target, r filbertford.CallReply, sent time.Duration) {
-	if !t.listed {
+	complete := len(r.Ended()) < maxListedEnds
+	if !t.listed && complete {
 		t.listed, t.listedAt, p.capacityChanged = true, now, true
 		delete(p.departed, t.id())
 	}
@@ -31,6 +34,9 @@
 		listed[s.Task()] = true
 		p.runListed(now, t, s)
 	}
+	if !complete {
+		return
+	}
 	for _, run := range sortedRuns(t.runs) {
 		if !listed[run.key] {
 			p.runMissing(now, t, run, sent)
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -27,6 +27,9 @@
 	// list all targets: longer than network partitions and unresponsive targets
 	// usually last.
 	listTimeout = 10 * time.Second
+	// maxListedEnds is the number of ended runs that a target lists at a time, as the
+	// platform specifies. It lists the others once these are acknowledged.
+	maxListedEnds = 500
 	// maxPollWait is the longest that a target holds a poll before it replies.
 	maxPollWait = 200 * time.Millisecond
 	// ackDelay is how long an idle target keeps the outcomes of its ended runs after the
