A job is withdrawn from every owner that it was offered to

Cause: a withdrawal went to the present owners of the pools that had unfinished tasks. It missed an owner that was paused and had the offer in its socket while the coordinator took another daemon for the owner, and a pool whose report "expired" crossed a repeated offer of the same task: the report ended the task for the coordinator, the offer began it anew for the pool.

Evidence: TestReportCrossesResumedOffer failed ("the job is answered, and the pool keeps the task").

Change: a job remembers the owners that it was offered to. If a task is left when it ends, all of them get the withdrawal, which follows the offers on the same connection.

--- a/fbsched/answer.go
+++ b/fbsched/answer.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -116,20 +117,21 @@
 	c.withdraw(j)
 }
 
-// withdraw withdraws the tasks of a job from the pools that have them. An owner that the
-// coordinator doesn't hear any more may still hear the coordinator.
+// withdraw withdraws the remaining tasks of a job from all owners that they were offered to:
+// an owner that the coordinator doesn't hear any more may still hear the coordinator, and one
+// that has given a task back may have been offered it again in the meantime.
 func (c *Coordinator) withdraw(j *job) {
-	pools := make(map[filbertford.PoolID]bool)
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			if t.pool != "" && !t.done {
-				pools[t.pool] = true
-			}
-		}
+	if !j.hasUndoneTask() {
+		return
 	}
-	for _, id := range slices.Sorted(maps.Keys(pools)) {
-		if v := c.pools[id]; v != nil && v.lastOwner != "" {
-			c.emit(SendWithdrawal{To: v.lastOwner, Withdrawal: NewWithdrawal(id, j.workload.Key())})
-		}
+	owners := slices.SortedFunc(maps.Keys(j.offered), func(a, b poolOwner) int {
+		return cmp.Or(cmp.Compare(a.pool, b.pool), cmp.Compare(a.node, b.node))
+	})
+	for _, o := range owners {
+		c.emit(SendWithdrawal{To: o.node, Withdrawal: NewWithdrawal(o.pool, j.workload.Key())})
 	}
 }
+
+func (j *job) hasUndoneTask() bool {
+	return slices.ContainsFunc(j.steps, func(s stepState) bool { return s.remaining > 0 })
+}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -54,11 +54,10 @@
 type poolView struct {
 	owner      filbertford.NodeID
 	fence      uint64
-	lastOwner  filbertford.NodeID // the owner or, if there is none, the previous one
+	lastFence  uint64             // of the owner or, if there is none, of the previous one
 	lostAt     time.Duration      // when the previous owner was lost
 	heldOwner  filbertford.NodeID // an earlier owner that still claims the pool, see SetOwner
 	heldFence  uint64
-	lastFence  uint64 // of lastOwner
 	capacities map[string]*capacityView
 }
 
@@ -78,6 +77,13 @@
 	returnDeadline time.Duration // when an abandoned job stops waiting for its tasks, 0 if not abandoned
 	reason         string
 	startReported  bool // JobStarted was emitted
+	offered        map[poolOwner]bool
+}
+
+// poolOwner is an owner of a pool, to which tasks of a job were offered.
+type poolOwner struct {
+	pool filbertford.PoolID
+	node filbertford.NodeID
 }
 
 // stepState is the progress of a step, with the number of tasks that are not done.
@@ -157,7 +163,7 @@
 	}
 	v.owner, v.fence, v.capacities = owner, fence, nil
 	if owner != "" {
-		v.lastOwner, v.lastFence = owner, fence
+		v.lastFence = fence
 	}
 	c.updateOwnership(now)
 	if owner == "" {
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -191,6 +191,10 @@
 
 // offer sends a batch to the pool's current owner.
 func (c *Coordinator) offer(v *poolView, b Batch, j *job) {
+	if j.offered == nil {
+		j.offered = make(map[poolOwner]bool)
+	}
+	j.offered[poolOwner{b.pool, v.owner}] = true
 	for _, i := range b.items {
 		t := &j.steps[b.stepNumber].tasks[i.index]
 		t.fence = v.fence
