Targets whose records are malformed or come late may run tasks

Cause: a new owner starts resumed tasks once all targets have listed their runs. A target whose record had just become malformed was forgotten at once, and one whose record came after the others had been listed didn't count any more, although the earlier owner may have started a task there whose report was lost.

Change: a target with a malformed record is kept like one whose record was removed, without new tasks.

--- a/fbnode/targets.go
+++ b/fbnode/targets.go
@@ -19,9 +19,10 @@
 	records         map[string]filbertford.TargetRecord
 	decodedVersions map[string]uint64
 	readAt          time.Duration // when the records were last read, 0 if never
-	// removedAt holds the times at which rows were removed. Their records are kept
-	// for removalDelay.
+	// removedAt holds the times at which rows were removed or became malformed. Their
+	// records are kept for removalDelay.
 	removedAt map[string]time.Duration
+	malformed map[string]bool // targets whose last row can't be decoded
 	// departed holds the targets whose record was removed although they were not
 	// draining.
 	departed map[string]departure
@@ -49,13 +50,14 @@
 		records:         make(map[string]filbertford.TargetRecord),
 		decodedVersions: make(map[string]uint64),
 		removedAt:       make(map[string]time.Duration),
+		malformed:       make(map[string]bool),
 		departed:        make(map[string]departure),
 	}
 }
 
 // apply applies the whole table if full is set and changes of it otherwise. It
-// reports whether any row has changed. A target whose record can't be decoded is
-// left out.
+// reports whether any row has changed. A target whose record can't be decoded gets no
+// tasks, but may still run some, like one whose record was removed.
 func (t *targetCache) apply(now time.Duration, full bool, s filbertford.Snapshot) bool {
 	if !t.rows.apply(full, s) {
 		return false
@@ -73,16 +75,29 @@
 		rec, err := t.decoder.DecodeTarget(key, row.Value())
 		if err != nil {
 			fbevent.RecordMalformed.Log(t.log, "target", key, "version", row.Version(), "error", err)
-			delete(t.records, key)
+			t.setMalformed(now, key)
 			continue
 		}
 		t.records[key] = rec
 		delete(t.removedAt, key)
+		delete(t.malformed, key)
 		delete(t.departed, key)
 	}
 	return true
 }
 
+func (t *targetCache) setMalformed(now time.Duration, key string) {
+	rec, ok := t.records[key]
+	if !ok {
+		return
+	}
+	t.records[key] = rec.WithDraining(true)
+	t.malformed[key] = true
+	if t.removedAt[key] == 0 {
+		t.removedAt[key] = now
+	}
+}
+
 // prune drops the records whose rows were removed removalDelay ago or earlier, and
 // reports whether there were any.
 func (t *targetCache) prune(now time.Duration) bool {
@@ -91,12 +106,13 @@
 		if now-at < removalDelay {
 			continue
 		}
-		if rec := t.records[key]; !rec.Draining() {
+		if rec := t.records[key]; !rec.Draining() || t.malformed[key] {
 			t.departed[key] = departure{pool: dataCentrePool(rec.DataCentre()), removedAt: now}
 		}
 		delete(t.records, key)
 		delete(t.decodedVersions, key)
 		delete(t.removedAt, key)
+		delete(t.malformed, key)
 		pruned = true
 	}
 	for key, d := range t.departed {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -134,6 +134,9 @@
 		return
 	}
 	t = newTarget(now, rec)
+	if now-p.createdAt < earlierRunTimeout {
+		p.allListed = false // an earlier owner may have used it
+	}
 	p.targets[id] = t
 	p.sortedTargets = append(p.sortedTargets, t)
 	slices.SortFunc(p.sortedTargets, func(a, b *target) int { return cmp.Compare(a.id(), b.id()) })
