--- a/fbnode/targets_test.go
+++ b/fbnode/targets_test.go
@@ -45,7 +45,9 @@
 
 func (recordDecoder) IsRoutes(filbertford.Row) bool { return false }
 
-func (recordDecoder) DecodeRoutes([]byte) (*filbertford.Routes, error) { return nil, eris.New("no routes") }
+func (recordDecoder) DecodeRoutes([]byte) (*filbertford.Routes, error) {
+	return nil, eris.New("no routes")
+}
 
 func (recordDecoder) DecodeTarget(id string, value []byte) (filbertford.TargetRecord, error) {
 	if string(value) == "malformed" {
