Fencing tokens: daemons that know each other draw different ones, equal ones are resolved

What callers would see: two daemons with one token for one pool, which a target both obeys, so that a task may run twice at the same time, until one of them is lost. Cause: the low 8 bits of a token are a hash of the name, the rest is the time of day or one above the highest known token. Two daemons with one hash that claim a pool in the same millisecond draw the same token, an owner ignored its own token in another's heartbeat, and each other daemon took either for the owner. Change: the low 8 bits are the hash or, if a member whose name sorts before has it, the next free number. A daemon that hears its own token from another gives the pool up; the one whose name sorts last claims it at once with a higher token and lists the targets anew. All daemons take the one whose name sorts last for the owner of equal claims. The layout stays, so daemons of both versions draw above each other's tokens as before. One of the earlier version may still draw the token of one of this version; this one resolves it, whichever name sorts last. Claim rows and shards keep their form: a shard owner commits only under the version of its claim, which equal tokens don't share. Not excluded: daemons that don't know each other. Targets obey both until the first heartbeat between them. If only the one whose name sorts first hears the other, that one keeps its token and may find runs of the first in its targets' lists, which it stops.

--- a/fbfleet/claim.go
+++ b/fbfleet/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -230,17 +231,49 @@
 
 // acquire claims a pool with a fencing token above all known ones.
 func (f *Fleet) acquire(now time.Duration, pool filbertford.PoolID) {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(f.self.node)) // never returns an error
-	low := uint64(h.Sum32()) & (1<<fenceNodeBits - 1)
 	high := max(uint64(f.wallMillis), f.highestFence[pool]>>fenceNodeBits+1)
-	fence := high<<fenceNodeBits | low
+	fence := high<<fenceNodeBits | f.fenceNumber()
 	f.highestFence[pool] = fence
 	f.owned[pool] = fence
 	f.emit(Event{kind: EventAcquired, pool: pool, owner: Owner{node: f.self.node, fence: fence}})
 	f.updateOwners(now)
 }
 
+// fenceNumber returns the number of this daemon in its fencing tokens. Daemons that know
+// the same members have different numbers, as long as there are enough: each takes its
+// hash or, if a daemon whose name sorts before its own has that, the next free number.
+func (f *Fleet) fenceNumber() uint64 {
+	var taken [fenceNumbers]bool
+	names := slices.Sorted(maps.Keys(f.peers))
+	before, _ := slices.BinarySearch(names, f.self.node)
+	for _, name := range names[:min(before, fenceNumbers-1)] {
+		taken[freeNumber(name, &taken)] = true
+	}
+	return freeNumber(f.self.node, &taken)
+}
+
+// freeNumber returns the hash of a daemon's name or, if that is taken, the next number that
+// is free.
+func freeNumber(node filbertford.NodeID, taken *[fenceNumbers]bool) uint64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(node)) // never returns an error
+	n := uint64(h.Sum32()) % fenceNumbers
+	for taken[n] {
+		n = (n + 1) % fenceNumbers
+	}
+	return n
+}
+
+// resolveTie gives a pool up that another daemon has claimed with the same fencing token.
+// Targets obey both until then. The daemon whose name sorts last claims the pool again with
+// a higher token, so that they obey only that one, and reads their lists anew.
+func (f *Fleet) resolveTie(now time.Duration, pool filbertford.PoolID, other filbertford.NodeID) {
+	f.release(pool, "claimed by "+string(other)+" with the same fencing token")
+	if f.self.node > other {
+		f.acquire(now, pool)
+	}
+}
+
 func (f *Fleet) release(pool filbertford.PoolID, reason string) {
 	delete(f.owned, pool)
 	f.emit(Event{kind: EventReleased, pool: pool, reason: reason})
--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -54,9 +54,12 @@
 	claimDelay = 500 * time.Millisecond
 	// probePeriod is the time between two probes of a pool's targets.
 	probePeriod = 250 * time.Millisecond
-	// fenceNodeBits is the number of low bits of a fencing token that identify
-	// the daemon, so that no two daemons draw the same token.
+	// fenceNodeBits is the number of low bits of a fencing token that identify the
+	// daemon, so that daemons that know each other draw different tokens. The token is an
+	// exact JSON number, below 2^53, until the year 3084. A change of the number of bits
+	// would leave daemons of one version with tokens below those that targets have seen.
 	fenceNodeBits = 8
+	fenceNumbers  = 1 << fenceNodeBits
 )
 
 // Fleet is a daemon's view of the fleet. It is not safe for concurrent use.
@@ -290,9 +293,13 @@
 	}
 	for _, c := range h.claims {
 		f.highestFence[c.pool] = max(f.highestFence[c.pool], c.fence)
-		if fence, ok := f.owned[c.pool]; ok && c.fence > fence {
+		switch fence, ok := f.owned[c.pool]; {
+		case ok && c.fence > fence:
 			f.release(c.pool, "claimed by "+string(m.node))
 			changed = true
+		case ok && c.fence == fence:
+			f.resolveTie(now, c.pool, m.node)
+			changed = true
 		}
 	}
 	if changed {
@@ -401,7 +408,8 @@
 			continue
 		}
 		for _, c := range p.claims {
-			if c.fence > f.nextOwners[c.pool].fence {
+			owner := f.nextOwners[c.pool]
+			if c.fence > owner.fence || c.fence == owner.fence && owner.node != "" && id > owner.node {
 				f.nextOwners[c.pool] = Owner{node: id, fence: c.fence}
 			}
 		}
