Simulation of whole fleets; tests of five ways to two runs of one task

TestFleetRunsNoTaskTwice plays fleets of 4 to 8 daemons in two or three data centres with the state machines of fbfleet and fbsched, connected as in fbnode, in virtual time: streams that break, stall and are cut both ways or one way, daemons that are killed, paused and drained, targets that some daemons don't reach, calls that are lost or carried out up to 12 s late, and callers that send a job again 1.3 s after a broken connection or an unknown outcome.

It found five causes; each has a test of its own that fails here and, with the calls as they were, on: - TestWithdrawalLostWithStream: a withdrawal is sent once. When the stream breaks the pool keeps the tasks, since their coordinator is reachable. None of them is mended here.

--- /dev/null
+++ b/fbnode/fake_daemon_test.go
@@ -0,0 +1,471 @@
+package fbnode
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbfleet"
+	"github.com/filbertford/filbertford/fbsched"
+)
+
+// simDaemon is a daemon of the simulated fleet. It connects the state machines of the fleet,
+// the coordinator and the pools as Node does.
+type simDaemon struct {
+	sim            *fleetSim
+	member         fbfleet.Member
+	dead           bool
+	paused         bool
+	waiting        []simWaiting // posted while the daemon is paused
+	fleet          *fbfleet.Fleet
+	coordinator    *fbsched.Coordinator
+	pools          map[filbertford.PoolID]*fbsched.Pool
+	links          map[filbertford.NodeID]*simLink
+	requests       map[uint64]func(filbertford.WorkloadAnswer)
+	broken         map[uint64]func() // tells the caller of a request that its connection broke
+	targetsReadAt  time.Duration     // 0 if never
+	lastTick       time.Duration
+	lastHeartbeat  time.Duration
+	lastRoster     time.Duration
+	sentHeartbeats map[filbertford.NodeID]sentHeartbeat
+	claimsRenewed  time.Duration
+	claimsRead     time.Duration
+	claimsSeen     map[filbertford.PoolID]seenClaim
+}
+
+// simWaiting is a function that was posted to a paused daemon. Those of one source keep
+// their order.
+type simWaiting struct {
+	source string
+	do     func(*simDaemon)
+}
+
+func (d *simDaemon) name() filbertford.NodeID { return d.member.Node() }
+
+// post calls f in the daemon's control goroutine, after the pause if the daemon is paused.
+func (d *simDaemon) post(source string, f func(*simDaemon)) {
+	switch {
+	case d.dead:
+	case d.paused:
+		d.waiting = append(d.waiting, simWaiting{source: source, do: f})
+	default:
+		f(d)
+		d.flush()
+	}
+}
+
+// resume ends a pause. What was posted is handled in any order that keeps that of each
+// source; the tick that is due comes first, last or between.
+func (d *simDaemon) resume() {
+	if d.dead || !d.paused {
+		return
+	}
+	d.paused = false
+	d.waiting = append(d.waiting, simWaiting{source: "tick", do: (*simDaemon).tick})
+	for len(d.waiting) > 0 && !d.dead {
+		pick := d.sim.rand.IntN(len(d.waiting))
+		source := d.waiting[pick].source
+		if source != "" {
+			pick = slices.IndexFunc(d.waiting, func(w simWaiting) bool { return w.source == source })
+		}
+		f := d.waiting[pick].do
+		d.waiting = slices.Delete(d.waiting, pick, pick+1)
+		f(d)
+		d.flush()
+	}
+}
+
+func (d *simDaemon) scheduleTick() {
+	d.sim.after(tickPeriod, func() {
+		if d.dead {
+			return
+		}
+		d.scheduleTick()
+		if !d.paused {
+			d.tick()
+			d.flush()
+		}
+	})
+}
+
+func (d *simDaemon) tick() {
+	now := d.sim.now
+	gap := now - d.lastTick
+	d.lastTick = now
+	if gap > suspensionThreshold {
+		d.sim.logf("%s was suspended for %v", d.name(), gap)
+		d.fleet.HandleSuspension(now)
+		if gap > abandonAfter {
+			d.coordinator.AbandonAll(now, "the daemon was suspended")
+		}
+	}
+	d.fleet.Tick(now, simWallOffset+now.Milliseconds())
+	for _, id := range d.poolIDs() {
+		d.pools[id].Tick(now, simWallOffset)
+	}
+	d.coordinator.Tick(now)
+	d.tickClaims()
+}
+
+func (d *simDaemon) poolIDs() []filbertford.PoolID { return slices.Sorted(maps.Keys(d.pools)) }
+
+// tickClaims renews the daemon's claims in the store and reads those of pools without an
+// owner, as Node does.
+func (d *simDaemon) tickClaims() {
+	now, store := d.sim.now, d.sim.store
+	reachable := !d.sim.blocked(string(d.name()), "store")
+	if claims := d.fleet.Claims(); len(claims) > 0 && now-d.claimsRenewed >= claimRenewPeriod {
+		d.claimsRenewed = now
+		if reachable {
+			for _, c := range claims {
+				store.claims[c.Pool()]++
+			}
+		}
+	}
+	unowned := d.fleet.ClaimsToCheck(now)
+	if len(unowned) == 0 {
+		d.claimsSeen = nil
+		return
+	}
+	if now-d.claimsRead < claimReadPeriod || !reachable {
+		return
+	}
+	d.claimsRead = now
+	if d.claimsSeen == nil {
+		d.claimsSeen = make(map[filbertford.PoolID]seenClaim)
+	}
+	for _, pool := range unowned {
+		seen, ok := d.claimsSeen[pool]
+		switch {
+		case !ok || seen.version != store.claims[pool]:
+			d.claimsSeen[pool] = seenClaim{version: store.claims[pool], since: now}
+		case now-seen.since >= staleClaimAge:
+			d.fleet.SetClaimStale(pool, true)
+		}
+	}
+}
+
+func (d *simDaemon) flush() {
+	d.handleFleetEvents()
+	for acted := true; acted; {
+		acted = false
+		for _, id := range d.poolIDs() {
+			p := d.pools[id]
+			if p == nil {
+				continue
+			}
+			for _, a := range p.TakeActions(d.sim.now) {
+				acted = true
+				d.doAction(a)
+			}
+		}
+		for _, a := range d.coordinator.TakeActions() {
+			acted = true
+			d.doAction(a)
+		}
+		d.handleFleetEvents()
+	}
+	d.sendDueHeartbeats()
+}
+
+func (d *simDaemon) handleFleetEvents() {
+	now := d.sim.now
+	for _, e := range d.fleet.TakeEvents() {
+		d.sim.logf("%s fleet: %s %s %s %d %s %s", d.name(), e.Kind(), e.Pool(), e.Owner().Node(), e.Owner().Fence(), e.Node(), e.Reason())
+		switch e.Kind() {
+		case fbfleet.EventAcquired:
+			d.addPool(e.Pool(), e.Owner().Fence())
+		case fbfleet.EventReleased:
+			delete(d.pools, e.Pool())
+		case fbfleet.EventOwner:
+			d.coordinator.SetOwner(now, e.Pool(), e.Owner().Node(), e.Owner().Fence())
+		case fbfleet.EventPeerUnreachable:
+			d.dropCoordinator(e.Node())
+		case fbfleet.EventProbe:
+			d.probePool(e.Pool())
+		case fbfleet.EventPeerReachable:
+			d.resumeTasks(e.Node())
+		}
+	}
+}
+
+func (d *simDaemon) addPool(id filbertford.PoolID, fence uint64) {
+	p := fbsched.NewPool(id, fence, simWallOffset, d.sim.now)
+	d.holdStarts(p)
+	d.pools[id] = p
+	p.SetTargets(d.sim.now, d.records(id))
+}
+
+// records returns the records of a pool's targets, none if the daemon has not read any.
+func (d *simDaemon) records(id filbertford.PoolID) []filbertford.TargetRecord {
+	var out []filbertford.TargetRecord
+	for _, t := range d.sim.targets {
+		if d.targetsReadAt != 0 && dataCentrePool(t.rec.DataCentre()) == id {
+			out = append(out, t.rec)
+		}
+	}
+	return out
+}
+
+// readStore reads the daemons' and the targets' records.
+func (d *simDaemon) readStore() {
+	if d.dead {
+		return
+	}
+	if d.sim.blocked(string(d.name()), "store") {
+		d.sim.after(200*time.Millisecond, d.readStore)
+		return
+	}
+	d.post("store", func(d *simDaemon) {
+		now := d.sim.now
+		for _, name := range d.sim.names {
+			if m, ok := d.sim.store.members[name]; ok {
+				d.fleet.AddMember(now, m)
+			}
+		}
+		d.setMembers(d.fleet.Members())
+		d.targetsReadAt = now
+		for _, id := range d.poolIDs() {
+			d.pools[id].SetTargets(now, d.records(id))
+			d.releaseStarts(d.pools[id])
+		}
+	})
+	d.sim.after(2*time.Second, d.readStore)
+}
+
+func (d *simDaemon) resumeTasks(node filbertford.NodeID) {
+	for _, s := range d.sim.specs {
+		if d.fleet.Owner(s.ID()).Node() == node {
+			d.coordinator.Resume(d.sim.now, s.ID())
+		}
+	}
+}
+
+func (d *simDaemon) connected(node filbertford.NodeID) {
+	d.sendHeartbeat(node, d.fleet.Heartbeat(d.sim.now), nil)
+	d.sendRosterTo(node, append(d.fleet.Members(), d.fleet.Self()))
+	d.resumeTasks(node)
+}
+
+func (d *simDaemon) sendHeartbeat(to filbertford.NodeID, h fbfleet.Heartbeat, capacities map[filbertford.PoolID][]fbsched.Capacity) {
+	d.send(to, func(r *simDaemon) {
+		r.fleet.HandleHeartbeat(r.sim.now, h.ForReceiver(r.name()))
+		r.handleFleetEvents()
+		for _, c := range h.Claims() {
+			if v := capacities[c.Pool()]; v != nil {
+				r.coordinator.SetCapacities(c.Pool(), c.Fence(), v)
+			}
+		}
+	})
+}
+
+func (d *simDaemon) sendRosterTo(to filbertford.NodeID, members []fbfleet.Member) {
+	d.send(to, func(r *simDaemon) {
+		for _, m := range members {
+			r.fleet.AddMember(r.sim.now, m)
+		}
+	})
+}
+
+func (d *simDaemon) sendDueHeartbeats() {
+	now := d.sim.now
+	elapsed := now - d.lastHeartbeat
+	if elapsed < d.minHeartbeatPeriod() {
+		return
+	}
+	changed := false
+	for _, p := range d.pools {
+		changed = p.TakeCapacityChanged() || changed
+	}
+	if !changed && elapsed < d.fleet.HeartbeatPeriod() {
+		return
+	}
+	d.lastHeartbeat = now
+	capacities := make(map[filbertford.PoolID][]fbsched.Capacity, len(d.pools))
+	for id, p := range d.pools {
+		capacities[id] = p.Capacities(now)
+		d.coordinator.SetCapacities(id, p.Fence(), capacities[id])
+	}
+	members := d.fleet.Members()
+	d.setMembers(members)
+	h := d.fleet.Heartbeat(now)
+	for _, m := range members {
+		period := d.fleet.PeriodTo(m.Node())
+		last := d.sentHeartbeats[m.Node()]
+		if len(capacities) == 0 && last.period > d.fleet.HeartbeatPeriod() && now-last.sentAt < min(period, last.period) ||
+			len(capacities) > 0 && now-last.sentAt < d.capacityPeriodTo(m.Node()) {
+			continue
+		}
+		d.sentHeartbeats[m.Node()] = sentHeartbeat{sentAt: now, period: period}
+		d.sendHeartbeat(m.Node(), h.WithPeriod(period), capacities)
+	}
+	if now-d.lastRoster > rosterPeriod*d.fleet.PeriodFactor() {
+		d.lastRoster = now
+		for _, m := range members {
+			d.sendRosterTo(m.Node(), members)
+			if alive, connected := d.fleet.Reachability(now, m.Node()); alive && !connected {
+				d.redial(m.Node())
+			}
+		}
+	}
+}
+
+func (d *simDaemon) handleBatch(from filbertford.NodeID, b fbsched.Batch) {
+	if p := d.pools[b.Pool()]; p != nil && p.Fence() == b.Fence() {
+		p.Offer(d.sim.now, from, b)
+		return
+	}
+	if b.Resume() || from == d.name() {
+		return
+	}
+	for _, i := range b.Items() {
+		key := filbertford.NewTaskKey(b.Job(), b.Occurrence(), b.StepNumber(), i.Index())
+		report := fbsched.NewReport(b.Pool(), b.Fence(), key, fbsched.StatusReturned, i.Failures())
+		d.send(from, func(r *simDaemon) { r.coordinator.HandleReport(r.sim.now, report) })
+	}
+}
+
+func (d *simDaemon) doAction(a fbsched.Action) {
+	now, self := d.sim.now, d.name()
+	switch v := a.(type) {
+	case fbsched.SendReport:
+		if v.To == self {
+			d.coordinator.HandleReport(now, v.Report)
+			return
+		}
+		d.send(v.To, func(r *simDaemon) { r.coordinator.HandleReport(r.sim.now, v.Report) })
+	case fbsched.SendBatch:
+		if v.To == self {
+			d.handleBatch(self, v.Batch)
+			return
+		}
+		d.send(v.To, func(r *simDaemon) { r.handleBatch(self, v.Batch) })
+	case fbsched.SendWithdrawal:
+		withdraw := func(r *simDaemon) {
+			if p := r.pools[v.Withdrawal.Pool()]; p != nil {
+				p.Withdraw(r.sim.now, self, v.Withdrawal.Job())
+			}
+		}
+		d.sim.logf("%s withdraws %s from %s at %s", self, v.Withdrawal.Job(), v.Withdrawal.Pool(), v.To)
+		if v.To == self {
+			withdraw(d)
+			return
+		}
+		d.send(v.To, withdraw)
+		d.repeatWithdrawal(v.To, v.Withdrawal.Job(), withdraw)
+	case fbsched.Answer:
+		if done := d.requests[v.RequestID]; done != nil {
+			delete(d.requests, v.RequestID)
+			delete(d.broken, v.RequestID)
+			done(v.Answer)
+		}
+	case fbsched.PoolLost:
+		if p := d.pools[v.Pool]; p != nil {
+			d.fleet.HandleFenced(now, v.Pool, p.Fence())
+		}
+	case fbsched.Event:
+		d.sim.logf("%s pool %s: %s %s %s run %d %s age %v", self, v.Pool, v.Kind, v.Task, v.Target, v.Run, v.Reason, v.Age)
+	default:
+		d.doCall(a)
+	}
+}
+
+// simReplyHandler handles the reply to a call.
+type simReplyHandler func(p *fbsched.Pool, r filbertford.CallReply, sent, received time.Duration)
+
+// callTarget calls a target as Node does: after the timeout it passes CallUnknown to done, and
+// if late is set also a reply that arrives up to lateReplyTimeout later.
+func (d *simDaemon) callTarget(kind string, id filbertford.TargetID, fence uint64, timeout, wait time.Duration, late bool, do func(*simTarget) filbertford.CallReply, done simReplyHandler) {
+	s, name := d.sim, string(d.name())
+	sent, answered, closed := s.now, false, false
+	pass := func(d *simDaemon, r filbertford.CallReply) {
+		for _, id := range d.poolIDs() {
+			if p := d.pools[id]; p != nil && p.Fence() == fence {
+				done(p, r, sent, d.sim.now)
+			}
+		}
+	}
+	s.after(timeout, func() {
+		d.post("", func(d *simDaemon) {
+			if !answered && !closed {
+				closed = !late
+				answered = answered || !late
+				pass(d, filbertford.NewCallReply(filbertford.CallUnknown, 0))
+			}
+		})
+	})
+	if late {
+		s.after(timeout+lateReplyTimeout, func() { d.post("", func(*simDaemon) { closed = true }) })
+	}
+	t := s.targetByID(id)
+	carryOutLate := func() {
+		s.after(s.lateness(), func() {
+			if !s.blocked(name, t.id()) {
+				s.logf("%s carries out a late %s of %s", t.id(), kind, name)
+				do(t)
+			}
+		})
+	}
+	switch fate := s.fate(name, t.id()); fate {
+	case fateLost:
+		return
+	case fateLate:
+		carryOutLate()
+		return
+	}
+	reply := func(r filbertford.CallReply) {
+		if s.blocked(t.id(), name) || s.losesReply() {
+			return
+		}
+		s.after(s.oneWay(t.id(), name), func() {
+			d.post("", func(d *simDaemon) {
+				if !answered && !closed {
+					answered = true
+					pass(d, r)
+				}
+			})
+		})
+	}
+	s.after(s.oneWay(name, t.id()), func() {
+		deadline := s.now + wait
+		var attempt func()
+		attempt = func() {
+			r := do(t)
+			if len(r.Ended()) == 0 && r.Outcome() == filbertford.CallDone && s.now < deadline {
+				s.after(5*time.Millisecond, attempt)
+				return
+			}
+			reply(r)
+		}
+		attempt()
+	})
+}
+
+// probePool checks whether any of a pool's targets can be reached.
+func (d *simDaemon) probePool(id filbertford.PoolID) {
+	for _, rec := range d.records(id) {
+		t := d.sim.targetByID(rec.Instance().ID())
+		if name := string(d.name()); !d.sim.blocked(name, t.id()) && !d.sim.blocked(t.id(), name) {
+			d.sim.after(2*time.Millisecond, func() {
+				d.post("", func(d *simDaemon) { d.fleet.HandleProbeResult(d.sim.now, id, true) })
+			})
+		}
+	}
+}
+
+// repeatWithdrawal sends a withdrawal again until the caller sends the job again, as if pools
+// confirmed them.
+func (d *simDaemon) repeatWithdrawal(to filbertford.NodeID, job filbertford.JobKey, withdraw func(*simDaemon)) {
+	if !*fleetRepeat {
+		return
+	}
+	sent := d.sim.sends[job]
+	for delay := 50 * time.Millisecond; delay < simRetransmit; delay += 50 * time.Millisecond {
+		d.sim.after(delay, func() {
+			if d.sim.sends[job] == sent {
+				d.post("repeat", func(d *simDaemon) { d.send(to, withdraw) })
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fbnode/fake_target_test.go
@@ -0,0 +1,159 @@
+package fbnode
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// simRun is a run on a simulated target.
+type simRun struct {
+	number    uint64
+	startedAt time.Duration
+	endsAt    time.Duration
+	stopsAt   time.Duration // 0 if no stop was received
+	outcome   filbertford.RunOutcome
+	starter   string
+}
+
+// simTarget implements the leases, fencing tokens, run numbers and lists of the platform's
+// targets.
+type simTarget struct {
+	sim          *fleetSim
+	rec          filbertford.TargetRecord
+	clockOffset  time.Duration
+	clockRate    float64
+	fence        uint64
+	obeyed       map[uint64]string // the daemon whose calls were obeyed, by fencing token
+	lease        time.Duration     // expiry on the target's clock
+	runs         map[filbertford.TaskKey]*simRun
+	highest      map[filbertford.TaskKey]uint64
+	ended        []filbertford.EndedRun
+	lastSequence uint64
+}
+
+func (t *simTarget) id() string { return string(t.rec.Instance().ID()) }
+
+func (t *simTarget) clock() time.Duration {
+	return t.clockOffset + time.Duration(float64(t.sim.now)*t.clockRate)
+}
+
+func (t *simTarget) endRun(key filbertford.TaskKey, outcome filbertford.RunOutcome) {
+	r := t.runs[key]
+	delete(t.runs, key)
+	t.highest[key] = max(t.highest[key], r.number)
+	t.lastSequence++
+	t.ended = append(t.ended, filbertford.NewEndedRun(t.lastSequence, key, r.number, outcome))
+	t.sim.runEnded(key, t, r, outcome)
+}
+
+func (t *simTarget) runningTasks() []filbertford.TaskKey {
+	return slices.SortedFunc(maps.Keys(t.runs), filbertford.TaskKey.Compare)
+}
+
+// endDueRuns ends the runs that are finished, were stopped or whose lease has expired.
+func (t *simTarget) endDueRuns() {
+	due := false
+	for _, r := range t.runs {
+		due = due || t.sim.now >= r.endsAt || r.stopsAt != 0 && t.sim.now >= r.stopsAt
+	}
+	if len(t.runs) == 0 || !due && t.clock() <= t.lease {
+		return
+	}
+	for _, key := range t.runningTasks() {
+		r := t.runs[key]
+		switch {
+		case t.clock() > t.lease:
+			t.endRun(key, filbertford.RunLeaseExpired)
+		case r.stopsAt != 0 && t.sim.now >= r.stopsAt:
+			t.endRun(key, filbertford.RunStopped)
+		case t.sim.now >= r.endsAt:
+			t.endRun(key, r.outcome)
+		}
+	}
+}
+
+func (t *simTarget) extendLease(lease int64) {
+	limit := t.clock() + time.Second
+	t.lease = max(t.lease, min(time.Duration(lease)*time.Millisecond, limit))
+}
+
+func (t *simTarget) reply(o filbertford.CallOutcome) filbertford.CallReply {
+	return filbertford.NewCallReply(o, t.clock().Milliseconds()).WithStartedAt(t.rec.Instance().StartedAt())
+}
+
+// obeys reports whether the target obeys a call of the daemon with the fencing token.
+func (t *simTarget) obeys(daemon string, fence uint64) bool {
+	t.endDueRuns()
+	if fence < t.fence {
+		return false
+	}
+	t.fence = fence
+	if other, ok := t.obeyed[fence]; ok && other != daemon {
+		t.sim.violation("token", "%s obeys %s and %s with the token %d", t.id(), other, daemon, fence)
+	}
+	t.obeyed[fence] = daemon
+	return true
+}
+
+func (t *simTarget) start(daemon string, req filbertford.StartRunRequest) filbertford.CallReply {
+	if !t.obeys(daemon, req.Fence()) {
+		return t.reply(filbertford.CallFenced)
+	}
+	key := req.Task()
+	if r := t.runs[key]; r != nil && r.number == req.Run() {
+		return t.reply(filbertford.CallDone)
+	}
+	if req.Run() <= t.highest[key] {
+		t.extendLease(req.Lease())
+		return t.reply(filbertford.CallStale)
+	}
+	if time.Duration(req.Lease())*time.Millisecond < t.clock() {
+		return t.reply(filbertford.CallLeaseExpired)
+	}
+	if len(t.runs) >= t.rec.Capacity().CPU()/1000 {
+		t.extendLease(req.Lease())
+		return t.reply(filbertford.CallFull)
+	}
+	t.extendLease(req.Lease())
+	duration, outcome := t.sim.taskDuration(key), filbertford.RunDone
+	if t.sim.chance(0.01) {
+		duration, outcome = duration/3, filbertford.RunFailed
+	}
+	t.highest[key] = req.Run()
+	r := &simRun{number: req.Run(), startedAt: t.sim.now, endsAt: t.sim.now + duration, outcome: outcome, starter: daemon}
+	t.runs[key] = r
+	t.sim.runStarted(key, t, r)
+	return t.reply(filbertford.CallDone)
+}
+
+func (t *simTarget) stop(daemon string, req filbertford.StopRunRequest) filbertford.CallReply {
+	if !t.obeys(daemon, req.Fence()) {
+		return t.reply(filbertford.CallFenced)
+	}
+	t.highest[req.Task()] = max(t.highest[req.Task()], req.Run())
+	if r := t.runs[req.Task()]; r != nil && r.number <= req.Run() && r.stopsAt == 0 {
+		r.stopsAt = t.sim.now + t.sim.between(0, 30*time.Millisecond)
+		t.endDueRuns()
+	}
+	return t.reply(filbertford.CallDone)
+}
+
+func (t *simTarget) poll(daemon string, req filbertford.PollRequest) filbertford.CallReply {
+	if !t.obeys(daemon, req.Fence()) {
+		return t.reply(filbertford.CallFenced)
+	}
+	if req.Lease() > 0 {
+		t.extendLease(req.Lease())
+	}
+	t.ended = slices.DeleteFunc(t.ended, func(e filbertford.EndedRun) bool { return e.Sequence() <= req.Acked() })
+	var running []filbertford.RunStatus
+	for _, key := range t.runningTasks() {
+		r := t.runs[key]
+		percent := int(100 * (t.sim.now - r.startedAt) / max(1, r.endsAt-r.startedAt))
+		running = append(running, filbertford.NewRunStatus(key, r.number, min(99, percent)))
+	}
+	return t.reply(filbertford.CallDone).WithRuns(running, slices.Clone(t.ended))
+}
