Daemons report newer claims to an owner that may not hear them

Cause: an owner learns of its successor from the successor's heartbeats and from targets that both have called. If the two don't hear each other and reach different targets, nothing tells the earlier one: its coordinators, which hear both, offer their tasks to the successor, while it keeps them and starts them when its own wait is over, or when the lease that it has sent itself is over, though the successor has extended it.

Change: a daemon that hears a claim with a lower token than the owner's tells the claimant, which gives the pool up as if it had heard the claim itself.

--- a/fbfleet/claim.go
+++ b/fbfleet/claim.go
@@ -22,6 +22,19 @@
 	f.updateOwners(now)
 }
 
+// HandleNewerClaim releases a pool that another daemon has claimed with a higher fencing token,
+// as a third one reports. This daemon may not hear the other, and the two may reach different
+// targets, so that none of them rejects the lower token.
+func (f *Fleet) HandleNewerClaim(now time.Duration, pool filbertford.PoolID, fence uint64) {
+	own, ok := f.owned[pool]
+	if !ok || fence <= own {
+		return
+	}
+	f.highestFence[pool] = max(f.highestFence[pool], fence)
+	f.release(pool, "another daemon reports a newer claim")
+	f.updateOwners(now)
+}
+
 // probe is the last probe of whether a pool's targets can be reached.
 type probe struct {
 	requestedAt time.Duration
--- a/fbnode/fake_daemon_test.go
+++ b/fbnode/fake_daemon_test.go
@@ -50,6 +50,7 @@
 	case d.paused:
 		d.waiting = append(d.waiting, simWaiting{source: source, do: f})
 	default:
+		d.checkSuspension()
 		f(d)
 		d.flush()
 	}
@@ -71,6 +72,7 @@
 		}
 		f := d.waiting[pick].do
 		d.waiting = slices.Delete(d.waiting, pick, pick+1)
+		d.checkSuspension()
 		f(d)
 		d.flush()
 	}
@@ -89,17 +91,28 @@
 	})
 }
 
-func (d *simDaemon) tick() {
+// checkSuspension does what Node.checkSuspension does.
+func (d *simDaemon) checkSuspension() {
 	now := d.sim.now
 	gap := now - d.lastTick
+	if gap <= suspensionThreshold {
+		return
+	}
 	d.lastTick = now
-	if gap > suspensionThreshold {
-		d.sim.logf("%s was suspended for %v", d.name(), gap)
-		d.fleet.HandleSuspension(now)
-		if gap > abandonAfter {
-			d.coordinator.AbandonAll(now, "the daemon was suspended")
-		}
+	d.sim.logf("%s was suspended for %v", d.name(), gap)
+	d.fleet.HandleSuspension(now)
+	for _, id := range d.poolIDs() {
+		d.pools[id].HandleSuspension(now)
+	}
+	if gap > abandonAfter {
+		d.coordinator.AbandonAll(now, "the daemon was suspended")
 	}
+}
+
+func (d *simDaemon) tick() {
+	now := d.sim.now
+	d.checkSuspension()
+	d.lastTick = now
 	d.fleet.Tick(now, simWallOffset+now.Milliseconds())
 	for _, id := range d.poolIDs() {
 		d.pools[id].Tick(now, simWallOffset)
@@ -256,6 +269,10 @@
 			if v := capacities[c.Pool()]; v != nil {
 				r.coordinator.SetCapacities(c.Pool(), c.Fence(), v)
 			}
+			if owner := r.fleet.Owner(c.Pool()); owner.Node() != d.name() && owner.Fence() > c.Fence() {
+				notice := fbsched.NewBatch(c.Pool(), "", 0, 0, filbertford.Step{}, nil).WithFence(owner.Fence())
+				r.send(d.name(), func(d *simDaemon) { d.handleBatch(r.name(), notice) })
+			}
 		}
 	})
 }
@@ -312,6 +329,8 @@
 }
 
 func (d *simDaemon) handleBatch(from filbertford.NodeID, b fbsched.Batch) {
+	d.fleet.HandleNewerClaim(d.sim.now, b.Pool(), b.Fence())
+	d.handleFleetEvents()
 	if p := d.pools[b.Pool()]; p != nil && p.Fence() == b.Fence() {
 		p.Offer(d.sim.now, from, b)
 		return
--- a/fbnode/fake_network_test.go
+++ b/fbnode/fake_network_test.go
@@ -59,7 +59,12 @@
 			}
 			l.open, l.delay, l.unackedSince, l.stalled = true, simMinRedialDelay, 0, nil
 			l.epoch++
-			l.deliver(func(d *simDaemon) { d.resumeTasks(l.from.name()) })
+			l.deliver(func(d *simDaemon) {
+				for _, id := range d.poolIDs() {
+					d.pools[id].CoordinatorConnected(s.now, l.from.name())
+				}
+				d.resumeTasks(l.from.name())
+			})
 			l.from.post("", func(d *simDaemon) { d.connected(l.to.Node()) })
 		})
 	}
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -53,6 +53,8 @@
 			n.fleet.AddMember(now, member)
 		}
 	case fbsched.Batch:
+		n.fleet.HandleNewerClaim(now, v.Pool(), v.Fence())
+		n.handleFleetEvents(now)
 		if p := n.pools[v.Pool()]; p != nil && p.Fence() == v.Fence() {
 			p.Offer(now, from.Node(), v)
 			return
@@ -89,11 +91,22 @@
 			n.coordinator.SetCapacities(c.Pool(), c.Fence(), capacities)
 		}
 	}
+	n.reportNewerClaims(from.Node(), h.Heartbeat().Claims())
 	if h.RoutesVersion() > n.routesVersion() {
 		n.hub.Send(from.Node(), fblink.NewRoutesPull(n.routesVersion()))
 	}
 }
 
+// reportNewerClaims tells a daemon of the pools that it claims although another one claims them
+// with a higher fencing token: the two may not hear each other. A batch without tasks says so.
+func (n *Node) reportNewerClaims(to filbertford.NodeID, claims []fbfleet.Claim) {
+	for _, c := range claims {
+		if owner := n.fleet.Owner(c.Pool()); owner.Node() != to && owner.Fence() > c.Fence() {
+			n.hub.Send(to, fbsched.NewBatch(c.Pool(), "", 0, 0, filbertford.Step{}, nil).WithFence(owner.Fence()))
+		}
+	}
+}
+
 // returnBatch reports the tasks of a batch as returned to its coordinator, since
 // this daemon does not own the pool. A batch whose tasks may have started is not
 // returned: the pool's next owner reports on them.
