fbsched: a randomised test of runs under late calls, cuts, and targets that start again

A lost poll in the simulation drew its delivery a second time, so that polls were lost at the square of the drawn share.

--- a/fbsched/faketarget_test.go
+++ b/fbsched/faketarget_test.go
@@ -20,7 +20,10 @@
 type fakeTarget struct {
 	sim          *simulation
 	rec          filbertford.TargetRecord
-	clockOffset  time.Duration // of the target's clock from the simulation's
+	clockOffset  time.Duration // reading of the target's clock at bootedAt
+	clockRate    float64       // of the target's clock, 1 if exact
+	bootedAt     time.Duration
+	boots        int
 	fence        uint64
 	lease        time.Duration // expiry on the target's clock
 	runs         map[filbertford.TaskKey]*fakeRun
@@ -32,9 +35,35 @@
 	hanging      bool
 	down         bool
 	draining     bool
+	busy         bool          // rejects starts without doing anything
+	muted        bool          // keeps calls until it is no longer muted
+	held         []func()      // the calls that it keeps
+	stopTime     time.Duration // between a stop and the end of the run
 }
 
-func (t *fakeTarget) clock() time.Duration { return t.sim.now + t.clockOffset }
+func (t *fakeTarget) clock() time.Duration {
+	return t.clockOffset + time.Duration(float64(t.sim.now-t.bootedAt)*t.clockRate)
+}
+
+// restart loses all runs and starts another instance of the target, which has the ID and
+// knows nothing of before. Its clock starts from zero.
+func (t *fakeTarget) restart(id filbertford.TargetID, startedAt int64) {
+	for key := range t.runs {
+		t.sim.ended(key, filbertford.RunBroken)
+	}
+	t.boots++
+	t.bootedAt, t.clockOffset, t.fence, t.lease, t.lastSequence, t.ended, t.held = t.sim.now, time.Millisecond, 0, 0, 0, nil, nil
+	t.runs, t.highest = make(map[filbertford.TaskKey]*fakeRun), make(map[filbertford.TaskKey]uint64)
+	t.down, t.muted, t.draining = false, false, false
+	r := t.rec
+	t.rec = filbertford.NewTargetRecord(filbertford.NewTargetInstance(id, startedAt), r.Service(), r.Address(), r.DataCentre(), r.Capacity(), r.Labels()...)
+}
+
+// crash loses all runs of the target and leaves it down.
+func (t *fakeTarget) crash() {
+	t.restart(t.rec.Instance().ID(), t.rec.Instance().StartedAt())
+	t.down = true
+}
 
 func (t *fakeTarget) endRun(key filbertford.TaskKey, outcome filbertford.RunOutcome) {
 	r := t.runs[key]
@@ -71,12 +100,12 @@
 }
 
 func (t *fakeTarget) reply(o filbertford.CallOutcome) filbertford.CallReply {
-	return filbertford.NewCallReply(o, t.clock().Milliseconds())
+	return filbertford.NewCallReply(o, t.clock().Milliseconds()).WithStartedAt(t.rec.Instance().StartedAt())
 }
 
 func (t *fakeTarget) check(instance filbertford.TargetInstance, fence uint64) (filbertford.CallReply, bool) {
 	t.endDueRuns()
-	if instance != t.rec.Instance() {
+	if instance.ID() != t.rec.Instance().ID() {
 		return t.reply(filbertford.CallRestarted), true
 	}
 	if fence < t.fence {
@@ -87,23 +116,26 @@
 }
 
 func (t *fakeTarget) start(req filbertford.StartRunRequest) filbertford.CallReply {
+	if t.busy {
+		return t.reply(filbertford.CallBusy)
+	}
 	if r, rejected := t.check(req.Instance(), req.Fence()); rejected {
 		return r
 	}
 	if r := t.runs[req.Task()]; r != nil && r.number == req.Run() {
 		return t.reply(filbertford.CallDone)
 	}
-	if req.Run() <= t.highest[req.Task()] {
-		return t.reply(filbertford.CallStale)
-	}
 	if time.Duration(req.Lease())*time.Millisecond < t.clock() {
 		return t.reply(filbertford.CallLeaseExpired)
 	}
+	t.extendLease(req.Lease()) // also by a start that is rejected below
+	if req.Run() <= t.highest[req.Task()] {
+		return t.reply(filbertford.CallStale)
+	}
 	if t.running() >= t.rec.Capacity().CPU()/1000 {
 		return t.reply(filbertford.CallFull)
 	}
-	t.extendLease(req.Lease())
-	duration, outcome := time.Duration(float64(t.sim.taskDuration)*t.speed), filbertford.RunDone
+	duration, outcome := time.Duration(float64(t.sim.durationOf(req.Task()))*t.speed), filbertford.RunDone
 	if t.failing {
 		duration, outcome = 5*time.Millisecond, filbertford.RunFailed
 	}
@@ -122,7 +154,11 @@
 	}
 	t.highest[req.Task()] = max(t.highest[req.Task()], req.Run())
 	if r := t.runs[req.Task()]; r != nil && r.number <= req.Run() {
-		t.endRun(req.Task(), filbertford.RunStopped)
+		if t.stopTime == 0 {
+			t.endRun(req.Task(), filbertford.RunStopped)
+		} else if end := t.sim.now + t.stopTime; end < r.endsAt {
+			r.endsAt, r.outcome = end, filbertford.RunStopped
+		}
 	}
 	return t.reply(filbertford.CallDone)
 }
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -27,10 +28,13 @@
 	var running []filbertford.RunStatus
 	for _, key := range t.runningTasks() {
 		r := t.runs[key]
-		percent := 100 - int(100*(r.endsAt-t.sim.now)/max(1, time.Duration(float64(t.sim.taskDuration)*t.speed)))
+		percent := 100 - int(100*(r.endsAt-t.sim.now)/max(1, time.Duration(float64(t.sim.durationOf(key))*t.speed)))
 		if t.hanging {
 			percent = 10
 		}
+		if r.outcome == filbertford.RunStopped {
+			percent = 50
+		}
 		running = append(running, filbertford.NewRunStatus(key, r.number, percent))
 	}
 	return t.reply(filbertford.CallDone).WithRuns(running, kept)
@@ -67,6 +71,7 @@
 	requestDelay, replyDelay time.Duration // network delays
 	lost                     bool          // no reply arrives
 	lateAfter                time.Duration // delay after which a lost call is carried out, 0 for never
+	resetAfter               time.Duration // delay after which the owner learns that a call is lost, 0 for its timeout
 }
 
 // fakeOwner is a daemon that owns a pool.
@@ -77,6 +82,9 @@
 	paused   bool
 	isolated bool // from the coordinator
 	waiting  []func()
+	// wallOffset is the owner's time of day less the simulation's time.
+	wallOffset int64
+	beforeTick func()
 }
 
 // simulation runs owners, a coordinator and targets in virtual time.
@@ -85,6 +93,7 @@
 	events       eventQueue
 	sequence     int
 	taskDuration time.Duration
+	works        map[filbertford.JobKey]time.Duration // duration of the tasks of some jobs
 	targets      map[filbertford.TargetID]*fakeTarget
 	owners       []*fakeOwner
 	coordinator  *Coordinator
@@ -98,17 +107,33 @@
 	poolEvents   []Event
 	violations   []string
 	delivery     func() delivery
+	// linkDown reports whether requests to, or replies from, the target at the address are lost.
+	linkDown func(o *fakeOwner, address string) (request, reply bool)
+	// streams counts the streams between the coordinator and the owners. Messages on an
+	// earlier stream are lost.
+	streams           int
+	streamDown        bool
+	coordinatorPaused bool
+	coordinatorWaits  []func()
+	// keepLateCalls lets a late call reach another instance than it was sent to.
+	keepLateCalls bool
+	trace         func(format string, args ...any)
 	// rejectRestarts makes a start of a task that is done a violation.
 	rejectRestarts bool
 }
 
-const testPool filbertford.PoolID = "nordnes"
+const (
+	testPool filbertford.PoolID = "nordnes"
+	// testWallOffset is the time of day at the simulation's time 0.
+	testWallOffset = 1_000_000
+)
 
 func newSimulation(targets, slots int) *simulation {
 	sim := &simulation{
 		now: time.Minute, taskDuration: 100 * time.Millisecond,
 		targets:     make(map[filbertford.TargetID]*fakeTarget),
 		coordinator: NewCoordinator(testPool),
+		works:       make(map[filbertford.JobKey]time.Duration),
 		running:     make(map[filbertford.TaskKey]int),
 		jobStarted:  make(map[filbertford.JobKey]bool),
 		done:        make(map[filbertford.TaskKey]int),
@@ -126,14 +151,36 @@
 
 func (sim *simulation) scheduleCoordinatorTick() {
 	sim.after(20*time.Millisecond, func() {
-		sim.coordinator.Tick(sim.now)
+		sim.atCoordinator(func() { sim.coordinator.Tick(sim.now) })
 		sim.scheduleCoordinatorTick()
 	})
 }
 
+// atCoordinator calls do for the coordinator, after the pause if it is paused.
+func (sim *simulation) atCoordinator(do func()) {
+	if sim.coordinatorPaused {
+		sim.coordinatorWaits = append(sim.coordinatorWaits, do)
+		return
+	}
+	do()
+}
+
+// toCoordinator sends a message of an owner to the coordinator.
+func (sim *simulation) toCoordinator(o *fakeOwner, do func()) {
+	stream := sim.streams
+	if o.isolated || sim.streamDown {
+		return
+	}
+	sim.after(time.Millisecond, func() {
+		if stream == sim.streams {
+			sim.atCoordinator(do)
+		}
+	})
+}
+
 func (sim *simulation) addTarget(id filbertford.TargetID, slots int) *fakeTarget {
 	t := &fakeTarget{
-		sim: sim, clockOffset: time.Hour, speed: 1,
+		sim: sim, clockOffset: time.Hour, clockRate: 1, speed: 1,
 		rec: filbertford.NewTargetRecord(filbertford.NewTargetInstance(id, 1), "ordering", string(id)+":80", "nordnes",
 			filbertford.NewResources(1000*slots, 1000, 0), "a", "r1"),
 		runs:    make(map[filbertford.TaskKey]*fakeRun),
@@ -149,12 +196,14 @@
 	if sim.rejectRestarts && sim.done[key] > 0 {
 		sim.violations = append(sim.violations, fmt.Sprintf("%v: %v was started on %s after a run of it was done", sim.now, key, t.rec.Instance().ID()))
 	}
+	sim.tracef("%s: starts %s", t.rec.Instance().ID(), key)
 	if sim.running[key]++; sim.running[key] > 1 {
 		sim.violations = append(sim.violations, fmt.Sprintf("%v: two concurrent runs of %v, the second on %s", sim.now, key, t.rec.Instance().ID()))
 	}
 }
 
 func (sim *simulation) ended(key filbertford.TaskKey, outcome filbertford.RunOutcome) {
+	sim.tracef("a run of %s ends: %s", key, outcome)
 	sim.running[key]--
 	if outcome == filbertford.RunDone {
 		sim.done[key]++
@@ -172,15 +221,19 @@
 	for len(sim.events) > 0 && sim.events[0].at <= end {
 		e := heap.Pop(&sim.events).(event)
 		sim.now = max(sim.now, e.at)
-		for _, id := range slices.Sorted(maps.Keys(sim.targets)) {
-			sim.targets[id].endDueRuns()
-		}
+		sim.endDueRuns()
 		e.do()
 		sim.flush()
 	}
 	sim.now = end
 }
 
+func (sim *simulation) endDueRuns() {
+	for _, id := range slices.Sorted(maps.Keys(sim.targets)) {
+		sim.targets[id].endDueRuns()
+	}
+}
+
 // records returns the target records that the platform lists.
 func (sim *simulation) records() []filbertford.TargetRecord {
 	var out []filbertford.TargetRecord
@@ -193,7 +246,7 @@
 
 // addOwner adds an owner of the pool with the fencing token.
 func (sim *simulation) addOwner(node filbertford.NodeID, fence uint64) *fakeOwner {
-	o := &fakeOwner{node: node, pool: NewPool(testPool, fence, 1_000_000, sim.now)}
+	o := &fakeOwner{node: node, pool: NewPool(testPool, fence, testWallOffset, sim.now), wallOffset: testWallOffset}
 	sim.owners = append(sim.owners, o)
 	o.pool.SetTargets(sim.now, sim.records())
 	sim.scheduleTick(o)
@@ -208,12 +261,15 @@
 			return
 		}
 		sim.scheduleTick(o)
-		sim.handle(o, func() {
-			o.pool.Tick(sim.now, 1_000_000)
-			if !o.isolated {
-				sim.after(time.Millisecond, func() { sim.coordinator.SetCapacities(testPool, o.pool.Fence(), o.pool.Capacities(sim.now)) })
-			}
-		})
+		if o.paused {
+			return
+		}
+		if o.beforeTick != nil {
+			o.beforeTick()
+		}
+		o.pool.Tick(sim.now, o.wallOffset)
+		capacities := o.pool.Capacities(sim.now)
+		sim.toCoordinator(o, func() { sim.coordinator.SetCapacities(testPool, o.pool.Fence(), capacities) })
 	})
 }
 
@@ -270,6 +326,9 @@
 				sim.act(o, a)
 			}
 		}
+		if sim.coordinatorPaused {
+			continue
+		}
 		for _, a := range sim.coordinator.TakeActions() {
 			progress = true
 			sim.act(nil, a)
@@ -281,13 +340,13 @@
 	switch v := a.(type) {
 	case StartCall:
 		sim.calls++
-		sim.call(o, v.Request.Instance().ID(), v.Timeout, true, func(t *fakeTarget) filbertford.CallReply { return t.start(v.Request) },
+		sim.call(o, v.Request, v.Timeout, true, func(t *fakeTarget) filbertford.CallReply { return t.start(v.Request) },
 			func(r filbertford.CallReply, sent time.Duration) {
 				o.pool.HandleStartReply(sim.now, v.Request, r, sent, sim.now)
 			})
 	case StopCall:
 		sim.calls++
-		sim.call(o, v.Request.Instance().ID(), v.Timeout, true, func(t *fakeTarget) filbertford.CallReply { return t.stop(v.Request) },
+		sim.call(o, v.Request, v.Timeout, true, func(t *fakeTarget) filbertford.CallReply { return t.stop(v.Request) },
 			func(r filbertford.CallReply, sent time.Duration) {
 				o.pool.HandleStopReply(sim.now, v.Request, r, sent, sim.now)
 			})
@@ -295,9 +354,10 @@
 		sim.calls++
 		sim.poll(o, v)
 	case SendReport:
-		if !o.isolated {
-			sim.after(time.Millisecond, func() { sim.coordinator.HandleReport(sim.now, v.Report) })
-		}
+		sim.toCoordinator(o, func() {
+			sim.tracef("coordinator: report of %s: %s %s", o.node, v.Report.Task(), v.Report.Status())
+			sim.coordinator.HandleReport(sim.now, v.Report)
+		})
 	case SendBatch:
 		sim.sendToOwner(v.To, func(o *fakeOwner) {
 			if o.pool.Fence() == v.Batch.Fence() {
@@ -307,85 +367,206 @@
 	case SendWithdrawal:
 		sim.sendToOwner(v.To, func(o *fakeOwner) { o.pool.Withdraw(sim.now, "c", v.Withdrawal.Job()) })
 	case Answer:
+		sim.tracef("coordinator: answers request %d: %s", v.RequestID, v.Answer.Kind())
 		sim.answers[v.RequestID] = v.Answer.Kind()
 		sim.answeredAt[v.RequestID] = sim.now
 	case PoolLost:
 		o.stopped = true
 	case Event:
 		sim.poolEvents = append(sim.poolEvents, v)
+		if sim.trace != nil && o != nil {
+			sim.tracef("%s: %s %s on %s run %d: %s", o.node, v.Kind, v.Task, v.Target, v.Run, v.Reason)
+		}
 	}
 }
 
 func (sim *simulation) sendToOwner(node filbertford.NodeID, do func(o *fakeOwner)) {
 	for _, o := range sim.owners {
-		if o.node == node && !o.isolated {
-			sim.after(time.Millisecond, func() { sim.handle(o, func() { do(o) }) })
+		if o.node == node && !o.isolated && !sim.streamDown {
+			stream := sim.streams
+			sim.after(time.Millisecond, func() {
+				if stream == sim.streams {
+					sim.handle(o, func() { do(o) })
+				}
+			})
 		}
 	}
 }
 
-// call delivers a call to a target and its reply to the owner. If the reply takes longer
-// than the timeout, the owner gets CallUnknown, and the reply only if it accepts late
-// ones.
-func (sim *simulation) call(o *fakeOwner, id filbertford.TargetID, timeout time.Duration, acceptsLate bool, do func(*fakeTarget) filbertford.CallReply, done func(filbertford.CallReply, time.Duration)) {
-	sent, d, t := sim.now, sim.delivery(), sim.targets[id]
-	if t == nil || t.down || d.lost {
-		if d.lateAfter > 0 && t != nil {
-			sim.after(d.lateAfter, func() { do(t) })
-		}
-		sim.after(timeout, func() {
-			sim.handle(o, func() { done(filbertford.NewCallReply(filbertford.CallUnknown, 0), sent) })
-		})
-		return
+// tracef adds a line to the trace.
+func (sim *simulation) tracef(format string, args ...any) {
+	if sim.trace != nil {
+		sim.trace("%v "+format, append([]any{sim.now}, args...)...)
 	}
-	late := d.requestDelay+d.replyDelay > timeout
-	if late {
-		sim.after(timeout, func() {
-			sim.handle(o, func() { done(filbertford.NewCallReply(filbertford.CallUnknown, 0), sent) })
-		})
+}
+
+// targetRequest is a request to a target.
+type targetRequest interface {
+	Instance() filbertford.TargetInstance
+	Address() string
+	Fence() uint64
+}
+
+// durationOf returns how long the task runs on a target of normal speed.
+func (sim *simulation) durationOf(key filbertford.TaskKey) time.Duration {
+	if d, ok := sim.works[key.Job()]; ok {
+		return d
 	}
-	sim.after(d.requestDelay, func() {
-		r := do(t)
-		if !late || acceptsLate {
-			sim.after(d.replyDelay, func() { sim.handle(o, func() { done(r, sent) }) })
-		}
-	})
+	return sim.taskDuration
 }
 
-// poll delivers a poll. The target holds it until a run ends or its wait is over.
-func (sim *simulation) poll(o *fakeOwner, c PollCall) {
-	req := c.Request
-	done := func(r filbertford.CallReply, sent time.Duration) {
-		o.pool.HandlePollReply(sim.now, c, r, sent, sim.now)
+// targetAt returns the target at the address of a request, nil if there is none.
+func (sim *simulation) targetAt(req targetRequest) *fakeTarget {
+	host, _, _ := strings.Cut(req.Address(), ":")
+	return sim.targets[filbertford.TargetID(host)]
+}
+
+// describe returns a request for the trace.
+func describe(req targetRequest) string {
+	switch v := req.(type) {
+	case filbertford.StartRunRequest:
+		return fmt.Sprintf("start %s run %d lease %d fence %d on %s", v.Task(), v.Run(), v.Lease(), v.Fence(), v.Instance().ID())
+	case filbertford.StopRunRequest:
+		return fmt.Sprintf("stop %s run %d fence %d on %s", v.Task(), v.Run(), v.Fence(), v.Instance().ID())
+	case filbertford.PollRequest:
+		return fmt.Sprintf("poll acked %d lease %d wait %v fence %d on %s", v.Acked(), v.Lease(), v.Wait(), v.Fence(), v.Instance().ID())
 	}
-	id := req.Instance().ID()
-	sent, d, t := sim.now, sim.delivery(), sim.targets[id]
-	if t == nil || t.down || d.lost {
-		sim.call(o, id, c.Timeout, false, func(t *fakeTarget) filbertford.CallReply { return t.poll(req) }, done)
-		return
+	return ""
+}
+
+// describeReply returns a reply for the trace.
+func describeReply(r filbertford.CallReply) string {
+	s := fmt.Sprintf("%s clock %d", r.Outcome(), r.Clock())
+	for _, run := range r.Running() {
+		s += fmt.Sprintf(" running %s/%d", run.Task(), run.Run())
+	}
+	for _, e := range r.Ended() {
+		s += fmt.Sprintf(" ended %d %s/%d %s", e.Sequence(), e.Task(), e.Run(), e.Outcome())
+	}
+	return s
+}
+
+// arrive carries out a call at a target, when it is no longer muted.
+func (sim *simulation) arrive(t *fakeTarget, do func()) {
+	switch {
+	case t.down:
+	case t.muted:
+		t.held = append(t.held, do)
+	default:
+		do()
+	}
+}
+
+// exchange delivers a call to a target and its reply to the owner. attempt carries the call
+// out; until it returns true, the target holds the call. If the reply takes longer than the
+// timeout, the owner gets CallUnknown, and the reply only if it accepts late ones.
+func (sim *simulation) exchange(o *fakeOwner, req targetRequest, timeout time.Duration, acceptsLate bool, attempt func(*fakeTarget, time.Duration) (filbertford.CallReply, bool), done func(filbertford.CallReply, time.Duration)) {
+	sent, d, t := sim.now, sim.delivery(), sim.targetAt(req)
+	if sim.trace != nil {
+		sim.tracef("%s: sends %s %+v", o.node, describe(req), d)
 	}
-	deadline := sim.now + d.requestDelay + req.Wait()
 	answered := false
-	answer := func(r filbertford.CallReply) {
+	unknown := func() {
 		if !answered {
 			answered = true
-			sim.handle(o, func() { done(r, sent) })
+			sim.handle(o, func() {
+				if sim.trace != nil {
+					sim.tracef("%s: no answer to %s", o.node, describe(req))
+				}
+				done(filbertford.NewCallReply(filbertford.CallUnknown, 0), sent)
+			})
 		}
 	}
-	sim.after(c.Timeout, func() { answer(filbertford.NewCallReply(filbertford.CallUnknown, 0)) })
-	var attempt func()
-	attempt = func() {
-		if t.down {
-			return // it went down while it held the poll
+	answer := func(r filbertford.CallReply) {
+		if answered && (!acceptsLate || sim.now > sent+timeout+lateReplyTimeout) {
+			return
+		}
+		answered = true
+		sim.handle(o, func() {
+			if sim.trace != nil {
+				sim.tracef("%s: answer to %s: %s", o.node, describe(req), describeReply(r))
+			}
+			done(r, sent)
+		})
+	}
+	sim.after(timeout, unknown)
+	if t == nil {
+		return
+	}
+	boots := t.boots
+	if requestLost, _ := sim.linkState(o, req); requestLost || d.lost {
+		if d.resetAfter > 0 {
+			sim.after(min(d.resetAfter, timeout), unknown)
+		}
+		if d.lateAfter > 0 {
+			sim.after(d.lateAfter, func() {
+				if boots != t.boots && !sim.keepLateCalls {
+					return
+				}
+				sim.arrive(t, func() {
+					r, _ := attempt(t, 0)
+					if sim.trace != nil {
+						sim.tracef("%s: carries out late %s: %s", t.rec.Instance().ID(), describe(req), describeReply(r))
+					}
+				})
+			})
 		}
-		r := t.poll(req)
-		if len(r.Ended()) == 0 && r.Outcome() == filbertford.CallDone && sim.now < deadline {
-			sim.after(5*time.Millisecond, attempt)
+		return
+	}
+	sim.after(d.requestDelay, func() {
+		if t.down && d.resetAfter > 0 {
+			unknown()
 			return
 		}
-		sim.after(d.replyDelay, func() { answer(r) })
+		sim.arrive(t, func() {
+			arrived, boots := sim.now, t.boots
+			var try func()
+			try = func() {
+				if t.boots != boots || t.down {
+					return // it went down while it held the call
+				}
+				r, ok := attempt(t, sim.now-arrived)
+				if !ok {
+					sim.after(5*time.Millisecond, try)
+					return
+				}
+				if sim.trace != nil {
+					sim.tracef("%s: carries out %s: %s", t.rec.Instance().ID(), describe(req), describeReply(r))
+				}
+				if _, replyLost := sim.linkState(o, req); !replyLost {
+					sim.after(d.replyDelay, func() { answer(r) })
+				}
+			}
+			try()
+		})
+	})
+}
+
+// lateReplyTimeout is how long after its timeout an owner takes the reply to a call.
+const lateReplyTimeout = time.Second
+
+// linkState reports whether requests of the owner to the target, or the replies, are lost.
+func (sim *simulation) linkState(o *fakeOwner, req targetRequest) (request, reply bool) {
+	if sim.linkDown == nil {
+		return false, false
 	}
-	sim.after(d.requestDelay, attempt)
+	return sim.linkDown(o, req.Address())
+}
+
+// call delivers a call that the target doesn't hold.
+func (sim *simulation) call(o *fakeOwner, req targetRequest, timeout time.Duration, acceptsLate bool, do func(*fakeTarget) filbertford.CallReply, done func(filbertford.CallReply, time.Duration)) {
+	sim.exchange(o, req, timeout, acceptsLate, func(t *fakeTarget, _ time.Duration) (filbertford.CallReply, bool) { return do(t), true }, done)
+}
+
+// poll delivers a poll. The target holds it until a run ends or its wait is over.
+func (sim *simulation) poll(o *fakeOwner, c PollCall) {
+	attempt := func(t *fakeTarget, held time.Duration) (filbertford.CallReply, bool) {
+		r := t.poll(c.Request)
+		return r, len(r.Ended()) > 0 || r.Outcome() != filbertford.CallDone || held >= c.Request.Wait()
+	}
+	sim.exchange(o, c.Request, c.Timeout, false, attempt, func(r filbertford.CallReply, sent time.Duration) {
+		o.pool.HandlePollReply(sim.now, c, r, sent, sim.now)
+	})
 }
 
 // countEvents returns the number of events of the kind.
