--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -19,45 +19,49 @@
 
 // The kinds of disturbances.
 const (
-	faultKill        faultKind = "owner is killed"
-	faultPause       faultKind = "owner is paused"
-	faultTakeOver    faultKind = "owner is replaced while it runs"
-	faultPartition   faultKind = "owner is cut off from the daemons"
-	faultCut         faultKind = "link to a target is cut"
-	faultCutRequests faultKind = "requests to a target are lost"
-	faultCutReplies  faultKind = "replies of a target are lost"
-	faultStream      faultKind = "coordinator's stream breaks"
-	faultCoordinator faultKind = "coordinator is paused"
-	faultSameID      faultKind = "target starts again under its ID"
-	faultOtherID     faultKind = "target starts again under another ID"
-	faultGone        faultKind = "target crashes"
-	faultRecord      faultKind = "record is removed and written again"
-	faultMute        faultKind = "target hangs"
-	faultStuck       faultKind = "runs make no progress"
-	faultSlow        faultKind = "target is slow"
-	faultFailing     faultKind = "runs fail"
-	faultBusy        faultKind = "target rejects starts"
-	faultDrain       faultKind = "target drains"
-	faultGiveUp      faultKind = "caller gives up"
+	faultKill            faultKind = "owner is killed"
+	faultPause           faultKind = "owner is paused"
+	faultTakeOver        faultKind = "owner is replaced while it runs"
+	faultPartition       faultKind = "owner is cut off from the daemons"
+	faultCut             faultKind = "link to a target is cut"
+	faultCutRequests     faultKind = "requests to a target are lost"
+	faultCutReplies      faultKind = "replies of a target are lost"
+	faultStream          faultKind = "coordinator's stream breaks"
+	faultCoordinator     faultKind = "coordinator is paused"
+	faultCoordinatorLost faultKind = "coordinator is replaced"
+	faultSameID          faultKind = "target starts again under its ID"
+	faultOtherID         faultKind = "target starts again under another ID"
+	faultGone            faultKind = "target crashes"
+	faultRecord          faultKind = "record is removed and written again"
+	faultMute            faultKind = "target hangs"
+	faultStuck           faultKind = "runs make no progress"
+	faultSlow            faultKind = "target is slow"
+	faultFailing         faultKind = "runs fail"
+	faultBusy            faultKind = "target rejects starts"
+	faultDrain           faultKind = "target drains"
+	faultGiveUp          faultKind = "caller gives up"
 )
 
-// fault is a planned disturbance.
+// fault is a planned disturbance. What it doesn't state is derived from its seed.
 type fault struct {
 	kind     faultKind
 	at       time.Duration
 	duration time.Duration
-	// detect, claim and announce are the times until the loss of an owner is noticed, from
-	// then until another daemon claims the pool, and until the coordinator knows it.
-	detect, claim, announce time.Duration
-	learn                   time.Duration // until an owner learns that it is replaced, or cut off
-	recordDelay             time.Duration // until a record is written or removed
-	target                  int
-	job                     int
-	owner                   int // 0 for the owner at the time, 1 for the next one, 2 for any
-	staleRecords            time.Duration
-	wallOffset              time.Duration
+	seed     uint64
+	random   *rand.Rand
 }
 
+// between returns a time between two numbers of milliseconds.
+func between(r *rand.Rand, low, high int) time.Duration {
+	return time.Duration(low+r.IntN(high-low+1)) * time.Millisecond
+}
+
+// detect returns the time until the fleet notices the loss of a daemon.
+func (f fault) detect() time.Duration { return between(f.random, 300, 700) }
+
+// learn returns the time until an owner learns that it is replaced.
+func (f fault) learn() time.Duration { return between(f.random, 0, 200) }
+
 // plannedJob is a job that a caller submits.
 type plannedJob struct {
 	at      time.Duration
@@ -66,50 +70,58 @@
 	timeout time.Duration
 }
 
-// overlapPlan is a randomised run. All else is derived from its seed.
+// overlapPlan is a randomised run.
 type overlapPlan struct {
-	seed                                   uint64
-	targets, slots                         int
-	latePercent, slowPercent, resetPercent int
-	maxDelay                               time.Duration
-	drift                                  int // of the targets' clocks, at most, in thousandths
-	stopTime                               time.Duration
-	jobs                                   []plannedJob
-	faults                                 []fault
-	keepLateCalls, resend                  bool
+	seed                     uint64
+	pools, targets, slots    int
+	latePercent, slowPercent int // of the calls
+	resetPercent             int // of the late calls, whose owner learns at once that they are lost
+	earliestLate             time.Duration
+	maxDelay                 time.Duration
+	drift                    int // of the targets' clocks, at most, in thousandths
+	stopTime                 time.Duration
+	maxWork                  time.Duration
+	jobs                     []plannedJob
+	faults                   []fault
+	scenario                 scenario
 }
 
-func drawDuration(rt *rapid.T, low, high int, label string) time.Duration {
-	return time.Duration(rapid.IntRange(low, high).Draw(rt, label)) * time.Millisecond
+// scenario is what a plan may contain.
+type scenario struct {
+	kinds []faultKind
+	// keepLateCalls lets late calls reach a target that has started again under its ID.
+	keepLateCalls bool
+	// resend lets callers that got no definite answer send their jobs again.
+	resend bool
+	pools  int
 }
 
-// drawPlan draws a plan with faults of the given kinds.
-func drawPlan(rt *rapid.T, kinds []faultKind) overlapPlan {
+// drawPlan draws a plan.
+func drawPlan(rt *rapid.T, s scenario) overlapPlan {
+	seed := rapid.Uint64().Draw(rt, "seed")
+	random := rand.New(rand.NewPCG(seed, 0))
 	p := overlapPlan{
-		seed:         rapid.Uint64().Draw(rt, "seed"),
-		targets:      rapid.IntRange(1, 5).Draw(rt, "targets"),
-		slots:        rapid.IntRange(1, 3).Draw(rt, "slots"),
-		latePercent:  rapid.IntRange(0, 50).Draw(rt, "late calls in 100"),
-		slowPercent:  rapid.IntRange(0, 50).Draw(rt, "slow calls in 100"),
-		resetPercent: rapid.IntRange(0, 100).Draw(rt, "lost calls in 100 that are reset"),
-		maxDelay:     drawDuration(rt, 1, 600, "longest delay"),
-		drift:        rapid.IntRange(0, 20).Draw(rt, "drift"),
-		stopTime:     drawDuration(rt, 0, 200, "stop time"),
-	}
-	for range rapid.IntRange(1, 6).Draw(rt, "jobs") {
+		seed: seed, scenario: s, pools: max(1, s.pools),
+		targets: 1 + random.IntN(6), slots: 1 + random.IntN(3),
+		latePercent: random.IntN(51), slowPercent: random.IntN(51), resetPercent: random.IntN(101),
+		earliestLate: []time.Duration{2 * time.Second, 20 * time.Millisecond}[random.IntN(2)],
+		maxDelay:     between(random, 2, 600), drift: random.IntN(21), stopTime: between(random, 0, 200),
+		maxWork: between(random, 20, 2000),
+	}
+	if rapid.IntRange(0, 3).Draw(rt, "calm calls") == 0 {
+		p.latePercent, p.slowPercent = 0, 0
+	}
+	p.targets = max(p.targets, p.pools)
+	for range rapid.IntRange(1, 12).Draw(rt, "jobs") {
 		p.jobs = append(p.jobs, plannedJob{
-			at: drawDuration(rt, 0, 5000, "job at"), tasks: rapid.IntRange(1, 5).Draw(rt, "tasks"),
-			work: drawDuration(rt, 20, 2000, "work"), timeout: drawDuration(rt, 500, 8000, "timeout"),
+			at: between(random, 0, 6000), tasks: 1 + random.IntN(6), work: between(random, 20, int(p.maxWork.Milliseconds())), timeout: between(random, 500, 8000),
 		})
 	}
-	for range rapid.IntRange(0, 8).Draw(rt, "faults") {
-		p.faults = append(p.faults, fault{
-			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"), at: drawDuration(rt, 0, 6000, "fault at"), duration: drawDuration(rt, 100, 3000, "duration"),
-			detect: drawDuration(rt, 300, 700, "detect"), claim: drawDuration(rt, 0, 500, "claim"), announce: drawDuration(rt, 0, 200, "announce"),
-			learn: drawDuration(rt, 0, 200, "learn"), recordDelay: drawDuration(rt, 0, 3000, "record delay"),
-			target: rapid.IntRange(0, 4).Draw(rt, "target"), job: rapid.IntRange(0, 5).Draw(rt, "job"), owner: rapid.IntRange(0, 2).Draw(rt, "owner"),
-			staleRecords: drawDuration(rt, 0, 4000, "stale records"), wallOffset: drawDuration(rt, -1000, 1000, "wall offset"),
-		})
+	for range rapid.IntRange(0, 16).Draw(rt, "faults") {
+		f := fault{kind: rapid.SampledFrom(s.kinds).Draw(rt, "kind"), seed: rapid.Uint64().Draw(rt, "fault seed")}
+		f.random = rand.New(rand.NewPCG(f.seed, 2))
+		f.at, f.duration = between(f.random, 0, 7000), between(f.random, 100, 3000)
+		p.faults = append(p.faults, f)
 	}
 	return p
 }
@@ -117,16 +129,24 @@
 // overlapRun carries out a plan.
 type overlapRun struct {
 	*simulation
-	plan    overlapPlan
-	random  *rand.Rand
-	counts  map[string]int
-	owner   *fakeOwner
-	fence   uint64
-	links   map[linkKey]*linkState
-	table   []recordChange
-	caches  map[*fakeOwner]*recordCache
-	request uint64
-	keys    map[uint64]filbertford.JobKey // by request
+	plan         overlapPlan
+	random       *rand.Rand
+	counts       map[string]int
+	pools        []*overlapPool
+	ownerCount   int // of all pools so far
+	coordinators int // that have replaced others
+	links        map[linkKey]*linkState
+	table        []recordChange
+	jobs         map[uint64]int // by request
+	request      uint64
+}
+
+// overlapPool is a pool with its owner, nil if the fleet has lost it.
+type overlapPool struct {
+	id    filbertford.PoolID
+	owner *fakeOwner
+	fence uint64
+	hosts []string // of its targets
 }
 
 type linkKey struct {
@@ -198,10 +218,13 @@
 	return pruned
 }
 
-func (c *recordCache) list() []filbertford.TargetRecord {
+// list returns the records of a pool's targets.
+func (c *recordCache) list(pool filbertford.PoolID) []filbertford.TargetRecord {
 	var out []filbertford.TargetRecord
 	for _, id := range slices.Sorted(maps.Keys(c.records)) {
-		out = append(out, c.records[id])
+		if rec := c.records[id]; filbertford.PoolID(rec.DataCentre()) == pool {
+			out = append(out, rec)
+		}
 	}
 	return out
 }
@@ -216,200 +239,228 @@
 	})
 }
 
-// newOwner adds an owner of the pool whose view of the records is old.
-func (r *overlapRun) newOwner(stale, wallOffset time.Duration) *fakeOwner {
-	r.fence++
+// nextNode returns the name of the next owner of any pool.
+func (r *overlapRun) nextNode() filbertford.NodeID {
+	return filbertford.NodeID(fmt.Sprintf("n%d", r.ownerCount+1))
+}
+
+// newOwner adds an owner of a pool. Its view of the records is as old as given.
+func (r *overlapRun) newOwner(p *overlapPool, random *rand.Rand, stale time.Duration) *fakeOwner {
 	c := &recordCache{
 		records:   make(map[filbertford.TargetID]filbertford.TargetRecord),
 		removedAt: make(map[filbertford.TargetID]time.Duration),
 		departed:  make(map[filbertford.TargetID]time.Duration),
 	}
-	for i := range r.table {
-		if at := r.table[i].at + stale; at <= r.now || i < r.plan.targets {
+	for _, change := range r.table {
+		if at := change.at + stale; at <= r.now || change.at == 0 {
 			c.prune(at)
-			c.read(min(at, r.now), r.table, r.table[i].at)
+			c.read(min(at, r.now), r.table, change.at)
 		}
 	}
 	c.prune(r.now)
-	o := &fakeOwner{node: filbertford.NodeID(fmt.Sprintf("n%d", r.fence)), wallOffset: testWallOffset + wallOffset.Milliseconds()}
-	o.pool = NewPool(testPool, r.fence, o.wallOffset, r.now)
-	r.tracef("%s: owns the pool with fence %d", o.node, r.fence)
-	nextRead := r.now + time.Duration(r.random.IntN(600))*time.Millisecond
+	o := &fakeOwner{node: r.nextNode(), wallOffset: testWallOffset + between(random, -1000, 1000).Milliseconds()}
+	r.ownerCount++
+	p.fence++
+	o.pool = NewPool(p.id, p.fence, o.wallOffset, r.now)
+	r.tracef("%s: owns the pool %s with fence %d", o.node, p.id, p.fence)
+	nextRead := r.now + between(random, 0, 600)
 	if stale > 2*time.Second {
+		r.count("owners with old records")
 		o.pool.HoldStarts(r.now + 300*time.Millisecond)
 	}
-	o.pool.SetDeparted(slices.Sorted(maps.Keys(c.departed)))
-	o.pool.SetTargets(r.now, c.list())
+	departed := slices.Sorted(maps.Keys(c.departed))
+	if len(departed) > 0 {
+		r.count("owners with departed targets")
+	}
+	o.pool.SetDeparted(departed)
+	o.pool.SetTargets(r.now, c.list(p.id))
 	o.beforeTick = func() {
 		changed := c.prune(r.now)
 		if r.now >= nextRead {
-			nextRead = r.now + time.Duration(100+r.random.IntN(600))*time.Millisecond
+			nextRead = r.now + between(r.random, 100, 700)
 			changed = c.read(r.now, r.table, r.now) || changed
 			o.pool.ReleaseStarts()
 		}
 		if changed {
-			o.pool.SetTargets(r.now, c.list())
+			o.pool.SetTargets(r.now, c.list(p.id))
 		}
 	}
-	r.owners = append(r.owners, o)
+	r.simulation.owners = append(r.simulation.owners, o)
 	r.scheduleTick(o)
 	return o
 }
 
-// replace lets another daemon claim the pool of an owner that the fleet has lost.
-func (r *overlapRun) replace(f fault, lost *fakeOwner) {
-	r.after(f.claim, func() {
-		if r.owner != lost {
+// announce sets the owner of a pool at the coordinator.
+func (r *overlapRun) announce(p *overlapPool, o *fakeOwner) {
+	r.atCoordinator(func() {
+		if p.owner != o && o != nil {
+			return
+		}
+		if o == nil {
+			r.coordinator.SetOwner(r.now, p.id, "", 0)
+		} else {
+			r.coordinator.SetOwner(r.now, p.id, o.node, o.pool.Fence())
+		}
+	})
+}
+
+// replace lets another daemon claim the pool of an owner.
+func (r *overlapRun) replace(f fault, p *overlapPool, lost *fakeOwner) {
+	r.after(between(f.random, 0, 500), func() {
+		if p.owner != lost {
 			return // it has been replaced already
 		}
-		r.owner = r.newOwner(f.staleRecords, f.wallOffset)
+		stale := []time.Duration{0, between(f.random, 0, 2000), between(f.random, 2000, 12_000)}[f.random.IntN(3)]
+		p.owner = r.newOwner(p, f.random, stale)
 		r.count("takeovers")
-		next := r.owner
-		r.after(f.announce, func() {
-			if r.owner == next {
-				r.atCoordinator(func() { r.announceOwner(next) })
-			}
-		})
+		next := p.owner
+		r.after(between(f.random, 0, 200), func() { r.announce(p, next) })
 	})
 }
 
 // lose reports the loss of an owner to the coordinator.
-func (r *overlapRun) lose(o *fakeOwner) {
-	if r.owner == o {
+func (r *overlapRun) lose(p *overlapPool, o *fakeOwner) {
+	if p.owner == o {
 		r.tracef("coordinator: %s is lost", o.node)
-		r.atCoordinator(func() {
-			if r.owner == o {
-				r.announceOwner(nil)
-			}
-		})
+		r.announce(p, nil)
 	}
 }
 
 // inject carries out a fault.
 func (r *overlapRun) inject(f fault) {
 	r.count(string(f.kind))
-	o := r.owner
-	host := fmt.Sprintf("t%02d", f.target%r.plan.targets)
-	t := r.targets[filbertford.TargetID(host)]
+	p := r.pools[f.random.IntN(len(r.pools))]
+	o := p.owner
+	host := p.hosts[f.random.IntN(len(p.hosts))]
 	r.tracef("fault: %s, owner %s, target %s, for %v", f.kind, o.node, host, f.duration)
 	switch f.kind {
 	case faultKill:
 		o.stopped = true
-		r.after(f.detect, func() { r.lose(o); r.replace(f, o) })
+		r.after(f.detect(), func() {
+			r.lose(p, o)
+			r.replace(f, p, o)
+		})
 	case faultPause:
-		r.pauseOwner(f, o)
+		r.pauseOwner(f, p, o)
 	case faultTakeOver:
-		r.after(f.learn, func() { r.stopOwner(o) })
-		r.replace(f, o)
+		r.after(f.learn(), func() { r.giveUp(o) })
+		r.replace(f, p, o)
 	case faultPartition:
-		r.cutOff(f, o)
+		r.cutOff(f, p, o)
 	case faultCut, faultCutRequests, faultCutReplies:
-		r.cutLink(f, o, host)
+		nodes := []filbertford.NodeID{o.node, r.nextNode(), ""}
+		r.cutLink(f.kind, nodes[f.random.IntN(len(nodes))], host, 2*f.duration)
 	case faultStream:
-		r.breakStream(min(f.duration/8, 300*time.Millisecond))
+		r.breakStream(f.duration / 10)
 	case faultCoordinator:
 		r.pauseCoordinator(f)
+	case faultCoordinatorLost:
+		r.replaceCoordinator(f)
 	case faultGiveUp:
-		r.atCoordinator(func() { r.coordinator.CancelRequest(r.now, uint64(f.job%len(r.plan.jobs)+1)) })
+		request := uint64(1 + f.random.IntN(len(r.plan.jobs)))
+		r.atCoordinator(func() { r.coordinator.CancelRequest(r.now, request) })
 	default:
-		r.disturb(f, t)
+		r.disturb(f, r.targets[filbertford.TargetID(host)])
 	}
-	r.flush()
 }
 
-func (r *overlapRun) stopOwner(o *fakeOwner) {
+// giveUp lets an owner learn that it is replaced.
+func (r *overlapRun) giveUp(o *fakeOwner) {
 	if !o.stopped && !o.paused {
 		r.tracef("%s: gives the pool up", o.node)
 		o.stopped = true
 	}
 }
 
-// pauseOwner pauses an owner, which is replaced if the pause is longer than it takes to be
-// noticed. When it resumes, it handles what has arrived meanwhile, in any order.
-func (r *overlapRun) pauseOwner(f fault, o *fakeOwner) {
+// pauseOwner pauses an owner. It is replaced if that is noticed. When it resumes, it handles
+// what has arrived meanwhile, in any order.
+func (r *overlapRun) pauseOwner(f fault, p *overlapPool, o *fakeOwner) {
 	if o.paused || o.stopped {
 		return
 	}
 	o.paused = true
+	r.after(f.detect(), func() {
+		if o.paused {
+			r.lose(p, o)
+			r.replace(f, p, o)
+		}
+	})
 	r.after(f.duration, func() {
 		r.tracef("%s: resumes", o.node)
-		if r.random.IntN(2) == 0 {
+		o.paused = false
+		if f.random.IntN(2) == 0 {
 			r.random.Shuffle(len(o.waiting), func(i, j int) { o.waiting[i], o.waiting[j] = o.waiting[j], o.waiting[i] })
 		}
-		o.paused = false
-		if r.random.IntN(2) == 0 && !o.stopped {
+		if f.random.IntN(2) == 0 && !o.stopped {
 			o.pool.Tick(r.now, o.wallOffset)
 		}
 		r.resume(o)
-		if r.owner != o {
-			r.after(f.learn, func() { r.stopOwner(o) })
-		} else {
-			r.atCoordinator(func() { r.announceOwner(o) })
-		}
-	})
-	r.after(f.detect, func() {
-		if o.paused {
-			r.lose(o)
-			r.replace(f, o)
+		if p.owner == o {
+			r.announce(p, o)
+			return
 		}
+		r.count("replaced owners that resume")
+		r.after(f.learn(), func() { r.giveUp(o) })
 	})
 }
 
-// cutOff cuts an owner off from the other daemons. It drops the coordinator's tasks when it
-// notices.
-func (r *overlapRun) cutOff(f fault, o *fakeOwner) {
-	if o.isolated {
+// cutOff cuts an owner off from the other daemons, and often its successor from some of the
+// targets. The owner drops the coordinator's tasks when it notices.
+func (r *overlapRun) cutOff(f fault, p *overlapPool, o *fakeOwner) {
+	if o.isolated || o.stopped {
 		return
 	}
 	o.isolated = true
-	r.after(f.detect+f.learn, func() {
+	duration := 2 * f.duration
+	if f.random.IntN(2) == 0 {
+		for _, host := range p.hosts {
+			if f.random.IntN(2) == 0 {
+				r.cutLink(faultCut, r.nextNode(), host, duration)
+			}
+		}
+	}
+	r.after(between(f.random, 300, 1000), func() {
 		if o.isolated {
-			r.handle(o, func() { o.pool.CoordinatorUnreachable(r.now, "c") })
+			r.handle(o, func() { o.pool.CoordinatorUnreachable(r.now, r.node) })
 		}
 	})
-	r.after(f.detect, func() {
+	r.after(f.detect(), func() {
 		if o.isolated {
-			r.lose(o)
-			r.replace(f, o)
+			r.lose(p, o)
+			r.replace(f, p, o)
 		}
 	})
-	r.after(f.duration, func() {
+	r.after(duration, func() {
 		o.isolated = false
-		if r.owner != o {
-			r.after(f.learn, func() { r.stopOwner(o) })
+		if p.owner != o {
+			r.after(f.learn(), func() { r.giveUp(o) })
 			return
 		}
-		r.atCoordinator(func() {
-			r.announceOwner(o)
-			r.coordinator.Resume(r.now, testPool)
-		})
+		r.announce(p, o)
+		r.atCoordinator(func() { r.coordinator.Resume(r.now, p.id) })
 	})
 }
 
-// cutLink cuts the links between a target and one owner or all.
-func (r *overlapRun) cutLink(f fault, o *fakeOwner, host string) {
-	key := linkKey{node: o.node, host: host}
-	switch f.owner {
-	case 1:
-		key.node = filbertford.NodeID(fmt.Sprintf("n%d", r.fence+1))
-	case 2:
-		key.node = ""
-	}
+// cutLink cuts the link between a target and an owner for a time. An empty name stands for
+// all owners.
+func (r *overlapRun) cutLink(kind faultKind, node filbertford.NodeID, host string, d time.Duration) {
+	key := linkKey{node: node, host: host}
 	link := r.links[key]
 	if link == nil {
 		link = &linkState{}
 		r.links[key] = link
 	}
+	r.tracef("link of %q to %s: %s for %v", node, host, kind, d)
 	set := func(n int) {
-		if f.kind != faultCutReplies {
+		if kind != faultCutReplies {
 			link.requests += n
 		}
-		if f.kind != faultCutRequests {
+		if kind != faultCutRequests {
 			link.replies += n
 		}
 	}
 	set(1)
-	r.after(2*f.duration, func() { set(-1) })
+	r.after(d, func() { set(-1) })
 }
 
 // breakStream loses the messages between the coordinator and the owners for a time.
@@ -419,31 +470,46 @@
 	r.after(d, func() {
 		r.streamDown = false
 		r.streams++
-		r.atCoordinator(func() {
-			r.tracef("coordinator: resumes after a break of the stream")
-			r.coordinator.Resume(r.now, testPool)
-		})
+		r.atCoordinator(r.resumeTasks)
 	})
 }
 
-// pauseCoordinator pauses the coordinator. Owners drop its tasks if the pause is longer than
-// it takes to be noticed.
+// resumeTasks offers the coordinator's tasks again on new streams.
+func (r *overlapRun) resumeTasks() {
+	r.tracef("coordinator: offers its tasks again")
+	for _, p := range r.pools {
+		r.coordinator.Resume(r.now, p.id)
+	}
+}
+
+// dropCoordinator lets the owners notice the loss of the coordinator.
+func (r *overlapRun) dropCoordinator(node filbertford.NodeID) {
+	for _, o := range r.simulation.owners {
+		if !o.stopped {
+			r.handle(o, func() {
+				r.tracef("%s: coordinator %s is lost", o.node, node)
+				o.pool.CoordinatorUnreachable(r.now, node)
+			})
+		}
+	}
+}
+
+// pauseCoordinator pauses the coordinator. Owners drop its tasks if they notice.
 func (r *overlapRun) pauseCoordinator(f fault) {
 	if r.coordinatorPaused {
 		return
 	}
 	r.coordinatorPaused = true
-	r.after(f.detect+f.learn, func() {
-		if !r.coordinatorPaused {
-			return
-		}
-		for _, o := range r.owners {
-			if !o.stopped {
-				r.handle(o, func() { o.pool.CoordinatorUnreachable(r.now, "c") })
-			}
+	node := r.node
+	r.after(between(f.random, 300, 1000), func() {
+		if r.coordinatorPaused && r.node == node {
+			r.dropCoordinator(node)
 		}
 	})
 	r.after(f.duration, func() {
+		if r.node != node {
+			return
+		}
 		r.coordinatorPaused = false
 		if f.duration > time.Second {
 			r.coordinator.AbandonAll(r.now, "the daemon was suspended")
@@ -453,11 +519,33 @@
 		for _, do := range waiting {
 			do()
 		}
-		r.coordinator.Resume(r.now, testPool)
+		r.resumeTasks()
 		r.coordinator.Tick(r.now)
 	})
 }
 
+// replaceCoordinator loses the coordinator. The callers send their jobs to another one.
+func (r *overlapRun) replaceCoordinator(f fault) {
+	old := r.node
+	r.coordinatorPaused, r.coordinatorWaits = false, nil
+	r.streams++
+	r.coordinators++
+	r.node = filbertford.NodeID(fmt.Sprintf("c%d", r.coordinators))
+	r.coordinator = NewCoordinator(r.pools[f.random.IntN(len(r.pools))].id)
+	r.tracef("coordinator: %s instead of %s", r.node, old)
+	for _, p := range r.pools {
+		r.coordinator.AddPool(p.id)
+		r.announce(p, p.owner)
+	}
+	r.after(between(f.random, 300, 1000), func() { r.dropCoordinator(old) })
+	for _, request := range slices.Sorted(maps.Keys(r.jobs)) {
+		if _, ok := r.answers[request]; !ok {
+			r.answers[request] = filbertford.AnswerUnknown
+			r.sendAgain(r.jobs[request])
+		}
+	}
+}
+
 // disturb carries out a fault of a target.
 func (r *overlapRun) disturb(f fault, t *fakeTarget) {
 	startedAt := testWallOffset + r.now.Milliseconds()
@@ -470,23 +558,25 @@
 		})
 	}
 	switch f.kind {
-	case faultSameID:
-		t.crash()
-		r.after(f.duration/8, func() {
-			t.restart(t.rec.Instance().ID(), startedAt+(f.duration/8).Milliseconds())
-			r.writeRecord(f.recordDelay, t.rec, false)
-		})
-	case faultOtherID:
+	case faultSameID, faultOtherID:
+		id, old, away := t.rec.Instance().ID(), t.rec, f.duration/time.Duration(1+f.random.IntN(20))
 		t.crash()
-		r.writeRecord(f.recordDelay+500*time.Millisecond, t.rec, true)
-		r.after(f.duration/8, func() {
-			host, _, _ := strings.Cut(t.rec.Address(), ":")
-			t.restart(filbertford.TargetID(fmt.Sprintf("%s-%d", host, t.boots)), startedAt)
-			r.writeRecord(f.recordDelay/4, t.rec, false)
+		boots := t.boots
+		r.after(away, func() {
+			if t.boots != boots {
+				return
+			}
+			if f.kind == faultOtherID {
+				host, _, _ := strings.Cut(t.rec.Address(), ":")
+				id = filbertford.TargetID(fmt.Sprintf("%s-%d", host, t.boots))
+				r.writeRecord(between(f.random, 300, 4000), old, true)
+			}
+			t.restart(id, startedAt+away.Milliseconds())
+			r.writeRecord(between(f.random, 0, 3000), t.rec, false)
 		})
 	case faultGone:
 		t.crash()
-		r.writeRecord(f.recordDelay+500*time.Millisecond, t.rec, true)
+		r.writeRecord(between(f.random, 500, 4000), t.rec, true)
 	case faultRecord:
 		r.writeRecord(0, t.rec, true)
 		r.after(2*f.duration, func() {
@@ -501,7 +591,7 @@
 			held := t.held
 			t.held = nil
 			for _, do := range held {
-				do()
+				r.after(between(r.random, 0, 20), do)
 			}
 		})
 	case faultStuck:
@@ -518,11 +608,11 @@
 		undo(func() { t.busy = false })
 	case faultDrain:
 		t.draining = true
-		r.writeRecord(f.recordDelay/8, t.rec.WithDraining(true), false)
+		r.writeRecord(between(f.random, 0, 300), t.rec.WithDraining(true), false)
 		undo(func() {
 			r.count("drained targets that leave")
 			t.crash()
-			r.writeRecord(f.recordDelay/8, t.rec, true)
+			r.writeRecord(between(f.random, 0, 300), t.rec, true)
 		})
 	}
 }
@@ -537,8 +627,12 @@
 	switch luck := r.random.IntN(100); {
 	case luck < r.plan.latePercent:
 		r.count("calls carried out late")
-		d.lost, d.lateAfter = true, time.Duration(2000+r.random.IntN(10_000))*time.Millisecond
+		d.lost, d.lateAfter = true, between(r.random, int(r.plan.earliestLate.Milliseconds()), 12_000)
+		if r.plan.earliestLate < time.Second && r.random.IntN(2) == 0 {
+			d.lateAfter /= 8
+		}
 		if r.random.IntN(100) < r.plan.resetPercent {
+			r.count("calls that are reset")
 			d.resetAfter = delay(20 * time.Millisecond)
 		}
 	case luck < r.plan.latePercent+r.plan.slowPercent:
@@ -548,57 +642,90 @@
 	return d
 }
 
-// run carries out the plan and returns the broken rules.
-func (p overlapPlan) run(counts map[string]int, trace func(string, ...any)) []string {
+// newRun prepares a run of the plan.
+func (p overlapPlan) newRun(counts map[string]int, trace func(string, ...any)) *overlapRun {
 	r := &overlapRun{
 		simulation: newSimulation(p.targets, p.slots), plan: p, random: rand.New(rand.NewPCG(p.seed, 1)), counts: counts,
-		links: make(map[linkKey]*linkState), keys: make(map[uint64]filbertford.JobKey),
-	}
-	r.trace = trace
-	r.keepLateCalls = p.keepLateCalls
-	r.delivery = func() delivery { return delivery{requestDelay: time.Millisecond, replyDelay: time.Millisecond} }
-	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
-		t := r.targets[id]
-		t.clockOffset = time.Duration(r.random.IntN(1_000_000)) * time.Millisecond
+		links: make(map[linkKey]*linkState), jobs: make(map[uint64]int),
+	}
+	r.trace, r.keepLateCalls, r.answered = trace, p.scenario.keepLateCalls, r.handleAnswer
+	for i := range p.pools {
+		id := testPool
+		if i > 0 {
+			id = filbertford.PoolID(fmt.Sprintf("%s-%d", testPool, i))
+		}
+		r.pools = append(r.pools, &overlapPool{id: id})
+		r.coordinator.AddPool(id)
+	}
+	for i, id := range slices.Sorted(maps.Keys(r.targets)) {
+		t, pool := r.targets[id], r.pools[i%p.pools]
+		t.clockOffset = between(r.random, 1, 1_000_000)
 		t.clockRate = 1 + float64(r.random.IntN(2*p.drift+1)-p.drift)/1000
 		t.stopTime = p.stopTime
+		t.rec = filbertford.NewTargetRecord(t.rec.Instance(), "ordering", t.rec.Address(), filbertford.DataCentre(pool.id), t.rec.Capacity(), "a", "r1")
+		pool.hosts = append(pool.hosts, string(id))
 		r.table = append(r.table, recordChange{id: id, rec: t.rec})
 	}
-	r.linkDown = func(o *fakeOwner, address string) (request, reply bool) {
-		host, _, _ := strings.Cut(address, ":")
-		for _, key := range []linkKey{{o.node, host}, {"", host}} {
-			if link := r.links[key]; link != nil {
-				request, reply = request || link.requests > 0, reply || link.replies > 0
-			}
-		}
-		if request || reply {
-			r.count("calls over cut links")
+	r.linkDown = r.checkLink
+	return r
+}
+
+// checkLink reports whether requests to, or replies from, a target are lost.
+func (r *overlapRun) checkLink(o *fakeOwner, address string) (request, reply bool) {
+	host, _, _ := strings.Cut(address, ":")
+	for _, key := range []linkKey{{o.node, host}, {"", host}} {
+		if link := r.links[key]; link != nil {
+			request, reply = request || link.requests > 0, reply || link.replies > 0
 		}
-		return request, reply
 	}
-	r.owner = r.newOwner(0, 0)
+	if request || reply {
+		r.count("calls over cut links")
+	}
+	return request, reply
+}
+
+// run carries out the plan and returns the broken rules.
+func (p overlapPlan) run(counts map[string]int, trace func(string, ...any)) []string {
+	r := p.newRun(counts, trace)
+	for _, pool := range r.pools {
+		pool.owner = r.newOwner(pool, r.random, 0)
+	}
+	r.flush()
 	r.advance(100 * time.Millisecond)
-	r.announceOwner(r.owner)
+	for _, pool := range r.pools {
+		r.announce(pool, pool.owner)
+	}
+	r.flush()
 	r.delivery = r.draw
 	for i, j := range p.jobs {
-		r.after(j.at, func() {
-			r.atCoordinator(func() { r.submitPlanned(uint64(i+1), filbertford.JobKey(fmt.Sprintf("%016x", i)), j) })
-		})
+		r.after(j.at, func() { r.send(i) })
 	}
 	for _, f := range p.faults {
+		f.random = rand.New(rand.NewPCG(f.seed, 3))
 		r.after(f.at, func() { r.inject(f) })
 	}
-	r.advance(20 * time.Second)
-	counts["starts"] += r.starts
+	r.advance(24 * time.Second)
+	return r.check()
+}
+
+// check returns the broken rules, and counts what has happened.
+func (r *overlapRun) check() []string {
 	violations := r.violations
-	for _, id := range slices.Sorted(maps.Keys(r.answers)) {
-		counts["answers "+string(r.answers[id])]++
-		if key := r.keys[id]; r.answers[id] == filbertford.AnswerNotRun && r.jobStarted[key] {
-			violations = append(violations, fmt.Sprintf("request %d was answered as not run, but a task was started", id))
+	rejected := make(map[int]bool)
+	for _, request := range slices.Sorted(maps.Keys(r.jobs)) {
+		r.count("answers " + string(r.answers[request]))
+		job := r.jobs[request]
+		last, ok := rejected[job]
+		rejected[job] = (last || !ok) && r.answers[request] == filbertford.AnswerNotRun
+	}
+	for _, job := range slices.Sorted(maps.Keys(rejected)) {
+		if rejected[job] && r.jobStarted[jobKey(job)] {
+			violations = append(violations, fmt.Sprintf("job %s was answered as not run, but a task was started", jobKey(job)))
 		}
 	}
+	r.counts["starts"] += r.starts
 	for _, e := range r.poolEvents {
-		counts["event "+string(e.Kind)+" "+eventReason(e)]++
+		r.count("event " + string(e.Kind) + " " + eventReason(e))
 	}
 	return violations
 }
@@ -612,13 +739,41 @@
 	return ""
 }
 
-func (r *overlapRun) submitPlanned(request uint64, key filbertford.JobKey, j plannedJob) {
-	r.keys[request] = key
+func jobKey(job int) filbertford.JobKey { return filbertford.JobKey(fmt.Sprintf("%016x", job)) }
+
+// send sends a job to the coordinator.
+func (r *overlapRun) send(job int) {
+	r.request++
+	request, j, key := r.request, r.plan.jobs[job], jobKey(job)
+	r.jobs[request] = job
 	r.works[key] = j.work
 	step := filbertford.NewStep(j.tasks, filbertford.NewResources(1000, 1, 0), j.work)
-	job := filbertford.NewWorkload(key, "spec", step).WithBestEffort(true)
+	workload := filbertford.NewWorkload(key, "spec", step).WithBestEffort(true)
 	route := filbertford.NewRoute("host", "/jobs/", "ordering").WithPolicy(0, 3).WithObjective(1.6, 60*time.Millisecond, 0)
-	r.coordinator.Submit(r.now, request, route, job, j.timeout)
+	r.atCoordinator(func() {
+		r.tracef("coordinator: request %d of job %s", request, key)
+		r.coordinator.Submit(r.now, request, route, workload, j.timeout)
+	})
+}
+
+// retransmitDelay is the time after which a caller without a definite answer sends its job
+// again.
+const retransmitDelay = 1300 * time.Millisecond
+
+func (r *overlapRun) sendAgain(job int) {
+	if r.plan.scenario.resend && r.now < time.Minute+15*time.Second {
+		r.after(retransmitDelay, func() {
+			r.count("jobs that are sent again")
+			r.send(job)
+		})
+	}
+}
+
+// handleAnswer lets the caller of a job without a definite answer send it again.
+func (r *overlapRun) handleAnswer(request uint64, kind filbertford.AnswerKind) {
+	if kind == filbertford.AnswerUnknown {
+		r.sendAgain(r.jobs[request])
+	}
 }
 
 // The kinds of faults by what they concern.
@@ -633,20 +788,26 @@
 // TestRunsDoNotOverlapUnderFaults plays randomised runs. No task may have two runs at a time,
 // and no job whose task was started may be answered as not run.
 func TestRunsDoNotOverlapUnderFaults(t *testing.T) {
-	tests := map[string][]faultKind{
-		"owners":                    ownerFaults,
-		"owners and links":          slices.Concat(ownerFaults, linkFaults),
-		"coordinator":               slices.Concat(ownerFaults, coordinatorFaults),
-		"targets":                   slices.Concat(ownerFaults, targetFaults),
-		"targets start again":       slices.Concat(ownerFaults, bootFaults),
-		"targets start under an ID": {faultSameID},
-		"all but the same ID":       slices.Concat(ownerFaults, linkFaults, coordinatorFaults, targetFaults, bootFaults),
-	}
-	for name, kinds := range tests {
+	all := slices.Concat(ownerFaults, linkFaults, coordinatorFaults, targetFaults, bootFaults)
+	tests := map[string]scenario{
+		"owners":                       {kinds: ownerFaults},
+		"owners and links":             {kinds: slices.Concat(ownerFaults, linkFaults)},
+		"coordinator":                  {kinds: slices.Concat(ownerFaults, coordinatorFaults)},
+		"targets":                      {kinds: slices.Concat(ownerFaults, targetFaults)},
+		"other IDs":                    {kinds: slices.Concat(ownerFaults, bootFaults)},
+		"same ID":                      {kinds: []faultKind{faultSameID}},
+		"same ID and late calls":       {kinds: []faultKind{faultSameID}, keepLateCalls: true},
+		"all but the same ID":          {kinds: all},
+		"jobs sent again":              {kinds: all, resend: true},
+		"jobs sent again, two pools":   {kinds: all, resend: true, pools: 2},
+		"coordinators lost":            {kinds: append(all, faultCoordinatorLost), resend: true},
+		"coordinators lost, two pools": {kinds: append(all, faultCoordinatorLost), resend: true, pools: 2},
+	}
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			counts := make(map[string]int)
 			rapid.Check(t, func(rt *rapid.T) {
-				p := drawPlan(rt, kinds)
+				p := drawPlan(rt, tt)
 				if violations := p.run(counts, nil); len(violations) > 0 {
 					p.run(make(map[string]int), func(format string, args ...any) { rt.Logf(format, args...) })
 					rt.Fatal(violations)
@@ -655,9 +816,9 @@
 			for _, what := range slices.Sorted(maps.Keys(counts)) {
 				t.Logf("%8d %s", counts[what], what)
 			}
-			for _, kind := range kinds {
+			for _, kind := range tt.kinds {
 				if counts[string(kind)] == 0 && !t.Failed() {
-					t.Errorf("never drawn: %s", kind)
+					t.Errorf("never happened: %s", kind)
 				}
 			}
 		})
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -97,6 +97,7 @@
 	targets      map[filbertford.TargetID]*fakeTarget
 	owners       []*fakeOwner
 	coordinator  *Coordinator
+	node         filbertford.NodeID // of the coordinator
 	running      map[filbertford.TaskKey]int
 	done         map[filbertford.TaskKey]int
 	starts       int
@@ -109,6 +110,7 @@
 	delivery     func() delivery
 	// linkDown reports whether requests to, or replies from, the target at the address are lost.
 	linkDown func(o *fakeOwner, address string) (request, reply bool)
+	answered func(request uint64, kind filbertford.AnswerKind)
 	// streams counts the streams between the coordinator and the owners. Messages on an
 	// earlier stream are lost.
 	streams           int
@@ -133,6 +135,7 @@
 		now: time.Minute, taskDuration: 100 * time.Millisecond,
 		targets:     make(map[filbertford.TargetID]*fakeTarget),
 		coordinator: NewCoordinator(testPool),
+		node:        "c",
 		works:       make(map[filbertford.JobKey]time.Duration),
 		running:     make(map[filbertford.TaskKey]int),
 		jobStarted:  make(map[filbertford.JobKey]bool),
@@ -167,12 +170,12 @@
 
 // toCoordinator sends a message of an owner to the coordinator.
 func (sim *simulation) toCoordinator(o *fakeOwner, do func()) {
-	stream := sim.streams
+	stream, node := sim.streams, sim.node
 	if o.isolated || sim.streamDown {
 		return
 	}
 	sim.after(time.Millisecond, func() {
-		if stream == sim.streams {
+		if stream == sim.streams && node == sim.node {
 			sim.atCoordinator(do)
 		}
 	})
@@ -269,7 +272,7 @@
 		}
 		o.pool.Tick(sim.now, o.wallOffset)
 		capacities := o.pool.Capacities(sim.now)
-		sim.toCoordinator(o, func() { sim.coordinator.SetCapacities(testPool, o.pool.Fence(), capacities) })
+		sim.toCoordinator(o, func() { sim.coordinator.SetCapacities(o.pool.ID(), o.pool.Fence(), capacities) })
 	})
 }
 
@@ -354,22 +357,36 @@
 		sim.calls++
 		sim.poll(o, v)
 	case SendReport:
+		if v.To != sim.node {
+			return // that coordinator has stopped
+		}
 		sim.toCoordinator(o, func() {
 			sim.tracef("coordinator: report of %s: %s %s", o.node, v.Report.Task(), v.Report.Status())
 			sim.coordinator.HandleReport(sim.now, v.Report)
 		})
 	case SendBatch:
+		from := sim.node
 		sim.sendToOwner(v.To, func(o *fakeOwner) {
 			if o.pool.Fence() == v.Batch.Fence() {
-				o.pool.Offer(sim.now, "c", v.Batch)
+				if sim.trace != nil {
+					sim.tracef("%s: batch of %s, resume %v: %+v", o.node, v.Batch.Job(), v.Batch.Resume(), v.Batch.Items())
+				}
+				o.pool.Offer(sim.now, from, v.Batch)
 			}
 		})
 	case SendWithdrawal:
-		sim.sendToOwner(v.To, func(o *fakeOwner) { o.pool.Withdraw(sim.now, "c", v.Withdrawal.Job()) })
+		from := sim.node
+		sim.sendToOwner(v.To, func(o *fakeOwner) {
+			sim.tracef("%s: withdrawal of %s", o.node, v.Withdrawal.Job())
+			o.pool.Withdraw(sim.now, from, v.Withdrawal.Job())
+		})
 	case Answer:
 		sim.tracef("coordinator: answers request %d: %s", v.RequestID, v.Answer.Kind())
 		sim.answers[v.RequestID] = v.Answer.Kind()
 		sim.answeredAt[v.RequestID] = sim.now
+		if sim.answered != nil {
+			sim.answered(v.RequestID, v.Answer.Kind())
+		}
 	case PoolLost:
 		o.stopped = true
 	case Event:
