--- a/fbsched/faketarget_test.go
+++ b/fbsched/faketarget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -133,7 +134,10 @@
 		return t.reply(filbertford.CallStale)
 	}
 	if t.running() >= t.rec.Capacity().CPU()/1000 {
-		return t.reply(filbertford.CallFull)
+		if !t.sim.unguarded {
+			return t.reply(filbertford.CallFull)
+		}
+		t.sim.violations = append(t.sim.violations, fmt.Sprintf("%v: %v was started on %s beyond its capacity", t.sim.now, req.Task(), t.rec.Instance().ID()))
 	}
 	duration, outcome := time.Duration(float64(t.sim.durationOf(req.Task()))*t.speed), filbertford.RunDone
 	if t.failing {
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -39,6 +39,8 @@
 	faultFailing         faultKind = "runs fail"
 	faultBusy            faultKind = "target rejects starts"
 	faultDrain           faultKind = "target drains"
+	faultBroken          faultKind = "caller's channel breaks"
+	faultUnnoticed       faultKind = "caller's channel breaks and the coordinator doesn't notice"
 	faultGiveUp          faultKind = "caller gives up"
 )
 
@@ -94,6 +96,8 @@
 	// resend lets callers that got no definite answer send their jobs again.
 	resend bool
 	pools  int
+	// unguarded targets start runs beyond their capacity.
+	unguarded bool
 }
 
 // drawPlan draws a plan.
@@ -112,6 +116,7 @@
 		p.latePercent, p.slowPercent = 0, 0
 	}
 	p.targets = max(p.targets, p.pools)
+	crisis := between(random, 500, 5500) // when most faults begin
 	for range rapid.IntRange(1, 12).Draw(rt, "jobs") {
 		p.jobs = append(p.jobs, plannedJob{
 			at: between(random, 0, 6000), tasks: 1 + random.IntN(6), work: between(random, 20, int(p.maxWork.Milliseconds())), timeout: between(random, 500, 8000),
@@ -121,6 +126,9 @@
 		f := fault{kind: rapid.SampledFrom(s.kinds).Draw(rt, "kind"), seed: rapid.Uint64().Draw(rt, "fault seed")}
 		f.random = rand.New(rand.NewPCG(f.seed, 2))
 		f.at, f.duration = between(f.random, 0, 7000), between(f.random, 100, 3000)
+		if f.random.IntN(3) > 0 {
+			f.at = crisis + between(f.random, 0, 1500)
+		}
 		p.faults = append(p.faults, f)
 	}
 	return p
@@ -296,12 +304,19 @@
 		if p.owner != o && o != nil {
 			return
 		}
-		if o == nil {
-			r.coordinator.SetOwner(r.now, p.id, "", 0)
-		} else {
-			r.coordinator.SetOwner(r.now, p.id, o.node, o.pool.Fence())
-		}
+		r.setOwner(r.coordinator, p, o)
 	})
+	for _, node := range slices.Sorted(maps.Keys(r.others)) {
+		r.setOwner(r.others[node], p, o)
+	}
+}
+
+func (r *overlapRun) setOwner(c *Coordinator, p *overlapPool, o *fakeOwner) {
+	if o == nil {
+		c.SetOwner(r.now, p.id, "", 0)
+	} else {
+		c.SetOwner(r.now, p.id, o.node, o.pool.Fence())
+	}
 }
 
 // replace lets another daemon claim the pool of an owner.
@@ -356,6 +371,21 @@
 		r.pauseCoordinator(f)
 	case faultCoordinatorLost:
 		r.replaceCoordinator(f)
+	case faultUnnoticed:
+		if !r.coordinatorPaused {
+			r.others[r.node] = r.coordinator
+			r.nextCoordinator(f)
+		}
+	case faultBroken:
+		if f.random.IntN(4) == 0 {
+			r.breakStream(f.duration / 10)
+		}
+		request := 1 + r.random.Uint64N(r.request+1)
+		if job, ok := r.jobs[request]; ok && r.answers[request] == "" {
+			r.answers[request] = filbertford.AnswerUnknown
+			r.atCoordinator(func() { r.coordinator.CancelRequest(r.now, request) })
+			r.sendAgain(job)
+		}
 	case faultGiveUp:
 		request := uint64(1 + f.random.IntN(len(r.plan.jobs)))
 		r.atCoordinator(func() { r.coordinator.CancelRequest(r.now, request) })
@@ -392,6 +422,7 @@
 			r.random.Shuffle(len(o.waiting), func(i, j int) { o.waiting[i], o.waiting[j] = o.waiting[j], o.waiting[i] })
 		}
 		if f.random.IntN(2) == 0 && !o.stopped {
+			o.beforeTick()
 			o.pool.Tick(r.now, o.wallOffset)
 		}
 		r.resume(o)
@@ -529,6 +560,13 @@
 	old := r.node
 	r.coordinatorPaused, r.coordinatorWaits = false, nil
 	r.streams++
+	r.nextCoordinator(f)
+	r.after(between(f.random, 300, 1000), func() { r.dropCoordinator(old) })
+}
+
+// nextCoordinator lets another coordinator take the jobs, which the callers send again.
+func (r *overlapRun) nextCoordinator(f fault) {
+	old := r.node
 	r.coordinators++
 	r.node = filbertford.NodeID(fmt.Sprintf("c%d", r.coordinators))
 	r.coordinator = NewCoordinator(r.pools[f.random.IntN(len(r.pools))].id)
@@ -537,7 +575,6 @@
 		r.coordinator.AddPool(p.id)
 		r.announce(p, p.owner)
 	}
-	r.after(between(f.random, 300, 1000), func() { r.dropCoordinator(old) })
 	for _, request := range slices.Sorted(maps.Keys(r.jobs)) {
 		if _, ok := r.answers[request]; !ok {
 			r.answers[request] = filbertford.AnswerUnknown
@@ -572,7 +609,12 @@
 				r.writeRecord(between(f.random, 300, 4000), old, true)
 			}
 			t.restart(id, startedAt+away.Milliseconds())
-			r.writeRecord(between(f.random, 0, 3000), t.rec, false)
+			rec, boots := t.rec, t.boots
+			r.after(between(f.random, 0, 3000), func() {
+				if t.boots == boots {
+					r.writeRecord(0, rec, false)
+				}
+			})
 		})
 	case faultGone:
 		t.crash()
@@ -648,6 +690,7 @@
 		simulation: newSimulation(p.targets, p.slots), plan: p, random: rand.New(rand.NewPCG(p.seed, 1)), counts: counts,
 		links: make(map[linkKey]*linkState), jobs: make(map[uint64]int),
 	}
+	r.unguarded = p.scenario.unguarded
 	r.trace, r.keepLateCalls, r.answered = trace, p.scenario.keepLateCalls, r.handleAnswer
 	for i := range p.pools {
 		id := testPool
@@ -724,6 +767,16 @@
 		}
 	}
 	r.counts["starts"] += r.starts
+	for _, p := range r.pools {
+		if n := len(p.owner.pool.tasks) + len(p.owner.pool.activeRuns); n > 0 && !p.owner.stopped {
+			r.count("pools with tasks or runs at the end")
+		}
+		for _, t := range p.owner.pool.sortedTargets {
+			if t.used != (filbertford.Resources{}) && len(t.runs) == 0 {
+				r.count("targets with capacity in use by no run at the end")
+			}
+		}
+	}
 	for _, e := range r.poolEvents {
 		r.count("event " + string(e.Kind) + " " + eventReason(e))
 	}
@@ -780,7 +833,7 @@
 var (
 	ownerFaults       = []faultKind{faultKill, faultPause, faultTakeOver, faultPartition}
 	linkFaults        = []faultKind{faultCut, faultCutRequests, faultCutReplies}
-	coordinatorFaults = []faultKind{faultStream, faultCoordinator, faultGiveUp}
+	coordinatorFaults = []faultKind{faultStream, faultCoordinator, faultGiveUp, faultBroken}
 	targetFaults      = []faultKind{faultMute, faultStuck, faultSlow, faultFailing, faultBusy, faultDrain}
 	bootFaults        = []faultKind{faultOtherID, faultGone, faultRecord}
 )
@@ -800,8 +853,12 @@
 		"all but the same ID":          {kinds: all},
 		"jobs sent again":              {kinds: all, resend: true},
 		"jobs sent again, two pools":   {kinds: all, resend: true, pools: 2},
-		"coordinators lost":            {kinds: append(all, faultCoordinatorLost), resend: true},
-		"coordinators lost, two pools": {kinds: append(all, faultCoordinatorLost), resend: true, pools: 2},
+		"unguarded targets":            {kinds: slices.Concat(linkFaults, targetFaults), unguarded: true},
+		"unguarded, owners":            {kinds: all, unguarded: true},
+		"channels break unnoticed":     {kinds: []faultKind{faultUnnoticed}, resend: true},
+		"unnoticed, two pools":         {kinds: []faultKind{faultUnnoticed}, resend: true, pools: 2},
+		"coordinators lost":            {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true},
+		"coordinators lost, two pools": {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true, pools: 2},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -98,16 +98,18 @@
 	owners       []*fakeOwner
 	coordinator  *Coordinator
 	node         filbertford.NodeID // of the coordinator
-	running      map[filbertford.TaskKey]int
-	done         map[filbertford.TaskKey]int
-	starts       int
-	calls        int // starts, stops and polls that were sent
-	jobStarted   map[filbertford.JobKey]bool
-	answers      map[uint64]filbertford.AnswerKind
-	answeredAt   map[uint64]time.Duration
-	poolEvents   []Event
-	violations   []string
-	delivery     func() delivery
+	// others are coordinators whose callers have lost them. They go on.
+	others     map[filbertford.NodeID]*Coordinator
+	running    map[filbertford.TaskKey]int
+	done       map[filbertford.TaskKey]int
+	starts     int
+	calls      int // starts, stops and polls that were sent
+	jobStarted map[filbertford.JobKey]bool
+	answers    map[uint64]filbertford.AnswerKind
+	answeredAt map[uint64]time.Duration
+	poolEvents []Event
+	violations []string
+	delivery   func() delivery
 	// linkDown reports whether requests to, or replies from, the target at the address are lost.
 	linkDown func(o *fakeOwner, address string) (request, reply bool)
 	answered func(request uint64, kind filbertford.AnswerKind)
@@ -120,6 +122,8 @@
 	// keepLateCalls lets a late call reach another instance than it was sent to.
 	keepLateCalls bool
 	trace         func(format string, args ...any)
+	// unguarded lets targets start runs beyond their capacity, which is a violation.
+	unguarded bool
 	// rejectRestarts makes a start of a task that is done a violation.
 	rejectRestarts bool
 }
@@ -136,6 +140,7 @@
 		targets:     make(map[filbertford.TargetID]*fakeTarget),
 		coordinator: NewCoordinator(testPool),
 		node:        "c",
+		others:      make(map[filbertford.NodeID]*Coordinator),
 		works:       make(map[filbertford.JobKey]time.Duration),
 		running:     make(map[filbertford.TaskKey]int),
 		jobStarted:  make(map[filbertford.JobKey]bool),
@@ -155,6 +160,9 @@
 func (sim *simulation) scheduleCoordinatorTick() {
 	sim.after(20*time.Millisecond, func() {
 		sim.atCoordinator(func() { sim.coordinator.Tick(sim.now) })
+		for _, node := range slices.Sorted(maps.Keys(sim.others)) {
+			sim.others[node].Tick(sim.now)
+		}
 		sim.scheduleCoordinatorTick()
 	})
 }
@@ -326,7 +334,13 @@
 			}
 			for _, a := range o.pool.TakeActions(sim.now) {
 				progress = true
-				sim.act(o, a)
+				sim.act(o, "", a)
+			}
+		}
+		for _, node := range slices.Sorted(maps.Keys(sim.others)) {
+			for _, a := range sim.others[node].TakeActions() {
+				progress = true
+				sim.act(nil, node, a)
 			}
 		}
 		if sim.coordinatorPaused {
@@ -334,12 +348,13 @@
 		}
 		for _, a := range sim.coordinator.TakeActions() {
 			progress = true
-			sim.act(nil, a)
+			sim.act(nil, sim.node, a)
 		}
 	}
 }
 
-func (sim *simulation) act(o *fakeOwner, a Action) {
+// act carries out an action of an owner or of the coordinator from.
+func (sim *simulation) act(o *fakeOwner, from filbertford.NodeID, a Action) {
 	switch v := a.(type) {
 	case StartCall:
 		sim.calls++
@@ -357,6 +372,9 @@
 		sim.calls++
 		sim.poll(o, v)
 	case SendReport:
+		if other := sim.others[v.To]; other != nil && !o.isolated {
+			sim.after(time.Millisecond, func() { other.HandleReport(sim.now, v.Report) })
+		}
 		if v.To != sim.node {
 			return // that coordinator has stopped
 		}
@@ -365,7 +383,6 @@
 			sim.coordinator.HandleReport(sim.now, v.Report)
 		})
 	case SendBatch:
-		from := sim.node
 		sim.sendToOwner(v.To, func(o *fakeOwner) {
 			if o.pool.Fence() == v.Batch.Fence() {
 				if sim.trace != nil {
@@ -375,12 +392,14 @@
 			}
 		})
 	case SendWithdrawal:
-		from := sim.node
 		sim.sendToOwner(v.To, func(o *fakeOwner) {
 			sim.tracef("%s: withdrawal of %s", o.node, v.Withdrawal.Job())
 			o.pool.Withdraw(sim.now, from, v.Withdrawal.Job())
 		})
 	case Answer:
+		if from != sim.node {
+			return // its caller has left
+		}
 		sim.tracef("coordinator: answers request %d: %s", v.RequestID, v.Answer.Kind())
 		sim.answers[v.RequestID] = v.Answer.Kind()
 		sim.answeredAt[v.RequestID] = sim.now
