--- a/fbsched/faketarget_test.go
+++ b/fbsched/faketarget_test.go
@@ -76,6 +76,9 @@
 
 // runningTasks returns the keys of the running tasks, ordered as strings.
 func (t *fakeTarget) runningTasks() []filbertford.TaskKey {
+	if len(t.runs) == 0 {
+		return nil
+	}
 	return slices.SortedFunc(maps.Keys(t.runs), func(a, b filbertford.TaskKey) int { return cmp.Compare(a.String(), b.String()) })
 }
 
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -95,6 +95,7 @@
 	taskDuration time.Duration
 	works        map[filbertford.JobKey]time.Duration // duration of the tasks of some jobs
 	targets      map[filbertford.TargetID]*fakeTarget
+	busyTargets  []filbertford.TargetID // buffer of endDueRuns
 	owners       []*fakeOwner
 	coordinator  *Coordinator
 	node         filbertford.NodeID // of the coordinator
@@ -240,9 +241,17 @@
 }
 
 func (sim *simulation) endDueRuns() {
-	for _, id := range slices.Sorted(maps.Keys(sim.targets)) {
+	ids := sim.busyTargets[:0]
+	for id, t := range sim.targets {
+		if len(t.runs) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
 		sim.targets[id].endDueRuns()
 	}
+	sim.busyTargets = ids
 }
 
 // records returns the target records that the platform lists.
