A target with a found run of unknown demand gets no tasks

What callers saw: nothing yet; a target that doesn't guard its capacity could get more than it has after a takeover (LIMIT). The randomised test found it.

Cause: a run that a new owner finds has no demand until a coordinator offers its task, so that its target seemed to have room.

Change: such a target counts as full until the run is adopted or has ended.

Result: the test passes.

--- a/fbsched/capacity.go
+++ b/fbsched/capacity.go
@@ -38,7 +38,7 @@
 		factor := p.factorOf(t)
 		capacity.minFactor = min(capacity.minFactor, factor)
 		free := t.rec.Capacity().Sub(t.used)
-		if !t.health.accepts(now, len(t.runs)) {
+		if !t.health.accepts(now, len(t.runs)) || t.hasUnknownDemand() {
 			continue
 		}
 		capacity.maxFree = capacity.maxFree.Max(free)
@@ -47,6 +47,17 @@
 	return out
 }
 
+// hasUnknownDemand reports whether the target has a run of an earlier owner whose task nobody
+// has offered yet, so that its free capacity is unknown.
+func (t *target) hasUnknownDemand() bool {
+	for _, r := range t.runs {
+		if r.task == nil && r.demand == (filbertford.Resources{}) {
+			return true
+		}
+	}
+	return false
+}
+
 // reserve subtracts a task's demand from the free capacity of a target.
 func (c *serviceCapacity) reserve(t *targetCapacity, d filbertford.Resources) {
 	t.free = t.free.Sub(d)
