A suspended owner waits for news of a successor before it starts a task

What callers saw: nothing yet; the randomised test found it.

Cause: the survey after a suspension misses a successor that has reached only targets which the owner doesn't know: a target that has started again under another ID answers the old ID's calls with 421 before it looks at the token.

Change: no task starts for two heartbeat periods after a suspension, in which a peer's heartbeat or its report of the newer claim arrives. The simulations end pauses and open streams as the daemon does.

Result: the test passes.

--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -248,7 +248,7 @@
 	n.recorder.recordSuspension(gap)
 	n.fleet.HandleSuspension(now)
 	for _, p := range n.pools {
-		p.HandleSuspension(now)
+		p.HandleSuspension(now, 2*n.fleet.HeartbeatPeriod())
 	}
 	if gap <= abandonAfter {
 		return
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -14,7 +14,7 @@
 // dispatch starts queued tasks, most urgent first.
 func (p *Pool) dispatch(now time.Duration) {
 	p.dispatchDue = false
-	if p.queue.len() == 0 || !p.surveyed || now < p.startsHeldUntil {
+	if p.queue.len() == 0 || !p.surveyed || now < max(p.startsHeldUntil, p.suspendedUntil) {
 		return
 	}
 	capacities := p.capacityByService(now)
--- a/fbsched/lost_withdrawal_test.go
+++ b/fbsched/lost_withdrawal_test.go
@@ -21,6 +21,7 @@
 	sim.advance(100 * time.Millisecond)
 	sim.streamDown = false
 	sim.streams++
+	sim.reconnect("c")
 	sim.coordinator.Resume(sim.now, testPool)
 	sim.advance(1200 * time.Millisecond)
 	if n := len(sim.targets["t00"].runs); n != 0 {
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -417,7 +417,7 @@
 	})
 	r.after(f.duration, func() {
 		r.tracef("%s: resumes", o.node)
-		o.paused = false
+		r.wake(o)
 		if f.random.IntN(2) == 0 {
 			r.random.Shuffle(len(o.waiting), func(i, j int) { o.waiting[i], o.waiting[j] = o.waiting[j], o.waiting[i] })
 		}
@@ -468,7 +468,7 @@
 			return
 		}
 		r.announce(p, o)
-		r.atCoordinator(func() { r.coordinator.Resume(r.now, p.id) })
+		r.atCoordinator(r.resumeTasks)
 	})
 }
 
@@ -508,6 +508,7 @@
 // resumeTasks offers the coordinator's tasks again on new streams.
 func (r *overlapRun) resumeTasks() {
 	r.tracef("coordinator: offers its tasks again")
+	r.reconnect(r.node)
 	for _, p := range r.pools {
 		r.coordinator.Resume(r.now, p.id)
 	}
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -97,6 +97,7 @@
 	surveyFrom        time.Duration // calls that were sent before don't count for the survey
 	dispatchDue       bool          // a queued task may be able to start
 	startsHeldUntil   time.Duration
+	suspendedUntil    time.Duration // see HandleSuspension
 	capacityChanged   bool
 	actions           []Action
 }
@@ -338,9 +339,10 @@
 
 // HandleSuspension handles that the owner was suspended until now. Another daemon may own the
 // pool by now and may have started its tasks. A target rejects this owner's token only if the
-// other one has reached it, so that all targets are asked before any task starts.
-func (p *Pool) HandleSuspension(now time.Duration) {
-	p.surveyed, p.surveyFrom = false, now
+// other one has reached it, so that all targets are asked before any task starts, and none
+// starts for the given time, in which other daemons report a newer owner.
+func (p *Pool) HandleSuspension(now, wait time.Duration) {
+	p.surveyed, p.surveyFrom, p.suspendedUntil = false, now, now+wait
 	for _, t := range p.sortedTargets {
 		t.polling = false // a reply to the last poll may be older than the suspension
 		p.poll(now, t)
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -85,6 +85,7 @@
 	// wallOffset is the owner's time of day less the simulation's time.
 	wallOffset int64
 	beforeTick func()
+	lastTick   time.Duration
 }
 
 // simulation runs owners, a coordinator and targets in virtual time.
@@ -287,6 +288,7 @@
 		if o.beforeTick != nil {
 			o.beforeTick()
 		}
+		o.lastTick = sim.now
 		o.pool.Tick(sim.now, o.wallOffset)
 		capacities := o.pool.Capacities(sim.now)
 		sim.toCoordinator(o, func() { sim.coordinator.SetCapacities(o.pool.ID(), o.pool.Fence(), capacities) })
@@ -304,8 +306,23 @@
 	}
 }
 
-func (sim *simulation) resume(o *fakeOwner) {
+// suspensionThreshold is the time between two ticks above which a daemon notices that it was
+// suspended.
+const suspensionThreshold = 300 * time.Millisecond
+
+// wake ends a pause. A daemon checks for a suspension before it handles anything else.
+func (sim *simulation) wake(o *fakeOwner) {
 	o.paused = false
+	if !o.stopped && sim.now-o.lastTick > suspensionThreshold {
+		o.pool.HandleSuspension(sim.now, 200*time.Millisecond)
+	}
+	o.lastTick = sim.now
+}
+
+func (sim *simulation) resume(o *fakeOwner) {
+	if o.paused {
+		sim.wake(o)
+	}
 	for _, do := range o.waiting {
 		do()
 	}
@@ -313,6 +330,15 @@
 	sim.flush()
 }
 
+// reconnect opens a new stream from the coordinator's daemon to each owner.
+func (sim *simulation) reconnect(node filbertford.NodeID) {
+	for _, o := range sim.owners {
+		if !o.stopped && !o.isolated {
+			sim.after(time.Millisecond, func() { sim.handle(o, func() { o.pool.CoordinatorConnected(sim.now, node) }) })
+		}
+	}
+}
+
 // announceOwner sets the owner of the pool at the coordinator; nil means none.
 func (sim *simulation) announceOwner(o *fakeOwner) {
 	if o == nil {
--- a/fbsched/suspend_test.go
+++ b/fbsched/suspend_test.go
@@ -18,7 +18,7 @@
 	answerLists(p, now, "t00", 1, 1000)
 	answerLists(p, now, "t01", 1, 1000)
 	now += 500 * time.Millisecond
-	p.HandleSuspension(now)
+	p.HandleSuspension(now, 0)
 	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), time.Second)
 	p.Offer(now, "c", NewBatch(testPool, "00000000000000aa", 0, 0, step, []Item{NewItem(0, 0)}).
 		WithWork("", "ordering", 3).WithTimes(time.Minute, time.Minute).WithFence(1))
