fbstandin: workers crash and start again, under their ID or another, and slow down

Seen: the soak couldn't cause a target's restart: the stand-in's records had a constant start time, and its lists of runs had none, while the platform's page says that both have it (born). Change: Worker.Crash and Restart; Register writes the record of the worker's current life, and the one of a silent or earlier ID expires after three heartbeats. Calls that are handled late are handled in the life that the worker then has, as calls that the network delays are; those to another ID get 421 then. An acknowledgement that was sent to an earlier life acknowledges nothing. WorkerFaults.SlowFactor.

--- a/cmd/fbstandfleet/main.go
+++ b/cmd/fbstandfleet/main.go
@@ -94,13 +94,13 @@
 	for i := range o.workers {
 		id := fmt.Sprintf("w%d", i)
 		address := net.JoinHostPort(o.host, fmt.Sprint(o.port+i))
-		if err := addServer(&g, logger, id, address, fbstandin.NewWorker(id, o.cpu, recorder).Handler()); err != nil {
+		w := fbstandin.NewWorker(id, o.cpu, recorder)
+		if err := addServer(&g, logger, id, address, w.Handler()); err != nil {
 			return err
 		}
-		registerWorker(&g, store, id, fbstandin.WorkerRecord{
+		registerWorker(&g, store, w, fbstandin.WorkerRecord{
 			Service: "ordering", Address: address, Zone: dataCentres[i%len(dataCentres)], Version: "v1", Slots: 8, State: "ready",
 			Capacity: fbstandin.WorkerCapacity{CPU: o.cpu, Memory: 8192}, Labels: []string{"a", fmt.Sprintf("r%d", i/o.rack)},
-			StartedAtMS: time.Now().UnixMilli(),
 		})
 	}
 	err = g.Run()
@@ -131,7 +131,7 @@
 	return nil
 }
 
-func registerWorker(g *run.Group, store *fbstandin.RowStore, id string, r fbstandin.WorkerRecord) {
+func registerWorker(g *run.Group, store *fbstandin.RowStore, w *fbstandin.Worker, r fbstandin.WorkerRecord) {
 	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return store.Register(ctx, id, r) }, func(error) { cancel() })
+	g.Add(func() error { return store.Register(ctx, w, r) }, func(error) { cancel() })
 }
--- a/cmd/filbertfordnode/harness_test.go
+++ b/cmd/filbertfordnode/harness_test.go
@@ -140,9 +140,9 @@
 	f.workers = append(f.workers, w)
 	record := fbstandin.WorkerRecord{
 		Service: "ordering", Address: server.Listener.Addr().String(), Zone: dataCentre, State: "ready", Slots: 8,
-		Capacity: fbstandin.WorkerCapacity{CPU: 4000, Memory: 8192}, Labels: []string{"a", "r1"}, StartedAtMS: 1,
+		Capacity: fbstandin.WorkerCapacity{CPU: 4000, Memory: 8192}, Labels: []string{"a", "r1"},
 	}
-	f.group.Go(func() error { return f.store.Register(ctx, id, record) })
+	f.group.Go(func() error { return f.store.Register(ctx, w, record) })
 }
 
 func freePorts(t testing.TB) map[string]string {
--- a/fbsoak/soak.go
+++ b/fbsoak/soak.go
@@ -71,6 +71,7 @@
 	name      string
 	addresses map[string]string
 	process   *Process
+	callers   *Proxy
 	peers     *Proxy
 	store     *Proxy
 }
@@ -196,8 +197,7 @@
 }
 
 func (s *Soak) addWorker(ctx context.Context, i int) error {
-	id := fmt.Sprintf("w%d", i)
-	w := fbstandin.NewWorker(id, workerCPU, s.recorder)
+	w := fbstandin.NewWorker(fmt.Sprintf("w%d", i), workerCPU, s.recorder)
 	address, err := s.serve(ctx, w.Handler())
 	if err != nil {
 		return err
@@ -209,9 +209,9 @@
 	s.workers, s.links = append(s.workers, w), append(s.links, link)
 	record := fbstandin.WorkerRecord{
 		Service: "ordering", Address: link.Address(), Zone: s.opts.DataCentres[i%len(s.opts.DataCentres)], State: "ready", Slots: 8,
-		Capacity: fbstandin.WorkerCapacity{CPU: workerCPU, Memory: 8192}, Labels: []string{"a", "r1"}, StartedAtMS: 1,
+		Capacity: fbstandin.WorkerCapacity{CPU: workerCPU, Memory: 8192}, Labels: []string{"a", "r1"},
 	}
-	s.group.Go(func() error { return s.store.Register(ctx, id, record) })
+	s.group.Go(func() error { return s.store.Register(ctx, w, record) })
 	s.group.Go(func() error { return updateRuns(ctx, w) })
 	return nil
 }
@@ -243,6 +243,9 @@
 		n.addresses[key] = address
 	}
 	var err error
+	if n.callers, err = NewProxy(ctx, s.group, n.addresses["callers"]); err != nil {
+		return err
+	}
 	if n.peers, err = NewProxy(ctx, s.group, n.addresses["peers"]); err != nil {
 		return err
 	}
@@ -399,6 +402,9 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	to := now.Add(f.Duration + impactMargin)
+	if f.Kind == FaultTargetsLate {
+		to = to.Add(f.Delay)
+	}
 	if f.Kind == FaultStop {
 		to = to.Add(stopTimeout)
 	}
--- a/fbstandin/records.go
+++ b/fbstandin/records.go
@@ -9,6 +9,10 @@
 // heartbeatInterval is the interval between two heartbeats of a worker.
 const heartbeatInterval = 500 * time.Millisecond
 
+// expiryHeartbeats is the number of heartbeats after which the record of a silent worker
+// expires.
+const expiryHeartbeats = 3
+
 // WorkerRecord is a worker's row in the metadata store.
 type WorkerRecord struct {
 	Service     string         `json:"service"`
@@ -71,24 +75,48 @@
 	return nil
 }
 
-// Register writes a worker's record at every heartbeat until the context ends,
-// then removes it and returns the context's error. It skips heartbeats while the
-// store simulates an outage.
-func (s *RowStore) Register(ctx context.Context, id string, r WorkerRecord) error {
+// Register writes the record of a worker at every heartbeat until the context ends,
+// then removes it and returns the context's error. The ID and the time of the start are
+// those of the worker's current life. It skips heartbeats while the store simulates an
+// outage. The record of a worker that is down or has another ID expires.
+func (s *RowStore) Register(ctx context.Context, w *Worker, r WorkerRecord) error {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	silent := make(map[string]int) // heartbeats since the last one under each ID
 	for {
+		id, startedAtMS, down := w.identity()
+		if r.StartedAtMS != startedAtMS {
+			r.StartedAtMS, r.Seq = startedAtMS, 0
+		}
 		r.Seq++
-		if s.currentFaults().Outage == "" {
+		if s.currentFaults().Outage == "" && !down {
+			silent[id] = 0
 			if err := s.PutWorker(id, r); err != nil {
 				return err
 			}
 		}
+		s.expire(silent)
 		select {
 		case <-ctx.Done():
-			s.Remove("servers", "", id)
+			for id := range silent {
+				s.Remove("servers", "", id)
+			}
 			return ctx.Err()
 		case <-ticker.C:
 		}
 	}
 }
+
+// expire counts a heartbeat interval for each ID, and removes the records that have expired
+// unless the store simulates an outage.
+func (s *RowStore) expire(silent map[string]int) {
+	if s.currentFaults().Outage != "" {
+		return
+	}
+	for id := range silent {
+		if silent[id]++; silent[id] > expiryHeartbeats {
+			s.Remove("servers", "", id)
+			delete(silent, id)
+		}
+	}
+}
--- a/fbstandin/worker.go
+++ b/fbstandin/worker.go
@@ -1,6 +1,7 @@
 package fbstandin
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -19,6 +20,8 @@
 	// DelayMS delays the calls without a reply by this time, in milliseconds,
 	// before they are handled.
 	DelayMS int `json:"late_ms"`
+	// SlowFactor multiplies the duration of new runs; 0 leaves it as it is.
+	SlowFactor int `json:"slow"`
 }
 
 // Limits of workers, the same as the platform's, and times of the stand-in.
@@ -33,20 +36,31 @@
 // rejects calls with a fencing token below the highest that it has received, and
 // lists the runs that are in progress and those that have ended.
 type Worker struct {
-	id        string
-	cpu       int
-	startedAt time.Time
+	cpu      int
+	recorder *RunRecorder
 
-	mu           sync.Mutex
-	faults       WorkerFaults
-	calls        int
+	mu     sync.Mutex
+	faults WorkerFaults
+	calls  int
+	workerLife
+}
+
+// workerLife is a worker's state from a start of its process to the next.
+type workerLife struct {
+	id           string
+	number       int // of the life, from 0
+	down         bool
+	startedAt    time.Time
 	fence        uint64
 	leaseExpiry  time.Duration // by the worker's clock
 	runs         map[string]*workerRun
 	highestRuns  map[string]uint64
 	endedRuns    []endedRun
 	lastSequence uint64
-	recorder     *RunRecorder
+}
+
+func newWorkerLife(id string, number int) workerLife {
+	return workerLife{id: id, number: number, startedAt: time.Now(), runs: make(map[string]*workerRun), highestRuns: make(map[string]uint64)}
 }
 
 // RunRecorder records the starts and ends of runs at all workers that share it.
@@ -181,7 +195,36 @@
 // NewWorker returns a worker with the ID and a capacity of cpu thousandths of a
 // core. It records its runs in the recorder.
 func NewWorker(id string, cpu int, recorder *RunRecorder) *Worker {
-	return &Worker{id: id, cpu: cpu, startedAt: time.Now(), recorder: recorder, runs: make(map[string]*workerRun), highestRuns: make(map[string]uint64)}
+	return &Worker{cpu: cpu, recorder: recorder, workerLife: newWorkerLife(id, 0)}
+}
+
+// Crash ends all runs. The worker answers no call until Restart is called.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endDueRuns()
+	for task := range w.runs {
+		w.endRun(task, "lapsed", w.clock())
+	}
+	w.down = true
+}
+
+// Restart starts a worker that has crashed under the ID, or under the one that it had if id
+// is empty. It knows nothing of its earlier lives.
+func (w *Worker) Restart(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down {
+		w.workerLife = newWorkerLife(cmp.Or(id, w.id), w.number+1)
+	}
+}
+
+// identity returns the ID of the worker's current life, its start in Unix milliseconds and
+// whether it has crashed.
+func (w *Worker) identity() (id string, startedAtMS int64, down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id, w.startedAt.UnixMilli(), w.down
 }
 
 // SetFaults replaces the faults that the worker simulates.
@@ -271,6 +314,7 @@
 	}
 	w.extendLease(leaseExpiry)
 	w.highestRuns[task] = run
+	duration *= time.Duration(max(w.faults.SlowFactor, 1))
 	w.runs[task] = &workerRun{number: run, record: w.recorder.recordStart(task), cpu: cpu, startedAt: w.clock(), duration: duration, fails: w.faults.Fail, hangs: w.faults.Hang}
 	return ""
 }
@@ -291,14 +335,16 @@
 }
 
 // acknowledge removes the ended runs up to a sequence number from the list, and
-// records the done ones among them whose lease has not expired since.
-func (w *Worker) acknowledge(acked uint64) {
+// records the done ones among them whose lease has not expired since. An
+// acknowledgement that was sent in an earlier life of the worker and comes late is of
+// other runs, and removes these without a record.
+func (w *Worker) acknowledge(acked uint64, life int) {
 	var remaining []endedRun
 	for _, e := range w.endedRuns {
 		switch {
 		case e.sequence > acked:
 			remaining = append(remaining, e)
-		case e.outcome == "done" && !e.leaseExpired:
+		case e.outcome == "done" && !e.leaseExpired && life == w.number:
 			w.recorder.recordAcknowledged(e.task, e.endedAt)
 		}
 	}
--- a/fbstandin/worker_http.go
+++ b/fbstandin/worker_http.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
 )
 
 type runRequest struct {
@@ -24,10 +26,11 @@
 }
 
 type workerReply struct {
-	ClockMS int64    `json:"clockMs"`
-	Reason  string   `json:"reason,omitempty"`
-	Running [][4]any `json:"running,omitempty"`
-	Ended   [][5]any `json:"ended,omitempty"`
+	ClockMS     int64    `json:"clockMs"`
+	StartedAtMS int64    `json:"born,omitempty"` // in lists of runs
+	Reason      string   `json:"reason,omitempty"`
+	Running     [][4]any `json:"running,omitempty"`
+	Ended       [][5]any `json:"ended,omitempty"`
 }
 
 // taskSpec is the part of a task's spec that the stand-in reads, if the spec is
@@ -58,30 +61,54 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
-// injectFaults rejects calls that expect another instance, and handles every n-th
-// call without sending its reply, as set by LoseReplyEvery.
+// injectFaults handles every n-th call late and without sending its reply, as set by
+// LoseReplyEvery.
 func (w *Worker) injectFaults(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if id := c.Request().Header.Get("Expect-Instance"); id != "" && id != w.id {
-			return c.NoContent(http.StatusMisdirectedRequest)
-		}
 		w.mu.Lock()
 		w.calls++
-		f := w.faults
+		f, life := w.faults, w.number
 		lose := f.LoseReplyEvery > 0 && w.calls%f.LoseReplyEvery == 0
 		w.mu.Unlock()
-		if !lose {
-			return next(c)
+		handled := c
+		if lose {
+			time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+			handled = echo.New().NewContext(c.Request(), echo.NewResponse(discardWriter{http.Header{}}, c.Echo()))
 		}
-		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
-		discardCtx := echo.New().NewContext(c.Request(), echo.NewResponse(discardWriter{http.Header{}}, c.Echo()))
-		if err := next(discardCtx); err != nil {
+		handled.Set(lifeReceived, life)
+		if err := next(handled); err != nil && !lose && !errors.Is(err, errDown) {
 			return err
 		}
-		return writeAndClose(c, nil)
+		if lose || !c.Response().Committed {
+			return writeAndClose(c, nil)
+		}
+		return nil
 	}
 }
 
+// Keys of a request's context.
+const (
+	lifeReceived = "received" // the worker's life in which it received the call
+	lifeHandled  = "handled"  // the life in which it began to handle the call
+)
+
+// errDown is the error of a call that a worker doesn't answer, since it is down or has
+// restarted while it handled the call.
+var errDown = eris.New("the worker is down")
+
+// accept reports whether to handle a call with the fencing token. It returns an error if
+// the worker is down or the call expects another ID. The caller holds the lock.
+func (w *Worker) accept(c echo.Context, fence uint64) (bool, error) {
+	if handled, ok := c.Get(lifeHandled).(int); w.down || ok && handled != w.number {
+		return false, errDown
+	}
+	c.Set(lifeHandled, w.number)
+	if id := c.Request().Header.Get("Expect-Instance"); id != "" && id != w.id {
+		return false, echo.NewHTTPError(http.StatusMisdirectedRequest)
+	}
+	return w.acceptFence(fence), nil
+}
+
 // discardWriter is a ResponseWriter that discards the reply.
 type discardWriter struct{ header http.Header }
 
@@ -108,7 +135,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.acceptFence(r.Fence) {
+	if ok, err := w.accept(c, r.Fence); err != nil {
+		return err
+	} else if !ok {
 		return w.reply(c, "fence")
 	}
 	leaseExpiry := time.Duration(r.DeadlineMS) * time.Millisecond
@@ -122,7 +151,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.acceptFence(r.Fence) {
+	if ok, err := w.accept(c, r.Fence); err != nil {
+		return err
+	} else if !ok {
 		return w.reply(c, "fence")
 	}
 	w.stopRun(r.Task, r.Run)
@@ -136,7 +167,10 @@
 	}
 	deadline := time.Now().Add(min(time.Duration(r.WaitMS)*time.Millisecond, maxPollWait))
 	for {
-		reply, hasEnds := w.poll(r)
+		reply, hasEnds, err := w.poll(c, r)
+		if err != nil {
+			return err
+		}
 		if reply.Reason != "" {
 			return c.JSON(http.StatusConflict, reply)
 		}
@@ -153,23 +187,24 @@
 
 // poll acknowledges ended runs and extends the lease, and returns the lists of
 // runs and whether to reply now: a run has ended, or the fencing token is too low.
-func (w *Worker) poll(r pollRequest) (workerReply, bool) {
+func (w *Worker) poll(c echo.Context, r pollRequest) (workerReply, bool, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	reply := workerReply{ClockMS: w.clock().Milliseconds()}
-	if !w.acceptFence(r.Fence) {
+	reply := workerReply{ClockMS: w.clock().Milliseconds(), StartedAtMS: w.startedAt.UnixMilli()}
+	if ok, err := w.accept(c, r.Fence); err != nil || !ok {
 		reply.Reason = "fence"
-		return reply, true
+		return reply, true, err
 	}
 	if r.DeadlineMS > 0 {
 		w.extendLease(time.Duration(r.DeadlineMS) * time.Millisecond)
 	}
-	w.acknowledge(r.Acked)
+	life, _ := c.Get(lifeReceived).(int)
+	w.acknowledge(r.Acked, life)
 	for task, run := range w.runs {
 		reply.Running = append(reply.Running, [4]any{task, run.number, "", w.progressPercent(run)})
 	}
 	for _, e := range w.endedRuns {
 		reply.Ended = append(reply.Ended, [5]any{e.sequence, e.task, e.run, e.outcome, ""})
 	}
-	return reply, len(w.endedRuns) > 0
+	return reply, len(w.endedRuns) > 0, nil
 }
