fbsoak: restarted, replaced, slow and late targets, and reset connections of callers

Seen: the soak never injected what the newer disruptions have. Change: five kinds of faults. Plans of seeds from 10,000 on have them; those of lower seeds stay as they were. Callers already send a job again 1.3 s after a broken connection or a 504, to another daemon: FaultCallers resets connections while the daemon runs. Result: TestPlansOfEarlierSeedsStay; its digests are from the code before this change.

--- a/fbsoak/clients.go
+++ b/fbsoak/clients.go
@@ -147,7 +147,7 @@
 // call sends a request about a job to a daemon. It returns the answer's status, or
 // 0 if there is no answer, and the job's state in the answer.
 func (c *clients) call(ctx context.Context, node int, method, key, body string) (status int, state string) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.soak.nodes[node].addresses["callers"]+"/jobs/"+key, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.soak.nodes[node].callers.Address()+"/jobs/"+key, strings.NewReader(body))
 	if err != nil {
 		c.soak.violationf("request for %s: %v", key, err)
 		return 0, ""
--- a/fbsoak/inject.go
+++ b/fbsoak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -37,9 +38,23 @@
 		}
 	case FaultCompact:
 		s.store.Compact()
-	case FaultTargetFails, FaultTargetHangs, FaultTargetLoses, FaultTargetLate:
+	case FaultTargetFails, FaultTargetHangs, FaultTargetLoses, FaultTargetLate, FaultTargetSlow:
 		s.recordImpact(-1, f)
-		s.injectTargetFault(ctx, f)
+		s.injectTargetFault(ctx, f, f.Index)
+	case FaultTargetsLate:
+		s.recordImpact(-1, f)
+		var all []int
+		for i := range s.workers {
+			all = append(all, i)
+		}
+		s.injectTargetFault(ctx, f, all...)
+	case FaultTargetRestarts, FaultTargetReplaced:
+		s.recordImpact(-1, f)
+		s.restartTarget(ctx, f)
+	case FaultCallers:
+		s.recordImpact(f.Index, f)
+		f.Link = LinkReset
+		s.injectLinkFault(ctx, f, s.nodes[f.Index].callers, "callers", f.Index)
 	default:
 		s.recordImpact(-1, f)
 		s.injectStoreFault(ctx, f)
@@ -98,19 +113,37 @@
 	return s.activeFaults[key]
 }
 
-// injectTargetFault sets a fault of a target's stand-in.
-func (s *Soak) injectTargetFault(ctx context.Context, f Fault) {
+// injectTargetFault sets a fault of the stand-ins of targets.
+func (s *Soak) injectTargetFault(ctx context.Context, f Fault, targets ...int) {
 	faults := map[FaultKind]fbstandin.WorkerFaults{
 		FaultTargetFails: {Fail: true}, FaultTargetHangs: {Hang: true}, FaultTargetLoses: {LoseReplyEvery: 3},
-		FaultTargetLate: {DelayMS: 1500, LoseReplyEvery: 4},
+		FaultTargetLate: {DelayMS: 1500, LoseReplyEvery: 4}, FaultTargetSlow: {SlowFactor: 5},
+		FaultTargetsLate: {DelayMS: int(f.Delay.Milliseconds()), LoseReplyEvery: 3},
+	}
+	for _, i := range targets {
+		s.addActiveFaults(workerKey(i), 1)
+		s.workers[i].SetFaults(faults[f.Kind])
 	}
-	key := "worker" + string(rune('0'+f.Index))
-	s.addActiveFaults(key, 1)
-	s.workers[f.Index].SetFaults(faults[f.Kind])
 	s.sleep(ctx, f.Duration)
-	if s.addActiveFaults(key, -1) == 0 {
-		s.workers[f.Index].SetFaults(fbstandin.WorkerFaults{})
+	for _, i := range targets {
+		if s.addActiveFaults(workerKey(i), -1) == 0 {
+			s.workers[i].SetFaults(fbstandin.WorkerFaults{})
+		}
+	}
+}
+
+func workerKey(i int) string { return "worker" + string(rune('0'+i)) }
+
+// restartTarget makes a target's stand-in crash, and starts it again after the fault's
+// duration.
+func (s *Soak) restartTarget(ctx context.Context, f Fault) {
+	id := "" // the one that it had
+	if f.Kind == FaultTargetReplaced {
+		id = fmt.Sprintf("w%d-%d", f.Index, f.At.Milliseconds())
 	}
+	s.workers[f.Index].Crash()
+	s.sleep(ctx, f.Duration)
+	s.workers[f.Index].Restart(id)
 }
 
 // injectStoreFault sets a fault of the store's stand-in, which affects all daemons.
--- a/fbsoak/plan.go
+++ b/fbsoak/plan.go
@@ -31,14 +31,33 @@
 	FaultTargetLoses FaultKind = "target-loses"
 	FaultTargetLate  FaultKind = "target-late"
 	FaultRoutes      FaultKind = "routes" // a new version of the routes
+
+	FaultTargetRestarts FaultKind = "target-restarts" // a target crashes and starts again under its ID
+	FaultTargetReplaced FaultKind = "target-replaced" // it starts under another ID at its address
+	FaultTargetSlow     FaultKind = "target-slow"
+	FaultTargetsLate    FaultKind = "targets-late" // many calls to all targets are carried out late
+	FaultCallers        FaultKind = "callers"      // the connections of callers to a daemon are reset
 )
 
+// firstSeedOfLaterKinds is the first seed whose plans have laterKinds too. Those of lower
+// seeds stay as they were.
+const firstSeedOfLaterKinds = 10_000
+
+// laterKinds are the kinds of faults that were added last.
+var laterKinds = []FaultKind{
+	FaultTargetRestarts, FaultTargetRestarts, FaultTargetReplaced, FaultTargetReplaced, FaultTargetSlow,
+	FaultTargetsLate, FaultTargetsLate, FaultTargetsLate, FaultCallers, FaultCallers,
+}
+
 // Limits of drawn faults.
 const (
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
 	// maxLinkDelay is the maximum delay of a slow link.
 	maxLinkDelay = 120 * time.Millisecond
+	// minLateness and maxLateness limit how late FaultTargetsLate makes calls.
+	minLateness = 500 * time.Millisecond
+	maxLateness = 3 * time.Second
 	// rollingInterval is the time between two planned restarts: a daemon stops within
 	// a few seconds, so that the next one begins to stop soon after.
 	rollingInterval = 3 * time.Second
@@ -54,8 +73,8 @@
 	Kind     FaultKind
 	Index    int // of the daemon or target
 	Duration time.Duration
-	Link     LinkState // set for faults of links
-	Delay    time.Duration
+	Link     LinkState     // set for faults of links
+	Delay    time.Duration // of a slow link's bytes, or of late calls
 }
 
 // String returns the fault's time, kind, index, duration and link state.
@@ -84,6 +103,9 @@
 		FaultStoreLink, FaultStoreLink, FaultTargetLink, FaultTargetLink, FaultStoreBusy, FaultStoreSilent, FaultStoreSlow,
 		FaultStoreLoses, FaultCompact, FaultTargetFails, FaultTargetHangs, FaultTargetLoses, FaultTargetLate, FaultRoutes, FaultRoutes,
 	}
+	if seed >= firstSeedOfLaterKinds {
+		kinds = append(kinds, laterKinds...)
+	}
 	links := []LinkState{LinkSlow, LinkBlocked, LinkBlockedToTarget, LinkBlockedFromTarget, LinkReset}
 	meanInterval := meanIntervals[r.IntN(len(meanIntervals))]
 	var faults []Fault
@@ -93,7 +115,7 @@
 			Duration: minFaultDuration + randomDuration(r, maxFaultDuration-minFaultDuration),
 		}
 		switch f.Kind {
-		case FaultTargetLink, FaultTargetFails, FaultTargetHangs, FaultTargetLoses, FaultTargetLate:
+		case FaultTargetLink, FaultTargetFails, FaultTargetHangs, FaultTargetLoses, FaultTargetLate, FaultTargetRestarts, FaultTargetReplaced, FaultTargetSlow:
 			f.Index = r.IntN(targets)
 		default:
 			f.Index = r.IntN(nodes)
@@ -101,6 +123,9 @@
 		if slices.Contains([]FaultKind{FaultPeers, FaultStoreLink, FaultTargetLink}, f.Kind) {
 			f.Link, f.Delay = links[r.IntN(len(links))], randomDuration(r, maxLinkDelay)
 		}
+		if f.Kind == FaultTargetsLate {
+			f.Delay = minLateness + randomDuration(r, maxLateness-minLateness)
+		}
 		faults = append(faults, f)
 		if r.IntN(6) == 0 && f.Kind != FaultKillAll { // repeat the fault while it is active
 			f.At += randomDuration(r, f.Duration)
--- a/fbsoak/soak_test.go
+++ b/fbsoak/soak_test.go
@@ -1,6 +1,8 @@
 package fbsoak
 
 import (
+	"crypto/sha256"
+	"fmt"
 	"testing"
 	"time"
 
@@ -42,3 +44,16 @@
 		t.Errorf("restarts by daemon (-want +got):\n%s", diff)
 	}
 }
+
+// TestPlansOfEarlierSeedsStay checks that the plans of the seeds that have failed, and of the
+// last seed without laterKinds, stay as they were when laterKinds were added.
+func TestPlansOfEarlierSeedsStay(t *testing.T) {
+	for seed, want := range map[uint64]string{1: "335abe2102fd8db1", 7: "dc6714bc7f4fd033", 20: "e361b867b9c92743", 302: "9a45ba5d98e055bd", 403: "3f7bbf4add141930", 605: "3da6c3127d8c8abe", firstSeedOfLaterKinds - 1: "5fe5b95d7f932946"} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			plan := fmt.Sprintf("%+v", Plan(seed, 15*time.Second, 6, 9))
+			if got := fmt.Sprintf("%x", sha256.Sum256([]byte(plan)))[:16]; got != want {
+				t.Errorf("digest of the plan: got %s, want %s", got, want)
+			}
+		})
+	}
+}
