--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -85,7 +85,10 @@
 	if t.coordinator != from && t.coordinatorUnreachableAt == 0 {
 		p.report(t.coordinator, t.key, StatusReassigned, t.failures)
 	}
-	t.coordinator, t.batch, t.coordinatorUnreachableAt = from, b, 0
+	t.coordinator, t.batch, t.coordinatorUnreachableAt, t.reofferBy = from, b, 0, 0
+	if t.run != nil && !t.run.stopWanted {
+		t.run.leaseLimit = 0
+	}
 	t.setDue(now + b.due)
 	t.deadline = now + b.timeout
 	p.queue.sort()
@@ -113,6 +116,7 @@
 // for the task has found it.
 func (p *Pool) adopt(now time.Duration, t *task, r *run) {
 	t.run, r.task, t.started, t.search = r, t, true, false
+	r.leaseLimit = 0
 	if r.demand == (filbertford.Resources{}) {
 		r.demand = t.batch.step.Demand()
 		r.target.used = r.target.used.Add(r.demand)
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -7,7 +7,7 @@
 )
 
 // poll polls a target if there is a reason to. It does not extend the lease of a
-// target that does not answer, so that its runs end.
+// target that does not answer, or that has a run which must have ended, so that its runs end.
 func (p *Pool) poll(now time.Duration, t *target) {
 	if t.polling || t.listed && len(t.runs) == 0 && t.misses == 0 && (t.lastAckable() == t.acked || now-t.polledAt < ackDelay) {
 		return
@@ -18,7 +18,7 @@
 	var lease int64
 	var wait time.Duration
 	if t.clock.known && len(t.runs) > 0 && t.misses == 0 {
-		lease = t.clock.estimate(now) + leaseDuration.Milliseconds()
+		lease = t.nextLease(now)
 		t.leaseExpiry = max(t.leaseExpiry, lease)
 	}
 	if t.listed && t.misses == 0 && len(t.runs) > 0 {
@@ -94,7 +94,7 @@
 // times. If another poll has replaced it, only its lists count, unless newer ones have been
 // applied.
 func (p *Pool) HandlePollReply(now time.Duration, c PollCall, r filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(c.Request.Instance())
+	t := p.targetOf(now, c.Request.Instance(), r)
 	if t == nil {
 		return
 	}
@@ -110,7 +110,7 @@
 	}
 	if r.Outcome() == filbertford.CallDone && t.newerLists(c.Number, r.Clock()) {
 		t.acked = max(t.acked, c.Request.Acked())
-		t.listClock, t.listNumber = r.Clock(), c.Number
+		t.listClock, t.listNumber, t.listsAt = r.Clock(), c.Number, now
 		p.applyLists(now, t, r, sent)
 	}
 	p.poll(now, t)
@@ -145,9 +145,7 @@
 		p.emit(PoolLost{Pool: p.id})
 		return false
 	case filbertford.CallRestarted:
-		p.targetRestarted(now, t)
-		p.removeTarget(t)
-		p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Reason: "another instance of the target replied"})
+		p.targetReplaced(now, t)
 		return false
 	}
 	if t.misses >= maxMisses {
@@ -155,6 +153,9 @@
 		p.capacityChanged = true
 	}
 	t.misses = 0
+	if first := !t.clock.known && r.Clock() != 0; first && len(t.runs) > 0 {
+		t.leaseExpiry = max(t.leaseExpiry, r.Clock()+maxLease.Milliseconds())
+	}
 	t.clock.update(r.Clock(), sent, received)
 	t.lastReply = received
 	return true
