--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -33,6 +33,7 @@
 	listClock    int64         // the target's clock when it wrote the lists that were last applied
 	listNumber   uint64        // of the poll that returned them
 	listsAt      time.Duration // when they were applied
+	listsSent    time.Duration // when the last answered poll was sent
 	lastReply    time.Duration
 	misses       int
 	runs         map[filbertford.TaskKey]*run
@@ -78,6 +79,7 @@
 	// later does not list the run, the run will never start.
 	stopConfirmedAt time.Duration
 	stopWanted      bool          // the run is to be stopped
+	second          bool          // it was found while another run had the task
 	leaseLimit      time.Duration // when the run must have ended, 0 if it has a task
 }
 
@@ -239,6 +241,11 @@
 	if p.activeRuns[r.key] == r {
 		delete(p.activeRuns, r.key)
 	}
+	if r.second {
+		if p.secondRuns[r.key]--; p.secondRuns[r.key] == 0 {
+			delete(p.secondRuns, r.key)
+		}
+	}
 	t.fullUntil, p.capacityChanged = 0, true
 }
 
