fbsoak: versions of the routes are written in order

Cause: putRoutes counted the version and wrote it later, so that the store could keep the earlier of two versions. A fault of the soak.

--- a/fbsoak/soak.go
+++ b/fbsoak/soak.go
@@ -88,6 +88,7 @@
 	startedAt time.Time
 
 	outMu        sync.Mutex // held while a line is written to opts.Out
+	routesMu     sync.Mutex // held while routes are written, so that versions are written in order
 	mu           sync.Mutex
 	impacts      []impact
 	violations   []string
@@ -288,6 +289,8 @@
 // putRoutes writes the next version of the routes: the one for jobs, and a probe
 // route that only this version has.
 func (s *Soak) putRoutes() error {
+	s.routesMu.Lock()
+	defer s.routesMu.Unlock()
 	s.mu.Lock()
 	s.version++
 	version := s.version
--- a/fbsoak/soak_test.go
+++ b/fbsoak/soak_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"crypto/sha256"
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford/fbstandin"
 )
 
 // TestPlanIsDeterministicForSeed checks that a seed always gives the same plan, with
@@ -57,3 +63,31 @@
 		})
 	}
 }
+
+// TestRoutesAreWrittenInOrder checks that the store has the latest version of the routes
+// after writes at the same time.
+func TestRoutesAreWrittenInOrder(t *testing.T) {
+	s := &Soak{store: fbstandin.NewRowStore()}
+	var writes errgroup.Group
+	for range 200 {
+		writes.Go(s.putRoutes)
+	}
+	if err := writes.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	reply := httptest.NewRecorder()
+	s.store.Handler().ServeHTTP(reply, httptest.NewRequest(http.MethodGet, "/-/rows-get?table=op", nil))
+	var page struct {
+		Rows []struct{ Value []byte }
+	}
+	var routes struct{ Version uint64 }
+	if err := json.Unmarshal(reply.Body.Bytes(), &page); err != nil || len(page.Rows) != 1 {
+		t.Fatalf("got %s, error %v, want one row", reply.Body, err)
+	}
+	if err := json.Unmarshal(page.Rows[0].Value, &routes); err != nil {
+		t.Fatal(err)
+	}
+	if routes.Version != s.version {
+		t.Errorf("the store has version %d, want %d", routes.Version, s.version)
+	}
+}
