fbsoak: proxies connect without a timeout

Cause: a proxy resets its client's connection if it can't connect within a second. On a loopback address that takes this long only if the soak itself gets no processor time; since callers connect through proxies, it looked like a fault of the daemon.

--- a/fbsoak/proxy.go
+++ b/fbsoak/proxy.go
@@ -26,8 +26,7 @@
 
 // Limits of a proxy.
 const (
-	proxyDialTimeout = time.Second
-	proxyBufferSize  = 16 << 10
+	proxyBufferSize = 16 << 10
 	// proxyPollInterval is the interval at which a blocked link's state is checked.
 	proxyPollInterval = 10 * time.Millisecond
 )
@@ -129,7 +128,8 @@
 
 // serve forwards bytes in both directions until either side closes.
 func (p *Proxy) serve(client net.Conn) {
-	server, err := net.DialTimeout("tcp", p.target, proxyDialTimeout)
+	// Without a timeout: on a loopback address only a lack of processor time delays it.
+	server, err := new(net.Dialer).DialContext(p.ctx, "tcp", p.target)
 	if err != nil {
 		p.removeConn(client)
 		return
