fbsoak: delays are judged by what remains without the time that processes waited for a processor

Cause: no processor time. The soak's bounds (10 s until ready, 1 s beyond the caller's timeout) have no stated target behind them. Change: the soak samples for how long threads of its own process and of the daemons were ready to run but had no processor. A delay beyond its bound stays a violation unless it is within the bound without that time; only the waits of the soak and of the daemon in question count, not their sum but the longer in each sample, and that of the thread that waited longest. Where processors are free the checks are as strict as before. The wait for daemons to be ready is extended by the same time, to a minute at most. Checks of outcomes, runs, stops and routes are unchanged.

--- a/fbsoak/clients.go
+++ b/fbsoak/clients.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -173,7 +174,8 @@
 		return 0, ""
 	}
 	if elapsed := time.Since(startedAt); elapsed > callerTimeout+answerMargin && !c.soak.isImpacted(node, startedAt, time.Now(), false) {
-		c.soak.violationf("job %s was answered only after %v by daemon %d", key, elapsed.Round(time.Millisecond), node)
+		c.soak.judgeDelay(node, startedAt, callerTimeout+answerMargin,
+			fmt.Sprintf("job %s was answered only after %v by daemon %d", key, elapsed.Round(time.Millisecond), node))
 	}
 	return resp.StatusCode, answer.State
 }
@@ -182,7 +184,13 @@
 // it didn't fail within unreadWindow and no fault other than a planned stop affected
 // the daemon.
 func (c *clients) checkMissingAnswer(node int, key string, startedAt time.Time, err error) {
-	if time.Since(startedAt) > unreadWindow && !c.soak.isImpacted(node, startedAt, time.Now(), true) {
-		c.soak.violationf("job %s got no answer from daemon %d after %v: %v", key, node, time.Since(startedAt).Round(time.Millisecond), err)
+	if time.Since(startedAt) <= unreadWindow || c.soak.isImpacted(node, startedAt, time.Now(), true) {
+		return
 	}
+	limit := unreadWindow
+	if errors.Is(err, context.DeadlineExceeded) {
+		limit = callerTimeout + answerMargin
+	}
+	c.soak.judgeDelay(node, startedAt, limit,
+		fmt.Sprintf("job %s got no answer from daemon %d after %v: %v", key, node, time.Since(startedAt).Round(time.Millisecond), err))
 }
--- a/fbsoak/process.go
+++ b/fbsoak/process.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// PID returns the process ID, 0 if the process is not running.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // UnexpectedExits returns the number of exits without a signal to stop.
 func (p *Process) UnexpectedExits() int {
 	p.mu.Lock()
--- a/fbsoak/soak.go
+++ b/fbsoak/soak.go
@@ -59,6 +59,9 @@
 	recoveryTime = 5 * time.Second
 	// impactMargin is how long after its end a fault may still affect callers.
 	impactMargin = 3 * time.Second
+	// readyLimit is the longest that the soak waits for daemons to be ready on a machine
+	// that has no processor time for them.
+	readyLimit = time.Minute
 	// readyPollInterval is the interval between two checks for readiness.
 	readyPollInterval = 20 * time.Millisecond
 	// runUpdateInterval is the interval at which targets end the runs that are due,
@@ -86,6 +89,7 @@
 	nodes     []*daemon
 	group     *errgroup.Group
 	startedAt time.Time
+	waits     *processorWaits
 
 	outMu        sync.Mutex // held while a line is written to opts.Out
 	routesMu     sync.Mutex // held while routes are written, so that versions are written in order
@@ -112,6 +116,7 @@
 		opts: opts, store: fbstandin.NewRowStore(), recorder: fbstandin.NewRunRecorder(), group: group, startedAt: time.Now(),
 		activeFaults: make(map[string]int),
 	}
+	s.waits = newProcessorWaits(s.pids)
 	err := s.run(groupCtx)
 	for _, n := range s.nodes {
 		n.process.Kill()
@@ -174,9 +179,21 @@
 			return err
 		}
 	}
+	s.group.Go(func() error { return s.waits.run(ctx) })
 	return nil
 }
 
+// pids returns the IDs of this process and of the daemons that are running.
+func (s *Soak) pids() []int {
+	out := []int{os.Getpid()}
+	for _, n := range s.nodes {
+		if pid := n.process.PID(); pid != 0 {
+			out = append(out, pid)
+		}
+	}
+	return out
+}
+
 // serve serves a handler on a free port and returns its address.
 func (s *Soak) serve(ctx context.Context, h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -318,14 +335,20 @@
 	s.logf("BROKEN "+format, args...)
 }
 
-// awaitReady waits until all daemons are ready.
+// awaitReady waits until all daemons are ready. Time in which this process or a daemon waited
+// for a processor doesn't count towards the timeout, but readyLimit is the longest wait.
 func (s *Soak) awaitReady(ctx context.Context, timeout time.Duration) error {
-	for deadline := time.Now().Add(timeout); ; {
+	var nodes []int
+	for i := range s.nodes {
+		nodes = append(nodes, i)
+	}
+	for startedAt := time.Now(); ; {
 		if s.allReady(ctx) {
 			return nil
 		}
-		if time.Now().After(deadline) {
-			return fmt.Errorf("not all daemons are ready after %v: %s", timeout, s.describeReadiness(ctx))
+		elapsed, wait := time.Since(startedAt), s.processorWait(startedAt, time.Now(), nodes...)
+		if elapsed-wait > timeout || elapsed > readyLimit {
+			return fmt.Errorf("not all daemons are ready after %v, without processor time for %v of it: %s", elapsed, wait, s.describeReadiness(ctx))
 		}
 		select {
 		case <-ctx.Done():
