--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -31,7 +31,6 @@
 	pollWait     time.Duration // how long the target may hold it
 	polledAt     time.Duration // when the last poll ended
 	listClock    int64         // the target's clock when it wrote the lists that were last applied
-	listNumber   uint64        // of the poll that returned them
 	listsAt      time.Duration // when they were applied
 	listsSent    time.Duration // when the last answered poll was sent
 	lastReply    time.Duration
@@ -135,6 +134,9 @@
 		return
 	}
 	t = newTarget(now, rec)
+	if now-p.createdAt < earlierRunTimeout {
+		p.allListed = false // an earlier owner may have used it
+	}
 	p.targets[id] = t
 	p.sortedTargets = append(p.sortedTargets, t)
 	slices.SortFunc(p.sortedTargets, func(a, b *target) int { return cmp.Compare(a.id(), b.id()) })
