--- a/fbsoak/soak_test.go
+++ b/fbsoak/soak_test.go
@@ -1,10 +1,18 @@
 package fbsoak
 
 import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertford/filbertford/fbstandin"
 )
 
 // TestPlanIsDeterministicForSeed checks that a seed always gives the same plan, with
@@ -42,3 +50,44 @@
 		t.Errorf("restarts by daemon (-want +got):\n%s", diff)
 	}
 }
+
+// TestPlansOfEarlierSeedsStay checks that the plans of the seeds that have failed, and of the
+// last seed without laterKinds, stay as they were when laterKinds were added.
+func TestPlansOfEarlierSeedsStay(t *testing.T) {
+	for seed, want := range map[uint64]string{1: "335abe2102fd8db1", 7: "dc6714bc7f4fd033", 20: "e361b867b9c92743", 302: "9a45ba5d98e055bd", 403: "3f7bbf4add141930", 605: "3da6c3127d8c8abe", firstSeedOfLaterKinds - 1: "5fe5b95d7f932946"} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			plan := fmt.Sprintf("%+v", Plan(seed, 15*time.Second, 6, 9))
+			if got := fmt.Sprintf("%x", sha256.Sum256([]byte(plan)))[:16]; got != want {
+				t.Errorf("digest of the plan: got %s, want %s", got, want)
+			}
+		})
+	}
+}
+
+// TestRoutesAreWrittenInOrder checks that the store has the latest version of the routes
+// after writes at the same time.
+func TestRoutesAreWrittenInOrder(t *testing.T) {
+	s := &Soak{store: fbstandin.NewRowStore()}
+	var writes errgroup.Group
+	for range 200 {
+		writes.Go(s.putRoutes)
+	}
+	if err := writes.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	reply := httptest.NewRecorder()
+	s.store.Handler().ServeHTTP(reply, httptest.NewRequest(http.MethodGet, "/-/rows-get?table=op", nil))
+	var page struct {
+		Rows []struct{ Value []byte }
+	}
+	var routes struct{ Version uint64 }
+	if err := json.Unmarshal(reply.Body.Bytes(), &page); err != nil || len(page.Rows) != 1 {
+		t.Fatalf("got %s, error %v, want one row", reply.Body, err)
+	}
+	if err := json.Unmarshal(page.Rows[0].Value, &routes); err != nil {
+		t.Fatal(err)
+	}
+	if routes.Version != s.version {
+		t.Errorf("the store has version %d, want %d", routes.Version, s.version)
+	}
+}
