cmd/fbsoak: two more regression seeds, at most four seeds at once

Seen: six seeds at once are 36 daemons, beside which the kernel's figures show threads waiting for processors. Their faults need a coincidence in time, so that a pass is no proof.

--- a/cmd/fbsoak/main_test.go
+++ b/cmd/fbsoak/main_test.go
@@ -11,12 +11,18 @@
 
 // regressionSeeds are seeds that found a fault, with the fault.
 var regressionSeeds = map[string]string{
-	"20":  "an outgoing connection occupied a daemon's port while the daemon was down (a fault of the test)",
-	"302": "a new owner started a stored task before it had listed the target that had completed it",
-	"605": "a late offer of an earlier shard owner started a task that its successor had placed elsewhere",
-	"403": "a done run that was not acknowledged before its lease expired counted as done (a fault of the test)",
+	"20":    "an outgoing connection occupied a daemon's port while the daemon was down (a fault of the test)",
+	"302":   "a new owner started a stored task before it had listed the target that had completed it",
+	"605":   "a late offer of an earlier shard owner started a task that its successor had placed elsewhere",
+	"10075": "a batch that a cut had held back, and its copy in another stream, started a task that its caller had sent again",
+	"10090": "a list that a target wrote before a start was taken for newer than one of the same millisecond with the run",
+	"403":   "a done run that was not acknowledged before its lease expired counted as done (a fault of the test)",
 }
 
+// parallelSeeds is the number of seeds that run at once. Each has six daemons; more seeds leave
+// the daemons of a machine with eight processors no time.
+const parallelSeeds = 4
+
 // smokeSeeds are seeds for short runs, with their faults.
 var smokeSeeds = map[string]string{
 	"1": "all daemons are killed, then two are stopped",
@@ -31,6 +37,7 @@
 	if err := build.Run(); err != nil {
 		t.Fatal(err)
 	}
+	running := make(chan struct{}, parallelSeeds)
 	for kind, seeds := range map[string]map[string]string{"regression": regressionSeeds, "fresh": smokeSeeds} {
 		length := "8s"
 		if kind == "regression" {
@@ -39,6 +46,8 @@
 		for seed, description := range seeds {
 			t.Run(kind+"/"+seed, func(t *testing.T) {
 				t.Parallel()
+				running <- struct{}{}
+				defer func() { <-running }()
 				var stdout, stderr bytes.Buffer
 				logs := t.TempDir()
 				if code := realMain([]string{"-program", program, "-seed", seed, "-length", length, "-logs", logs}, &stdout, &stderr); code != exitOK {
