Tests of two more ways to two runs: a suspended coordinator, lists of one millisecond

The simulated target forgot a run when a later run of the task started there; it now reports that and ends the earlier one.

--- a/fbnode/fake_daemon_test.go
+++ b/fbnode/fake_daemon_test.go
@@ -56,13 +56,20 @@
 }
 
 // resume ends a pause. What was posted is handled in any order that keeps that of each
-// source; the tick that is due comes first, last or between.
+// source; the tick that is due comes first, last or between, with tickLast always last.
 func (d *simDaemon) resume() {
 	if d.dead || !d.paused {
 		return
 	}
 	d.paused = false
-	d.waiting = append(d.waiting, simWaiting{source: "tick", do: (*simDaemon).tick})
+	if d.sim.tickLast {
+		defer func() {
+			d.tick()
+			d.flush()
+		}()
+	} else {
+		d.waiting = append(d.waiting, simWaiting{source: "tick", do: (*simDaemon).tick})
+	}
 	for len(d.waiting) > 0 && !d.dead {
 		pick := d.sim.rand.IntN(len(d.waiting))
 		source := d.waiting[pick].source
--- a/fbnode/fake_target_test.go
+++ b/fbnode/fake_target_test.go
@@ -123,6 +123,10 @@
 		duration, outcome = duration/3, filbertford.RunFailed
 	}
 	t.highest[key] = req.Run()
+	if t.runs[key] != nil {
+		t.sim.violation("TWICE", "%s has run %d of %s and starts run %d", t.id(), t.runs[key].number, key, req.Run())
+		t.endRun(key, filbertford.RunStopped)
+	}
 	r := &simRun{number: req.Run(), startedAt: t.sim.now, endsAt: t.sim.now + duration, outcome: outcome, starter: daemon}
 	t.runs[key] = r
 	t.sim.runStarted(key, t, r)
--- a/fbnode/fleet_simulation_test.go
+++ b/fbnode/fleet_simulation_test.go
@@ -104,6 +104,7 @@
 	jobs        int
 	runs        int
 	resends     int
+	tickLast    bool // a daemon that resumes handles its tick after all that waits
 	trace       bool
 	lines       []string
 	violations  []string
