--- a/fbsched/ending_test.go
+++ b/fbsched/ending_test.go
@@ -63,7 +63,7 @@
 			}
 			if tt.inherited {
 				running[key], running[other] = 7, 9 // the other one is adopted
-				extend(clock() + 20) // of the earlier owner
+				extend(clock() + 20)                // of the earlier owner
 			}
 			answer()
 			offer(p, now, other, "d")
