Messages of a daemon's earlier stream don't count

Cause: while bytes to a daemon are held up, its peers replace their streams to it. When they arrive, those of all streams arrive together, and each stream was received on its own: a batch of an earlier stream began a task again that a later one had withdrawn.

Evidence: n5 was cut off from 11.7 to 16.6 s; after that it started a task of a job withdrawn 1.3 s before, stopped it and started it again 75 ms later without a new offer. TestMessagesOfEarlierStreamDoNotCount failed ("received 1 from the earlier stream").

Change: accepted connections are numbered, and a stream ends when its sender has opened one with a higher number.

--- a/fblink/hub.go
+++ b/fblink/hub.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -90,11 +91,11 @@
 	h.group, h.ctx = group, ctx
 	h.mu.Unlock()
 	mux := drpcmux.New()
-	if err := fbwire.DRPCRegisterNode(mux, &server{hub: h}); err != nil {
+	if err := fbwire.DRPCRegisterNode(mux, &server{hub: h, newest: make(map[filbertford.NodeID]uint64)}); err != nil {
 		return eris.Wrap(err, "registering the node service")
 	}
 	opts := drpcserver.Options{Manager: managerOptions()}
-	group.Go(func() error { return drpcserver.NewWithOptions(mux, opts).Serve(ctx, l) })
+	group.Go(func() error { return drpcserver.NewWithOptions(mux, opts).Serve(ctx, &numberedListener{Listener: l}) })
 	return group.Wait()
 }
 
@@ -284,8 +285,15 @@
 	}
 }
 
-// server receives the streams of other daemons.
-type server struct{ hub *Hub }
+// server receives the streams of other daemons. A daemon has one stream to this one at a time:
+// when a newer one has begun, an earlier one may still hold messages that were delayed on the way,
+// and these no longer count.
+type server struct {
+	hub *Hub
+
+	mu     sync.Mutex
+	newest map[filbertford.NodeID]uint64 // number of the newest connection of each daemon
+}
 
 var _ fbwire.DRPCNodeServer = (*server)(nil)
 
@@ -298,18 +306,32 @@
 	if first.GetSender().GetNode() == "" {
 		return eris.New("the stream names no sender")
 	}
-	sender := memberFromWire(first.GetSender())
-	s.receive(sender, first, true)
+	sender, number := memberFromWire(first.GetSender()), connNumber(stream.Context())
+	if !s.receive(sender, number, first, true) {
+		return errReplaced
+	}
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		s.receive(sender, frame, false)
+		if !s.receive(sender, number, frame, false) {
+			return errReplaced
+		}
 	}
 }
 
-func (s *server) receive(sender fbfleet.Member, f *fbwire.Frame, newStream bool) {
+// errReplaced ends a stream whose sender has opened a newer one.
+var errReplaced = eris.New("the sender has opened a newer stream")
+
+// receive passes a frame on, and returns false if the stream is not the sender's newest one.
+func (s *server) receive(sender fbfleet.Member, number uint64, f *fbwire.Frame, newStream bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if number < s.newest[sender.Node()] {
+		return false
+	}
+	s.newest[sender.Node()] = number
 	messages := make([]Message, 0, len(f.GetMessages()))
 	for _, w := range f.GetMessages() {
 		m, err := fromWire(sender, s.hub.self.Node(), w)
@@ -320,4 +342,37 @@
 		messages = append(messages, m)
 	}
 	s.hub.receiver.Receive(sender, messages, newStream)
+	return true
+}
+
+// numberedListener numbers the connections that it accepts, in order.
+type numberedListener struct {
+	net.Listener
+	accepted uint64
+}
+
+// numberedConn is an accepted connection.
+type numberedConn struct {
+	net.Conn
+	number uint64
+}
+
+// Accept implements net.Listener.
+func (l *numberedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.accepted++
+	return numberedConn{Conn: conn, number: l.accepted}, nil
+}
+
+// connNumber returns the number of the connection that a stream came over.
+func connNumber(ctx context.Context) uint64 {
+	transport, _ := drpcctx.Transport(ctx)
+	conn, ok := transport.(numberedConn)
+	if !ok {
+		return 0
+	}
+	return conn.number
 }
