--- a/fbsched/inherited_limit_test.go
+++ b/fbsched/inherited_limit_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// TestInheritedRunCountsBeforeItIsAdopted submits a job to a new owner that has listed a run
-// of its predecessor, but not been offered its task. The target doesn't guard its capacity.
+// TestInheritedRunCountsBeforeItIsAdopted: a new job comes before the task of a run that was found.
 func TestInheritedRunCountsBeforeItIsAdopted(t *testing.T) {
 	sim := newSimulation(1, 1)
 	sim.taskDuration = time.Second
--- a/fbsched/lost_withdrawal_test.go
+++ b/fbsched/lost_withdrawal_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// TestLostWithdrawalIsRepeated loses the withdrawal of a job with the stream to the owner. When
-// the job would be sent again, the run must be over.
+// TestLostWithdrawalIsRepeated: the withdrawal of a job is lost with its stream.
 func TestLostWithdrawalIsRepeated(t *testing.T) {
 	sim := newSimulation(1, 1)
 	sim.taskDuration = 3 * time.Second
--- a/fbsched/restarted_test.go
+++ b/fbsched/restarted_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// TestRunOnRestartedTargetIsKept checks a run on a target that started again under its ID,
-// whose record arrives after the start of the run.
+// TestRunOnRestartedTargetIsKept: a target starts again under its ID, its record comes late.
 func TestRunOnRestartedTargetIsKept(t *testing.T) {
 	sim := newSimulation(2, 1)
 	sim.taskDuration = 500 * time.Millisecond
--- a/fbsched/resumed_owner_test.go
+++ b/fbsched/resumed_owner_test.go
@@ -7,8 +7,7 @@
 	"github.com/filbertford/filbertford"
 )
 
-// TestResumedOwnerStartsNothing pauses an owner until its successor, which can't reach t01,
-// has started the task again. The owner resumes 100 ms before it learns of its successor.
+// TestResumedOwnerStartsNothing: an owner resumes whose successor can't reach a target.
 func TestResumedOwnerStartsNothing(t *testing.T) {
 	sim := newSimulation(2, 1)
 	sim.taskDuration = time.Second
