Simulation of whole fleets: targets that start again, records as each daemon last read them

A target may start again under its ID; its record changes 10 ms to 3 s later, and daemons go by the records that they read last, every two seconds and when they claim a pool.

--- a/fbnode/fake_daemon_test.go
+++ b/fbnode/fake_daemon_test.go
@@ -25,6 +25,7 @@
 	requests       map[uint64]func(filbertford.WorkloadAnswer)
 	broken         map[uint64]func() // tells the caller of a request that its connection broke
 	targetsReadAt  time.Duration     // 0 if never
+	targets        []filbertford.TargetRecord
 	lastTick       time.Duration
 	lastHeartbeat  time.Duration
 	lastRoster     time.Duration
@@ -202,14 +203,15 @@
 	d.holdStarts(p)
 	d.pools[id] = p
 	p.SetTargets(d.sim.now, d.records(id))
+	d.sim.after(d.sim.between(5*time.Millisecond, 50*time.Millisecond), d.readRecords)
 }
 
-// records returns the records of a pool's targets, none if the daemon has not read any.
+// records returns the records of a pool's targets that the daemon has read.
 func (d *simDaemon) records(id filbertford.PoolID) []filbertford.TargetRecord {
 	var out []filbertford.TargetRecord
-	for _, t := range d.sim.targets {
-		if d.targetsReadAt != 0 && dataCentrePool(t.rec.DataCentre()) == id {
-			out = append(out, t.rec)
+	for _, rec := range d.targets {
+		if dataCentrePool(rec.DataCentre()) == id {
+			out = append(out, rec)
 		}
 	}
 	return out
@@ -224,6 +226,14 @@
 		d.sim.after(200*time.Millisecond, d.readStore)
 		return
 	}
+	d.readRecords()
+	d.sim.after(2*time.Second, d.readStore)
+}
+
+func (d *simDaemon) readRecords() {
+	if d.dead || d.sim.blocked(string(d.name()), "store") {
+		return
+	}
 	d.post("store", func(d *simDaemon) {
 		now := d.sim.now
 		for _, name := range d.sim.names {
@@ -232,13 +242,12 @@
 			}
 		}
 		d.setMembers(d.fleet.Members())
-		d.targetsReadAt = now
+		d.targetsReadAt, d.targets = now, slices.Clone(d.sim.store.targets)
 		for _, id := range d.poolIDs() {
 			d.pools[id].SetTargets(now, d.records(id))
 			d.releaseStarts(d.pools[id])
 		}
 	})
-	d.sim.after(2*time.Second, d.readStore)
 }
 
 func (d *simDaemon) resumeTasks(node filbertford.NodeID) {
--- a/fbnode/fake_target_test.go
+++ b/fbnode/fake_target_test.go
@@ -84,23 +84,40 @@
 	return filbertford.NewCallReply(o, t.clock().Milliseconds()).WithStartedAt(t.rec.Instance().StartedAt())
 }
 
-// obeys reports whether the target obeys a call of the daemon with the fencing token.
-func (t *simTarget) obeys(daemon string, fence uint64) bool {
+// restart starts the target again under its ID, a moment after all its runs have ended. It
+// knows nothing of before.
+func (t *simTarget) restart() {
+	for _, key := range t.runningTasks() {
+		t.endRun(key, filbertford.RunStopped)
+	}
+	instance := filbertford.NewTargetInstance(t.rec.Instance().ID(), t.rec.Instance().StartedAt()+t.sim.now.Milliseconds())
+	t.rec = filbertford.NewTargetRecord(instance, simService, t.rec.Address(), t.rec.DataCentre(), t.rec.Capacity(), "a")
+	t.clockOffset = -time.Duration(float64(t.sim.now) * t.clockRate)
+	t.fence, t.lease, t.lastSequence, t.ended = 0, 0, 0, nil
+	t.obeyed, t.highest = make(map[uint64]string), make(map[filbertford.TaskKey]uint64)
+}
+
+// rejects returns the reply to a call that is for another instance or whose fencing token is
+// lower than one that the target has seen.
+func (t *simTarget) rejects(daemon string, instance filbertford.TargetInstance, fence uint64) (filbertford.CallReply, bool) {
 	t.endDueRuns()
+	if instance != t.rec.Instance() {
+		return t.reply(filbertford.CallRestarted), true
+	}
 	if fence < t.fence {
-		return false
+		return t.reply(filbertford.CallFenced), true
 	}
 	t.fence = fence
 	if other, ok := t.obeyed[fence]; ok && other != daemon {
 		t.sim.violation("token", "%s obeys %s and %s with the token %d", t.id(), other, daemon, fence)
 	}
 	t.obeyed[fence] = daemon
-	return true
+	return filbertford.CallReply{}, false
 }
 
 func (t *simTarget) start(daemon string, req filbertford.StartRunRequest) filbertford.CallReply {
-	if !t.obeys(daemon, req.Fence()) {
-		return t.reply(filbertford.CallFenced)
+	if r, rejected := t.rejects(daemon, req.Instance(), req.Fence()); rejected {
+		return r
 	}
 	key := req.Task()
 	if r := t.runs[key]; r != nil && r.number == req.Run() {
@@ -134,8 +151,8 @@
 }
 
 func (t *simTarget) stop(daemon string, req filbertford.StopRunRequest) filbertford.CallReply {
-	if !t.obeys(daemon, req.Fence()) {
-		return t.reply(filbertford.CallFenced)
+	if r, rejected := t.rejects(daemon, req.Instance(), req.Fence()); rejected {
+		return r
 	}
 	t.highest[req.Task()] = max(t.highest[req.Task()], req.Run())
 	if r := t.runs[req.Task()]; r != nil && r.number <= req.Run() && r.stopsAt == 0 {
@@ -146,8 +163,8 @@
 }
 
 func (t *simTarget) poll(daemon string, req filbertford.PollRequest) filbertford.CallReply {
-	if !t.obeys(daemon, req.Fence()) {
-		return t.reply(filbertford.CallFenced)
+	if r, rejected := t.rejects(daemon, req.Instance(), req.Fence()); rejected {
+		return r
 	}
 	if req.Lease() > 0 {
 		t.extendLease(req.Lease())
--- a/fbnode/fleet_faults_test.go
+++ b/fbnode/fleet_faults_test.go
@@ -111,6 +111,14 @@
 			}
 		}
 	}},
+	{"restart-target", func(s *fleetSim) {
+		t := s.targets[s.rand.IntN(len(s.targets))]
+		t.restart()
+		s.after(s.between(10*time.Millisecond, 3*time.Second), func() {
+			i := slices.IndexFunc(s.store.targets, func(r filbertford.TargetRecord) bool { return r.Instance().ID() == t.rec.Instance().ID() })
+			s.store.targets[i] = t.rec
+		})
+	}},
 	{"cut-store", func(s *fleetSim) {
 		length := s.cutLength()
 		for _, name := range s.names {
--- a/fbnode/fleet_simulation_test.go
+++ b/fbnode/fleet_simulation_test.go
@@ -58,11 +58,12 @@
 	return e
 }
 
-// simStore is the part of the platform's store that daemons use: their rows and the versions
-// of the claims.
+// simStore is the part of the platform's store that daemons use: their rows, the versions of
+// the claims, and the targets' records.
 type simStore struct {
 	members map[filbertford.NodeID]fbfleet.Member
 	claims  map[filbertford.PoolID]uint64
+	targets []filbertford.TargetRecord
 }
 
 // simFate is what happens to a call to a target.
@@ -259,6 +260,7 @@
 		clockOffset: s.between(0, time.Hour), clockRate: 1 - 0.02*s.rand.Float64(),
 		obeyed: make(map[uint64]string), runs: make(map[filbertford.TaskKey]*simRun), highest: make(map[filbertford.TaskKey]uint64),
 	})
+	s.store.targets = append(s.store.targets, s.targets[len(s.targets)-1].rec)
 }
 
 // startDaemon starts a daemon with a new incarnation after the delay.
