--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -14,7 +14,7 @@
 // dispatch starts queued tasks, most urgent first.
 func (p *Pool) dispatch(now time.Duration) {
 	p.dispatchDue = false
-	if p.queue.len() == 0 || !p.surveyed || now < p.startsHeldUntil {
+	if p.queue.len() == 0 || !p.surveyed || now < max(p.startsHeldUntil, p.suspendedUntil) {
 		return
 	}
 	capacities := p.capacityByService(now)
@@ -32,7 +32,7 @@
 // startTask starts a task if a target of its service has capacity for it, and reports
 // whether it did.
 func (p *Pool) startTask(now time.Duration, t *task, capacity *serviceCapacity) bool {
-	if t.coordinatorUnreachableAt != 0 || p.activeRuns[t.key] != nil || !p.earlierRunsEnded(now, t) {
+	if t.coordinatorUnreachableAt != 0 || p.activeRuns[t.key] != nil || p.secondRuns[t.key] > 0 || !p.earlierRunsEnded(now, t) {
 		return false
 	}
 	chosen := p.chooseTarget(t, capacity)
@@ -41,18 +41,22 @@
 		return false
 	}
 	best := chosen.target
+	lease := best.nextLease(now) // not 0, since the target is usable
 	step := t.batch.step
 	r := &run{
 		target: best, key: t.key, number: p.nextRunNumber(now, t), task: t, state: runStarting,
 		demand: step.Demand(), startedAt: now, progressedAt: now,
 		expected:    time.Duration(float64(step.Estimate()) * chosen.factor),
-		leaseExpiry: best.clock.estimate(now) + leaseDuration.Milliseconds(),
+		leaseExpiry: lease,
 	}
 	best.leaseExpiry = max(best.leaseExpiry, r.leaseExpiry)
 	best.runs[t.key], p.activeRuns[t.key] = r, r
 	best.used = best.used.Add(r.demand)
 	t.run, t.started, p.capacityChanged = r, true, true
-	p.emitEvent(Event{Kind: EventRunStarted, Task: t.key, Target: best.id(), Run: r.number, Age: now - t.queuedAt})
+	p.emitEvent(Event{
+		Kind: EventRunStarted, Task: t.key, Target: best.id(), Started: best.rec.Instance().StartedAt(), Run: r.number,
+		Fence: p.fence, Age: now - t.queuedAt, ListsAge: now - best.listsAt,
+	})
 	p.emit(StartCall{
 		Request: filbertford.NewStartRunRequest(best.rec.Instance(), best.rec.Address(), t.key, r.number, t.batch.spec, r.leaseExpiry, p.fence),
 		Timeout: p.roundTrips.callTimeout(),
@@ -130,7 +134,7 @@
 // usable reports whether tasks of the service may be started on the target.
 func (p *Pool) usable(now time.Duration, t *target, service string) bool {
 	return t.rec.Service() == service && t.listed && t.misses < maxMisses && t.clock.known && !t.rec.Draining() &&
-		!t.removed && now >= t.fullUntil
+		!t.removed && now >= t.fullUntil && t.grantsLease(now)
 }
 
 // atTaskLimit reports whether the target runs as many tasks of the task's step as
@@ -152,7 +156,7 @@
 // the given times. It is called with CallUnknown when there is no reply within the
 // timeout, and again if the reply arrives late.
 func (p *Pool) HandleStartReply(now time.Duration, req filbertford.StartRunRequest, reply filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(req.Instance())
+	t := p.targetOf(now, req.Instance(), reply)
 	if t == nil {
 		return
 	}
@@ -167,6 +171,7 @@
 	if !replied {
 		if reply.Outcome() == filbertford.CallUnknown && r.state == runStarting {
 			r.state = runUncertain
+			p.emitEvent(Event{Kind: EventStartUnanswered, Task: r.key, Target: t.id(), Run: r.number, Reason: reply.Detail(), Age: now - r.startedAt})
 			t.polling = false // the target may hold the last poll, whose lists are needed now
 		}
 		p.poll(now, t)
--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -1,30 +1,42 @@
 package fbsched
 
 import (
+	"fmt"
 	"maps"
 	"time"
 
 	"github.com/filbertford/filbertford"
 )
 
-// applyLists updates the runs from the lists in the reply to a poll that was sent at
-// the given time.
-func (p *Pool) applyLists(now time.Duration, t *target, r filbertford.CallReply, sent time.Duration) {
-	if !t.listed {
-		t.listed, t.listedAt, p.capacityChanged = true, now, true
-		delete(p.departed, t.id())
-	}
+// applyEnded updates the runs from the list of ended runs in the reply to a poll. An end
+// stays true, however old the list is.
+func (p *Pool) applyEnded(now time.Duration, t *target, r filbertford.CallReply) {
 	for _, e := range r.Ended() {
 		if e.Sequence() > t.lastSequence {
 			t.lastSequence = e.Sequence()
 			p.runEnded(now, t, e)
 		}
 	}
+}
+
+// applyRunning updates the runs from the list of running ones in the reply to a poll that
+// was sent at the given time. The ended runs of the reply have been applied.
+//
+// If the target has not listed all of its ended runs, a run in neither list may be among them.
+func (p *Pool) applyRunning(now time.Duration, t *target, r filbertford.CallReply, sent time.Duration) {
+	complete := len(r.Ended()) < maxListedEnds
+	if !t.listed && complete {
+		t.listed, t.listedAt, p.capacityChanged = true, now, true
+		delete(p.departed, t.id())
+	}
 	listed := make(map[filbertford.TaskKey]bool, len(r.Running()))
 	for _, s := range r.Running() {
 		listed[s.Task()] = true
 		p.runListed(now, t, s)
 	}
+	if !complete {
+		return
+	}
 	for _, run := range sortedRuns(t.runs) {
 		if !listed[run.key] {
 			p.runMissing(now, t, run, sent)
@@ -35,7 +47,15 @@
 // runListed handles a run that the target lists as running.
 func (p *Pool) runListed(now time.Duration, t *target, s filbertford.RunStatus) {
 	r := t.runs[s.Task()]
-	if r == nil || r.number < s.Run() {
+	if r != nil && r.number < s.Run() {
+		// The target rejects the lower run from now on, so that the task is free for this one.
+		if r.task != nil {
+			r.task.run = nil
+		}
+		p.releaseRun(r)
+		r = nil
+	}
+	if r == nil {
 		r = p.addInheritedRun(now, t, s)
 	}
 	if r.number != s.Run() {
@@ -55,11 +75,19 @@
 	t.leaseExpiry = max(t.leaseExpiry, t.clock.reading+maxLease.Milliseconds())
 	if other := p.activeRuns[s.Task()]; other != nil {
 		// The task has two runs: stop this one, which an earlier owner started.
-		r.stopWanted = true
+		p.emitEvent(Event{
+			Kind: EventSecondRunFound, Task: r.key, Target: t.id(), Started: t.rec.Instance().StartedAt(), Run: r.number, Fence: p.fence,
+			Reason: fmt.Sprintf("run %d is on %s", other.number, other.target.id()), Age: now - other.startedAt,
+		})
+		r.stopWanted, r.second = true, true
+		r.endBy(now + leaseDuration + stopTimeout)
+		p.secondRuns[s.Task()]++
 		t.runs[s.Task()] = r
 		p.sendStop(now, r)
 		return r
 	}
+	p.emitEvent(Event{Kind: EventRunFound, Task: r.key, Target: t.id(), Started: t.rec.Instance().StartedAt(), Run: r.number, Fence: p.fence, Age: now - p.createdAt})
+	r.endBy(now + adoptionTimeout + unclaimedMargin)
 	t.runs[s.Task()] = r
 	p.activeRuns[s.Task()] = r
 	if waiting := p.tasks[s.Task()]; waiting != nil && waiting.run == nil {
@@ -84,6 +112,7 @@
 		p.discardRun(now, r, "lease expired before the run started")
 	case r.stopSentAt == 0:
 		r.stopWanted = true
+		r.endBy(now + leaseDuration + stopTimeout)
 		p.sendStop(now, r)
 	}
 }
--- a/fbsched/outcome.go
+++ b/fbsched/outcome.go
@@ -10,7 +10,7 @@
 // finishSearch reports a searched task as absent once it is certain that no run of
 // it remains on the pool's targets.
 func (p *Pool) finishSearch(now time.Duration, t *task) {
-	if t.run == nil && p.activeRuns[t.key] == nil && p.earlierRunsEnded(now, t) {
+	if t.run == nil && p.activeRuns[t.key] == nil && p.secondRuns[t.key] == 0 && p.earlierRunsEnded(now, t) {
 		delete(p.tasks, t.key)
 		p.returnTask(t, StatusAbsent)
 	}
@@ -58,7 +58,8 @@
 		}
 	}
 	p.dropTasks(now, func(t *task) bool {
-		return t.coordinatorUnreachableAt != 0 && now-t.coordinatorUnreachableAt > coordinatorTimeout
+		return t.coordinatorUnreachableAt != 0 && now-t.coordinatorUnreachableAt > coordinatorTimeout ||
+			t.reofferBy != 0 && now >= t.reofferBy
 	}, "no coordinator")
 	for key, outcome := range p.outcomes {
 		if outcome.nextReport != 0 && now >= outcome.nextReport {
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -50,7 +50,8 @@
 		}
 		c.offer(c.pools[part.pool], c.batch(now, j, number, part.pool, batch), j)
 		c.emit(Event{
-			Kind: EventTasksPlaced, Pool: part.pool, Task: filbertford.NewTaskKey(j.workload.Key(), 0, number, batch[0].index), Age: now - j.submittedAt,
+			Kind: EventTasksPlaced, Pool: part.pool, Task: filbertford.NewTaskKey(j.workload.Key(), 0, number, batch[0].index),
+			Fence: c.pools[part.pool].fence, Age: now - j.submittedAt,
 			Reason: fmt.Sprintf("%d tasks to %s, due in %v", len(batch), c.pools[part.pool].owner, (j.due - now).Round(time.Millisecond)),
 		})
 	}
@@ -190,8 +191,17 @@
 
 // offer sends a batch to the pool's current owner.
 func (c *Coordinator) offer(v *poolView, b Batch, j *job) {
+	if j.offered == nil {
+		j.offered = make(map[poolOwner]bool)
+	}
+	j.offered[poolOwner{b.pool, v.owner}] = true
 	for _, i := range b.items {
-		j.steps[b.stepNumber].tasks[i.index].fence = v.fence
+		t := &j.steps[b.stepNumber].tasks[i.index]
+		t.fence = v.fence
+		if !b.resume {
+			t.highest = 0
+		}
+		t.highest = max(t.highest, v.fence)
 	}
 	c.emit(SendBatch{To: v.owner, Batch: b.WithFence(v.fence)})
 }
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -7,9 +7,9 @@
 )
 
 // poll polls a target if there is a reason to. It does not extend the lease of a
-// target that does not answer, so that its runs end.
+// target that does not answer, or that has a run which must have ended, so that its runs end.
 func (p *Pool) poll(now time.Duration, t *target) {
-	if t.polling || t.listed && len(t.runs) == 0 && t.misses == 0 && (t.lastAckable() == t.acked || now-t.polledAt < ackDelay) {
+	if t.polling || t.listed && t.listsSent >= p.surveyFrom && len(t.runs) == 0 && t.misses == 0 && (t.lastAckable() == t.acked || now-t.polledAt < ackDelay) {
 		return
 	}
 	if now-t.polledAt < t.pollBackoff() {
@@ -18,7 +18,7 @@
 	var lease int64
 	var wait time.Duration
 	if t.clock.known && len(t.runs) > 0 && t.misses == 0 {
-		lease = t.clock.estimate(now) + leaseDuration.Milliseconds()
+		lease = t.nextLease(now)
 		t.leaseExpiry = max(t.leaseExpiry, lease)
 	}
 	if t.listed && t.misses == 0 && len(t.runs) > 0 {
@@ -91,10 +91,10 @@
 }
 
 // HandlePollReply handles the reply to a poll that was sent and received at the given
-// times. If another poll has replaced it, only its lists count, unless newer ones have been
-// applied.
+// times. If another poll has replaced it, only its lists count; the list of running tasks
+// doesn't if a newer one has been applied.
 func (p *Pool) HandlePollReply(now time.Duration, c PollCall, r filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(c.Request.Instance())
+	t := p.targetOf(now, c.Request.Instance(), r)
 	if t == nil {
 		return
 	}
@@ -108,10 +108,14 @@
 	if !p.handleReply(now, t, r, sent, received) {
 		return
 	}
-	if r.Outcome() == filbertford.CallDone && t.newerLists(c.Number, r.Clock()) {
+	if r.Outcome() == filbertford.CallDone {
+		t.listsSent = max(t.listsSent, sent)
 		t.acked = max(t.acked, c.Request.Acked())
-		t.listClock, t.listNumber = r.Clock(), c.Number
-		p.applyLists(now, t, r, sent)
+		p.applyEnded(now, t, r)
+	}
+	if r.Outcome() == filbertford.CallDone && t.newerLists(r.Clock()) {
+		t.listClock, t.listsAt = r.Clock(), now
+		p.applyRunning(now, t, r, sent)
 	}
 	p.poll(now, t)
 	p.checkAllListed(now)
@@ -119,11 +123,10 @@
 	p.dispatchDue = true
 }
 
-// newerLists reports whether the lists in the reply to a poll, written at the given time of
-// the target's clock, are newer than those that were last applied.
-func (t *target) newerLists(number uint64, clock int64) bool {
-	return clock > t.listClock || clock == t.listClock && number > t.listNumber
-}
+// newerLists reports whether lists that were written at the given time of the target's clock
+// are newer than those that were last applied. The order of lists of the same millisecond is
+// unknown: polls may overtake each other.
+func (t *target) newerLists(clock int64) bool { return clock > t.listClock }
 
 // recordMiss counts a call that the target has not answered in time.
 func (p *Pool) recordMiss(t *target, reason string) {
@@ -145,9 +148,7 @@
 		p.emit(PoolLost{Pool: p.id})
 		return false
 	case filbertford.CallRestarted:
-		p.targetRestarted(now, t)
-		p.removeTarget(t)
-		p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Reason: "another instance of the target replied"})
+		p.targetReplaced(now, t)
 		return false
 	}
 	if t.misses >= maxMisses {
@@ -155,6 +156,9 @@
 		p.capacityChanged = true
 	}
 	t.misses = 0
+	if first := !t.clock.known && r.Clock() != 0; first && len(t.runs) > 0 {
+		t.leaseExpiry = max(t.leaseExpiry, r.Clock()+maxLease.Milliseconds())
+	}
 	t.clock.update(r.Clock(), sent, received)
 	t.lastReply = received
 	return true
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -27,6 +27,9 @@
 	// list all targets: longer than network partitions and unresponsive targets
 	// usually last.
 	listTimeout = 10 * time.Second
+	// maxListedEnds is the number of ended runs that a target lists at a time, as the
+	// platform specifies. It lists the others once these are acknowledged.
+	maxListedEnds = 500
 	// maxPollWait is the longest that a target holds a poll before it replies.
 	maxPollWait = 200 * time.Millisecond
 	// ackDelay is how long an idle target keeps the outcomes of its ended runs after the
@@ -50,6 +53,10 @@
 	// coordinatorTimeout is how long the tasks of a stored job continue without a
 	// coordinator.
 	coordinatorTimeout = 8 * time.Second
+	// reofferTimeout is how long the tasks of a best-effort job are kept after their
+	// coordinator has connected again without offering them. It offers all of its tasks
+	// as soon as it is connected; the rest is for the delay of a busy daemon.
+	reofferTimeout = 400 * time.Millisecond
 	// reportInterval is the time between two reports of an outcome that is not
 	// confirmed.
 	reportInterval = time.Second
@@ -75,6 +82,7 @@
 	sortedTargets     []*target
 	tasks             map[filbertford.TaskKey]*task
 	activeRuns        map[filbertford.TaskKey]*run
+	secondRuns        map[filbertford.TaskKey]int // number of runs beside the active one
 	runNumbers        map[filbertford.TaskKey]uint64
 	outcomes          map[filbertford.TaskKey]taskOutcome
 	inheritedFailures map[filbertford.TaskKey]int       // failed runs that earlier owners started
@@ -85,9 +93,11 @@
 	roundTrips        *roundTrips
 	createdAt         time.Duration
 	allListed         bool
-	surveyed          bool // see checkSurveyed
-	dispatchDue       bool // a queued task may be able to start
+	surveyed          bool          // see checkSurveyed
+	surveyFrom        time.Duration // calls that were sent before don't count for the survey
+	dispatchDue       bool          // a queued task may be able to start
 	startsHeldUntil   time.Duration
+	suspendedUntil    time.Duration // see HandleSuspension
 	capacityChanged   bool
 	actions           []Action
 }
@@ -110,6 +120,7 @@
 	search                   bool                 // run only if already in the pool
 	waitsForFaster           bool                 // a target has capacity, but the task waits for a faster one
 	coordinatorUnreachableAt time.Duration        // 0 if the coordinator is reachable
+	reofferBy                time.Duration        // when it is dropped unless it is offered again, 0 for never
 	run                      *run
 	started                  bool // a run was started or adopted
 }
@@ -129,10 +140,11 @@
 // since boot. Run numbers are derived from it, so that they increase across owners.
 func NewPool(id filbertford.PoolID, fence uint64, wallOffset int64, now time.Duration) *Pool {
 	return &Pool{
-		id: id, fence: fence, wallOffset: wallOffset, createdAt: now,
+		id: id, fence: fence, wallOffset: wallOffset, createdAt: now, surveyFrom: now,
 		targets:           make(map[filbertford.TargetID]*target),
 		tasks:             make(map[filbertford.TaskKey]*task),
 		activeRuns:        make(map[filbertford.TaskKey]*run),
+		secondRuns:        make(map[filbertford.TaskKey]int),
 		runNumbers:        make(map[filbertford.TaskKey]uint64),
 		outcomes:          make(map[filbertford.TaskKey]taskOutcome),
 		inheritedFailures: make(map[filbertford.TaskKey]int),
@@ -243,6 +255,20 @@
 	p.dispatchDue = true
 }
 
+// CoordinatorConnected handles a new connection of a coordinator, which offers its tasks of
+// best-effort jobs again. The others are dropped after reofferTimeout: a withdrawal may have
+// been lost with the earlier connection.
+func (p *Pool) CoordinatorConnected(now time.Duration, node filbertford.NodeID) {
+	for _, t := range p.tasks {
+		if t.coordinator == node && !t.batch.stored && t.reofferBy == 0 {
+			t.reofferBy = now + reofferTimeout
+			if t.run != nil {
+				t.run.endBy(now + leaseDuration + stopTimeout)
+			}
+		}
+	}
+}
+
 func (p *Pool) dropTasks(now time.Duration, match func(*task) bool, reason string) {
 	var stopped []*run
 	for key, t := range p.tasks {
@@ -298,19 +324,31 @@
 // at the latest after surveyTimeout. Before, the pool starts no task, not even one that its
 // coordinator has offered to no other owner: when all daemons start at once, several may own
 // the pool for a moment, and another owner may have started the task at a target that this
-// one has not listed.
+// one has not listed. A suspension begins the survey again.
 func (p *Pool) checkSurveyed(now time.Duration) {
 	if p.surveyed || len(p.sortedTargets) == 0 {
 		return
 	}
 	for _, t := range p.sortedTargets {
-		if !t.listed && t.misses < maxMisses && now-p.createdAt < surveyTimeout {
+		if (!t.listed || t.listsSent < p.surveyFrom) && t.misses < maxMisses && now-p.surveyFrom < surveyTimeout {
 			return
 		}
 	}
 	p.surveyed, p.dispatchDue = true, true
 }
 
+// HandleSuspension handles that the owner was suspended until now. Another daemon may own the
+// pool by now and may have started its tasks. A target rejects this owner's token only if the
+// other one has reached it, so that all targets are asked before any task starts, and none
+// starts for the given time, in which other daemons report a newer owner.
+func (p *Pool) HandleSuspension(now, wait time.Duration) {
+	p.surveyed, p.surveyFrom, p.suspendedUntil = false, now, now+wait
+	for _, t := range p.sortedTargets {
+		t.polling = false // a reply to the last poll may be older than the suspension
+		p.poll(now, t)
+	}
+}
+
 // expire drops the tasks that could not start in time.
 func (p *Pool) expire(now time.Duration) {
 	expired := false
@@ -355,8 +393,12 @@
 
 // requeueTask queues a task for another run.
 func (p *Pool) requeueTask(now time.Duration, t *task, reason string) {
+	event := Event{Kind: EventTaskRequeued, Task: t.key, Reason: reason, Age: now - t.queuedAt}
+	if r := t.run; r != nil {
+		event.Target, event.Run, event.ListsAge = r.target.id(), r.number, now-r.target.listsAt
+	}
+	p.emitEvent(event)
 	t.run, t.resume, t.startedOn = nil, false, ""
-	p.emitEvent(Event{Kind: EventTaskRequeued, Task: t.key, Reason: reason, Age: now - t.queuedAt})
 	p.enqueue(t)
 }
 
