fbsched: two known failures of the randomised test are back in its table

Late calls that reach a target's next instance under its ID, and a broken connection that the coordinator doesn't notice, had been taken out of the table as nothing that a pool can prevent.

--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -91,6 +91,8 @@
 // scenario is what a plan may contain.
 type scenario struct {
 	kinds []faultKind
+	// keepLateCalls lets late calls reach a target that has started again under its ID.
+	keepLateCalls bool
 	// resend lets callers that got no definite answer send their jobs again.
 	resend bool
 	pools  int
@@ -690,7 +692,7 @@
 		simulation: newSimulation(p.targets, p.slots), plan: p, random: rand.New(rand.NewPCG(p.seed, 1)), counts: counts,
 		links: make(map[linkKey]*linkState), jobs: make(map[uint64]int),
 	}
-	r.trace, r.unguarded, r.answered = trace, p.scenario.unguarded, r.handleAnswer
+	r.trace, r.unguarded, r.keepLateCalls, r.answered = trace, p.scenario.unguarded, p.scenario.keepLateCalls, r.handleAnswer
 	for i := range p.pools {
 		id := testPool
 		if i > 0 {
@@ -848,6 +850,7 @@
 		"targets":                      {kinds: slices.Concat(ownerFaults, targetFaults)},
 		"other IDs":                    {kinds: slices.Concat(ownerFaults, bootFaults)},
 		"same ID":                      {kinds: []faultKind{faultSameID}},
+		"same ID and late calls":       {kinds: []faultKind{faultSameID}, keepLateCalls: true},
 		"all and the same ID":          {kinds: slices.Concat(all, []faultKind{faultSameID})},
 		"all but the same ID":          {kinds: all},
 		"jobs sent again":              {kinds: all, resend: true},
@@ -855,6 +858,7 @@
 		"unguarded targets":            {kinds: slices.Concat(linkFaults, targetFaults), unguarded: true},
 		"unguarded, owners":            {kinds: all, unguarded: true},
 		"channels break unnoticed":     {kinds: []faultKind{faultUnnoticed}, resend: true},
+		"unnoticed, two pools":         {kinds: []faultKind{faultUnnoticed}, resend: true, pools: 2},
 		"coordinators lost":            {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true},
 		"coordinators lost, two pools": {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true, pools: 2},
 	}
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -121,7 +121,9 @@
 	streamDown        bool
 	coordinatorPaused bool
 	coordinatorWaits  []func()
-	trace             func(format string, args ...any)
+	// keepLateCalls lets a late call reach another instance than it was sent to.
+	keepLateCalls bool
+	trace         func(format string, args ...any)
 	// unguarded lets targets start runs beyond their capacity, which is a violation.
 	unguarded bool
 	// rejectRestarts makes a start of a task that is done a violation.
@@ -569,7 +571,7 @@
 		}
 		if d.lateAfter > 0 {
 			sim.after(d.lateAfter, func() {
-				if boots != t.boots {
+				if boots != t.boots && !sim.keepLateCalls {
 					return
 				}
 				sim.arrive(t, func() {
