An owner that learns of a newer claim from a third daemon doesn't claim the pool again at once

What callers saw: nothing; a review's simulation. Two daemons that don't hear each other, with all other connections whole, took the pool from each other at each tick: 67 claims in 6 s, each with a survey.

Cause: the report of a newer claim released the pool without the wait that a rejection by a target has.

Evidence: TestPoolOfTwoThatDoNotHearEachOther: 42 and 72 claims, want 13 at most.

Change: the same wait, 500 ms, as DESIGN.md states it.

Result: the test passes.

--- a/fbfleet/claim.go
+++ b/fbfleet/claim.go
@@ -32,6 +32,7 @@
 	}
 	f.highestFence[pool] = max(f.highestFence[pool], fence)
 	f.release(pool, "another daemon reports a newer claim")
+	f.noReclaim[pool], f.fencedAt[pool] = true, now
 	f.updateOwners(now)
 }
 
