A cancelled stored job is withdrawn from owners that aren't heard

Cause: as for best-effort jobs, the withdrawal went to the present owners only. Evidence: TestCancelledStoredJobIsWithdrawnFromLostOwner failed (withdrawn from ""); it passes.

--- a/fbsched/answer.go
+++ b/fbsched/answer.go
@@ -124,11 +124,15 @@
 	if !j.hasUndoneTask() {
 		return
 	}
-	owners := slices.SortedFunc(maps.Keys(j.offered), func(a, b poolOwner) int {
+	c.withdrawFrom(j.offered, j.workload.Key())
+}
+
+func (c *Coordinator) withdrawFrom(owners map[poolOwner]bool, job filbertford.JobKey) {
+	sorted := slices.SortedFunc(maps.Keys(owners), func(a, b poolOwner) int {
 		return cmp.Or(cmp.Compare(a.pool, b.pool), cmp.Compare(a.node, b.node))
 	})
-	for _, o := range owners {
-		c.emit(SendWithdrawal{To: o.node, Withdrawal: NewWithdrawal(o.pool, j.workload.Key())})
+	for _, o := range sorted {
+		c.emit(SendWithdrawal{To: o.node, Withdrawal: NewWithdrawal(o.pool, job)})
 	}
 }
 
--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"maps"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -89,14 +90,19 @@
 }
 
 // CancelStored removes a stored job that has ended and withdraws its tasks from all
-// pools.
+// pools, also from owners that it was offered to and that aren't heard any more.
 func (c *Coordinator) CancelStored(job filbertford.JobKey) {
+	owners := make(map[poolOwner]bool)
+	if j := c.jobs[job]; j != nil {
+		maps.Copy(owners, j.offered)
+	}
 	delete(c.jobs, job)
-	for _, id := range c.poolIDs() {
-		if v := c.pools[id]; v.owner != "" {
-			c.emit(SendWithdrawal{To: v.owner, Withdrawal: NewWithdrawal(id, job)})
+	for id, v := range c.pools {
+		if v.owner != "" {
+			owners[poolOwner{id, v.owner}] = true
 		}
 	}
+	c.withdrawFrom(owners, job)
 }
 
 // HandleRecorded handles the recorded progress of a task of a stored job.
--- a/fbsched/stored_test.go
+++ b/fbsched/stored_test.go
@@ -38,3 +38,26 @@
 		t.Errorf("the coordinator has %d jobs, want the stored one", n)
 	}
 }
+
+// TestCancelledStoredJobIsWithdrawnFromLostOwner checks that a stored job is withdrawn from an
+// owner that isn't heard when the job is cancelled.
+func TestCancelledStoredJobIsWithdrawnFromLostOwner(t *testing.T) {
+	c := NewCoordinator("p")
+	now := time.Minute
+	c.SetOwner(now, "p", "a", 1)
+	route := filbertford.NewRoute("h", "/p/", "ordering").WithPolicy(0, 3)
+	w := filbertford.NewWorkload("00000000000000aa", "", filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), 100*time.Millisecond))
+	c.StartStored(now, route, w, func(int, int) Progress { return Progress{} }, false)
+	c.SetOwner(now, "p", "", 0)
+	c.TakeActions()
+	c.CancelStored(w.Key())
+	var to filbertford.NodeID
+	for _, a := range c.TakeActions() {
+		if v, ok := a.(SendWithdrawal); ok {
+			to = v.To
+		}
+	}
+	if to != "a" {
+		t.Errorf("withdrawn from %q, want a", to)
+	}
+}
