A return of a task that was offered as resumed doesn't place it again

Cause: a pool returns a task only if it was offered to it first. A return that comes after the task was offered again, as resumed, under the same token answers the first offer, and the pool has the task; placing it in another pool started it twice. A review showed it in tests.

TestCoordinatorIgnoresReportsOfEarlierOwner expected such a return to place the task, which no pool sends: it now expects that it doesn't, and checks the return of a task that was offered first instead. It failed before ("resumed task was offered to pool p after a return").

--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -96,7 +96,7 @@
 type taskState struct {
 	pool     filbertford.PoolID   // empty while the task waits for a pool
 	fence    uint64               // of the owner that the task was last offered to
-	highest  uint64               // highest token of the pool's owners that it was offered to
+	resumed  bool                 // another owner may have started it when it was last offered
 	target   filbertford.TargetID // that the task was last started on
 	done     bool
 	failures int
@@ -336,8 +336,8 @@
 		}
 		c.abandon(now, j, "no target for a task in time")
 	case StatusReturned:
-		if t.fence < t.highest {
-			return // it answers the first offer to an owner that has got the task back since
+		if t.resumed {
+			return // it answers an earlier offer: a pool keeps a task that may have been started
 		}
 		t.pool, t.target = "", ""
 		if t.returns++; t.returns > maxReturns && !j.stored {
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -197,11 +197,7 @@
 	j.offered[poolOwner{b.pool, v.owner}] = true
 	for _, i := range b.items {
 		t := &j.steps[b.stepNumber].tasks[i.index]
-		t.fence = v.fence
-		if !b.resume {
-			t.highest = 0
-		}
-		t.highest = max(t.highest, v.fence)
+		t.fence, t.resumed = v.fence, b.resume
 	}
 	c.emit(SendBatch{To: v.owner, Batch: b.WithFence(v.fence)})
 }
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -187,7 +187,17 @@
 			t.Errorf("task was offered to pool %s after a report of an earlier owner", b.Batch.Pool())
 		}
 	}
+	// The current owner keeps a task that was offered to it as resumed, so that its token on a
+	// return answers an earlier offer. It returns one that was offered to it first.
 	c.HandleReport(time.Second, NewReport("p", 2, key, StatusReturned, 0))
+	for _, a := range c.TakeActions() {
+		if b, ok := a.(SendBatch); ok {
+			t.Errorf("resumed task was offered to pool %s after a return", b.Batch.Pool())
+		}
+	}
+	c.Submit(time.Second, 2, filbertford.NewRoute("h", "/", "s"), filbertford.NewWorkload("00000000000000bb", "", step), time.Minute)
+	c.TakeActions()
+	c.HandleReport(time.Second, NewReport("p", 2, filbertford.NewTaskKey("00000000000000bb", 0, 0, 0), StatusReturned, 0))
 	var pools []filbertford.PoolID
 	for _, a := range c.TakeActions() {
 		if b, ok := a.(SendBatch); ok {
