Claims in the store are judged with the time at which they were read

A daemon that is suspended between reading the claims and handling them took the suspension for time in which the owner had not renewed its claim. Found by reading, in a review; no test.

--- a/fbnode/claims.go
+++ b/fbnode/claims.go
@@ -6,6 +6,7 @@
 
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fbtimer"
 )
 
 // Periods and age limit of the claims that owners write to the store.
@@ -79,11 +80,12 @@
 func (n *Node) readClaims(now time.Duration) {
 	n.claims.lastRead, n.claims.reading = now, true
 	n.calls.Go(func() error {
+		readAt := fbtimer.SinceBoot() // the daemon may be suspended before it handles the reply
 		snap, err := n.deps.Store.List(n.ctx, filbertford.TableClaims, "")
-		n.post(func(now time.Duration) {
+		n.post(func(time.Duration) {
 			n.claims.reading = false
 			if err == nil {
-				n.checkClaims(now, snap)
+				n.checkClaims(readAt, snap)
 			}
 		})
 		return nil
