fbsoak: a connection that breaks is no delay

A request whose connection broke was excused if the processes had waited long enough for a processor, which explains a late answer but not a broken connection. It is a violation again.

--- a/fbsoak/clients.go
+++ b/fbsoak/clients.go
@@ -187,10 +187,10 @@
 	if time.Since(startedAt) <= unreadWindow || c.soak.isImpacted(node, startedAt, time.Now(), true) {
 		return
 	}
-	limit := unreadWindow
-	if errors.Is(err, context.DeadlineExceeded) {
-		limit = callerTimeout + answerMargin
+	what := fmt.Sprintf("job %s got no answer from daemon %d after %v: %v", key, node, time.Since(startedAt).Round(time.Millisecond), err)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		c.soak.violationf("%s", what)
+		return
 	}
-	c.soak.judgeDelay(node, startedAt, limit,
-		fmt.Sprintf("job %s got no answer from daemon %d after %v: %v", key, node, time.Since(startedAt).Round(time.Millisecond), err))
+	c.soak.judgeDelay(node, startedAt, callerTimeout+answerMargin, what)
 }
