Mends of the mends: leases beside unclaimed runs, earlier start times, slow reconnects, short stalls

A reply to a call that was sent after the current instance had replied is of no earlier one. - The tasks of a coordinator that took 0.4 to 0.8 s to offer them again were stopped. It has 0.8 s, in which none of them starts; the limit of their leases stays. - Starts were held for 400 ms in fleets of 12 daemons and more after a stall of 0.3 s; 200 ms in all. - A pass over the queue looked at all runs of all targets; now only at targets with a limited lease.

--- a/fbnode/fake_daemon_test.go
+++ b/fbnode/fake_daemon_test.go
@@ -110,7 +110,7 @@
 	d.sim.logf("%s was suspended for %v", d.name(), gap)
 	d.fleet.HandleSuspension(now)
 	for _, id := range d.poolIDs() {
-		d.pools[id].HandleSuspension(now, 2*d.fleet.HeartbeatPeriod())
+		d.pools[id].HandleSuspension(now, suspensionWait)
 	}
 	if gap > abandonAfter {
 		d.coordinator.AbandonAll(now, "the daemon was suspended")
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -30,6 +30,10 @@
 	// suspensionThreshold is the time between two ticks above which the process
 	// counts as having been suspended.
 	suspensionThreshold = 300 * time.Millisecond
+	// suspensionWait is how long pools start nothing after a suspension: two heartbeat
+	// periods of a small fleet, in which others answer this daemon's heartbeat with the
+	// newer claims that they know.
+	suspensionWait = 200 * time.Millisecond
 	// abandonAfter is the length of a suspension after which jobs are abandoned: by
 	// then pools have stopped their tasks, and callers may have sent them elsewhere.
 	abandonAfter = time.Second
@@ -248,7 +252,7 @@
 	n.recorder.recordSuspension(gap)
 	n.fleet.HandleSuspension(now)
 	for _, p := range n.pools {
-		p.HandleSuspension(now, 2*n.fleet.HeartbeatPeriod())
+		p.HandleSuspension(now, suspensionWait)
 	}
 	if gap <= abandonAfter {
 		return
--- a/fbsched/capacity.go
+++ b/fbsched/capacity.go
@@ -50,6 +50,9 @@
 // hasUnknownDemand reports whether the target has a run of an earlier owner whose task nobody
 // has offered yet, so that its free capacity is unknown.
 func (t *target) hasUnknownDemand() bool {
+	if t.limitedRuns == 0 {
+		return false // the lease of a run that nobody has claimed is limited
+	}
 	for _, r := range t.runs {
 		if r.task == nil && r.demand == (filbertford.Resources{}) {
 			return true
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -32,7 +32,7 @@
 // startTask starts a task if a target of its service has capacity for it, and reports
 // whether it did.
 func (p *Pool) startTask(now time.Duration, t *task, capacity *serviceCapacity) bool {
-	if t.coordinatorUnreachableAt != 0 || p.activeRuns[t.key] != nil || p.secondRuns[t.key] > 0 || !p.earlierRunsEnded(now, t) {
+	if t.coordinatorUnreachableAt != 0 || t.reofferBy != 0 || p.activeRuns[t.key] != nil || p.secondRuns[t.key] > 0 || !p.earlierRunsEnded(now, t) {
 		return false
 	}
 	chosen := p.chooseTarget(t, capacity)
@@ -156,7 +156,7 @@
 // the given times. It is called with CallUnknown when there is no reply within the
 // timeout, and again if the reply arrives late.
 func (p *Pool) HandleStartReply(now time.Duration, req filbertford.StartRunRequest, reply filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(now, req.Instance(), reply)
+	t := p.targetOf(now, req.Instance(), reply, sent)
 	if t == nil {
 		return
 	}
--- a/fbsched/ending.go
+++ b/fbsched/ending.go
@@ -11,23 +11,38 @@
 	// leaseDuration: the time for a stop and two retries.
 	stopTimeout = 2 * retryInterval
 	// unclaimedMargin is how long the lease of an unclaimed run may last after it is to be
-	// stopped: the time that a target takes to stop a run, as the platform specifies. The
-	// caller may have lost the job up to a lease before the run was found.
-	unclaimedMargin = 50 * time.Millisecond
+	// stopped: the time for the stop, 50 ms as the platform specifies, and for the next poll,
+	// which extends the lease of the other runs there. The caller may have lost the job up to
+	// a lease before the run was found.
+	unclaimedMargin = 150 * time.Millisecond
 	// minLease is the shortest lease that is worth granting: it lasts until the next poll.
 	minLease = 100 * time.Millisecond
 )
 
 // endBy limits the lease of a run: it must not last beyond the given time.
 func (r *run) endBy(at time.Duration) {
+	if r.leaseLimit == 0 {
+		r.target.limitedRuns++
+	}
 	if r.leaseLimit == 0 || at < r.leaseLimit {
 		r.leaseLimit = at
 	}
 }
 
+// unlimit removes the limit of a run's lease.
+func (r *run) unlimit() {
+	if r.leaseLimit != 0 {
+		r.target.limitedRuns--
+		r.leaseLimit = 0
+	}
+}
+
 // leaseLimit returns the time beyond which no lease at the target may last, because one of
 // its runs must have ended by then, and whether there is such a run.
 func (t *target) leaseLimit() (limit time.Duration, ok bool) {
+	if t.limitedRuns == 0 {
+		return 0, false
+	}
 	for _, r := range t.runs {
 		if r.leaseLimit != 0 && (!ok || r.leaseLimit < limit) {
 			limit, ok = r.leaseLimit, true
--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -12,9 +12,10 @@
 
 // targetOf returns the target that a call was sent to, or nil if the reply is of no use. A
 // target may start again under its ID; the start time in a reply shows it, possibly long
-// before the target's record does. A reply without a start time counts only if the call was
-// sent to the current instance.
-func (p *Pool) targetOf(now time.Duration, called filbertford.TargetInstance, r filbertford.CallReply) *target {
+// before the target's record does. The time of day may have been set back between two starts: a
+// reply to a call that was sent after the current instance had replied is of no earlier one. A
+// reply without a start time counts only if the call was sent to the current instance.
+func (p *Pool) targetOf(now time.Duration, called filbertford.TargetInstance, r filbertford.CallReply, sent time.Duration) *target {
 	t := p.targets[called.ID()]
 	if t == nil {
 		return nil
@@ -26,9 +27,9 @@
 		}
 	case t.startedAt == 0:
 		t.startedAt = replied
-	case replied < t.startedAt:
+	case replied < t.startedAt && sent <= t.lastReply:
 		return nil
-	case replied > t.startedAt:
+	case replied != t.startedAt:
 		return p.replaceInstance(now, t, t.rec.WithStartedAt(replied))
 	}
 	return t
@@ -55,6 +56,9 @@
 		}
 		r.target = t
 		t.runs[r.key] = r
+		if r.leaseLimit != 0 {
+			t.limitedRuns++
+		}
 		t.used = t.used.Add(r.demand)
 		if r.state == runStarting {
 			r.state = runUncertain
--- a/fbsched/instance_test.go
+++ b/fbsched/instance_test.go
@@ -106,6 +106,25 @@
 	}
 }
 
+// TestTargetRestartsWithEarlierTime checks a target that starts again under its ID after its time
+// of day was set back.
+func TestTargetRestartsWithEarlierTime(t *testing.T) {
+	sim := newSimulation(1, 4)
+	target := sim.targets["t00"]
+	target.restart("t00", 1000)
+	o := sim.addOwner("a", 1)
+	sim.advance(30 * time.Millisecond)
+	sim.announceOwner(o)
+	target.restart("t00", 999)
+	sim.advance(2 * time.Second)
+	o.pool.SetTargets(sim.now, sim.records())
+	sim.submit(1, "00000000000000aa", 1)
+	sim.advance(2 * time.Second)
+	if got := sim.answers[1]; got != filbertford.AnswerCompleted {
+		t.Errorf("answer is %q, want completed", got)
+	}
+}
+
 func recordOf(id filbertford.TargetID, startedAt int64) filbertford.TargetRecord {
 	return filbertford.NewTargetRecord(filbertford.NewTargetInstance(id, startedAt), "ordering", string(id)+":80", "nordnes",
 		filbertford.NewResources(4000, 1000, 0), "a", "r1")
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -92,7 +92,7 @@
 	case t.run == nil && b.resume:
 		t.resumeFrom(now, b, item)
 	case t.run != nil && !t.run.stopWanted:
-		t.run.leaseLimit = 0
+		t.run.unlimit()
 	}
 	t.setDue(now + b.due)
 	t.deadline = now + b.timeout
@@ -126,7 +126,7 @@
 // for the task has found it.
 func (p *Pool) adopt(now time.Duration, t *task, r *run) {
 	t.run, r.task, t.started, t.search = r, t, true, false
-	r.leaseLimit = 0
+	r.unlimit()
 	if r.demand == (filbertford.Resources{}) {
 		r.demand = t.batch.step.Demand()
 		r.target.used = r.target.used.Add(r.demand)
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -94,7 +94,7 @@
 // times. If another poll has replaced it, only its lists count; the list of running tasks
 // doesn't if a newer one has been applied.
 func (p *Pool) HandlePollReply(now time.Duration, c PollCall, r filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(now, c.Request.Instance(), r)
+	t := p.targetOf(now, c.Request.Instance(), r, sent)
 	if t == nil {
 		return
 	}
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -55,8 +55,9 @@
 	coordinatorTimeout = 8 * time.Second
 	// reofferTimeout is how long the tasks of a best-effort job are kept after their
 	// coordinator has connected again without offering them. It offers all of its tasks
-	// as soon as it is connected; the rest is for the delay of a busy daemon.
-	reofferTimeout = 400 * time.Millisecond
+	// as soon as it is connected; the rest is for the delay of a busy daemon. None of them
+	// starts meanwhile.
+	reofferTimeout = 800 * time.Millisecond
 	// reportInterval is the time between two reports of an outcome that is not
 	// confirmed.
 	reportInterval = time.Second
--- a/fbsched/reconnect_test.go
+++ b/fbsched/reconnect_test.go
@@ -25,19 +25,31 @@
 	p.Offer(now, "c", batch("00000000000000bb", false))
 	p.Offer(now, "c", batch("00000000000000cc", true)) // offered again when its shard was verified
 	p.Offer(now, "d", batch("00000000000000dd", false))
-	if n := len(startCalls(p.TakeActions(now))); n != 4 {
-		t.Fatalf("%d starts, want 4", n)
+	started := startCalls(p.TakeActions(now))
+	if len(started) != 4 {
+		t.Fatalf("%d starts, want 4", len(started))
+	}
+	var running []filbertford.RunStatus
+	for _, s := range started {
+		p.HandleStartReply(now, s, filbertford.NewCallReply(filbertford.CallDone, 1000), now, now)
+		running = append(running, filbertford.NewRunStatus(s.Task(), s.Run(), 50))
 	}
 	now += 50 * time.Millisecond
 	p.CoordinatorConnected(now, "c")
 	p.Offer(now, "c", batch("00000000000000bb", false).WithResume(0))
+	stopped := make(map[filbertford.JobKey]int)
 	for end := now + reofferTimeout + 20*time.Millisecond; now < end; now += 20 * time.Millisecond {
 		p.Tick(now, 1_000_000)
-	}
-	stopped := make(map[filbertford.JobKey]int)
-	for _, a := range p.TakeActions(now) {
-		if e, ok := a.(Event); ok && e.Kind == EventRunStopped {
-			stopped[e.Task.Job()]++
+		for _, a := range p.TakeActions(now) {
+			switch v := a.(type) {
+			case PollCall:
+				clock := 1000 + (now - time.Minute).Milliseconds()
+				p.HandlePollReply(now, v, filbertford.NewCallReply(filbertford.CallDone, clock).WithStartedAt(1).WithRuns(running, nil), now, now)
+			case Event:
+				if v.Kind == EventRunStopped {
+					stopped[v.Task.Job()]++
+				}
+			}
 		}
 	}
 	if len(stopped) != 1 || stopped["00000000000000aa"] != 2 {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -36,6 +36,7 @@
 	lastReply    time.Duration
 	misses       int
 	runs         map[filbertford.TaskKey]*run
+	limitedRuns  int // number of runs whose lease is limited
 	used         filbertford.Resources
 	health       health
 	fullUntil    time.Duration // no tasks are started before, because the target was full
@@ -238,6 +239,7 @@
 // releaseRun removes a run that has ended and frees its capacity.
 func (p *Pool) releaseRun(r *run) {
 	t := r.target
+	r.unlimit()
 	delete(t.runs, r.key)
 	t.used = t.used.Sub(r.demand)
 	if p.activeRuns[r.key] == r {
@@ -275,7 +277,7 @@
 // HandleStopReply handles the reply to a stop request that was sent and received at
 // the given times. Like a reply to a start, it may be called again with a late reply.
 func (p *Pool) HandleStopReply(now time.Duration, req filbertford.StopRunRequest, reply filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(now, req.Instance(), reply)
+	t := p.targetOf(now, req.Instance(), reply, sent)
 	if t == nil || !p.handleReply(now, t, reply, sent, received) {
 		return
 	}
