TestCoordinatorIgnoresReportsOfEarlierOwner: reports other than returns too

The mutation that accepts reports of earlier owners was no longer caught: a return is ignored for another reason too by now. Expired, failed and reassigned tasks are checked as well.

--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -181,10 +181,15 @@
 	c.SetOwner(time.Second, "p", "b", 2)
 	c.TakeActions()
 	key := filbertford.NewTaskKey("00000000000000aa", 0, 0, 0)
-	c.HandleReport(time.Second, NewReport("p", 1, key, StatusReturned, 0))
-	for _, a := range c.TakeActions() {
-		if b, ok := a.(SendBatch); ok {
-			t.Errorf("task was offered to pool %s after a report of an earlier owner", b.Batch.Pool())
+	for _, status := range []Status{StatusReturned, StatusExpired, StatusFailed, StatusReassigned} {
+		c.HandleReport(time.Second, NewReport("p", 1, key, status, 0))
+		for _, a := range c.TakeActions() {
+			switch v := a.(type) {
+			case SendBatch:
+				t.Errorf("task was offered to pool %s after an earlier owner reported it as %s", v.Batch.Pool(), status)
+			case Answer:
+				t.Errorf("job was answered after an earlier owner reported its task as %s", status)
+			}
 		}
 	}
 	// The current owner keeps a task that was offered to it as resumed, so that its token on a
