--- /dev/null
+++ b/fbsched/simulation_calls_test.go
@@ -0,0 +1,215 @@
+package fbsched
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+func (t *fakeTarget) poll(req filbertford.PollRequest) filbertford.CallReply {
+	if r, rejected := t.check(req.Instance(), req.Fence()); rejected {
+		return r
+	}
+	if req.Lease() > 0 {
+		t.extendLease(req.Lease())
+	}
+	var kept []filbertford.EndedRun
+	for _, e := range t.ended {
+		if e.Sequence() > req.Acked() {
+			kept = append(kept, e)
+		}
+	}
+	t.ended = kept
+	var running []filbertford.RunStatus
+	for _, key := range t.runningTasks() {
+		r := t.runs[key]
+		percent := 100 - int(100*(r.endsAt-t.sim.now)/max(1, time.Duration(float64(t.sim.durationOf(key))*t.speed)))
+		if t.hanging {
+			percent = 10
+		}
+		if r.outcome == filbertford.RunStopped {
+			percent = 50
+		}
+		running = append(running, filbertford.NewRunStatus(key, r.number, percent))
+	}
+	return t.reply(filbertford.CallDone).WithRuns(running, kept)
+}
+
+// delivery determines how a call to a target is delivered.
+type delivery struct {
+	requestDelay, replyDelay time.Duration // network delays
+	lost                     bool          // no reply arrives
+	lateAfter                time.Duration // delay after which a lost call is carried out, 0 for never
+	resetAfter               time.Duration // delay after which the owner learns that a call is lost, 0 for its timeout
+}
+
+// targetRequest is a request to a target.
+type targetRequest interface {
+	Instance() filbertford.TargetInstance
+	Address() string
+	Fence() uint64
+}
+
+// durationOf returns how long the task runs on a target of normal speed.
+func (sim *simulation) durationOf(key filbertford.TaskKey) time.Duration {
+	if d, ok := sim.works[key.Job()]; ok {
+		return d
+	}
+	return sim.taskDuration
+}
+
+// targetAt returns the target at the address of a request, nil if there is none.
+func (sim *simulation) targetAt(req targetRequest) *fakeTarget {
+	host, _, _ := strings.Cut(req.Address(), ":")
+	return sim.targets[filbertford.TargetID(host)]
+}
+
+// describe returns a request for the trace.
+func describe(req targetRequest) string {
+	switch v := req.(type) {
+	case filbertford.StartRunRequest:
+		return fmt.Sprintf("start %s run %d lease %d fence %d on %s", v.Task(), v.Run(), v.Lease(), v.Fence(), v.Instance().ID())
+	case filbertford.StopRunRequest:
+		return fmt.Sprintf("stop %s run %d fence %d on %s", v.Task(), v.Run(), v.Fence(), v.Instance().ID())
+	case filbertford.PollRequest:
+		return fmt.Sprintf("poll acked %d lease %d wait %v fence %d on %s", v.Acked(), v.Lease(), v.Wait(), v.Fence(), v.Instance().ID())
+	}
+	return ""
+}
+
+// describeReply returns a reply for the trace.
+func describeReply(r filbertford.CallReply) string {
+	s := fmt.Sprintf("%s clock %d", r.Outcome(), r.Clock())
+	for _, run := range r.Running() {
+		s += fmt.Sprintf(" running %s/%d", run.Task(), run.Run())
+	}
+	for _, e := range r.Ended() {
+		s += fmt.Sprintf(" ended %d %s/%d %s", e.Sequence(), e.Task(), e.Run(), e.Outcome())
+	}
+	return s
+}
+
+// arrive carries out a call at a target, when it is no longer muted.
+func (sim *simulation) arrive(t *fakeTarget, do func()) {
+	switch {
+	case t.down:
+	case t.muted:
+		t.held = append(t.held, do)
+	default:
+		do()
+	}
+}
+
+// exchange delivers a call to a target and its reply to the owner. attempt carries the call
+// out; until it returns true, the target holds the call. If the reply takes longer than the
+// timeout, the owner gets CallUnknown, and the reply only if it accepts late ones.
+func (sim *simulation) exchange(o *fakeOwner, req targetRequest, timeout time.Duration, acceptsLate bool, attempt func(*fakeTarget, time.Duration) (filbertford.CallReply, bool), done func(filbertford.CallReply, time.Duration)) {
+	sent, d, t := sim.now, sim.delivery(), sim.targetAt(req)
+	if sim.trace != nil {
+		sim.tracef("%s: sends %s %+v", o.node, describe(req), d)
+	}
+	answered := false
+	unknown := func() {
+		if !answered {
+			answered = true
+			sim.handle(o, func() {
+				if sim.trace != nil {
+					sim.tracef("%s: no answer to %s", o.node, describe(req))
+				}
+				done(filbertford.NewCallReply(filbertford.CallUnknown, 0), sent)
+			})
+		}
+	}
+	answer := func(r filbertford.CallReply) {
+		if answered && (!acceptsLate || sim.now > sent+timeout+lateReplyTimeout) {
+			return
+		}
+		answered = true
+		sim.handle(o, func() {
+			if sim.trace != nil {
+				sim.tracef("%s: answer to %s: %s", o.node, describe(req), describeReply(r))
+			}
+			done(r, sent)
+		})
+	}
+	sim.after(timeout, unknown)
+	if t == nil {
+		return
+	}
+	boots := t.boots
+	if requestLost, _ := sim.linkState(o, req); requestLost || d.lost {
+		if d.resetAfter > 0 {
+			sim.after(min(d.resetAfter, timeout), unknown)
+		}
+		if d.lateAfter > 0 {
+			sim.after(d.lateAfter, func() {
+				if boots != t.boots && !sim.keepLateCalls {
+					return
+				}
+				sim.arrive(t, func() {
+					r, _ := attempt(t, 0)
+					if sim.trace != nil {
+						sim.tracef("%s: carries out late %s: %s", t.rec.Instance().ID(), describe(req), describeReply(r))
+					}
+				})
+			})
+		}
+		return
+	}
+	sim.after(d.requestDelay, func() {
+		if t.down && d.resetAfter > 0 {
+			unknown()
+			return
+		}
+		sim.arrive(t, func() {
+			arrived, boots := sim.now, t.boots
+			var try func()
+			try = func() {
+				if t.boots != boots || t.down {
+					return // it went down while it held the call
+				}
+				r, ok := attempt(t, sim.now-arrived)
+				if !ok {
+					sim.after(5*time.Millisecond, try)
+					return
+				}
+				if sim.trace != nil {
+					sim.tracef("%s: carries out %s: %s", t.rec.Instance().ID(), describe(req), describeReply(r))
+				}
+				if _, replyLost := sim.linkState(o, req); !replyLost {
+					sim.after(d.replyDelay, func() { answer(r) })
+				}
+			}
+			try()
+		})
+	})
+}
+
+// lateReplyTimeout is how long after its timeout an owner takes the reply to a call.
+const lateReplyTimeout = time.Second
+
+// linkState reports whether requests of the owner to the target, or the replies, are lost.
+func (sim *simulation) linkState(o *fakeOwner, req targetRequest) (request, reply bool) {
+	if sim.linkDown == nil {
+		return false, false
+	}
+	return sim.linkDown(o, req.Address())
+}
+
+// call delivers a call that the target doesn't hold.
+func (sim *simulation) call(o *fakeOwner, req targetRequest, timeout time.Duration, acceptsLate bool, do func(*fakeTarget) filbertford.CallReply, done func(filbertford.CallReply, time.Duration)) {
+	sim.exchange(o, req, timeout, acceptsLate, func(t *fakeTarget, _ time.Duration) (filbertford.CallReply, bool) { return do(t), true }, done)
+}
+
+// poll delivers a poll. The target holds it until a run ends or its wait is over.
+func (sim *simulation) poll(o *fakeOwner, c PollCall) {
+	attempt := func(t *fakeTarget, held time.Duration) (filbertford.CallReply, bool) {
+		r := t.poll(c.Request)
+		return r, len(r.Ended()) > 0 || r.Outcome() != filbertford.CallDone || held >= c.Request.Wait()
+	}
+	sim.exchange(o, c.Request, c.Timeout, false, attempt, func(r filbertford.CallReply, sent time.Duration) {
+		o.pool.HandlePollReply(sim.now, c, r, sent, sim.now)
+	})
+}
