A stop at a target's earlier instance doesn't count at the new one

Cause: a run whose start was still under way kept the confirmation of its stop when its target started again under its ID. The new instance knew of no stop and carried the start out, while the pool had started the task again. Where records have no start time, a late reply of the earlier instance counted too.

Evidence: TestStopAtEarlierInstanceDoesNotCount failed in both cases ("the task was started again on t00").

Change: stops are sent anew to the new instance, and replies to calls that name no instance don't count once a target has started again.

--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -22,7 +22,7 @@
 	}
 	switch replied := r.StartedAt(); {
 	case replied == 0:
-		if called != t.rec.Instance() && called.StartedAt() != 0 {
+		if called != t.rec.Instance() && (called.StartedAt() != 0 || t.restarted) {
 			return nil
 		}
 	case t.startedAt == 0:
@@ -40,7 +40,7 @@
 // still reach the new one, so that the new one's lists decide.
 func (p *Pool) replaceInstance(now time.Duration, old *target, rec filbertford.TargetRecord) *target {
 	t := newTarget(now, rec)
-	t.pollNumber = old.pollNumber
+	t.pollNumber, t.restarted = old.pollNumber, true
 	p.targets[t.id()] = t
 	for i, o := range p.sortedTargets {
 		if o == old {
@@ -63,6 +63,7 @@
 		if r.state == runStarting {
 			r.state = runUncertain
 		}
+		r.stopSentAt, r.stopConfirmedAt = 0, 0 // the new instance doesn't know of stops
 	}
 	p.capacityChanged = true
 	return t
--- a/fbsched/instance_test.go
+++ b/fbsched/instance_test.go
@@ -125,6 +125,63 @@
 	}
 }
 
+// TestStopAtEarlierInstanceDoesNotCount checks a start that is still under way when its target,
+// which has confirmed a stop of the run, starts again: the new instance doesn't know of the stop.
+func TestStopAtEarlierInstanceDoesNotCount(t *testing.T) {
+	for name, startedAt := range map[string]int64{"record has the start time": 1, "record has no start time": 0} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Minute
+			p := NewPool(testPool, 1, 1_000_000, now)
+			p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", startedAt)})
+			answerLists(p, now, "t00", 1, 500_000)
+			p.TakeActions(now)
+			step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), time.Second)
+			p.Offer(now, "c", NewBatch(testPool, "00000000000000aa", 0, 0, step, []Item{NewItem(0, 0)}).
+				WithWork("", "ordering", 3).WithTimes(time.Minute, time.Minute).WithFence(1))
+			start := startCalls(p.TakeActions(now))[0]
+			sent := now
+			now += 50 * time.Millisecond
+			p.HandleStartReply(now, start, filbertford.NewCallReply(filbertford.CallUnknown, 0), sent, now)
+			answerLists(p, now, "t00", 1, 500_050)
+			stops := stopCalls(p.TakeActions(now))
+			if len(stops) != 1 {
+				t.Fatalf("%d stops, want 1", len(stops))
+			}
+			confirm := func() {
+				p.HandleStopReply(now, stops[0], filbertford.NewCallReply(filbertford.CallDone, 500_060), now, now)
+			}
+			if startedAt != 0 {
+				confirm()
+			}
+			now += 20 * time.Millisecond
+			answerLists(p, now, "t00", 2, 10)
+			if startedAt == 0 {
+				confirm() // late
+			}
+			now += 20 * time.Millisecond
+			answerLists(p, now, "t00", 2, 30)
+			p.Tick(now, 1_000_000)
+			actions := p.TakeActions(now)
+			if again := startCalls(actions); len(again) > 0 {
+				t.Fatalf("the task was started again on %s", again[0].Instance().ID())
+			}
+			if len(stopCalls(actions)) == 0 {
+				t.Error("the run isn't stopped at the new instance")
+			}
+		})
+	}
+}
+
+func stopCalls(actions []Action) []filbertford.StopRunRequest {
+	var out []filbertford.StopRunRequest
+	for _, a := range actions {
+		if c, ok := a.(StopCall); ok {
+			out = append(out, c.Request)
+		}
+	}
+	return out
+}
+
 func recordOf(id filbertford.TargetID, startedAt int64) filbertford.TargetRecord {
 	return filbertford.NewTargetRecord(filbertford.NewTargetInstance(id, startedAt), "ordering", string(id)+":80", "nordnes",
 		filbertford.NewResources(4000, 1000, 0), "a", "r1")
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -16,6 +16,7 @@
 type target struct {
 	rec          filbertford.TargetRecord
 	startedAt    int64 // in Unix milliseconds, by the record or the replies; 0 if unknown
+	restarted    bool  // it has started again since the pool knows it
 	removed      bool  // the record has been removed
 	listed       bool  // its lists were read with the pool's fencing token
 	listedAt     time.Duration
