FE7062 names each run that is lost with its target, and how many ran beside it

Cause: FE7057 says that a task waits again because a lease has expired or its target has restarted, but not which tasks shared the target, and nothing for a run without a task. Change: a line and a count of filbertford_decisions{kind="lost"} for each run. No decision depends on it.

--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -43,4 +43,5 @@
 	RunFound            = infoEvent("FE7059", "target lists a run that another owner started")
 	SecondRunFound      = errorEvent("FE7060", "a second run of a task was found; stopping it")
 	StartUnanswered     = warnEvent("FE7061", "start was not answered in time; the target's lists decide")
+	RunLost             = warnEvent("FE7062", "run was lost with its target, which has restarted or does not reply")
 )
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -45,6 +45,7 @@
 var decisionEvents = map[fbsched.EventKind]fbevent.Event{
 	fbsched.EventRunStarted:          fbevent.RunStarted,
 	fbsched.EventRunEnded:            fbevent.RunEnded,
+	fbsched.EventRunLost:             fbevent.RunLost,
 	fbsched.EventTaskRequeued:        fbevent.TaskRequeued,
 	fbsched.EventTaskExpired:         fbevent.TaskExpired,
 	fbsched.EventRunStopped:          fbevent.RunStopped,
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -104,6 +104,7 @@
 	EventRunEnded            EventKind = "end"
 	EventTaskRequeued        EventKind = "requeue"
 	EventTaskExpired         EventKind = "expired"
+	EventRunLost             EventKind = "lost"
 	EventRunStopped          EventKind = "stop-run"
 	EventRunAdopted          EventKind = "adopted"
 	EventRunFound            EventKind = "found"
--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -54,7 +54,9 @@
 	}
 	p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Started: old.startedAt, Reason: "target restarted", Age: now - old.lastReply})
 	p.emitEvent(Event{Kind: EventTargetAdded, Target: t.id(), Started: t.startedAt, Reason: rec.MachineKind()})
-	for _, r := range sortedRuns(old.runs) {
+	runs := sortedRuns(old.runs)
+	for _, r := range runs {
+		p.runLost(now, r, len(runs)-1, "target restarted")
 		if r.listed {
 			p.discardRun(now, r, "target restarted")
 			continue
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -168,7 +168,9 @@
 // targetReplaced removes a target at whose address another one replies. The target has
 // ended and carries out no more calls.
 func (p *Pool) targetReplaced(now time.Duration, t *target) {
-	for _, r := range sortedRuns(t.runs) {
+	runs := sortedRuns(t.runs)
+	for _, r := range runs {
+		p.runLost(now, r, len(runs)-1, "target restarted")
 		p.discardRun(now, r, "target restarted")
 	}
 	p.removeTarget(t)
@@ -213,7 +215,9 @@
 		Kind: EventTargetLeasesExpired, Target: t.id(), Started: t.rec.Instance().StartedAt(), Fence: p.fence,
 		Reason: fmt.Sprintf("leases end at %d by its clock, now at least %d", t.leaseExpiry, t.clock.earliest(now)), Age: now - t.lastReply,
 	})
-	for _, r := range sortedRuns(t.runs) {
+	runs := sortedRuns(t.runs)
+	for _, r := range runs {
+		p.runLost(now, r, len(runs)-1, "lease expired")
 		p.discardRun(now, r, "lease expired")
 	}
 }
