A removed target that doesn't reply is dropped from its pool

What callers saw: nothing directly; owners went on calling targets that were gone. Cause: a target whose record is removed is dropped when it has no runs and no poll is under way. One that doesn't reply is polled again in the same tick in which its last poll is late, so that a poll is nearly always under way, and it stayed in the pool, polled some 16 times a second, until the owner changed. Evidence: TestRemovedTargetThatDoesNotReplyIsDropped failed (still in the pool, calls without end). Result: the test passes; fbsched's other tests pass but for the known failures.

--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -179,9 +179,9 @@
 }
 
 // tickTarget handles what depends on time for one target. It removes a target whose
-// record has been removed and that has no runs.
+// record has been removed and that has no runs, unless it may still reply to a poll.
 func (p *Pool) tickTarget(now time.Duration, t *target) {
-	if t.removed && len(t.runs) == 0 && !t.polling {
+	if t.removed && len(t.runs) == 0 && (!t.polling || t.misses >= maxMisses) {
 		p.removeTarget(t)
 		return
 	}
