A task that crashes its targets is given up; the tasks beside it run alone

Cause: only runs that a target lists as failed counted as attempts. A run that was lost with its target queued its task as if nothing had run. A crash is proven only when the target is back, 2.5 s (median) after it, and the task starts again when the lease has expired, after 0.85 s, beside other tasks.

Change: the pool keeps the targets that were lost under each task. A loss counts as a crash when another instance replies, or when the platform removes the record of a target that wasn't draining; it is forgotten when the target replies again. After the first loss a task runs alone on an empty target (one is reserved if the pool is busy), so that the next crash shows whose fault it is; after two losses it waits until it is known what they were. It is given up after two crashes, one of them alone, or three. Reports, offers and the job's row carry the count, so that owners of pools and jobs pass it on; a pool keeps it for callers that send the job again.

--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -44,4 +44,7 @@
 	SecondRunFound      = errorEvent("FE7060", "a second run of a task was found; stopping it")
 	StartUnanswered     = warnEvent("FE7061", "start was not answered in time; the target's lists decide")
 	RunLost             = warnEvent("FE7062", "run was lost with its target, which has restarted or does not reply")
+	TargetCrashed       = warnEvent("FE7063", "target has crashed under a task; the task runs alone from now on")
+	TargetNotCrashed    = infoEvent("FE7064", "target of a lost run replies again; it had not crashed")
+	TaskGivenUp         = errorEvent("FE7065", "task given up, because targets crash under it")
 )
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -196,10 +196,11 @@
 		Fence: b.Fence(), OrphanedUs: uint64(max(0, b.OwnerSilence()).Microseconds()),
 		Durable: b.Stored(), Search: b.Search(), Keeper: b.ShardFence(), Step: stepToWire(s),
 	}
-	anyFailures, anyTargets := false, false
+	anyFailures, anyCrashes, anyTargets := false, false, false
 	for _, i := range b.Items() {
 		w.Indexes = append(w.Indexes, uint32(i.Index()))
 		anyFailures = anyFailures || i.Failures() > 0
+		anyCrashes = anyCrashes || i.Crashes() > 0
 		anyTargets = anyTargets || i.Target() != ""
 	}
 	if anyTargets {
@@ -212,6 +213,11 @@
 			w.Failures = append(w.Failures, uint32(i.Failures()))
 		}
 	}
+	if anyCrashes {
+		for _, i := range b.Items() {
+			w.Crashes = append(w.Crashes, uint32(i.Crashes()))
+		}
+	}
 	return w
 }
 
@@ -224,6 +230,9 @@
 			failures = int(w.GetFailures()[i])
 		}
 		items[i] = fbsched.NewItem(int(index), failures)
+		if i < len(w.GetCrashes()) {
+			items[i] = items[i].WithCrashes(int(w.GetCrashes()[i]))
+		}
 		if i < len(w.GetTargets()) {
 			items[i] = items[i].WithTarget(filbertford.TargetID(w.GetTargets()[i]))
 		}
@@ -244,14 +253,14 @@
 	return &fbwire.Report{
 		Pool: string(r.Pool()), Job: string(k.Job()), Occurrence: uint32(k.Occurrence()), Step: uint32(k.Step()),
 		Index: uint32(k.Index()), Verdict: string(r.Status()), Failures: uint32(r.Failures()), Fence: r.Fence(),
-		Started: r.Started(), Target: string(r.Target()),
+		Started: r.Started(), Target: string(r.Target()), Crashes: uint32(r.Crashes()),
 	}
 }
 
 func reportFromWire(w *fbwire.Report) fbsched.Report {
 	key := filbertford.NewTaskKey(filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetStep()), int(w.GetIndex()))
 	return fbsched.NewReport(filbertford.PoolID(w.GetPool()), w.GetFence(), key, fbsched.Status(w.GetVerdict()), int(w.GetFailures())).WithStarted(w.GetStarted()).
-		WithTarget(filbertford.TargetID(w.GetTarget()))
+		WithTarget(filbertford.TargetID(w.GetTarget())).WithCrashes(int(w.GetCrashes()))
 }
 
 func stepToWire(s filbertford.Step) *fbwire.Step {
@@ -280,13 +289,13 @@
 	k := c.Task()
 	return &fbwire.Confirm{
 		Pool: string(c.Pool()), Job: string(k.Job()), Occurrence: uint32(k.Occurrence()), Step: uint32(k.Step()), Index: uint32(k.Index()),
-		Done: c.Done(), Failures: uint32(c.Failures()),
+		Done: c.Done(), Failures: uint32(c.Failures()), Crashes: uint32(c.Crashes()),
 	}
 }
 
 func confirmFromWire(w *fbwire.Confirm) fbsched.Confirm {
 	key := filbertford.NewTaskKey(filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetStep()), int(w.GetIndex()))
-	return fbsched.NewConfirm(filbertford.PoolID(w.GetPool()), key, w.GetDone(), int(w.GetFailures()))
+	return fbsched.NewConfirm(filbertford.PoolID(w.GetPool()), key, w.GetDone(), int(w.GetFailures())).WithCrashes(int(w.GetCrashes()))
 }
 
 func storedJobRequestToWire(r StoredJobRequest) *fbwire.StoredRequest {
--- a/fbnode/stored.go
+++ b/fbnode/stored.go
@@ -243,7 +243,7 @@
 		n.coordinator.DropStored(v.Task.Job())
 		return
 	}
-	owner.RecordTask(v.Task, v.Done, v.Failures)
+	owner.RecordTask(v.Task, v.Progress)
 }
 
 // dropShard drops a shard that this daemon no longer owns.
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -61,12 +61,10 @@
 	Confirm Confirm
 }
 
-// RecordOutcome asks the shard owner to record that a task of a stored job is done,
-// or how many of its runs have failed.
+// RecordOutcome asks the shard owner to record the progress of a task of a stored job.
 type RecordOutcome struct {
 	Task     filbertford.TaskKey
-	Done     bool
-	Failures int
+	Progress Progress
 }
 
 // JobStarted reports the first start of a run that the coordinator learns of for a
@@ -105,6 +103,9 @@
 	EventTaskRequeued        EventKind = "requeue"
 	EventTaskExpired         EventKind = "expired"
 	EventRunLost             EventKind = "lost"
+	EventTargetCrashed       EventKind = "crash"
+	EventTargetNotCrashed    EventKind = "silent"
+	EventTaskGivenUp         EventKind = "given-up"
 	EventRunStopped          EventKind = "stop-run"
 	EventRunAdopted          EventKind = "adopted"
 	EventRunFound            EventKind = "found"
--- a/fbsched/capacity.go
+++ b/fbsched/capacity.go
@@ -17,7 +17,7 @@
 
 // serviceCapacity is the free capacity of a pool's targets for one service.
 type serviceCapacity struct {
-	targets   []targetCapacity
+	targets   []targetCapacity      // also those that are reserved, which are closed
 	maxFree   filbertford.Resources // maximum of each free resource over targets that are not closed
 	minFactor float64               // minimum over all usable targets, including full ones
 }
@@ -38,11 +38,14 @@
 		factor := p.factorOf(t)
 		capacity.minFactor = min(capacity.minFactor, factor)
 		free := t.rec.Capacity().Sub(t.used)
-		if !t.health.accepts(now, len(t.runs)) || t.hasUnknownDemand() {
+		if !t.health.accepts(now, len(t.runs)) || t.hasUnknownDemand() || t.aloneRuns > 0 {
 			continue
 		}
-		capacity.maxFree = capacity.maxFree.Max(free)
-		capacity.targets = append(capacity.targets, targetCapacity{target: t, factor: factor, free: free})
+		closed := p.reserved(t)
+		if !closed {
+			capacity.maxFree = capacity.maxFree.Max(free)
+		}
+		capacity.targets = append(capacity.targets, targetCapacity{target: t, factor: factor, free: free, closed: closed})
 	}
 	return out
 }
@@ -64,6 +67,11 @@
 // reserve subtracts a task's demand from the free capacity of a target.
 func (c *serviceCapacity) reserve(t *targetCapacity, d filbertford.Resources) {
 	t.free = t.free.Sub(d)
+	c.updateMaxFree()
+}
+
+// updateMaxFree updates maxFree after the free capacity of a target has changed.
+func (c *serviceCapacity) updateMaxFree() {
 	c.maxFree = filbertford.Resources{}
 	for i := range c.targets {
 		if !c.targets[i].closed {
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -100,6 +100,7 @@
 	target   filbertford.TargetID // that the task was last started on
 	done     bool
 	failures int
+	crashes  int // of targets under the task
 	returns  int
 	search   *search // set while pools are asked for a task of an earlier coordinator
 }
@@ -208,7 +209,7 @@
 	var items []Item
 	for index, t := range j.steps[number].tasks {
 		if t.pool == pool && !t.done {
-			items = append(items, NewItem(index, t.failures).WithTarget(t.target))
+			items = append(items, NewItem(index, t.failures).WithCrashes(t.crashes).WithTarget(t.target))
 		}
 	}
 	if len(items) > 0 {
@@ -283,12 +284,12 @@
 		return
 	}
 	if t.done && j.stored && r.Status() == StatusDone {
-		c.confirm(r.Pool(), key, true, t.failures)
+		c.confirm(r.Pool(), key, t.progress())
 	}
 	if t.done || t.pool != r.Pool() || t.fence != r.Fence() && r.Status() != StatusDone {
 		return
 	}
-	t.failures = max(t.failures, r.Failures())
+	t.failures, t.crashes = max(t.failures, r.Failures()), max(t.crashes, r.Crashes())
 	j.mayHaveRun = j.mayHaveRun || r.Started()
 	if j.returnDeadline != 0 {
 		if r.Status() != StatusStarted {
@@ -305,10 +306,12 @@
 			c.emit(JobStarted{Job: key.Job()})
 		}
 	case StatusRetried:
-		c.emit(RecordOutcome{Task: key, Failures: t.failures})
+		if j.stored {
+			c.emit(RecordOutcome{Task: key, Progress: t.progress()})
+		}
 	case StatusDone:
 		if j.stored {
-			c.emit(RecordOutcome{Task: key, Done: true, Failures: t.failures})
+			c.emit(RecordOutcome{Task: key, Progress: t.progress().WithDone()})
 			return
 		}
 		t.done = true
@@ -316,10 +319,10 @@
 		c.advance(now, j)
 	case StatusFailed:
 		if j.stored {
-			c.emit(RecordOutcome{Task: key, Failures: t.failures})
+			c.emit(RecordOutcome{Task: key, Progress: t.progress().WithFailed()})
 			return
 		}
-		c.finish(now, j, filbertford.AnswerFailed, "a task has failed as often as allowed")
+		c.finish(now, j, filbertford.AnswerFailed, t.failureReason(j))
 	case StatusReassigned:
 		if j.stored {
 			return // the shard has another owner
--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -2,13 +2,310 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// A task may crash each target that starts it, and the other tasks there are lost too. After
+// the first loss of a target, the tasks that ran there run alone, so that the next crash shows
+// which of them causes it.
+const (
+	// maxCrashes is the number of targets that may crash under a task before it is given up.
+	maxCrashes = 3
+	// maxCrashesAlone is the same if the task ran alone on one of them.
+	maxCrashesAlone = 2
+	// lossTimeout is how long a target that doesn't reply counts as one that may have crashed:
+	// longer than a target takes to start again, and than the platform and this daemon take to
+	// remove its record.
+	lossTimeout = 15 * time.Second
+	// lossRetention is how long the losses of a task are kept after the last one if the task
+	// is not in the pool: its caller may send it again.
+	lossRetention = time.Minute
 )
 
+// lossState is what is known of a target that was lost under a task.
+type lossState string
+
+const (
+	lossSilent  lossState = "silent"  // it doesn't reply
+	lossRemoved lossState = "removed" // nor does the platform hear it, though it was not draining
+	lossCrashed lossState = "crashed" // another instance of it has replied
+)
+
+// loss is the loss of a target under a task.
+type loss struct {
+	target    filbertford.TargetID
+	startedAt int64 // of the target, in Unix milliseconds; 0 if unknown
+	state     lossState
+	alone     bool // no other task ran there
+	at        time.Duration
+}
+
+// isOf reports whether the loss is that of the target's instance with the start time.
+func (l loss) isOf(id filbertford.TargetID, startedAt int64) bool {
+	return l.target == id && (l.startedAt == startedAt || l.startedAt == 0 || startedAt == 0)
+}
+
+// taskLosses are the targets that were lost under a task.
+type taskLosses struct {
+	losses    []loss
+	inherited int // crashes that other owners have counted
+	updatedAt time.Duration
+}
+
+// crashes returns the number of targets that count as crashed.
+func (l *taskLosses) crashes() int {
+	n := l.inherited
+	for _, lost := range l.losses {
+		if lost.state != lossSilent {
+			n++
+		}
+	}
+	return n
+}
+
+// silent returns the number of targets that may have crashed.
+func (l *taskLosses) silent() int { return len(l.losses) + l.inherited - l.crashes() }
+
+// excessive reports whether the task is to be given up.
+func (l *taskLosses) excessive() bool {
+	n := l.crashes()
+	return n >= maxCrashes || n >= maxCrashesAlone &&
+		slices.ContainsFunc(l.losses, func(lost loss) bool { return lost.alone && lost.state == lossCrashed })
+}
+
+// unclear reports whether the task may have to be given up once it is known what has become
+// of its targets.
+func (l *taskLosses) unclear() bool {
+	return l.silent() > 0 && l.silent()+l.crashes() >= maxCrashesAlone
+}
+
+// suspected reports whether a target was lost under the task, so that the task runs alone.
+func (p *Pool) suspected(key filbertford.TaskKey) bool {
+	l := p.losses[key]
+	return l != nil && l.inherited+len(l.losses) > 0
+}
+
+// heldBack reports whether the task may not be started because of the targets that were lost
+// under it.
+func (p *Pool) heldBack(key filbertford.TaskKey) bool {
+	l := p.losses[key]
+	return l != nil && (l.unclear() || l.excessive())
+}
+
+// crashesOf returns the number of targets that have crashed under the task.
+func (p *Pool) crashesOf(key filbertford.TaskKey) int {
+	if l := p.losses[key]; l != nil {
+		return l.crashes()
+	}
+	return 0
+}
+
 // runLost handles the loss of a run with its target, on which others ran beside it.
-func (p *Pool) runLost(now time.Duration, r *run, others int, reason string) {
+func (p *Pool) runLost(now time.Duration, r *run, others int, state lossState, reason string) {
+	t := r.target
 	p.emitEvent(Event{
-		Kind: EventRunLost, Task: r.key, Target: r.target.id(), Started: r.target.startedAt, Run: r.number, Fence: p.fence,
+		Kind: EventRunLost, Task: r.key, Target: t.id(), Started: t.startedAt, Run: r.number, Fence: p.fence,
 		Reason: fmt.Sprintf("%s; %d other runs there", reason, others), Age: now - r.startedAt,
 	})
+	if !t.rec.Draining() { // a draining target ends with its runs
+		p.addLoss(now, r.key, loss{target: t.id(), startedAt: t.startedAt, state: state, alone: others == 0, at: now})
+	}
+}
+
+// addLoss adds the loss of a target under a task, unless it is known.
+func (p *Pool) addLoss(now time.Duration, key filbertford.TaskKey, added loss) {
+	l := p.lossesOf(now, key)
+	for _, known := range l.losses {
+		if known.isOf(added.target, added.startedAt) {
+			return
+		}
+	}
+	l.losses = append(l.losses, added)
+	if added.state != lossCrashed {
+		p.silentTargets[added.target]++
+	}
+	if added.state != lossSilent {
+		p.crashCounted(now, key, added)
+	}
+}
+
+func (p *Pool) lossesOf(now time.Duration, key filbertford.TaskKey) *taskLosses {
+	l := p.losses[key]
+	if l == nil {
+		l = &taskLosses{}
+		p.losses[key] = l
+	}
+	l.updatedAt = now
+	return l
+}
+
+// inheritLosses adds what the coordinator knows of targets that were lost under a task. The
+// target that an earlier owner started it on may have been lost too.
+func (p *Pool) inheritLosses(now time.Duration, key filbertford.TaskKey, resume bool, item Item) {
+	if known := p.crashesOf(key); item.crashes > known {
+		p.lossesOf(now, key).inherited += item.crashes - known
+	}
+	if !resume || item.target == "" || p.targets[item.target] != nil {
+		return
+	}
+	added := loss{target: item.target, state: lossCrashed, at: now}
+	if ended, ok := p.endedTargets[item.target]; ok {
+		if !ended.draining {
+			p.addLoss(now, key, added)
+		}
+	} else if p.departed[item.target] {
+		added.state = lossRemoved
+		p.addLoss(now, key, added)
+	}
+}
+
+// crashCounted reports a crash to the task's coordinator, and gives the task up if it is one
+// too many.
+func (p *Pool) crashCounted(now time.Duration, key filbertford.TaskKey, l loss) {
+	losses := p.losses[key]
+	p.emitEvent(Event{
+		Kind: EventTargetCrashed, Task: key, Target: l.target, Started: l.startedAt, Fence: p.fence,
+		Reason: fmt.Sprintf("%s; %d targets have crashed under the task; ran alone: %v", l.state, losses.crashes(), l.alone), Age: now - l.at,
+	})
+	t := p.tasks[key]
+	if t == nil || p.giveUp(now, t) || losses.excessive() {
+		return
+	}
+	p.report(t.coordinator, key, StatusRetried, t.failures)
+}
+
+// giveUp ends a task as failed if too many targets have crashed under it and no run of it can
+// still be executing. It reports whether it has.
+func (p *Pool) giveUp(now time.Duration, t *task) bool {
+	l := p.losses[t.key]
+	if l == nil || !l.excessive() || p.activeRuns[t.key] != nil || p.secondRuns[t.key] > 0 || !p.earlierRunsEnded(now, t) {
+		return false
+	}
+	p.dequeue(t)
+	p.emitEvent(Event{Kind: EventTaskGivenUp, Task: t.key, Reason: fmt.Sprintf("%d targets have crashed under it", l.crashes()), Age: now - t.queuedAt})
+	p.finishTask(now, t, StatusFailed)
+	return true
+}
+
+// confirmLosses sets the state of the losses of a target's instance that isn't heard any more.
+func (p *Pool) confirmLosses(now time.Duration, t *target, state lossState) {
+	if p.silentTargets[t.id()] == 0 {
+		return
+	}
+	for _, key := range p.sortedLossKeys() {
+		l := p.losses[key]
+		for i, lost := range l.losses {
+			if !lost.isOf(t.id(), t.startedAt) || lost.state == lossCrashed || lost.state == state {
+				continue
+			}
+			l.losses[i].state, l.updatedAt = state, now
+			if state == lossCrashed {
+				p.forgetSilent(t.id())
+			}
+			if lost.state == lossSilent {
+				p.crashCounted(now, key, l.losses[i])
+			}
+		}
+	}
+	p.dispatchDue = true
+}
+
+// refuteLosses forgets the losses, before the given time, of a target's instance.
+func (p *Pool) refuteLosses(now time.Duration, t *target, before time.Duration) {
+	for _, key := range p.sortedLossKeys() {
+		l := p.losses[key]
+		l.losses = slices.DeleteFunc(l.losses, func(lost loss) bool {
+			if !lost.isOf(t.id(), t.startedAt) || lost.state == lossCrashed || lost.at > before {
+				return false
+			}
+			p.forgetSilent(t.id())
+			p.emitEvent(Event{Kind: EventTargetNotCrashed, Task: key, Target: t.id(), Started: t.startedAt, Age: now - lost.at})
+			return true
+		})
+	}
+	p.dispatchDue = true
+}
+
+func (p *Pool) forgetSilent(id filbertford.TargetID) {
+	if p.silentTargets[id]--; p.silentTargets[id] == 0 {
+		delete(p.silentTargets, id)
+	}
+}
+
+func (p *Pool) sortedLossKeys() []filbertford.TaskKey {
+	return slices.SortedFunc(maps.Keys(p.losses), filbertford.TaskKey.Compare)
+}
+
+// endedTarget is an instance of a target that is known to have ended.
+type endedTarget struct {
+	startedAt int64
+	draining  bool
+	at        time.Duration
+}
+
+// targetEnded handles that an instance of a target has ended: another one replies.
+func (p *Pool) targetEnded(now time.Duration, t *target) {
+	id := t.id()
+	p.endedTargets[id] = endedTarget{startedAt: t.startedAt, draining: t.rec.Draining(), at: now}
+	if t.rec.Draining() {
+		p.refuteLosses(now, t, now)
+		return
+	}
+	p.confirmLosses(now, t, lossCrashed)
+	for _, waiting := range slices.Clone(p.queue.tasks) { // addLoss may remove tasks
+		if waiting.resume && waiting.startedOn == id {
+			p.addLoss(now, waiting.key, loss{target: id, startedAt: t.startedAt, state: lossCrashed, at: now})
+		}
+	}
+}
+
+// targetReplied handles the reply of a target to a call that was sent at the given time. The
+// target was only silent.
+func (p *Pool) targetReplied(now time.Duration, t *target, startedAt int64, sent time.Duration) {
+	if p.silentTargets[t.id()] > 0 && (startedAt != 0 || t.startedAt == 0) {
+		p.refuteLosses(now, t, sent)
+	}
+}
+
+// tickLosses gives tasks up whose earlier runs have ended, and forgets losses that nothing was
+// learned about and those of tasks that have left the pool.
+func (p *Pool) tickLosses(now time.Duration) {
+	for _, key := range p.sortedLossKeys() {
+		l := p.losses[key]
+		n := len(l.losses)
+		l.losses = slices.DeleteFunc(l.losses, func(lost loss) bool {
+			expired := lost.state == lossSilent && now-lost.at > lossTimeout
+			if expired {
+				p.forgetSilent(lost.target)
+			}
+			return expired
+		})
+		if len(l.losses) < n {
+			p.dispatchDue = true
+		}
+		if t := p.tasks[key]; t != nil {
+			p.giveUp(now, t)
+		} else if now-l.updatedAt > lossRetention {
+			p.forgetLosses(key)
+		}
+	}
+	maps.DeleteFunc(p.endedTargets, func(_ filbertford.TargetID, e endedTarget) bool { return now-e.at > lossRetention })
+}
+
+// forgetLosses removes the losses of a task.
+func (p *Pool) forgetLosses(key filbertford.TaskKey) {
+	l := p.losses[key]
+	if l == nil {
+		return
+	}
+	for _, lost := range l.losses {
+		if lost.state != lossCrashed {
+			p.forgetSilent(lost.target)
+		}
+	}
+	delete(p.losses, key)
 }
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -20,9 +20,11 @@
 	capacities := p.capacityByService(now)
 	started := false
 	p.queue.each(now, func(t *task) {
-		if capacity := capacities[t.batch.service]; capacity != nil && t.batch.step.Demand().Fits(capacity.maxFree) && p.startTask(now, t, capacity) {
-			started = true
+		capacity := capacities[t.batch.service]
+		if capacity == nil || !p.suspected(t.key) && !t.batch.step.Demand().Fits(capacity.maxFree) {
+			return
 		}
+		started = p.startTask(now, t, capacity) || started
 	})
 	if started {
 		p.queue.removeFunc(func(t *task) bool { return t.run != nil })
@@ -32,11 +34,17 @@
 // startTask starts a task if a target of its service has capacity for it, and reports
 // whether it did.
 func (p *Pool) startTask(now time.Duration, t *task, capacity *serviceCapacity) bool {
-	if t.coordinatorUnreachableAt != 0 || t.reofferBy != 0 || p.activeRuns[t.key] != nil || p.secondRuns[t.key] > 0 || !p.earlierRunsEnded(now, t) {
+	if t.coordinatorUnreachableAt != 0 || t.reofferBy != 0 || p.activeRuns[t.key] != nil || p.secondRuns[t.key] > 0 || p.heldBack(t.key) || !p.earlierRunsEnded(now, t) {
 		return false
 	}
-	chosen := p.chooseTarget(t, capacity)
-	t.waitsForFaster = chosen != nil && shouldWaitForFaster(now, t, chosen, capacity.minFactor)
+	var chosen *targetCapacity
+	alone := p.suspected(t.key)
+	if alone {
+		chosen = p.chooseEmptyTarget(now, t, capacity)
+	} else {
+		chosen = p.chooseTarget(t, capacity)
+		t.waitsForFaster = chosen != nil && shouldWaitForFaster(now, t, chosen, capacity.minFactor)
+	}
 	if chosen == nil || t.waitsForFaster {
 		return false
 	}
@@ -51,6 +59,10 @@
 	}
 	best.leaseExpiry = max(best.leaseExpiry, r.leaseExpiry)
 	best.runs[t.key], p.activeRuns[t.key] = r, r
+	if alone {
+		r.isolate()
+		best.reservedFor = nil
+	}
 	best.used = best.used.Add(r.demand)
 	t.run, t.started, p.capacityChanged = r, true, true
 	p.emitEvent(Event{
@@ -63,7 +75,7 @@
 	})
 	p.reportStart(t, best.id())
 	p.poll(now, best)
-	chosen.closed = !best.health.accepts(now, len(best.runs))
+	chosen.closed = alone || !best.health.accepts(now, len(best.runs))
 	capacity.reserve(chosen, r.demand)
 	return true
 }
@@ -234,7 +246,7 @@
 			continue
 		}
 		capacity.total += t.rec.Capacity().CPU()
-		if free := t.rec.Capacity().Sub(t.used).CPU(); free > 0 && t.health.accepts(now, len(t.runs)) {
+		if free := t.rec.Capacity().Sub(t.used).CPU(); free > 0 && t.health.accepts(now, len(t.runs)) && t.aloneRuns == 0 && !p.reserved(t) {
 			capacity.free = append(capacity.free, free)
 		}
 	}
@@ -256,7 +268,7 @@
 	}
 	var work float64
 	for _, t := range p.queue.tasks {
-		if t.batch.service == service && !t.waitsForFaster {
+		if t.batch.service == service && !t.waitsForFaster && !p.suspected(t.key) {
 			work += float64(t.batch.step.Estimate()) * float64(t.batch.step.Demand().CPU())
 		}
 	}
--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -54,9 +54,10 @@
 	}
 	p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Started: old.startedAt, Reason: "target restarted", Age: now - old.lastReply})
 	p.emitEvent(Event{Kind: EventTargetAdded, Target: t.id(), Started: t.startedAt, Reason: rec.MachineKind()})
+	p.targetEnded(now, old)
 	runs := sortedRuns(old.runs)
 	for _, r := range runs {
-		p.runLost(now, r, len(runs)-1, "target restarted")
+		p.runLost(now, r, len(runs)-1, lossCrashed, "target restarted")
 		if r.listed {
 			p.discardRun(now, r, "target restarted")
 			continue
@@ -66,6 +67,9 @@
 		if r.leaseLimit != 0 {
 			t.limitedRuns++
 		}
+		if r.alone {
+			t.aloneRuns++
+		}
 		t.used = t.used.Add(r.demand)
 		if r.state == runStarting {
 			r.state = runUncertain
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -10,12 +10,22 @@
 type Item struct {
 	index    int
 	failures int
+	crashes  int
 	target   filbertford.TargetID
 }
 
 // NewItem returns the task with the given index and number of failed runs so far.
 func NewItem(index, failures int) Item { return Item{index: index, failures: failures} }
 
+// WithCrashes returns a copy of i for a task under which so many targets have crashed.
+func (i Item) WithCrashes(n int) Item {
+	i.crashes = n
+	return i
+}
+
+// Crashes returns how many targets have crashed under the task.
+func (i Item) Crashes() int { return i.crashes }
+
 // WithTarget returns a copy of i for a task that an earlier owner started on the
 // target.
 func (i Item) WithTarget(id filbertford.TargetID) Item {
@@ -196,6 +206,7 @@
 	task     filbertford.TaskKey
 	done     bool
 	failures int
+	crashes  int
 }
 
 // NewConfirm returns the confirmation that a task is recorded as done, or with the
@@ -213,9 +224,18 @@
 // Done reports whether the task is recorded as done.
 func (c Confirm) Done() bool { return c.done }
 
+// WithCrashes returns a copy of c for a task with so many crashes recorded.
+func (c Confirm) WithCrashes(n int) Confirm {
+	c.crashes = n
+	return c
+}
+
 // Failures returns how many failed runs are recorded.
 func (c Confirm) Failures() int { return c.failures }
 
+// Crashes returns how many crashes of targets under the task are recorded.
+func (c Confirm) Crashes() int { return c.crashes }
+
 // Status is the state of a task in a pool.
 type Status string
 
@@ -223,11 +243,13 @@
 const (
 	// StatusStarted means that a run of the task was started.
 	StatusStarted Status = "started"
-	// StatusRetried means that a run of the task failed and another one follows.
+	// StatusRetried means that a run of the task failed, or was lost when its target crashed,
+	// and that another one follows.
 	StatusRetried Status = "retried"
 	// StatusDone means that the task is done.
 	StatusDone Status = "done"
-	// StatusFailed means that all attempts at the task failed.
+	// StatusFailed means that all attempts at the task failed, or that too many targets have
+	// crashed under it.
 	StatusFailed Status = "failed"
 	// StatusExpired means that the task could not start in time and that the pool
 	// dropped it.
@@ -247,6 +269,7 @@
 	task     filbertford.TaskKey
 	status   Status
 	failures int
+	crashes  int
 	started  bool
 	target   filbertford.TargetID
 }
@@ -257,6 +280,12 @@
 	return Report{pool: pool, fence: fence, task: task, status: status, failures: failures}
 }
 
+// WithCrashes returns a copy of r for a task under which so many targets have crashed.
+func (r Report) WithCrashes(n int) Report {
+	r.crashes = n
+	return r
+}
+
 // WithStarted returns a copy of r that states whether a run of the task may have
 // started in the pool.
 func (r Report) WithStarted(started bool) Report {
@@ -291,6 +320,9 @@
 // Failures returns how many runs of the task have failed.
 func (r Report) Failures() int { return r.failures }
 
+// Crashes returns how many targets have crashed under the task.
+func (r Report) Crashes() int { return r.crashes }
+
 // Capacity is the capacity of a pool's targets for one service.
 type Capacity struct {
 	service string
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -69,6 +69,7 @@
 	}
 	t.setDue(now + b.due)
 	t.failures = max(t.failures, p.inheritedFailures[key])
+	p.inheritLosses(now, key, b.resume, item)
 	p.tasks[key] = t
 	if r, ok := p.activeRuns[key]; ok && r.adoptable() {
 		p.adopt(now, t, r)
@@ -91,6 +92,7 @@
 	switch {
 	case t.run == nil && b.resume:
 		t.resumeFrom(now, b, item)
+		p.inheritLosses(now, t.key, true, item)
 	case t.run != nil && !t.run.stopWanted:
 		t.run.unlimit()
 	}
@@ -131,6 +133,9 @@
 		r.demand = t.batch.step.Demand()
 		r.target.used = r.target.used.Add(r.demand)
 	}
+	if p.suspected(t.key) && len(r.target.runs) == 1 {
+		r.isolate()
+	}
 	p.reportStart(t, r.target.id())
 	p.emitEvent(Event{Kind: EventRunAdopted, Task: t.key, Target: r.target.id(), Run: r.number, Age: now - r.startedAt})
 }
--- a/fbsched/outcome.go
+++ b/fbsched/outcome.go
@@ -38,7 +38,7 @@
 // HandleConfirm handles the confirmation that the outcome of a task, or the number of
 // its failed runs, is recorded.
 func (p *Pool) HandleConfirm(now time.Duration, c Confirm) {
-	if outcome, ok := p.outcomes[c.task]; ok && (c.done || c.failures >= outcome.failures) {
+	if outcome, ok := p.outcomes[c.task]; ok && (c.done || c.failures >= outcome.failures && c.crashes >= outcome.crashes) {
 		outcome.nextReport, outcome.retention = 0, now-outcome.endedAt+outcomeRetention
 		p.outcomes[c.task] = outcome
 	}
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -161,5 +161,6 @@
 	}
 	t.clock.update(r.Clock(), sent, received)
 	t.lastReply = received
+	p.targetReplied(now, t, r.StartedAt(), sent)
 	return true
 }
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -86,7 +86,10 @@
 	secondRuns        map[filbertford.TaskKey]int // number of runs beside the active one
 	runNumbers        map[filbertford.TaskKey]uint64
 	outcomes          map[filbertford.TaskKey]taskOutcome
-	inheritedFailures map[filbertford.TaskKey]int       // failed runs that earlier owners started
+	inheritedFailures map[filbertford.TaskKey]int // failed runs that earlier owners started
+	losses            map[filbertford.TaskKey]*taskLosses
+	silentTargets     map[filbertford.TargetID]int // number of losses that the target's reply would refute
+	endedTargets      map[filbertford.TargetID]endedTarget
 	departed          map[filbertford.TargetID]bool     // targets that left the pool before they were listed
 	shardOwners       map[filbertford.JobKey]shardOwner // of stored jobs
 	queue             queue
@@ -130,6 +133,7 @@
 type taskOutcome struct {
 	status      Status
 	failures    int
+	crashes     int
 	endedAt     time.Duration
 	retention   time.Duration // how long the outcome is kept
 	coordinator filbertford.NodeID
@@ -149,6 +153,9 @@
 		runNumbers:        make(map[filbertford.TaskKey]uint64),
 		outcomes:          make(map[filbertford.TaskKey]taskOutcome),
 		inheritedFailures: make(map[filbertford.TaskKey]int),
+		losses:            make(map[filbertford.TaskKey]*taskLosses),
+		silentTargets:     make(map[filbertford.TargetID]int),
+		endedTargets:      make(map[filbertford.TargetID]endedTarget),
 		departed:          make(map[filbertford.TargetID]bool),
 		shardOwners:       make(map[filbertford.JobKey]shardOwner),
 		kindFactors:       newKindFactors(),
@@ -300,6 +307,7 @@
 	p.checkAllListed(now)
 	p.checkSurveyed(now)
 	p.tickStored(now)
+	p.tickLosses(now)
 	p.dispatch(now)
 	p.expire(now)
 	p.removeOldOutcomes(now)
@@ -384,12 +392,15 @@
 // finishTask ends a task with a status, and records and reports its outcome.
 func (p *Pool) finishTask(now time.Duration, t *task, status Status) {
 	delete(p.tasks, t.key)
-	outcome := taskOutcome{status: status, failures: t.failures, endedAt: now, retention: outcomeRetention, coordinator: t.coordinator}
+	outcome := taskOutcome{status: status, failures: t.failures, crashes: p.crashesOf(t.key), endedAt: now, retention: outcomeRetention, coordinator: t.coordinator}
 	if t.batch.stored {
 		outcome.retention, outcome.nextReport = storedOutcomeRetention, now+reportInterval
 	}
 	p.outcomes[t.key] = outcome
 	p.report(t.coordinator, t.key, status, t.failures)
+	if status == StatusDone {
+		p.forgetLosses(t.key)
+	}
 }
 
 // requeueTask queues a task for another run.
@@ -400,23 +411,25 @@
 	}
 	p.emitEvent(event)
 	t.run, t.resume, t.startedOn = nil, false, ""
-	p.enqueue(t)
+	if !p.giveUp(now, t) {
+		p.enqueue(t)
+	}
 }
 
 func (p *Pool) report(to filbertford.NodeID, key filbertford.TaskKey, status Status, failures int) {
-	p.emit(SendReport{To: to, Report: NewReport(p.id, p.fence, key, status, failures).WithStarted(true)})
+	p.emit(SendReport{To: to, Report: NewReport(p.id, p.fence, key, status, failures).WithCrashes(p.crashesOf(key)).WithStarted(true)})
 }
 
 // reportStart reports to the coordinator which target runs a task. A later owner of the
 // pool receives the target from the coordinator and may have to read its lists before it
 // starts the task again.
 func (p *Pool) reportStart(t *task, target filbertford.TargetID) {
-	p.emit(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, StatusStarted, t.failures).WithStarted(true).WithTarget(target)})
+	p.emit(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, StatusStarted, t.failures).WithCrashes(p.crashesOf(t.key)).WithStarted(true).WithTarget(target)})
 }
 
 // returnTask reports to the coordinator that the pool will not run a task any more.
 func (p *Pool) returnTask(t *task, status Status) {
-	p.emit(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, status, t.failures).WithStarted(t.started || t.resume)})
+	p.emit(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, status, t.failures).WithCrashes(p.crashesOf(t.key)).WithStarted(t.started || t.resume)})
 }
 
 func (p *Pool) emit(a Action) { p.actions = append(p.actions, a) }
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -88,6 +88,7 @@
 	trace         func(format string, args ...any)
 	// unguarded lets targets start runs beyond their capacity, which is a violation.
 	unguarded bool
+	crashes   crashSimulation
 	// rejectRestarts makes a start of a task that is done a violation.
 	rejectRestarts bool
 }
@@ -167,6 +168,7 @@
 
 func (sim *simulation) started(key filbertford.TaskKey, t *fakeTarget) {
 	sim.starts++
+	sim.crashes.started(sim, key, t)
 	sim.jobStarted[key.Job()] = true
 	if sim.rejectRestarts && sim.done[key] > 0 {
 		sim.violations = append(sim.violations, fmt.Sprintf("%v: %v was started on %s after a run of it was done", sim.now, key, t.rec.Instance().ID()))
@@ -403,6 +405,8 @@
 		if sim.answered != nil {
 			sim.answered(v.RequestID, v.Answer.Kind())
 		}
+	case RecordOutcome:
+		sim.record(from, v)
 	case PoolLost:
 		o.stopped = true
 	case Event:
--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"fmt"
 	"maps"
 	"time"
 
@@ -20,13 +21,39 @@
 // Progress is the recorded progress of a task of a stored job.
 type Progress struct {
 	done     bool
+	failed   bool
 	failures int
+	crashes  int
 }
 
 // NewProgress returns the progress of a task that is done or not, with the number of
 // its failed runs.
 func NewProgress(done bool, failures int) Progress { return Progress{done: done, failures: failures} }
 
+// WithDone returns a copy of p for a task that is done.
+func (p Progress) WithDone() Progress {
+	p.done = true
+	return p
+}
+
+// WithFailed returns a copy of p for a task that has failed for good.
+func (p Progress) WithFailed() Progress {
+	p.failed = true
+	return p
+}
+
+// WithCrashes returns a copy of p for a task under which so many targets have crashed.
+func (p Progress) WithCrashes(n int) Progress {
+	p.crashes = n
+	return p
+}
+
+// Crashes returns how many targets have crashed under the task.
+func (p Progress) Crashes() int { return p.crashes }
+
+// Failed reports whether the task has failed for good.
+func (p Progress) Failed() bool { return p.failed }
+
 // Done reports whether the task is done.
 func (p Progress) Done() bool { return p.done }
 
@@ -48,7 +75,7 @@
 		state := stepState{remaining: s.Count(), tasks: make([]taskState, s.Count())}
 		for index := range state.tasks {
 			p := progress(number, index)
-			state.tasks[index].done, state.tasks[index].failures = p.done, p.failures
+			state.tasks[index].done, state.tasks[index].failures, state.tasks[index].crashes = p.done, p.failures, p.crashes
 			if p.done {
 				state.remaining--
 			} else if resumed {
@@ -75,7 +102,7 @@
 	for number, s := range j.steps {
 		for index, t := range s.tasks {
 			if t.done {
-				c.confirm(pool, filbertford.NewTaskKey(j.workload.Key(), 0, number, index), true, t.failures)
+				c.confirm(pool, filbertford.NewTaskKey(j.workload.Key(), 0, number, index), t.progress())
 			}
 		}
 	}
@@ -112,20 +139,33 @@
 		return
 	}
 	t := &j.steps[key.Step()].tasks[key.Index()]
-	c.confirm(t.pool, key, p.done, p.failures)
+	c.confirm(t.pool, key, p)
 	switch {
 	case p.done && !t.done:
 		t.done = true
 		j.steps[key.Step()].remaining--
 		c.advance(now, j)
-	case !p.done && p.failures >= j.route.Attempts():
-		c.finish(now, j, filbertford.AnswerFailed, "a task has failed as often as allowed")
+	case p.failed:
+		c.finish(now, j, filbertford.AnswerFailed, t.failureReason(j))
+	}
+}
+
+// progress returns the progress of a task as the coordinator knows it.
+func (t *taskState) progress() Progress {
+	return NewProgress(t.done, t.failures).WithCrashes(t.crashes)
+}
+
+// failureReason returns why the task has failed for good.
+func (t *taskState) failureReason(j *job) string {
+	if t.failures < j.route.Attempts() && t.crashes > 0 {
+		return fmt.Sprintf("%d targets have crashed under a task", t.crashes)
 	}
+	return "a task has failed as often as allowed"
 }
 
-func (c *Coordinator) confirm(pool filbertford.PoolID, key filbertford.TaskKey, done bool, failures int) {
+func (c *Coordinator) confirm(pool filbertford.PoolID, key filbertford.TaskKey, p Progress) {
 	if v := c.pools[pool]; v != nil && v.owner != "" {
-		c.emit(SendConfirm{To: v.owner, Confirm: NewConfirm(pool, key, done, failures)})
+		c.emit(SendConfirm{To: v.owner, Confirm: NewConfirm(pool, key, p.done, p.failures).WithCrashes(p.crashes)})
 	}
 }
 
@@ -138,7 +178,7 @@
 	var items []Item
 	for index, t := range j.steps[number].tasks {
 		if t.search != nil && !t.done {
-			items = append(items, NewItem(index, t.failures))
+			items = append(items, NewItem(index, t.failures).WithCrashes(t.crashes))
 		}
 	}
 	if len(items) == 0 {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -39,6 +39,8 @@
 	misses       int
 	runs         map[filbertford.TaskKey]*run
 	limitedRuns  int // number of runs whose lease is limited
+	aloneRuns    int // number of runs that other tasks are kept from
+	reservedFor  *task
 	used         filbertford.Resources
 	health       health
 	fullUntil    time.Duration // no tasks are started before, because the target was full
@@ -82,6 +84,7 @@
 	stopConfirmedAt time.Duration
 	stopWanted      bool          // the run is to be stopped
 	second          bool          // it was found while another run had the task
+	alone           bool          // no other task is started on the target meanwhile
 	leaseLimit      time.Duration // when the run must have ended, 0 if it has a task
 }
 
@@ -170,10 +173,11 @@
 func (p *Pool) targetReplaced(now time.Duration, t *target) {
 	runs := sortedRuns(t.runs)
 	for _, r := range runs {
-		p.runLost(now, r, len(runs)-1, "target restarted")
+		p.runLost(now, r, len(runs)-1, lossCrashed, "target restarted")
 		p.discardRun(now, r, "target restarted")
 	}
 	p.removeTarget(t)
+	p.targetEnded(now, t)
 	delete(p.departed, t.id())
 	p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Started: t.startedAt, Reason: "another target replied at its address"})
 }
@@ -183,6 +187,9 @@
 func (p *Pool) tickTarget(now time.Duration, t *target) {
 	if t.removed && len(t.runs) == 0 && (!t.polling || t.misses >= maxMisses) {
 		p.removeTarget(t)
+		if !t.rec.Draining() {
+			p.confirmLosses(now, t, lossRemoved)
+		}
 		return
 	}
 	p.expireLeases(now, t)
@@ -217,7 +224,7 @@
 	})
 	runs := sortedRuns(t.runs)
 	for _, r := range runs {
-		p.runLost(now, r, len(runs)-1, "lease expired")
+		p.runLost(now, r, len(runs)-1, lossSilent, "lease expired")
 		p.discardRun(now, r, "lease expired")
 	}
 }
@@ -246,6 +253,9 @@
 func (p *Pool) releaseRun(r *run) {
 	t := r.target
 	r.unlimit()
+	if r.alone {
+		t.aloneRuns--
+	}
 	delete(t.runs, r.key)
 	t.used = t.used.Sub(r.demand)
 	if p.activeRuns[r.key] == r {
--- a/fbshard/owner.go
+++ b/fbshard/owner.go
@@ -162,21 +162,24 @@
 	}
 }
 
-// RecordTask stores that a task is done or that a run of it has failed.
-func (o *Owner) RecordTask(task filbertford.TaskKey, done bool, failures int) {
+// RecordTask stores the progress of a task.
+func (o *Owner) RecordTask(task filbertford.TaskKey, p fbsched.Progress) {
 	j := o.jobs[task.Job()]
 	if j == nil || j.state.final() {
 		return
 	}
-	if done {
+	if p.Done() {
 		j.done[task.Step()][task.Index()] = true
 	}
-	if failures > 0 {
-		j.failures[task.String()] = max(j.failures[task.String()], failures)
+	if n := p.Failures(); n > 0 {
+		j.failures[task.String()] = max(j.failures[task.String()], n)
+	}
+	if n := p.Crashes(); n > 0 {
+		j.crashes[task.String()] = max(j.crashes[task.String()], n)
 	}
 	if j.complete() {
 		j.state = StateCompleted
-	} else if failures >= j.route.Attempts() && !done {
+	} else if !p.Done() && (p.Failed() || p.Failures() >= j.route.Attempts()) {
 		j.state = StateFailed
 	}
 	j.addRecord(task)
--- a/fbshard/owner_test.go
+++ b/fbshard/owner_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbsched"
 )
 
 // fakeStore applies transactions as the platform's store does.
@@ -169,7 +170,7 @@
 		t.Errorf("%d jobs wait (known: %t), want 2", n, ok)
 	}
 	for index := range 2 {
-		o.RecordTask(filbertford.NewTaskKey(testJob(1).Key(), 0, 0, index), true, 0)
+		o.RecordTask(filbertford.NewTaskKey(testJob(1).Key(), 0, 0, index), fbsched.NewProgress(true, 0))
 	}
 	o.State(3, testJob(1).Key())
 	h.collect(o)
@@ -229,7 +230,7 @@
 				if submitted > 0 {
 					job := testJob(rapid.IntRange(1, submitted).Draw(rt, "job")).Key()
 					if h.started[job] > 0 {
-						o.RecordTask(filbertford.NewTaskKey(job, 0, 0, rapid.IntRange(0, 1).Draw(rt, "task")), true, 0)
+						o.RecordTask(filbertford.NewTaskKey(job, 0, 0, rapid.IntRange(0, 1).Draw(rt, "task")), fbsched.NewProgress(true, 0))
 					}
 				}
 			case 2:
@@ -277,7 +278,7 @@
 func TestRowRoundTrip(t *testing.T) {
 	j := newJob(testRoute, testJob(3))
 	j.done[0][1] = true
-	j.failures["x"] = 2
+	j.failures["x"], j.crashes["x"] = 2, 1
 	j.state = StateRunning
 	value, err := encodeJob(j)
 	if err != nil {
@@ -287,7 +288,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if back.state != StateRunning || back.done[0][0] || !back.done[0][1] || back.failures["x"] != 2 || back.route.Attempts() != 2 {
+	if back.state != StateRunning || back.done[0][0] || !back.done[0][1] || back.failures["x"] != 2 || back.crashes["x"] != 1 || back.route.Attempts() != 2 {
 		t.Errorf("decoded job %+v differs from the encoded one", back)
 	}
 	for name, bad := range map[string]string{"not JSON": "{", "no steps": `{"state":"queued"}`, "task out of range": `{"steps":[{"count":1,"done":[4]}]}`} {
--- a/fbshard/row.go
+++ b/fbshard/row.go
@@ -35,6 +35,7 @@
 	state    State
 	done     [][]bool
 	failures map[string]int // failed runs by task key
+	crashes  map[string]int // crashes of targets by task key
 	version  uint64         // of the row, 0 if not committed
 	started  bool           // a run was started; not stored
 	records  []taskRecord   // to report after the next commit
@@ -44,7 +45,7 @@
 }
 
 func newJob(r filbertford.Route, w filbertford.Workload) *job {
-	j := &job{workload: w, route: r, state: StateQueued, failures: make(map[string]int)}
+	j := &job{workload: w, route: r, state: StateQueued, failures: make(map[string]int), crashes: make(map[string]int)}
 	for _, s := range w.Steps() {
 		j.done = append(j.done, make([]bool, s.Count()))
 	}
@@ -54,7 +55,11 @@
 // progress returns the recorded progress of a task.
 func (j *job) progress(step, index int) fbsched.Progress {
 	key := filbertford.NewTaskKey(j.workload.Key(), 0, step, index)
-	return fbsched.NewProgress(j.done[step][index], j.failures[key.String()])
+	p := fbsched.NewProgress(j.done[step][index], j.failures[key.String()]).WithCrashes(j.crashes[key.String()])
+	if j.state == StateFailed {
+		return p.WithFailed()
+	}
+	return p
 }
 
 // The encoding of rows in the store.
@@ -89,13 +94,14 @@
 	Spec     string         `json:"spec"`
 	Steps    []stepRow      `json:"steps"`
 	Failures map[string]int `json:"failures,omitempty"`
+	Crashes  map[string]int `json:"crashes,omitempty"`
 }
 
 func encodeJob(j *job) ([]byte, error) {
 	r := j.route
 	row := jobRow{
 		State: j.state, Host: r.Host(), Prefix: r.Prefix(), Service: r.Service(), Priority: r.Priority(),
-		Attempts: r.Attempts(), Stretch: r.Stretch(), SlackUS: r.Slack().Microseconds(), Spec: j.workload.Spec(), Failures: j.failures,
+		Attempts: r.Attempts(), Stretch: r.Stretch(), SlackUS: r.Slack().Microseconds(), Spec: j.workload.Spec(), Failures: j.failures, Crashes: j.crashes,
 	}
 	for i, s := range j.workload.Steps() {
 		step := stepRow{
@@ -133,6 +139,9 @@
 	for name, n := range row.Failures {
 		j.failures[name] = n
 	}
+	for name, n := range row.Crashes {
+		j.crashes[name] = n
+	}
 	for i, s := range row.Steps {
 		for _, index := range s.Done {
 			if index < 0 || index >= len(j.done[i]) {
