Late calls to an earlier instance may extend leases at a target for as long as calls can be late

Cause: a poll that was sent before the pool had learned of a target's restart under its ID was carried out 8 s later by the new instance, and extended its lease. The target went silent 8 s after its restart, and its runs were taken for ended 0.5 s too early.

Change: the runs of a target that has started again under its ID and doesn't reply aren't taken for ended before lateCallTimeout and a lease have passed since the restart was noticed. One that replies is not affected.

--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -10,10 +10,6 @@
 // than the platform's targets are known to delay calls.
 const lateCallTimeout = 15 * time.Second
 
-// inFlightTimeout is how long calls to the earlier instance of a target may be under way after
-// the pool has learned of the new one, which may carry them out: as long as calls stay open.
-const inFlightTimeout = time.Second
-
 // targetOf returns the target that a call was sent to, or nil if the reply is of no use. A
 // target may start again under its ID; the start time in a reply shows it, possibly long
 // before the target's record does. The time of day may have been set back between two starts: a
@@ -45,7 +41,7 @@
 func (p *Pool) replaceInstance(now time.Duration, old *target, rec filbertford.TargetRecord) *target {
 	t := newTarget(now, rec)
 	t.pollNumber, t.restarted = old.pollNumber, true
-	t.leasesUntil = now + inFlightTimeout + maxLease
+	t.leasesUntil = now + lateCallTimeout + maxLease // the new instance may carry late calls out
 	p.targets[t.id()] = t
 	for i, o := range p.sortedTargets {
 		if o == old {
