A target that has ended isn't added to its pool again while its record still exists

Cause: when another instance replies at a target's address, the target leaves the pool, but its record stays for up to seven seconds, and each change of any record added it again.

Evidence: TestEndedTargetIsNotAddedAgain failed (21 targets added, want 1).

Records without a start time are added as before.

--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -139,6 +139,9 @@
 		t.rec, t.removed = rec, false
 		return
 	}
+	if ended, ok := p.endedTargets[id]; ok && ended.startedAt != 0 && rec.Instance().StartedAt() == ended.startedAt {
+		return // its record is removed later
+	}
 	t = newTarget(now, rec)
 	if now-p.createdAt < earlierRunTimeout {
 		p.allListed = false // an earlier owner may have used it
