TestRunsDoNotOverlapUnderFaults draws targets whose capacity shrinks and grows

The platform's targets may change their capacity while they run. The randomised test had one capacity for each target's life, so that nothing showed whether a pool follows a record with a smaller one. A start beyond the capacity counts as a violation from 4.5 s after it has shrunk, as the platform has it (three seconds and one heartbeat); runs that are being stopped count until they have ended, 0 to 200 ms after the stop.

--- a/fbsched/faketarget_test.go
+++ b/fbsched/faketarget_test.go
@@ -36,10 +36,37 @@
 	hanging      bool
 	down         bool
 	draining     bool
-	busy         bool          // rejects starts without doing anything
-	muted        bool          // keeps calls until it is no longer muted
-	held         []func()      // the calls that it keeps
-	stopTime     time.Duration // between a stop and the end of the run
+	busy         bool                  // rejects starts without doing anything
+	muted        bool                  // keeps calls until it is no longer muted
+	held         []func()              // the calls that it keeps
+	stopTime     time.Duration         // between a stop and the end of the run
+	full         filbertford.Resources // capacity at the start
+	shrunkAt     time.Duration
+	shrunkFrom   filbertford.Resources // capacity before it shrank
+}
+
+// shrinkGrace is how long a start that fits the capacity from before it shrank is allowed, as
+// the platform specifies.
+const shrinkGrace = 4500 * time.Millisecond
+
+// setCapacity changes the capacity of a target that is running.
+func (t *fakeTarget) setCapacity(c filbertford.Resources) {
+	if c.CPU() < t.rec.Capacity().CPU() {
+		if t.sim.now-t.shrunkAt > shrinkGrace || t.shrunkFrom.CPU() < t.rec.Capacity().CPU() {
+			t.shrunkFrom = t.rec.Capacity()
+		}
+		t.shrunkAt = t.sim.now
+	}
+	r := t.rec
+	t.rec = filbertford.NewTargetRecord(r.Instance(), r.Service(), r.Address(), r.DataCentre(), c, r.Labels()...)
+}
+
+// allowedSlots returns the number of runs up to which a start is allowed.
+func (t *fakeTarget) allowedSlots() int {
+	if t.sim.now-t.shrunkAt <= shrinkGrace {
+		return max(t.rec.Capacity().CPU(), t.shrunkFrom.CPU()) / 1000
+	}
+	return t.rec.Capacity().CPU() / 1000
 }
 
 func (t *fakeTarget) clock() time.Duration {
@@ -55,9 +82,9 @@
 	t.boots++
 	t.bootedAt, t.clockOffset, t.fence, t.lease, t.lastSequence, t.ended, t.held = t.sim.now, time.Millisecond, 0, 0, 0, nil, nil
 	t.runs, t.highest = make(map[filbertford.TaskKey]*fakeRun), make(map[filbertford.TaskKey]uint64)
-	t.down, t.muted, t.draining = false, false, false
+	t.down, t.muted, t.draining, t.shrunkFrom = false, false, false, filbertford.Resources{}
 	r := t.rec
-	t.rec = filbertford.NewTargetRecord(filbertford.NewTargetInstance(id, startedAt), r.Service(), r.Address(), r.DataCentre(), r.Capacity(), r.Labels()...)
+	t.rec = filbertford.NewTargetRecord(filbertford.NewTargetInstance(id, startedAt), r.Service(), r.Address(), r.DataCentre(), t.full, r.Labels()...)
 }
 
 // crash loses all runs of the target and leaves it down.
@@ -140,7 +167,9 @@
 		if !t.sim.unguarded {
 			return t.reply(filbertford.CallFull)
 		}
-		t.sim.violations = append(t.sim.violations, fmt.Sprintf("%v: %v was started on %s beyond its capacity", t.sim.now, req.Task(), t.rec.Instance().ID()))
+		if t.running() >= t.allowedSlots() {
+			t.sim.violations = append(t.sim.violations, fmt.Sprintf("%v: %v was started on %s beyond its capacity", t.sim.now, req.Task(), t.rec.Instance().ID()))
+		}
 	}
 	duration, outcome := time.Duration(float64(t.sim.durationOf(req.Task()))*t.speed), filbertford.RunDone
 	if t.failing {
--- a/fbsched/overlap_faults_test.go
+++ b/fbsched/overlap_faults_test.go
@@ -322,6 +322,13 @@
 	case faultBusy:
 		t.busy = true
 		undo(func() { t.busy = false })
+	case faultShrink:
+		set := func(c filbertford.Resources) {
+			t.setCapacity(c)
+			r.writeRecord(between(f.random, 0, 1500), t.rec.WithDraining(t.draining), false)
+		}
+		set(filbertford.NewResources(1000*f.random.IntN(r.plan.slots), 1000, 0))
+		undo(func() { set(t.full) })
 	case faultDrain:
 		t.draining = true
 		r.writeRecord(between(f.random, 0, 300), t.rec.WithDraining(true), false)
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -36,6 +36,7 @@
 	faultFailing         faultKind = "runs fail"
 	faultBusy            faultKind = "target rejects starts"
 	faultDrain           faultKind = "target drains"
+	faultShrink          faultKind = "target's capacity shrinks and grows"
 	faultBroken          faultKind = "caller's channel breaks"
 	faultUnnoticed       faultKind = "caller's channel breaks and the coordinator doesn't notice"
 	faultGiveUp          faultKind = "caller gives up"
@@ -349,7 +350,7 @@
 	ownerFaults       = []faultKind{faultKill, faultPause, faultTakeOver, faultPartition}
 	linkFaults        = []faultKind{faultCut, faultCutRequests, faultCutReplies}
 	coordinatorFaults = []faultKind{faultStream, faultCoordinator, faultGiveUp, faultBroken}
-	targetFaults      = []faultKind{faultMute, faultStuck, faultSlow, faultFailing, faultBusy, faultDrain}
+	targetFaults      = []faultKind{faultMute, faultStuck, faultSlow, faultFailing, faultBusy, faultDrain, faultShrink}
 	bootFaults        = []faultKind{faultOtherID, faultGone, faultRecord}
 )
 
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -161,6 +161,7 @@
 			filbertford.NewResources(1000*slots, 1000, 0), "a", "r1"),
 		runs:    make(map[filbertford.TaskKey]*fakeRun),
 		highest: make(map[filbertford.TaskKey]uint64),
+		full:    filbertford.NewResources(1000*slots, 1000, 0),
 	}
 	sim.targets[id] = t
 	return t
