TestRunsDoNotOverlapUnderFaults: capacities that stay shrunk while jobs come

Change: a scenario with three times as many jobs over 15 s, capacities that stay shrunk for up to 12 s, and records that are written in order.

--- a/fbsched/overlap_faults_test.go
+++ b/fbsched/overlap_faults_test.go
@@ -323,12 +323,20 @@
 		t.busy = true
 		undo(func() { t.busy = false })
 	case faultShrink:
+		boots := t.boots
 		set := func(c filbertford.Resources) {
+			if t.boots != boots {
+				return
+			}
 			t.setCapacity(c)
-			r.writeRecord(between(f.random, 0, 1500), t.rec.WithDraining(t.draining), false)
+			r.after(between(f.random, 0, 1500), func() {
+				if t.boots == boots {
+					r.writeRecord(0, t.rec.WithDraining(t.draining), false)
+				}
+			})
 		}
 		set(filbertford.NewResources(1000*f.random.IntN(r.plan.slots), 1000, 0))
-		undo(func() { set(t.full) })
+		r.after(between(f.random, 100, 12_000), func() { set(t.full) })
 	case faultDrain:
 		t.draining = true
 		r.writeRecord(between(f.random, 0, 300), t.rec.WithDraining(true), false)
--- a/fbsched/overlap_plan_test.go
+++ b/fbsched/overlap_plan_test.go
@@ -64,6 +64,8 @@
 	pools  int
 	// unguarded targets start runs beyond their capacity.
 	unguarded bool
+	// long spreads the jobs over a time in which a target's capacity may have shrunk for long.
+	long bool
 }
 
 // drawPlan draws a plan.
@@ -82,10 +84,18 @@
 		p.latePercent, p.slowPercent = 0, 0
 	}
 	p.targets = max(p.targets, p.pools)
+	lastJob := 6000
+	if s.long {
+		lastJob = 15_000
+	}
 	crisis := between(random, 500, 5500) // when most faults begin
-	for range rapid.IntRange(1, 12).Draw(rt, "jobs") {
+	jobs := rapid.IntRange(1, 12).Draw(rt, "jobs")
+	if s.long {
+		jobs *= 3
+	}
+	for range jobs {
 		p.jobs = append(p.jobs, plannedJob{
-			at: between(random, 0, 6000), tasks: 1 + random.IntN(6), work: between(random, 20, int(p.maxWork.Milliseconds())), timeout: between(random, 500, 8000),
+			at: between(random, 0, lastJob), tasks: 1 + random.IntN(6), work: between(random, 20, int(p.maxWork.Milliseconds())), timeout: between(random, 500, 8000),
 		})
 	}
 	for range rapid.IntRange(0, 16).Draw(rt, "faults") {
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -372,6 +372,7 @@
 		"jobs sent again, two pools":   {kinds: all, resend: true, pools: 2},
 		"unguarded targets":            {kinds: slices.Concat(linkFaults, targetFaults), unguarded: true},
 		"unguarded, owners":            {kinds: all, unguarded: true},
+		"unguarded, capacity":          {kinds: []faultKind{faultShrink, faultStuck, faultGiveUp, faultTakeOver, faultCutReplies}, unguarded: true, long: true},
 		"channels break unnoticed":     {kinds: []faultKind{faultUnnoticed}, resend: true},
 		"unnoticed, two pools":         {kinds: []faultKind{faultUnnoticed}, resend: true, pools: 2},
 		"coordinators lost":            {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true},
