A task isn't blamed for a target that had crashed before it was started there

Cause: a start that isn't answered may have crashed the target, or the target was down already. Both counted. A target whose runs have just lapsed is empty, and so was the first choice for a task that is to run alone.

For tasks that run alone, targets that have answered lately come first; a task that has lost two targets waits for an answer.

--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -41,6 +41,7 @@
 	startedAt int64 // of the target, in Unix milliseconds; 0 if unknown
 	state     lossState
 	alone     bool // no other task ran there
+	unsure    bool // the target may have crashed before the task was started
 	at        time.Duration
 }
 
@@ -56,25 +57,36 @@
 	updatedAt time.Duration
 }
 
+// count returns the number of targets that were lost under the task.
+func (l *taskLosses) count() int { return l.inherited + len(l.losses) }
+
 // crashes returns the number of targets that count as crashed.
 func (l *taskLosses) crashes() int {
 	n := l.inherited
 	for _, lost := range l.losses {
-		if lost.state != lossSilent {
+		if lost.state != lossSilent && !lost.unsure {
 			n++
 		}
 	}
 	return n
 }
 
-// silent returns the number of targets that may have crashed.
-func (l *taskLosses) silent() int { return len(l.losses) + l.inherited - l.crashes() }
+// silent returns the number of targets that may have crashed under the task.
+func (l *taskLosses) silent() int {
+	n := 0
+	for _, lost := range l.losses {
+		if lost.state == lossSilent && !lost.unsure {
+			n++
+		}
+	}
+	return n
+}
 
 // excessive reports whether the task is to be given up.
 func (l *taskLosses) excessive() bool {
 	n := l.crashes()
 	return n >= maxCrashes || n >= maxCrashesAlone &&
-		slices.ContainsFunc(l.losses, func(lost loss) bool { return lost.alone && lost.state == lossCrashed })
+		slices.ContainsFunc(l.losses, func(lost loss) bool { return lost.alone && !lost.unsure && lost.state == lossCrashed })
 }
 
 // unclear reports whether the task may have to be given up once it is known what has become
@@ -86,7 +98,7 @@
 // suspected reports whether a target was lost under the task, so that the task runs alone.
 func (p *Pool) suspected(key filbertford.TaskKey) bool {
 	l := p.losses[key]
-	return l != nil && l.inherited+len(l.losses) > 0
+	return l != nil && l.count() > 0
 }
 
 // heldBack reports whether the task may not be started because of the targets that were lost
@@ -112,7 +124,10 @@
 		Reason: fmt.Sprintf("%s; %d other runs there", reason, others), Age: now - r.startedAt,
 	})
 	if !t.rec.Draining() { // a draining target ends with its runs
-		p.addLoss(now, r.key, loss{target: t.id(), startedAt: t.startedAt, state: state, alone: others == 0, at: now})
+		p.addLoss(now, r.key, loss{
+			target: t.id(), startedAt: t.startedAt, state: state, alone: others == 0, at: now,
+			unsure: !r.onLiveTarget && !r.listed && r.confirmedAt == 0,
+		})
 	}
 }
 
@@ -167,6 +182,9 @@
 // too many.
 func (p *Pool) crashCounted(now time.Duration, key filbertford.TaskKey, l loss) {
 	losses := p.losses[key]
+	if l.unsure {
+		return
+	}
 	p.emitEvent(Event{
 		Kind: EventTargetCrashed, Task: key, Target: l.target, Started: l.startedAt, Fence: p.fence,
 		Reason: fmt.Sprintf("%s; %d targets have crashed under the task; ran alone: %v", l.state, losses.crashes(), l.alone), Age: now - l.at,
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -55,7 +55,7 @@
 		target: best, key: t.key, number: p.nextRunNumber(now, t), task: t, state: runStarting,
 		demand: step.Demand(), startedAt: now, progressedAt: now,
 		expected:    time.Duration(float64(step.Estimate()) * chosen.factor),
-		leaseExpiry: lease,
+		leaseExpiry: lease, onLiveTarget: best.heardLately(now),
 	}
 	best.leaseExpiry = max(best.leaseExpiry, r.leaseExpiry)
 	best.runs[t.key], p.activeRuns[t.key] = r, r
--- a/fbsched/isolate.go
+++ b/fbsched/isolate.go
@@ -26,9 +26,9 @@
 	return t.reservedFor != nil
 }
 
-// chooseEmptyTarget returns the target on which a task is to run alone: of those without runs,
-// the one that has been up for longest, which is the least likely to crash for another reason.
-// If there is none, it reserves a target and returns nil.
+// chooseEmptyTarget returns the target on which a task is to run alone: of those without runs
+// that have replied lately, the one that has been up for longest, which is the least likely to
+// crash for another reason. If there is none, it reserves a target and returns nil.
 func (p *Pool) chooseEmptyTarget(now time.Duration, t *task, capacity *serviceCapacity) *targetCapacity {
 	step := t.batch.step
 	var best, next *targetCapacity
@@ -47,17 +47,41 @@
 			if next == nil || c.target.reservedFor == t || next.target.reservedFor != t && c.target.emptyAt(now) < next.target.emptyAt(now) {
 				next = c
 			}
-		case best == nil, c.target.startedAt < best.target.startedAt:
+		case best == nil, preferred(now, c.target, best.target):
 			best = c
 		}
 	}
-	if best == nil && next != nil && next.target.reservedFor == nil && reserved < max(1, len(capacity.targets)/reservedShare) {
+	if best != nil && (best.target.heardLately(now) || p.losses[t.key].count() == 1) {
+		return best // the first time the task has no time to lose, and a crash that isn't sure doesn't count
+	}
+	if best != nil {
+		next = best
+		if !best.target.polling {
+			p.sendPoll(now, best.target)
+		}
+	}
+	if next != nil && next.target.reservedFor == nil && reserved < max(1, len(capacity.targets)/reservedShare) {
 		next.target.reservedFor, next.closed = t, true
 		capacity.updateMaxFree()
 	}
-	return best
+	return nil
+}
+
+// preferred reports whether a task is rather to run alone on the target a than on b.
+func preferred(now time.Duration, a, b *target) bool {
+	if heard := a.heardLately(now); heard != b.heardLately(now) {
+		return heard
+	}
+	return a.startedAt < b.startedAt
 }
 
+// aliveTimeout is how long after a poll that a target has answered a crash counts as one under
+// the task that is started there: longer than the target may hold the next poll.
+const aliveTimeout = maxPollWait + 100*time.Millisecond
+
+// heardLately reports whether the target has answered a poll that was sent lately.
+func (t *target) heardLately(now time.Duration) bool { return now-t.listsSent <= aliveTimeout }
+
 // emptyAt returns when the target's runs are expected to have ended.
 func (t *target) emptyAt(now time.Duration) time.Duration {
 	at := now
--- a/fbsched/late_lease_test.go
+++ b/fbsched/late_lease_test.go
@@ -19,7 +19,9 @@
 	sim.startStored("00000000000000aa", 2, false)
 	sim.advance(300 * time.Millisecond)
 	lost := false
-	sim.linkDown = func(_ *fakeOwner, address string) (bool, bool) { return lost && address == "t00:80", lost && address == "t00:80" }
+	sim.linkDown = func(_ *fakeOwner, address string) (bool, bool) {
+		return lost && address == "t00:80", lost && address == "t00:80"
+	}
 	lost = true
 	starts := sim.starts
 	sim.advance(lateCallTimeout - 4*time.Second)
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -15,6 +15,10 @@
 	if now-t.polledAt < t.pollBackoff() {
 		return
 	}
+	p.sendPoll(now, t)
+}
+
+func (p *Pool) sendPoll(now time.Duration, t *target) {
 	var lease int64
 	var wait time.Duration
 	if t.clock.known && len(t.runs) > 0 && t.misses == 0 {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -85,6 +85,7 @@
 	stopWanted      bool          // the run is to be stopped
 	second          bool          // it was found while another run had the task
 	alone           bool          // no other task is started on the target meanwhile
+	onLiveTarget    bool          // the target had answered shortly before the start
 	leaseLimit      time.Duration // when the run must have ended, 0 if it has a task
 }
 
