A crash counts once for each task, however often its pool changes hands

Cause: a new owner is told how many targets have crashed under a task, and on which target it was last started. If that target had crashed, it counted again, once for each owner. In the same way a task that waited to be resumed counted each later restart of that target.

Change: the report of a crash names the target, and the coordinator then no longer names it as the last one. A task that waits counts its target once. A target that left before the new owner's time doesn't count.

--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -306,6 +306,9 @@
 			c.emit(JobStarted{Job: key.Job()})
 		}
 	case StatusRetried:
+		if r.Target() != "" && r.Target() == t.target {
+			t.target = "" // it has crashed, and counts in crashes
+		}
 		if j.stored {
 			c.emit(RecordOutcome{Task: key, Progress: t.progress()})
 		}
--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -173,7 +173,7 @@
 			p.addLoss(now, key, added)
 		}
 	} else if p.departed[item.target] {
-		added.state = lossRemoved
+		added.state, added.unsure = lossRemoved, true // an earlier owner may have counted it
 		p.addLoss(now, key, added)
 	}
 }
@@ -193,7 +193,11 @@
 	if t == nil || p.giveUp(now, t) || losses.excessive() {
 		return
 	}
-	p.report(t.coordinator, key, StatusRetried, t.failures)
+	r := NewReport(p.id, p.fence, key, StatusRetried, t.failures).WithCrashes(losses.crashes()).WithStarted(true)
+	if l.state == lossCrashed {
+		r = r.WithTarget(l.target)
+	}
+	p.emit(SendReport{To: t.coordinator, Report: r})
 }
 
 // giveUp ends a task as failed if too many targets have crashed under it and no run of it can
@@ -276,6 +280,7 @@
 	p.confirmLosses(now, t, lossCrashed)
 	for _, waiting := range slices.Clone(p.queue.tasks) { // addLoss may remove tasks
 		if waiting.resume && waiting.startedOn == id {
+			waiting.startedOn = "" // the target counts once
 			p.addLoss(now, waiting.key, loss{target: id, startedAt: t.startedAt, state: lossCrashed, at: now})
 		}
 	}
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -299,7 +299,8 @@
 	return r
 }
 
-// Target returns the target of the run that was started, empty in other reports.
+// Target returns the target of the run that was started or, in a report that the task is
+// retried, the one that has crashed under it. It is empty in other reports.
 func (r Report) Target() filbertford.TargetID { return r.target }
 
 // Started reports whether a run of the task may have started in the pool.
