--- a/fbsched/crash_test.go
+++ b/fbsched/crash_test.go
@@ -188,3 +188,27 @@
 		t.Errorf("%d targets crashed under the task, want %d at most", n, maxCrashes)
 	}
 }
+
+// TestCrashCountsOnceAfterHandOver checks that the next owner of a pool isn't told of a target
+// that has crashed and is among the crashes already.
+func TestCrashCountsOnceAfterHandOver(t *testing.T) {
+	c := NewCoordinator("p")
+	now := time.Minute
+	c.SetOwner(now, "p", "a", 1)
+	w := filbertford.NewWorkload(deadlyJob, "", filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), 100*time.Millisecond))
+	c.StartStored(now, crashRoute, w, func(int, int) Progress { return Progress{} }, false)
+	c.HandleReport(now, NewReport("p", 1, deadlyTask, StatusStarted, 0).WithStarted(true).WithTarget("t00"))
+	c.HandleReport(now, NewReport("p", 1, deadlyTask, StatusRetried, 0).WithStarted(true).WithCrashes(1).WithTarget("t00"))
+	c.SetOwner(now, "p", "b", 2)
+	c.TakeActions()
+	c.ResumeStored(now, "p")
+	var items []Item
+	for _, a := range c.TakeActions() {
+		if b, ok := a.(SendBatch); ok {
+			items = append(items, b.Batch.Items()...)
+		}
+	}
+	if len(items) != 1 || items[0].Crashes() != 1 || items[0].Target() != "" {
+		t.Errorf("the next owner is offered %+v, want one task with one crash and no target", items)
+	}
+}
