The end of a run whose lease counted as expired completes its task

What callers saw: after an answer was lost, work that had run was run again: a stored task whose run was done behind a cut was started a second time when the cut was over.

Cause: when a lease counts as expired, the task waits for another run. If the target then lists the run as done, the end counted only for tasks that were being resumed from an earlier owner; for the others it was acknowledged and forgotten.

Evidence: TestRunThatEndedBehindCutIsNotRepeated failed (2 starts, want 1).

Change: such an end completes the waiting task in any case. A task that has been started elsewhere meanwhile is not affected.

Result: the test passes; fbsched's and fbnode's other tests pass but for the known failures.

--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -149,8 +149,8 @@
 }
 
 // inheritedRunEnded handles the end of a run that is not assigned to a task, such as
-// one of an earlier owner that was never listed as running. Its task may be queued to be
-// resumed.
+// one of an earlier owner that was never listed as running, or one whose lease counted as
+// expired. Its task may be queued.
 func (p *Pool) inheritedRunEnded(now time.Duration, t *target, e filbertford.EndedRun) {
 	p.runNumbers[e.Task()] = max(p.runNumbers[e.Task()], e.Run())
 	if e.Outcome() == filbertford.RunFailed {
@@ -169,7 +169,7 @@
 		}
 		return
 	}
-	if waiting.run == nil && waiting.resume {
+	if waiting.run == nil {
 		if waiting.batch.stored {
 			t.trackOutcome(e, 0)
 		}
