The cost of lost targets grows with the tasks that were lost there

What callers saw: nothing; found by reading. At the size of the target (880 targets a pool, 24 tasks each), the loss of a data centre leaves 21,000 tasks with a loss, and each reply of a returning target, and each tick of 20 ms, went through all of them in order.

Change: the pool keeps the tasks by lost target, so that a reply or a restart touches those alone; what depends on time is checked each 250 ms, without sorting all.

--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -24,6 +24,8 @@
 	// lossRetention is how long the losses of a task are kept after the last one if the task
 	// is not in the pool: its caller may send it again.
 	lossRetention = time.Minute
+	// lossCheckPeriod is the time between two checks for losses that are to be forgotten.
+	lossCheckPeriod = 250 * time.Millisecond
 )
 
 // lossState is what is known of a target that was lost under a task.
@@ -141,7 +143,7 @@
 	}
 	l.losses = append(l.losses, added)
 	if added.state != lossCrashed {
-		p.silentTargets[added.target]++
+		p.silentTargets[added.target] = append(p.silentTargets[added.target], key)
 	}
 	if added.state != lossSilent {
 		p.crashCounted(now, key, added)
@@ -215,10 +217,7 @@
 
 // confirmLosses sets the state of the losses of a target's instance that isn't heard any more.
 func (p *Pool) confirmLosses(now time.Duration, t *target, state lossState) {
-	if p.silentTargets[t.id()] == 0 {
-		return
-	}
-	for _, key := range p.sortedLossKeys() {
+	for _, key := range p.tasksLostAt(t.id()) {
 		l := p.losses[key]
 		for i, lost := range l.losses {
 			if !lost.isOf(t.id(), t.startedAt) || lost.state == lossCrashed || lost.state == state {
@@ -226,7 +225,7 @@
 			}
 			l.losses[i].state, l.updatedAt = state, now
 			if state == lossCrashed {
-				p.forgetSilent(t.id())
+				p.forgetSilent(t.id(), key)
 			}
 			if lost.state == lossSilent {
 				p.crashCounted(now, key, l.losses[i])
@@ -238,13 +237,13 @@
 
 // refuteLosses forgets the losses, before the given time, of a target's instance.
 func (p *Pool) refuteLosses(now time.Duration, t *target, before time.Duration) {
-	for _, key := range p.sortedLossKeys() {
+	for _, key := range p.tasksLostAt(t.id()) {
 		l := p.losses[key]
 		l.losses = slices.DeleteFunc(l.losses, func(lost loss) bool {
 			if !lost.isOf(t.id(), t.startedAt) || lost.state == lossCrashed || lost.at > before {
 				return false
 			}
-			p.forgetSilent(t.id())
+			p.forgetSilent(t.id(), key)
 			p.emitEvent(Event{Kind: EventTargetNotCrashed, Task: key, Target: t.id(), Started: t.startedAt, Age: now - lost.at})
 			return true
 		})
@@ -252,14 +251,22 @@
 	p.dispatchDue = true
 }
 
-func (p *Pool) forgetSilent(id filbertford.TargetID) {
-	if p.silentTargets[id]--; p.silentTargets[id] == 0 {
-		delete(p.silentTargets, id)
-	}
+// tasksLostAt returns the tasks with a loss that a reply of the target would refute.
+func (p *Pool) tasksLostAt(id filbertford.TargetID) []filbertford.TaskKey {
+	keys := slices.Clone(p.silentTargets[id])
+	slices.SortFunc(keys, filbertford.TaskKey.Compare)
+	return slices.Compact(keys)
 }
 
-func (p *Pool) sortedLossKeys() []filbertford.TaskKey {
-	return slices.SortedFunc(maps.Keys(p.losses), filbertford.TaskKey.Compare)
+// forgetSilent removes a task from those with a loss that a reply of the target would refute.
+func (p *Pool) forgetSilent(id filbertford.TargetID, key filbertford.TaskKey) {
+	keys := p.silentTargets[id]
+	if i := slices.Index(keys, key); i >= 0 {
+		keys = slices.Delete(keys, i, i+1)
+	}
+	if p.silentTargets[id] = keys; len(keys) == 0 {
+		delete(p.silentTargets, id)
+	}
 }
 
 // endedTarget is an instance of a target that is known to have ended.
@@ -278,18 +285,22 @@
 		return
 	}
 	p.confirmLosses(now, t, lossCrashed)
-	for _, waiting := range slices.Clone(p.queue.tasks) { // addLoss may remove tasks
+	var resumed []*task
+	for _, waiting := range p.queue.tasks {
 		if waiting.resume && waiting.startedOn == id {
-			waiting.startedOn = "" // the target counts once
-			p.addLoss(now, waiting.key, loss{target: id, startedAt: t.startedAt, state: lossCrashed, at: now})
+			resumed = append(resumed, waiting)
 		}
 	}
+	for _, waiting := range resumed {
+		waiting.startedOn = "" // the target counts once
+		p.addLoss(now, waiting.key, loss{target: id, startedAt: t.startedAt, state: lossCrashed, at: now})
+	}
 }
 
 // targetReplied handles the reply of a target to a call that was sent at the given time. The
 // target was only silent.
 func (p *Pool) targetReplied(now time.Duration, t *target, startedAt int64, sent time.Duration) {
-	if p.silentTargets[t.id()] > 0 && (startedAt != 0 || t.startedAt == 0) {
+	if len(p.silentTargets[t.id()]) > 0 && (startedAt != 0 || t.startedAt == 0) {
 		p.refuteLosses(now, t, sent)
 	}
 }
@@ -297,25 +308,33 @@
 // tickLosses gives tasks up whose earlier runs have ended, and forgets losses that nothing was
 // learned about and those of tasks that have left the pool.
 func (p *Pool) tickLosses(now time.Duration) {
-	for _, key := range p.sortedLossKeys() {
-		l := p.losses[key]
+	if now < p.nextLossCheck {
+		return
+	}
+	p.nextLossCheck = now + lossCheckPeriod
+	var excessive []*task
+	for key, l := range p.losses {
 		n := len(l.losses)
 		l.losses = slices.DeleteFunc(l.losses, func(lost loss) bool {
 			expired := lost.state == lossSilent && now-lost.at > lossTimeout
 			if expired {
-				p.forgetSilent(lost.target)
+				p.forgetSilent(lost.target, key)
 			}
 			return expired
 		})
 		if len(l.losses) < n {
 			p.dispatchDue = true
 		}
-		if t := p.tasks[key]; t != nil {
-			p.giveUp(now, t)
-		} else if now-l.updatedAt > lossRetention {
+		if t := p.tasks[key]; t != nil && l.excessive() {
+			excessive = append(excessive, t)
+		} else if t == nil && now-l.updatedAt > lossRetention {
 			p.forgetLosses(key)
 		}
 	}
+	slices.SortFunc(excessive, func(a, b *task) int { return a.key.Compare(b.key) })
+	for _, t := range excessive {
+		p.giveUp(now, t)
+	}
 	maps.DeleteFunc(p.endedTargets, func(_ filbertford.TargetID, e endedTarget) bool { return now-e.at > lossRetention })
 }
 
@@ -327,7 +346,7 @@
 	}
 	for _, lost := range l.losses {
 		if lost.state != lossCrashed {
-			p.forgetSilent(lost.target)
+			p.forgetSilent(lost.target, key)
 		}
 	}
 	delete(p.losses, key)
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -88,7 +88,7 @@
 	outcomes          map[filbertford.TaskKey]taskOutcome
 	inheritedFailures map[filbertford.TaskKey]int // failed runs that earlier owners started
 	losses            map[filbertford.TaskKey]*taskLosses
-	silentTargets     map[filbertford.TargetID]int // number of losses that the target's reply would refute
+	silentTargets     map[filbertford.TargetID][]filbertford.TaskKey // tasks with a loss that the target's reply would refute
 	endedTargets      map[filbertford.TargetID]endedTarget
 	departed          map[filbertford.TargetID]bool     // targets that left the pool before they were listed
 	shardOwners       map[filbertford.JobKey]shardOwner // of stored jobs
@@ -100,6 +100,7 @@
 	surveyed          bool          // see checkSurveyed
 	surveyFrom        time.Duration // calls that were sent before don't count for the survey
 	dispatchDue       bool          // a queued task may be able to start
+	nextLossCheck     time.Duration // see tickLosses
 	startsHeldUntil   time.Duration
 	suspendedUntil    time.Duration // see HandleSuspension
 	capacityChanged   bool
@@ -154,7 +155,7 @@
 		outcomes:          make(map[filbertford.TaskKey]taskOutcome),
 		inheritedFailures: make(map[filbertford.TaskKey]int),
 		losses:            make(map[filbertford.TaskKey]*taskLosses),
-		silentTargets:     make(map[filbertford.TargetID]int),
+		silentTargets:     make(map[filbertford.TargetID][]filbertford.TaskKey),
 		endedTargets:      make(map[filbertford.TargetID]endedTarget),
 		departed:          make(map[filbertford.TargetID]bool),
 		shardOwners:       make(map[filbertford.JobKey]shardOwner),
