--- a/fbsched/outcome.go
+++ b/fbsched/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -52,20 +53,30 @@
 // tickStored reports searched tasks that are absent, drops tasks that no coordinator
 // has taken over, and repeats reports of outcomes that are not confirmed.
 func (p *Pool) tickStored(now time.Duration) {
-	for _, t := range p.tasks {
-		if t.search {
-			p.finishSearch(now, t)
-		}
+	for _, key := range sortedKeys(p.tasks, func(t *task) bool { return t.search }) {
+		p.finishSearch(now, p.tasks[key])
 	}
 	p.dropTasks(now, func(t *task) bool {
 		return t.coordinatorUnreachableAt != 0 && now-t.coordinatorUnreachableAt > coordinatorTimeout ||
 			t.reofferBy != 0 && now >= t.reofferBy
 	}, "no coordinator")
-	for key, outcome := range p.outcomes {
-		if outcome.nextReport != 0 && now >= outcome.nextReport {
-			outcome.nextReport = now + reportInterval
-			p.outcomes[key] = outcome
-			p.report(outcome.coordinator, key, outcome.status, outcome.failures)
+	for _, key := range sortedKeys(p.outcomes, func(o taskOutcome) bool { return o.nextReport != 0 && now >= o.nextReport }) {
+		outcome := p.outcomes[key]
+		outcome.nextReport = now + reportInterval
+		p.outcomes[key] = outcome
+		p.report(outcome.coordinator, key, outcome.status, outcome.failures)
+	}
+}
+
+// sortedKeys returns the keys of the entries that match, so that a pool's actions don't depend
+// on the order of map iteration.
+func sortedKeys[V any](m map[filbertford.TaskKey]V, match func(V) bool) []filbertford.TaskKey {
+	var out []filbertford.TaskKey
+	for key, v := range m {
+		if match(v) {
+			out = append(out, key)
 		}
 	}
+	slices.SortFunc(out, filbertford.TaskKey.Compare)
+	return out
 }
