A run whose stop was confirmed isn't charged with a later crash of its target

What callers saw: nothing; a job without a deadly task was given up in the randomised test. Cause: the start of a run wasn't answered, its stop was, and then the lease expired while calls were slow. A second later the target crashed under another task. The loss was still unexplained, and counted as a crash under a task that ran alone. Change: a target that has confirmed the stop of a run had not crashed under it.

--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -125,7 +125,8 @@
 		Kind: EventRunLost, Task: r.key, Target: t.id(), Started: t.startedAt, Run: r.number, Fence: p.fence,
 		Reason: fmt.Sprintf("%s; %d other runs there", reason, others), Age: now - r.startedAt,
 	})
-	if !t.rec.Draining() { // a draining target ends with its runs
+	// A draining target ends with its runs. One that has confirmed a stop had not crashed.
+	if !t.rec.Draining() && r.stopConfirmedAt == 0 {
 		p.addLoss(now, r.key, loss{
 			target: t.id(), startedAt: t.startedAt, state: state, alone: others == 0, at: now,
 			unsure: !r.onLiveTarget && !r.listed && r.confirmedAt == 0,
--- a/fbsched/crash_test.go
+++ b/fbsched/crash_test.go
@@ -212,3 +212,43 @@
 		t.Errorf("the next owner is offered %+v, want one task with one crash and no target", items)
 	}
 }
+
+// TestStoppedRunIsNotBlamedForLaterCrash checks a run that its target has confirmed to have
+// stopped, before it is cut off and crashes.
+func TestStoppedRunIsNotBlamedForLaterCrash(t *testing.T) {
+	now := time.Minute
+	p := NewPool(testPool, 1, 1_000_000, now)
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", 1)})
+	answerLists(p, now, "t00", 1, 10)
+	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), 100*time.Millisecond)
+	p.Offer(now, "c", NewBatch(testPool, deadlyJob, 0, 0, step, []Item{NewItem(0, 0)}).
+		WithWork("", "ordering", 3).WithTimes(time.Second, time.Hour).WithFence(1).WithStored(true, false))
+	start := startCalls(p.TakeActions(now))[0]
+	unknown := filbertford.NewCallReply(filbertford.CallUnknown, 0)
+	p.HandleStartReply(now, start, unknown, now, now)
+	now += 20 * time.Millisecond
+	answerLists(p, now, "t00", 1, 30)
+	stop := stopCalls(p.TakeActions(now))[0]
+	p.HandleStopReply(now, stop, filbertford.NewCallReply(filbertford.CallDone, 30).WithStartedAt(1), now, now)
+	lost := 0
+	for range 200 {
+		now += 20 * time.Millisecond
+		p.Tick(now, 1_000_000)
+		for _, a := range p.TakeActions(now) {
+			switch v := a.(type) {
+			case PollCall:
+				p.HandlePollReply(now, v, unknown, now, now)
+			case Event:
+				if v.Kind == EventRunLost {
+					lost++
+				}
+			}
+		}
+	}
+	if lost != 1 {
+		t.Fatalf("%d runs were lost, want one", lost)
+	}
+	if p.suspected(deadlyTask) {
+		t.Error("the task is suspected")
+	}
+}
