--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -43,7 +43,7 @@
 	startedAt int64 // of the target, in Unix milliseconds; 0 if unknown
 	state     lossState
 	alone     bool // no other task ran there
-	unsure    bool // the target may have crashed before the task was started
+	unsure    bool // the target may have crashed before the task was started; not counted as a crash
 	at        time.Duration
 }
 
@@ -298,8 +298,8 @@
 	}
 }
 
-// targetReplied handles the reply of a target to a call that was sent at the given time. The
-// target was only silent.
+// targetReplied handles the reply of a target, with the start time in it or 0, to a call that
+// was sent at the given time. The target was only silent.
 func (p *Pool) targetReplied(now time.Duration, t *target, startedAt int64, sent time.Duration) {
 	if len(p.silentTargets[t.id()]) > 0 && (startedAt != 0 || t.startedAt == 0) {
 		p.refuteLosses(now, t, sent)
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -274,3 +274,17 @@
 	}
 	return time.Duration(work / float64(total))
 }
+
+// nextRunNumber returns the number of the next run of a task. Runs of stored jobs have
+// odd numbers, so that an owner can distinguish them from runs of best-effort jobs that it
+// finds on a target.
+func (p *Pool) nextRunNumber(now time.Duration, t *task) uint64 {
+	n := max(p.runNumbers[t.key]+1, 2*uint64(p.wallOffset+now.Milliseconds()))
+	if isStoredRun(n) != t.batch.stored {
+		n++
+	}
+	p.runNumbers[t.key] = n
+	return n
+}
+
+func isStoredRun(number uint64) bool { return number%2 == 1 }
--- a/fbsched/isolate.go
+++ b/fbsched/isolate.go
@@ -52,7 +52,7 @@
 		}
 	}
 	if best != nil && (best.target.heardLately(now) || p.losses[t.key].count() == 1) {
-		return best // the first time the task has no time to lose, and a crash that isn't sure doesn't count
+		return best // the first retry doesn't wait for an answer: a loss that is unsure doesn't count
 	}
 	if best != nil {
 		next = best
--- a/fbsched/simulation_calls_test.go
+++ b/fbsched/simulation_calls_test.go
@@ -213,3 +213,14 @@
 		o.pool.HandlePollReply(sim.now, c, r, sent, sim.now)
 	})
 }
+
+// countEvents returns the number of events of the kind.
+func (sim *simulation) countEvents(kind EventKind) int {
+	n := 0
+	for _, event := range sim.poolEvents {
+		if event.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -441,14 +441,3 @@
 		sim.trace("%v "+format, append([]any{sim.now}, args...)...)
 	}
 }
-
-// countEvents returns the number of events of the kind.
-func (sim *simulation) countEvents(kind EventKind) int {
-	n := 0
-	for _, event := range sim.poolEvents {
-		if event.Kind == kind {
-			n++
-		}
-	}
-	return n
-}
