--- a/cmd/filbertfordnode/serve.go
+++ b/cmd/filbertfordnode/serve.go
@@ -96,6 +96,11 @@
 		),
 		Seeds:       cfg.List("node", "seeds"),
 		DataCentres: dataCentres,
+		Scheduling: filbertford.Scheduling{}.
+			WithAdmission(filbertford.AdmissionRule(cfg.Text("scheduling", "admission"))).
+			WithOrder(filbertford.QueueOrder(cfg.Text("scheduling", "order"))).
+			WithBackfill(cfg.Text("scheduling", "backfill") == "on").
+			WithRebalance(cfg.Text("scheduling", "rebalance") == "on"),
 	}
 }
 
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -52,6 +52,9 @@
 	case fbsched.Withdrawal:
 		w := &fbwire.Withdrawal{Pool: string(v.Pool()), Job: string(v.Job())}
 		return &fbwire.Message{Kind: &fbwire.Message_Withdrawal{Withdrawal: w}}, nil
+	case fbsched.Recall:
+		r := &fbwire.Recall{Pool: string(v.Pool()), Job: string(v.Job()), Fence: v.Fence()}
+		return &fbwire.Message{Kind: &fbwire.Message_Recall{Recall: r}}, nil
 	case fbsched.Report:
 		return &fbwire.Message{Kind: &fbwire.Message_Report{Report: reportToWire(v)}}, nil
 	case fbsched.Confirm:
@@ -66,6 +69,14 @@
 	case RoutesPush:
 		p := &fbwire.RoutesPush{Version: v.version, Value: v.value}
 		return &fbwire.Message{Kind: &fbwire.Message_RoutesPush{RoutesPush: p}}, nil
+	case EvacuationsPull:
+		return &fbwire.Message{Kind: &fbwire.Message_EvacuationsPull{EvacuationsPull: &fbwire.EvacuationsPull{Have: v.have}}}, nil
+	case EvacuationsPush:
+		p := &fbwire.EvacuationsPush{Version: v.version}
+		for _, d := range v.dataCentres {
+			p.Zones = append(p.Zones, string(d))
+		}
+		return &fbwire.Message{Kind: &fbwire.Message_EvacuationsPush{EvacuationsPush: p}}, nil
 	}
 	return nil, eris.Errorf("message of type %T has no wire form", m)
 }
@@ -85,6 +96,8 @@
 		return batchFromWire(v.Batch), nil
 	case *fbwire.Message_Withdrawal:
 		return fbsched.NewWithdrawal(filbertford.PoolID(v.Withdrawal.GetPool()), filbertford.JobKey(v.Withdrawal.GetJob())), nil
+	case *fbwire.Message_Recall:
+		return fbsched.NewRecall(filbertford.PoolID(v.Recall.GetPool()), filbertford.JobKey(v.Recall.GetJob()), v.Recall.GetFence()), nil
 	case *fbwire.Message_Report:
 		return reportFromWire(v.Report), nil
 	case *fbwire.Message_Confirm:
@@ -98,6 +111,14 @@
 		return NewRoutesPull(v.RoutesPull.GetHave()), nil
 	case *fbwire.Message_RoutesPush:
 		return NewRoutesPush(v.RoutesPush.GetVersion(), v.RoutesPush.GetValue()), nil
+	case *fbwire.Message_EvacuationsPull:
+		return NewEvacuationsPull(v.EvacuationsPull.GetHave()), nil
+	case *fbwire.Message_EvacuationsPush:
+		var dataCentres []filbertford.DataCentre
+		for _, name := range v.EvacuationsPush.GetZones() {
+			dataCentres = append(dataCentres, filbertford.DataCentre(name))
+		}
+		return NewEvacuationsPush(v.EvacuationsPush.GetVersion(), dataCentres...), nil
 	}
 	return nil, eris.New("message has an unknown kind")
 }
@@ -105,7 +126,7 @@
 func heartbeatToWire(h Heartbeat) *fbwire.Beat {
 	w := &fbwire.Beat{
 		Starting: h.heartbeat.Starting(), Draining: h.heartbeat.Draining(), Routes: h.routesVersion,
-		PeriodMs: uint32(h.heartbeat.Period().Milliseconds()),
+		PeriodMs: uint32(h.heartbeat.Period().Milliseconds()), Evacuations: h.evacuationsVersion,
 	}
 	for n := range h.heartbeat.ReceivesFrom() {
 		w.Heard = append(w.Heard, nameHash(n))
@@ -141,11 +162,14 @@
 	}
 	heartbeat := fbfleet.NewHeartbeat(sender, w.GetDraining(), receivesFrom, claims).WithStarting(w.GetStarting()).
 		WithPeriod(time.Duration(w.GetPeriodMs()) * time.Millisecond)
-	return NewHeartbeat(heartbeat, capacities, w.GetRoutes())
+	return NewHeartbeat(heartbeat, capacities, w.GetRoutes()).WithEvacuationsVersion(w.GetEvacuations())
 }
 
 func capacityToWire(c fbsched.Capacity) *fbwire.Room {
-	w := &fbwire.Room{Service: c.Service(), Total: uint32(c.Total()), BacklogUs: uint32(c.Backlog().Microseconds())}
+	w := &fbwire.Room{Service: c.Service(), Total: uint32(c.Total()), BacklogUs: uint32(c.Backlog().Microseconds()), Rate: uint32(c.Rate())}
+	for _, waiting := range c.Waiting() {
+		w.Waiting = append(w.Waiting, &fbwire.Waiting{Priority: uint32(waiting.Priority()), BacklogUs: uint32(waiting.Backlog().Microseconds())})
+	}
 	if len(c.Free()) <= maxExactTargets {
 		for _, f := range c.Free() {
 			w.Free = append(w.Free, uint32(f))
@@ -184,7 +208,12 @@
 			free = append(free, int(f))
 		}
 	}
-	return fbsched.NewCapacity(w.GetService(), free, int(w.GetTotal()), time.Duration(w.GetBacklogUs())*time.Microsecond)
+	var waiting []fbsched.WaitingWork
+	for _, p := range w.GetWaiting() {
+		waiting = append(waiting, fbsched.NewWaitingWork(int(p.GetPriority()), time.Duration(p.GetBacklogUs())*time.Microsecond))
+	}
+	return fbsched.NewCapacity(w.GetService(), free, int(w.GetTotal()), time.Duration(w.GetBacklogUs())*time.Microsecond).
+		WithRate(int(w.GetRate()), waiting...)
 }
 
 func batchToWire(b fbsched.Batch) *fbwire.Batch {
--- a/fblink/convert_test.go
+++ b/fblink/convert_test.go
@@ -29,9 +29,11 @@
 		WithTimes(-5*time.Millisecond, time.Second).WithFence(9)
 	route := filbertford.NewRoute("h", "/p/", "svc").WithPolicy(2, 3).WithObjective(1.6, 60*time.Millisecond, 0)
 	claims := []fbfleet.Claim{fbfleet.NewClaim("p", 9)}
-	capacities := map[filbertford.PoolID][]fbsched.Capacity{"p": {fbsched.NewCapacity("svc", []int{1, 2}, 3, 4*time.Millisecond)}}
+	capacities := map[filbertford.PoolID][]fbsched.Capacity{"p": {
+		fbsched.NewCapacity("svc", []int{1, 2}, 3, 4*time.Millisecond).WithRate(2, fbsched.NewWaitingWork(1, 5*time.Millisecond)),
+	}}
 	tests := map[string]Message{
-		"beat":        NewHeartbeat(fbfleet.NewHeartbeat(sender, true, map[filbertford.NodeID]bool{self: true}, claims).WithStarting(true).WithPeriod(time.Second), capacities, 4),
+		"beat":        NewHeartbeat(fbfleet.NewHeartbeat(sender, true, map[filbertford.NodeID]bool{self: true}, claims).WithStarting(true).WithPeriod(time.Second), capacities, 4).WithEvacuationsVersion(8),
 		"roster":      NewRoster([]fbfleet.Member{sender}),
 		"batch":       batch,
 		"resumed":     batch.WithResume(300 * time.Millisecond),
@@ -43,6 +45,9 @@
 		"reply":       NewStoredJobReply(5, "running", true, 6),
 		"routes pull": NewRoutesPull(3),
 		"routes":      NewRoutesPush(4, []byte("x")),
+		"recall":      fbsched.NewRecall("p", "00000000000000aa", 9),
+		"evac pull":   NewEvacuationsPull(3),
+		"evacuations": NewEvacuationsPush(4, "z", "y"),
 	}
 	for name, m := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/fblink/message.go
+++ b/fblink/message.go
@@ -7,16 +7,17 @@
 )
 
 // Message is a message between two daemons: one of the types of this file, a
-// fbsched.Batch, fbsched.Withdrawal, fbsched.Report or fbsched.Confirm, or the
-// result of Hub.Prepare.
+// fbsched.Batch, fbsched.Withdrawal, fbsched.Recall, fbsched.Report or
+// fbsched.Confirm, or the result of Hub.Prepare.
 type Message any
 
 // Heartbeat is a heartbeat with the free capacity of the sender's pools and the
-// version of its routes.
+// versions of its routes and of the evacuations that it knows.
 type Heartbeat struct {
-	heartbeat     fbfleet.Heartbeat
-	capacities    map[filbertford.PoolID][]fbsched.Capacity
-	routesVersion uint64
+	heartbeat          fbfleet.Heartbeat
+	capacities         map[filbertford.PoolID][]fbsched.Capacity
+	routesVersion      uint64
+	evacuationsVersion uint64
 }
 
 // NewHeartbeat returns a heartbeat with the free capacities of the claimed pools and
@@ -34,6 +35,17 @@
 // RoutesVersion returns the version of the sender's routes, 0 for none.
 func (h Heartbeat) RoutesVersion() uint64 { return h.routesVersion }
 
+// WithEvacuationsVersion returns a copy of h with the version of the evacuations that
+// the sender knows.
+func (h Heartbeat) WithEvacuationsVersion(version uint64) Heartbeat {
+	h.evacuationsVersion = version
+	return h
+}
+
+// EvacuationsVersion returns the version of the evacuations that the sender knows, 0 for
+// none.
+func (h Heartbeat) EvacuationsVersion() uint64 { return h.evacuationsVersion }
+
 // Roster lists the daemons that the sender knows.
 type Roster struct{ members []fbfleet.Member }
 
@@ -69,6 +81,33 @@
 // Value returns the routes as the operator wrote them.
 func (p RoutesPush) Value() []byte { return p.value }
 
+// EvacuationsPull requests evacuations newer than a version.
+type EvacuationsPull struct{ have uint64 }
+
+// NewEvacuationsPull returns a request for evacuations newer than the version.
+func NewEvacuationsPull(have uint64) EvacuationsPull { return EvacuationsPull{have: have} }
+
+// Have returns the version that the sender has.
+func (p EvacuationsPull) Have() uint64 { return p.have }
+
+// EvacuationsPush carries the data centres that are evacuated as of a version of the
+// store.
+type EvacuationsPush struct {
+	version     uint64
+	dataCentres []filbertford.DataCentre
+}
+
+// NewEvacuationsPush returns the evacuated data centres as of the version.
+func NewEvacuationsPush(version uint64, dataCentres ...filbertford.DataCentre) EvacuationsPush {
+	return EvacuationsPush{version: version, dataCentres: dataCentres}
+}
+
+// Version returns the version of the store.
+func (p EvacuationsPush) Version() uint64 { return p.version }
+
+// DataCentres returns the evacuated data centres.
+func (p EvacuationsPush) DataCentres() []filbertford.DataCentre { return p.dataCentres }
+
 // RequestKind is the kind of a request about stored jobs.
 type RequestKind string
 
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -73,6 +73,8 @@
 	Seeds []string
 	// DataCentres are all data centres of the fleet.
 	DataCentres []filbertford.DataCentre
+	// Scheduling are the settings that apply under contention.
+	Scheduling filbertford.Scheduling
 }
 
 // Node is a daemon of the fleet.
@@ -139,6 +141,7 @@
 		lastTick:       now,
 		recorder:       newEventRecorder(deps.Log, deps.Metrics, deps.DroppedLines),
 	}
+	n.coordinator.SetScheduling(opts.Scheduling)
 	n.hub = fblink.NewHub(opts.Member, n)
 	n.updatePools()
 	return n
@@ -218,6 +221,8 @@
 		} else if p := n.pools[v.Withdrawal.Pool()]; p != nil {
 			p.Withdraw(now, v.To, v.Withdrawal.Job())
 		}
+	case fbsched.SendRecall:
+		n.sendRecall(now, v)
 	case fbsched.Answer:
 		n.deliverAnswer(v)
 	case fbsched.SendConfirm:
@@ -258,6 +263,20 @@
 	}
 }
 
+func (n *Node) sendRecall(now time.Duration, v fbsched.SendRecall) {
+	if v.To != n.opts.Member.Node() {
+		n.hub.Send(v.To, v.Recall)
+		return
+	}
+	n.handleRecall(now, v.To, v.Recall)
+}
+
+func (n *Node) handleRecall(now time.Duration, from filbertford.NodeID, r fbsched.Recall) {
+	if p := n.pools[r.Pool()]; p != nil && p.Fence() == r.Fence() {
+		p.Recall(now, from, r.Job())
+	}
+}
+
 func (n *Node) deliverAnswer(a fbsched.Answer) {
 	if ch, ok := n.pendingAnswers[a.RequestID]; ok {
 		delete(n.pendingAnswers, a.RequestID)
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -64,6 +64,8 @@
 		if p := n.pools[v.Pool()]; p != nil {
 			p.Withdraw(now, from.Node(), v.Job())
 		}
+	case fbsched.Recall:
+		n.handleRecall(now, from.Node(), v)
 	case fbsched.Report:
 		n.coordinator.HandleReport(now, v)
 	case fbsched.Confirm:
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -104,6 +104,7 @@
 // targets may be draining by now, so that starts wait for the next read.
 func (n *Node) addPool(now time.Duration, id filbertford.PoolID, fence uint64) {
 	p := fbsched.NewPool(id, fence, fbtimer.WallOffset(), now)
+	p.SetScheduling(n.opts.Scheduling)
 	if n.targets.readAt == 0 || now-n.targets.readAt > candidateReadPeriod {
 		p.HoldStarts(now + recordsTimeout)
 	}
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -49,6 +49,12 @@
 	Withdrawal Withdrawal
 }
 
+// SendRecall sends a recall to the owner of its pool.
+type SendRecall struct {
+	To     filbertford.NodeID
+	Recall Recall
+}
+
 // Answer answers the caller of the request with the given number.
 type Answer struct {
 	RequestID uint64
@@ -132,6 +138,7 @@
 func (SendReport) action()     {}
 func (SendBatch) action()      {}
 func (SendWithdrawal) action() {}
+func (SendRecall) action()     {}
 func (Answer) action()         {}
 func (PoolLost) action()       {}
 func (SendConfirm) action()    {}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -47,6 +47,7 @@
 	// one, when the coordinator first checked.
 	allUnownedSince time.Duration
 	anyOwned        bool // some pool has an owner
+	scheduling      filbertford.Scheduling
 	actions         []Action
 }
 
@@ -121,6 +122,10 @@
 	}
 }
 
+// SetScheduling sets the settings that apply under contention. It must be called before
+// the coordinator is used.
+func (c *Coordinator) SetScheduling(s filbertford.Scheduling) { c.scheduling = s }
+
 // TakeActions returns the actions since the last call.
 func (c *Coordinator) TakeActions() []Action {
 	actions := c.actions
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -199,6 +199,29 @@
 // Job returns the key of the job.
 func (w Withdrawal) Job() filbertford.JobKey { return w.job }
 
+// Recall asks the owner of a pool to return the tasks of a job that were never
+// started. Tasks that may have been started stay in the pool.
+type Recall struct {
+	pool  filbertford.PoolID
+	job   filbertford.JobKey
+	fence uint64
+}
+
+// NewRecall returns a recall of the job's tasks from the pool of the owner with the
+// fencing token.
+func NewRecall(pool filbertford.PoolID, job filbertford.JobKey, fence uint64) Recall {
+	return Recall{pool: pool, job: job, fence: fence}
+}
+
+// Pool returns the pool.
+func (r Recall) Pool() filbertford.PoolID { return r.pool }
+
+// Job returns the key of the job.
+func (r Recall) Job() filbertford.JobKey { return r.job }
+
+// Fence returns the fencing token of the owner that the recall is for.
+func (r Recall) Fence() uint64 { return r.fence }
+
 // Confirm is the confirmation, sent to a pool, that the outcome of a task of a stored
 // job, or the number of its failed runs, is recorded.
 type Confirm struct {
@@ -330,8 +353,28 @@
 	free    []int
 	total   int
 	backlog time.Duration
+	rate    int
+	waiting []WaitingWork
+}
+
+// WaitingWork is the time that a pool's usable targets need, at their rate, for the
+// queued tasks of a priority.
+type WaitingWork struct {
+	priority int
+	backlog  time.Duration
+}
+
+// NewWaitingWork returns the backlog of a priority.
+func NewWaitingWork(priority int, backlog time.Duration) WaitingWork {
+	return WaitingWork{priority: priority, backlog: backlog}
 }
 
+// Priority returns the priority of the tasks, 0 being the highest.
+func (w WaitingWork) Priority() int { return w.priority }
+
+// Backlog returns the time that the usable targets need for the tasks.
+func (w WaitingWork) Backlog() time.Duration { return w.backlog }
+
 // NewCapacity returns a capacity: the free CPU of each usable target and the total
 // CPU of all usable targets, both in thousandths of a core, and the time that they
 // need for the queued tasks.
@@ -350,3 +393,19 @@
 
 // Backlog returns the time that the usable targets need for the queued tasks.
 func (c Capacity) Backlog() time.Duration { return c.backlog }
+
+// WithRate returns a copy of c with the rate of its usable targets, in thousandths of
+// a core, and the queued tasks by priority. A target's part of the rate is its CPU
+// divided by the factor by which runs there take longer than estimated.
+func (c Capacity) WithRate(rate int, waiting ...WaitingWork) Capacity {
+	c.rate, c.waiting = rate, waiting
+	return c
+}
+
+// Rate returns the rate of the usable targets in thousandths of a core, 0 if the pool's
+// owner doesn't report it.
+func (c Capacity) Rate() int { return c.rate }
+
+// Waiting returns the queued tasks by priority, in ascending order. It is empty if the
+// rate is 0.
+func (c Capacity) Waiting() []WaitingWork { return c.waiting }
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -104,6 +104,7 @@
 	startsHeldUntil   time.Duration
 	suspendedUntil    time.Duration // see HandleSuspension
 	capacityChanged   bool
+	scheduling        filbertford.Scheduling
 	actions           []Action
 }
 
@@ -165,6 +166,10 @@
 	}
 }
 
+// SetScheduling sets the settings that apply under contention. It must be called before
+// the pool is used.
+func (p *Pool) SetScheduling(s filbertford.Scheduling) { p.scheduling = s }
+
 // ID returns the pool's name.
 func (p *Pool) ID() filbertford.PoolID { return p.id }
 
