Command check validates a configuration before it is sent

Cause: an operator learned of a route that can never match, or of limits that contradict each other, only from callers. Change: filbertford check reads the file, reports invalid entries, entries that never match and contradicting limits, and with -store services without targets and what differs from the version in force.

--- a/fbcommand/root.go
+++ b/fbcommand/root.go
@@ -114,6 +114,7 @@
 			newLoad(s),
 			newReport(s),
 			newExplain(s),
+			newCheck(s),
 		},
 	}
 	root.Exec = func(context.Context, []string) error {
--- a/route.go
+++ b/route.go
@@ -93,6 +93,15 @@
 // Body returns the size of the largest body in bytes, 0 for no limit.
 func (l RequestLimits) Body() int { return l.body }
 
+// Header returns the size of the largest header in bytes, 0 for no limit.
+func (l RequestLimits) Header() int { return l.header }
+
+// Idle returns how long a connection may be idle, 0 for no limit.
+func (l RequestLimits) Idle() time.Duration { return l.idle }
+
+// Read returns how long reading a header may take, 0 for no limit.
+func (l RequestLimits) Read() time.Duration { return l.read }
+
 // NewRoutes returns a version of the routing table.
 func NewRoutes(version uint64, limits RequestLimits, routes ...Route) *Routes {
 	r := &Routes{version: version, byHost: make(map[string][]Route, len(routes)), limits: limits}
