Placement by objective while capacity is scarce

Cause: tasks take the fastest free target, so that short tasks use up the targets that long tasks need to meet their objective, while slow targets, on which the short ones would be in time, stay free. Change: setting placement = in-time. While less than a quarter of a pool's CPU is free, a task starts on the slowest target on which it meets its objective. The decision is in package fbplacement, behind filbertford.Placement.

--- a/cmd/filbertfordnode/serve.go
+++ b/cmd/filbertfordnode/serve.go
@@ -99,6 +99,7 @@
 		Scheduling: filbertford.Scheduling{}.
 			WithAdmission(filbertford.AdmissionRule(cfg.Text("scheduling", "admission"))).
 			WithOrder(filbertford.QueueOrder(cfg.Text("scheduling", "order"))).
+			WithPlacement(filbertford.PlacementRule(cfg.Text("scheduling", "placement"))).
 			WithBackfill(cfg.Text("scheduling", "backfill") == "on").
 			WithRebalance(cfg.Text("scheduling", "rebalance") == "on"),
 	}
--- a/fbconfig/key.go
+++ b/fbconfig/key.go
@@ -57,6 +57,7 @@
 	durationKey("node", "grace", "6s", 0, time.Minute, "the time from the stop request until the process is killed"),
 	choiceKey("scheduling", "admission", "backlog", []string{"backlog", "objective"}, "which jobs are accepted: all but those that the shortest queue makes useless, or only those that are expected to meet their objective or to end late without delaying others"),
 	choiceKey("scheduling", "order", "deadline", []string{"deadline", "priority"}, "the order in which a pool starts waiting tasks: by the latest start that meets the objective, or by the priority of the route first"),
+	choiceKey("scheduling", "placement", "fastest", []string{"fastest", "in-time"}, "the target of a task: the one on which it ends first or, while capacity is scarce, the slowest one on which it meets its objective"),
 	choiceKey("scheduling", "backfill", "off", []string{"off", "on"}, "whether a pool reserves targets for large tasks and fills the time until their start with small ones"),
 	choiceKey("scheduling", "rebalance", "off", []string{"off", "on"}, "whether waiting tasks are moved to pools with free capacity"),
 	choiceKey("log", "format", "logfmt", []string{"logfmt", "json"}, "the format of log lines"),
--- a/fbsched/capacity.go
+++ b/fbsched/capacity.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbplacement"
 )
 
 // targetCapacity is the free capacity of a target that accepts another task.
@@ -20,6 +21,22 @@
 	targets   []targetCapacity      // also those that are reserved, which are closed
 	maxFree   filbertford.Resources // maximum of each free resource over targets that are not closed
 	minFactor float64               // minimum over all usable targets, including full ones
+	totalCPU  int                   // of all usable targets, in thousandths of a core
+	freeCPU   int                   // of targets that are not closed
+	placement filbertford.Placement
+}
+
+// scarceShare is the share of the CPU of a service's usable targets below which free
+// capacity counts as scarce. Above it, fast targets are free for tasks that need them,
+// and a task on a slower one would only end later.
+const scarceShare = 0.25
+
+// placementOf returns how targets are chosen for the tasks of a service.
+func (p *Pool) placementOf(c *serviceCapacity) filbertford.Placement {
+	if p.scheduling.Placement() == filbertford.PlaceInTime && float64(c.freeCPU) < scarceShare*float64(c.totalCPU) {
+		return fbplacement.SlowestInTime{}
+	}
+	return fbplacement.Fastest{}
 }
 
 // capacityByService returns the free capacity of the pool's targets by service.
@@ -37,6 +54,7 @@
 		}
 		factor := p.factorOf(t)
 		capacity.minFactor = min(capacity.minFactor, factor)
+		capacity.totalCPU += t.rec.Capacity().CPU()
 		free := t.rec.Capacity().Sub(t.used)
 		if !t.health.accepts(now, len(t.runs)) || t.hasUnknownDemand() || t.aloneRuns > 0 {
 			continue
@@ -44,9 +62,13 @@
 		closed := p.reserved(t)
 		if !closed {
 			capacity.maxFree = capacity.maxFree.Max(free)
+			capacity.freeCPU += max(0, free.CPU())
 		}
 		capacity.targets = append(capacity.targets, targetCapacity{target: t, factor: factor, free: free, closed: closed})
 	}
+	for _, capacity := range out {
+		capacity.placement = p.placementOf(capacity)
+	}
 	return out
 }
 
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbplacement"
 )
 
 // fullBackoff is how long a target gets no tasks after it has rejected one as full,
@@ -42,7 +43,7 @@
 	if alone {
 		chosen = p.chooseEmptyTarget(now, t, capacity)
 	} else {
-		chosen = p.chooseTarget(t, capacity)
+		chosen = p.chooseTarget(now, t, capacity)
 		t.waitsForFaster = chosen != nil && shouldWaitForFaster(now, t, chosen, capacity.minFactor)
 	}
 	if chosen == nil || t.waitsForFaster {
@@ -102,41 +103,37 @@
 	return target != nil && target.listed || target == nil && now >= t.notBefore
 }
 
-// chooseTarget returns the target on which the task is expected to end first. Among
-// equals it prefers the one with the least CPU left. It returns nil if no target can
-// run the task.
-func (p *Pool) chooseTarget(t *task, capacity *serviceCapacity) *targetCapacity {
+// chooseTarget returns the best target for the task by the placement rule, nil if no
+// target can run the task.
+func (p *Pool) chooseTarget(now time.Duration, t *task, capacity *serviceCapacity) *targetCapacity {
 	step := t.batch.step
 	var best *targetCapacity
-	var bestCost float64
-	var bestLeft int
+	var bestTarget filbertford.FreeTarget
 	for i := range capacity.targets {
 		c := &capacity.targets[i]
 		if c.closed || !step.Demand().Fits(c.free) || !c.target.rec.HasLabel(step.Label()) ||
 			slices.Contains(t.avoid, c.target.id()) && !p.triedAllTargets(t) || c.target.atTaskLimit(t, step.MaxPerTarget()) {
 			continue
 		}
-		cost, left := c.factor, c.free.CPU()-step.Demand().CPU()
+		factor := c.factor
 		if step.Rack() != "" && !c.target.rec.HasLabel(step.Rack()) {
-			cost *= offRackFactor
+			factor *= offRackFactor
 		}
-		if best == nil || cost < bestCost || cost == bestCost && left < bestLeft {
-			best, bestCost, bestLeft = c, cost, left
+		candidate := filbertford.NewFreeTarget(time.Duration(factor*float64(step.Estimate())), c.free.CPU()-step.Demand().CPU())
+		if best == nil || capacity.placement.Better(t.due-now, candidate, bestTarget) {
+			best, bestTarget = c, candidate
 		}
 	}
 	return best
 }
 
-// estimateMargin allows for the variance of callers' estimates.
-const estimateMargin = 1.25
-
 // shouldWaitForFaster reports whether the task would miss its objective on the chosen
 // target, but can still meet it on a target with the lowest factor, which may have
 // capacity soon.
 func shouldWaitForFaster(now time.Duration, t *task, chosen *targetCapacity, minFactor float64) bool {
 	estimate := float64(t.batch.step.Estimate())
 	left := float64(t.due - now)
-	return estimate*chosen.factor > left && estimate*minFactor*estimateMargin <= left && chosen.target.health.slowdown <= slowFactor
+	return estimate*chosen.factor > left && estimate*minFactor*fbplacement.Margin <= left && chosen.target.health.slowdown <= slowFactor
 }
 
 // offRackFactor is how many times longer a task takes outside its preferred rack, as
--- a/scheduling.go
+++ b/scheduling.go
@@ -23,11 +23,24 @@
 	OrderByPriority QueueOrder = "priority"
 )
 
+// PlacementRule determines on which target with free capacity a task starts.
+type PlacementRule string
+
+// The placement rules.
+const (
+	// PlaceOnFastest starts a task on the target on which it ends first.
+	PlaceOnFastest PlacementRule = "fastest"
+	// PlaceInTime does the same until capacity is scarce. Then it starts a task on the
+	// slowest target on which it meets its objective.
+	PlaceInTime PlacementRule = "in-time"
+)
+
 // Scheduling are the settings of coordinators and pools that apply under contention.
 // The zero Scheduling has the default of each setting.
 type Scheduling struct {
 	admission AdmissionRule
 	order     QueueOrder
+	placement PlacementRule
 	backfill  bool
 	rebalance bool
 }
@@ -44,6 +57,12 @@
 	return s
 }
 
+// WithPlacement returns a copy of s with the placement rule.
+func (s Scheduling) WithPlacement(r PlacementRule) Scheduling {
+	s.placement = r
+	return s
+}
+
 // WithBackfill returns a copy of s that states whether a pool reserves targets for
 // large tasks and fills the time until their start with small ones.
 func (s Scheduling) WithBackfill(on bool) Scheduling {
@@ -74,6 +93,14 @@
 	return s.order
 }
 
+// Placement returns the placement rule, PlaceOnFastest by default.
+func (s Scheduling) Placement() PlacementRule {
+	if s.placement == "" {
+		return PlaceOnFastest
+	}
+	return s.placement
+}
+
 // Backfill reports whether a pool reserves targets for large tasks.
 func (s Scheduling) Backfill() bool { return s.backfill }
 
