Evacuation of a data centre: rows of the table op close its pool

Cause: an operator can't stop starts on the targets of one data centre.

Change: the row evacuate/NAME is decoded (platform), kept with the version of the store (new package fbevacuation), exchanged between daemons as the routes are, and passed to coordinators and pools. An evacuated pool starts nothing, reports no capacity and returns its waiting tasks with the new status 'released'. Offers have numbers now (Batch.offer, Report.offer), and a release names the offer that it answers: a coordinator that has offered the task again since ignores it. So a release also holds for tasks offered with resume. The tests of fbnode that drive an owner read an empty table first, because a new owner starts nothing before it knows the evacuations.

--- a/cmd/fbstandfleet/main.go
+++ b/cmd/fbstandfleet/main.go
@@ -1,7 +1,8 @@
 // Command fbstandfleet serves stand-ins for the users' platform: its metadata
 // store, with routes as an operator configures them, and workers. With it,
 // filbertfordnode can be tried without the users' machines. PUT /faults at the
-// store or at a worker sets the faults to simulate there.
+// store or at a worker sets the faults to simulate there, and PUT and DELETE
+// /evacuations/ZONE at the store begin and end the evacuation of a zone.
 package main
 
 import (
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -223,7 +223,7 @@
 		Spec: b.Spec(), Service: b.Service(), Attempts: uint32(b.Attempts()), Priority: uint32(b.Priority()),
 		DueUs: b.Due().Microseconds(), EndUs: b.Timeout().Microseconds(), Resume: b.Resume(),
 		Fence: b.Fence(), OrphanedUs: uint64(max(0, b.OwnerSilence()).Microseconds()),
-		Durable: b.Stored(), Search: b.Search(), Keeper: b.ShardFence(), Step: stepToWire(s),
+		Durable: b.Stored(), Search: b.Search(), Keeper: b.ShardFence(), Step: stepToWire(s), Offer: b.OfferNumber(),
 	}
 	anyFailures, anyCrashes, anyTargets := false, false, false
 	for _, i := range b.Items() {
@@ -270,7 +270,7 @@
 		WithWork(w.GetSpec(), w.GetService(), int(w.GetAttempts())).
 		WithPriority(int(w.GetPriority())).
 		WithTimes(time.Duration(w.GetDueUs())*time.Microsecond, time.Duration(w.GetEndUs())*time.Microsecond).
-		WithFence(w.GetFence()).WithStored(w.GetDurable(), w.GetSearch()).WithShardFence(w.GetKeeper())
+		WithFence(w.GetFence()).WithStored(w.GetDurable(), w.GetSearch()).WithShardFence(w.GetKeeper()).WithOfferNumber(w.GetOffer())
 	if w.GetResume() {
 		return b.WithResume(time.Duration(w.GetOrphanedUs()) * time.Microsecond)
 	}
@@ -282,14 +282,14 @@
 	return &fbwire.Report{
 		Pool: string(r.Pool()), Job: string(k.Job()), Occurrence: uint32(k.Occurrence()), Step: uint32(k.Step()),
 		Index: uint32(k.Index()), Verdict: string(r.Status()), Failures: uint32(r.Failures()), Fence: r.Fence(),
-		Started: r.Started(), Target: string(r.Target()), Crashes: uint32(r.Crashes()),
+		Started: r.Started(), Target: string(r.Target()), Crashes: uint32(r.Crashes()), Offer: r.OfferNumber(),
 	}
 }
 
 func reportFromWire(w *fbwire.Report) fbsched.Report {
 	key := filbertford.NewTaskKey(filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetStep()), int(w.GetIndex()))
 	return fbsched.NewReport(filbertford.PoolID(w.GetPool()), w.GetFence(), key, fbsched.Status(w.GetVerdict()), int(w.GetFailures())).WithStarted(w.GetStarted()).
-		WithTarget(filbertford.TargetID(w.GetTarget())).WithCrashes(int(w.GetCrashes()))
+		WithTarget(filbertford.TargetID(w.GetTarget())).WithCrashes(int(w.GetCrashes())).WithOfferNumber(w.GetOffer())
 }
 
 func stepToWire(s filbertford.Step) *fbwire.Step {
--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -97,6 +97,7 @@
 	n.coordinator.Tick(now)
 	n.tickStored(now)
 	n.tickClaims(now)
+	n.tickEvacuations(now)
 	n.ready.Store(n.routes.Load() != nil && !n.stopping.Load() && n.hasPoolOwner())
 	n.recorder.logOmissions(now)
 }
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -47,6 +47,10 @@
 	IsRoutes(row filbertford.Row) bool
 	// DecodeRoutes decodes the value of the row that holds the routes.
 	DecodeRoutes(value []byte) (*filbertford.Routes, error)
+	// IsEvacuation reports whether a row of the routes table evacuates a data centre.
+	IsEvacuation(row filbertford.Row) bool
+	// DecodeEvacuation returns the data centre that such a row evacuates.
+	DecodeEvacuation(row filbertford.Row) (filbertford.DataCentre, error)
 	// DecodeTarget decodes the value of a target's row. The row's key is the
 	// target's ID.
 	DecodeTarget(id string, value []byte) (filbertford.TargetRecord, error)
@@ -115,6 +119,7 @@
 	sentHeartbeats   map[filbertford.NodeID]sentHeartbeat
 	specs            []fbfleet.PoolSpec // of all known pools
 	recorder         *eventRecorder
+	evacuations      *evacuationState
 }
 
 var (
@@ -140,6 +145,7 @@
 		sentHeartbeats: make(map[filbertford.NodeID]sentHeartbeat),
 		lastTick:       now,
 		recorder:       newEventRecorder(deps.Log, deps.Metrics, deps.DroppedLines),
+		evacuations:    newEvacuationState(deps.Metrics),
 	}
 	n.coordinator.SetScheduling(opts.Scheduling)
 	n.hub = fblink.NewHub(opts.Member, n)
@@ -164,6 +170,11 @@
 	return filbertford.PoolID(dataCentre)
 }
 
+// poolDataCentre returns the data centre of a pool of targets.
+func poolDataCentre(pool filbertford.PoolID) filbertford.DataCentre {
+	return filbertford.DataCentre(pool)
+}
+
 // poolSpecs returns the pools of all known data centres and the shards of the
 // stored jobs.
 func (n *Node) poolSpecs() []fbfleet.PoolSpec {
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -28,7 +28,7 @@
 // Connected implements fblink.Receiver.
 func (n *Node) Connected(node filbertford.NodeID) {
 	n.post(func(now time.Duration) {
-		n.hub.Send(node, fblink.NewHeartbeat(n.fleet.Heartbeat(now), nil, n.routesVersion()))
+		n.hub.Send(node, fblink.NewHeartbeat(n.fleet.Heartbeat(now), nil, n.routesVersion()).WithEvacuationsVersion(n.evacuations.state.Version()))
 		n.hub.Send(node, fblink.NewRoster(append(n.fleet.Members(), n.fleet.Self())))
 		n.resumeTasks(now, node)
 	})
@@ -82,6 +82,10 @@
 		}
 	case fblink.RoutesPush:
 		n.applyRoutes(v.Value(), "peer "+string(from.Node()))
+	case fblink.EvacuationsPull:
+		n.sendEvacuations(from.Node(), v)
+	case fblink.EvacuationsPush:
+		n.receiveEvacuations(now, from.Node(), v)
 	}
 }
 
@@ -97,6 +101,9 @@
 	if h.RoutesVersion() > n.routesVersion() {
 		n.hub.Send(from.Node(), fblink.NewRoutesPull(n.routesVersion()))
 	}
+	if version := n.evacuations.state.Version(); h.EvacuationsVersion() > version {
+		n.hub.Send(from.Node(), fblink.NewEvacuationsPull(version))
+	}
 }
 
 // reportNewerClaims tells a daemon of the pools that it claims although another one claims them
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -51,6 +51,7 @@
 	fbsched.EventTaskGivenUp:         fbevent.TaskGivenUp,
 	fbsched.EventTaskRequeued:        fbevent.TaskRequeued,
 	fbsched.EventTaskExpired:         fbevent.TaskExpired,
+	fbsched.EventTaskReleased:        fbevent.TaskReleased,
 	fbsched.EventRunStopped:          fbevent.RunStopped,
 	fbsched.EventRunAdopted:          fbevent.RunAdopted,
 	fbsched.EventRunFound:            fbevent.RunFound,
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -67,7 +67,8 @@
 	}
 }
 
-func (n *Node) routesChanged(_ time.Duration, _ bool, s filbertford.Snapshot) {
+func (n *Node) routesChanged(now time.Duration, full bool, s filbertford.Snapshot) {
+	n.readEvacuations(now, full, s)
 	for _, c := range s.Changes() {
 		if n.deps.Decoder.IsRoutes(c.Row()) && !c.Removed() {
 			n.applyRoutes(c.Row().Value(), "store")
@@ -108,6 +109,7 @@
 	if n.targets.readAt == 0 || now-n.targets.readAt > candidateReadPeriod {
 		p.HoldStarts(now + recordsTimeout)
 	}
+	n.evacuateNewPool(now, p)
 	n.pools[id] = p
 	n.ownsPool.Store(true)
 	n.wakeTargetWatcher()
@@ -119,6 +121,7 @@
 // pools that this daemon owns.
 func (n *Node) updatePoolTargets(now time.Duration) {
 	n.updatePools()
+	n.applyEvacuations(now, "targets")
 	for id, p := range n.pools {
 		p.SetTargets(now, n.targets.inPool(id))
 	}
--- a/fbnode/targets_test.go
+++ b/fbnode/targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,6 +46,18 @@
 
 func (recordDecoder) IsRoutes(filbertford.Row) bool { return false }
 
+func (recordDecoder) IsEvacuation(row filbertford.Row) bool {
+	return strings.HasPrefix(row.Key(), "evacuate/")
+}
+
+func (recordDecoder) DecodeEvacuation(row filbertford.Row) (filbertford.DataCentre, error) {
+	name := strings.TrimPrefix(row.Key(), "evacuate/")
+	if name == "" {
+		return "", eris.New("no name")
+	}
+	return filbertford.DataCentre(name), nil
+}
+
 func (recordDecoder) DecodeRoutes([]byte) (*filbertford.Routes, error) {
 	return nil, eris.New("no routes")
 }
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -108,6 +108,7 @@
 	EventRunEnded            EventKind = "end"
 	EventTaskRequeued        EventKind = "requeue"
 	EventTaskExpired         EventKind = "expired"
+	EventTaskReleased        EventKind = "released"
 	EventRunLost             EventKind = "lost"
 	EventTargetCrashed       EventKind = "crash"
 	EventTargetNotCrashed    EventKind = "silent"
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -48,6 +48,9 @@
 	allUnownedSince time.Duration
 	anyOwned        bool // some pool has an owner
 	scheduling      filbertford.Scheduling
+	lastOfferNumber uint64
+	releasedJobs    []filbertford.JobKey // with tasks that evacuated pools have returned
+	releasedAt      time.Duration        // when the last of them was returned
 	actions         []Action
 }
 
@@ -60,6 +63,8 @@
 	heldOwner  filbertford.NodeID // an earlier owner that still claims the pool, see SetOwner
 	heldFence  uint64
 	capacities map[string]*capacityView
+	evacuated  bool // this daemon knows of the evacuation
+	releases   bool // the owner has returned a task because of one, and reported no capacity since
 }
 
 // job is a job in progress. It misses its objective after due, and its callers stop
@@ -98,18 +103,22 @@
 	pool     filbertford.PoolID   // empty while the task waits for a pool
 	fence    uint64               // of the owner that the task was last offered to
 	resumed  bool                 // another owner may have started it when it was last offered
+	offer    uint64               // number of the last offer
 	target   filbertford.TargetID // that the task was last started on
 	done     bool
 	failures int
 	crashes  int // of targets under the task
 	returns  int
-	search   *search // set while pools are asked for a task of an earlier coordinator
+	// releasedBy are the pools that have returned a task of a stored job.
+	releasedBy []filbertford.PoolID
+	search     *search // set while pools are asked for a task of an earlier coordinator
 }
 
 // search is a search for a task in all pools.
 type search struct {
 	startedAt time.Duration
 	absent    map[filbertford.PoolID]uint64 // fencing tokens of the owners that reported it absent
+	offers    map[filbertford.PoolID]uint64 // numbers of the last offers
 }
 
 // NewCoordinator returns a coordinator that prefers the home pool.
@@ -128,6 +137,7 @@
 
 // TakeActions returns the actions since the last call.
 func (c *Coordinator) TakeActions() []Action {
+	c.placeReleased()
 	actions := c.actions
 	c.actions = nil
 	return actions
@@ -167,7 +177,7 @@
 	if v.owner != "" {
 		v.lostAt = now
 	}
-	v.owner, v.fence, v.capacities = owner, fence, nil
+	v.owner, v.fence, v.capacities, v.releases = owner, fence, nil, false
 	if owner != "" {
 		v.lastFence = fence
 	}
@@ -252,6 +262,10 @@
 		c.finish(now, j, filbertford.AnswerNotRun, fmt.Sprintf("no pool can be reached for %v", now-c.allUnownedSince))
 		return
 	}
+	if c.allEvacuated() {
+		c.finish(now, j, filbertford.AnswerNotRun, allEvacuatedReason)
+		return
+	}
 	if backlog := c.shortestBacklog(r.Service()); now+backlog+estimate > j.usefulUntil {
 		c.finish(now, j, filbertford.AnswerNotRun, fmt.Sprintf("the queues are too long: shortest %v, estimate %v, useful for %v",
 			backlog.Round(time.Millisecond), estimate, j.usefulUntil-now))
@@ -285,6 +299,9 @@
 	}
 	step := &j.steps[key.Step()]
 	t := &step.tasks[key.Index()]
+	if r.Status() == StatusReleased && (t.search != nil || r.OfferNumber() != t.offer) {
+		return // the pool has been offered the task again since
+	}
 	if t.search != nil && !c.resolveSearch(now, j, t, r) {
 		return
 	}
@@ -346,6 +363,8 @@
 			return
 		}
 		c.abandon(now, j, "no target for a task in time")
+	case StatusReleased:
+		c.taskReleased(now, j, t)
 	case StatusReturned:
 		if t.resumed {
 			return // it answers an earlier offer: a pool keeps a task that may have been started
@@ -376,6 +395,8 @@
 			c.abandon(now, j, "out of time")
 		case now >= j.usefulUntil && c.hasWaitingTask(j), c.isolated(now) && c.hasWaitingTask(j):
 			c.abandon(now, j, "no pool for a task in time")
+		default:
+			c.abandonIfEvacuated(now, j)
 		}
 	}
 	c.placeWaiting(now)
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -14,7 +14,11 @@
 // dispatch starts queued tasks, most urgent first.
 func (p *Pool) dispatch(now time.Duration) {
 	p.dispatchDue = false
-	if p.queue.len() == 0 || !p.surveyed || now < max(p.startsHeldUntil, p.suspendedUntil) {
+	if p.evacuated {
+		p.releaseWaiting(now)
+		return
+	}
+	if p.queue.len() == 0 || !p.surveyed || p.evacuationsUnknown || now < max(p.startsHeldUntil, p.suspendedUntil) {
 		return
 	}
 	capacities := p.capacityByService(now)
@@ -149,7 +153,7 @@
 
 // usable reports whether tasks of the service may be started on the target.
 func (p *Pool) usable(now time.Duration, t *target, service string) bool {
-	return t.rec.Service() == service && t.listed && t.misses < maxMisses && t.clock.known && !t.rec.Draining() &&
+	return !p.evacuated && t.rec.Service() == service && t.listed && t.misses < maxMisses && t.clock.known && !t.rec.Draining() &&
 		!t.removed && now >= t.fullUntil && t.grantsLease(now)
 }
 
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -61,6 +61,7 @@
 	search       bool
 	shardFence   uint64
 	ownerSilence time.Duration
+	offerNumber  uint64
 	items        []Item
 }
 
@@ -121,6 +122,16 @@
 	return b
 }
 
+// WithOfferNumber returns a copy of b with the number of the offer. A coordinator's numbers
+// increase, also when its process starts again.
+func (b Batch) WithOfferNumber(n uint64) Batch {
+	b.offerNumber = n
+	return b
+}
+
+// OfferNumber returns the number of the offer, 0 if the coordinator gives it none.
+func (b Batch) OfferNumber() uint64 { return b.offerNumber }
+
 // ShardFence returns the fencing token of the shard owner of a stored job.
 func (b Batch) ShardFence() uint64 { return b.shardFence }
 
@@ -279,6 +290,10 @@
 	StatusExpired Status = "expired"
 	// StatusReturned means that the pool does not run the task and will not run it.
 	StatusReturned Status = "returned"
+	// StatusReleased means that the pool doesn't run the task, will not run it because of
+	// the offer whose number the report has, and that no run of it can be executing. Unlike
+	// StatusReturned it holds for a task that was offered with resume.
+	StatusReleased Status = "released"
 	// StatusAbsent means that the task, offered in a search, is not in the pool.
 	StatusAbsent Status = "absent"
 	// StatusReassigned means that another coordinator has since offered the task.
@@ -295,6 +310,7 @@
 	crashes  int
 	started  bool
 	target   filbertford.TargetID
+	offer    uint64
 }
 
 // NewReport returns a report on the task from the pool's owner with the fencing
@@ -322,6 +338,16 @@
 	return r
 }
 
+// WithOfferNumber returns a copy of r that answers the offer with the number.
+func (r Report) WithOfferNumber(n uint64) Report {
+	r.offer = n
+	return r
+}
+
+// OfferNumber returns the number of the offer that the report answers, 0 unless the status
+// is StatusReleased.
+func (r Report) OfferNumber() uint64 { return r.offer }
+
 // Target returns the target of the run that was started or, in a report that the task is
 // retried, the one that has crashed under it. It is empty in other reports.
 func (r Report) Target() filbertford.TargetID { return r.target }
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -27,6 +27,7 @@
 	}
 	v.capacities = make(map[string]*capacityView, len(capacities))
 	for _, capacity := range capacities {
+		v.releases = v.releases && capacity.total == 0
 		v.capacities[capacity.service] = &capacityView{free: slices.Clone(capacity.free), total: capacity.total, backlog: capacity.backlog}
 	}
 }
@@ -72,7 +73,7 @@
 	var candidates []candidate
 	for _, id := range c.poolIDs() {
 		v := c.pools[id]
-		if v.owner == "" {
+		if !v.accepts() {
 			continue
 		}
 		capacity := v.capacities[service]
@@ -186,7 +187,8 @@
 		WithStored(j.stored, false).
 		WithWork(j.workload.Spec(), j.route.Service(), j.route.Attempts()).
 		WithPriority(j.route.Priority()).
-		WithTimes(due, end)
+		WithTimes(due, end).
+		WithOfferNumber(c.nextOfferNumber(now))
 }
 
 // offer sends a batch to the pool's current owner.
@@ -197,7 +199,7 @@
 	j.offered[poolOwner{b.pool, v.owner}] = true
 	for _, i := range b.items {
 		t := &j.steps[b.stepNumber].tasks[i.index]
-		t.fence, t.resumed = v.fence, b.resume
+		t.fence, t.resumed, t.offer = v.fence, b.resume, b.offerNumber
 	}
 	c.emit(SendBatch{To: v.owner, Batch: b.WithFence(v.fence)})
 }
@@ -208,7 +210,7 @@
 	shortest, known := time.Duration(0), false
 	for _, v := range c.pools {
 		capacity := v.capacities[service]
-		if capacity == nil || v.owner == "" || capacity.total == 0 {
+		if capacity == nil || !v.accepts() || capacity.total == 0 {
 			continue // its owner may not have listed the targets yet
 		}
 		if !known || capacity.estimatedBacklog() < shortest {
--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -79,7 +79,7 @@
 			if p.done {
 				state.remaining--
 			} else if resumed {
-				state.tasks[index].search = &search{startedAt: now, absent: make(map[filbertford.PoolID]uint64)}
+				state.tasks[index].search = &search{startedAt: now, absent: make(map[filbertford.PoolID]uint64), offers: make(map[filbertford.PoolID]uint64)}
 			}
 		}
 		j.steps[number] = state
@@ -140,6 +140,7 @@
 	}
 	t := &j.steps[key.Step()].tasks[key.Index()]
 	c.confirm(t.pool, key, p)
+	c.confirmReleased(t, key, p)
 	switch {
 	case p.done && !t.done:
 		t.done = true
@@ -185,6 +186,9 @@
 		return
 	}
 	b := c.batch(now, j, number, pool, items).WithStored(true, true).WithResume(0)
+	for _, i := range items {
+		j.steps[number].tasks[i.index].search.offers[pool] = b.offerNumber
+	}
 	c.emit(SendBatch{To: v.owner, Batch: b.WithFence(v.fence)})
 }
 
@@ -196,7 +200,7 @@
 		return false
 	}
 	if r.Status() != StatusAbsent && r.Status() != StatusReturned {
-		t.search, t.pool, t.fence = nil, r.Pool(), r.Fence()
+		t.pool, t.fence, t.offer, t.search = r.Pool(), r.Fence(), t.search.offers[r.Pool()], nil
 		return true
 	}
 	t.search.absent[r.Pool()] = r.Fence()
--- a/fbstandin/records.go
+++ b/fbstandin/records.go
@@ -65,6 +65,14 @@
 	return nil
 }
 
+// Evacuate writes the row that evacuates a zone, as an operator does.
+func (s *RowStore) Evacuate(zone string) { s.Put("op", "", evacuationKey(zone), []byte("{}")) }
+
+// EndEvacuation removes the row that evacuates a zone.
+func (s *RowStore) EndEvacuation(zone string) { s.Remove("op", "", evacuationKey(zone)) }
+
+func evacuationKey(zone string) string { return "evacuate/" + zone }
+
 // PutWorker writes a worker's record.
 func (s *RowStore) PutWorker(id string, r WorkerRecord) error {
 	data, err := json.Marshal(r)
--- a/fbstandin/rows_http.go
+++ b/fbstandin/rows_http.go
@@ -37,11 +37,13 @@
 	NowMS     int64     `json:"nowMs"`
 }
 
-// Handler returns the handler of the store's requests. PUT /faults sets the
-// faults.
+// Handler returns the handler of the store's requests. PUT /faults sets the faults; PUT and
+// DELETE /evacuations/ZONE begin and end the evacuation of a zone.
 func (s *RowStore) Handler() http.Handler {
 	e := newEcho()
 	e.PUT("/faults", s.handleFaults)
+	e.PUT("/evacuations/:zone", s.handleEvacuation(s.Evacuate))
+	e.DELETE("/evacuations/:zone", s.handleEvacuation(s.EndEvacuation))
 	g := e.Group("/-", s.injectFaults)
 	g.POST("/rows-tx", s.handleTransaction)
 	g.GET("/rows-get", s.handleRows)
@@ -58,6 +60,15 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
+// handleEvacuation returns the handler of a request that begins or ends the evacuation of
+// the zone in its path. It answers also while an outage is simulated.
+func (s *RowStore) handleEvacuation(change func(zone string)) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		change(c.Param("zone"))
+		return c.NoContent(http.StatusNoContent)
+	}
+}
+
 // injectFaults simulates the faults that affect all calls: outages and delays.
 func (s *RowStore) injectFaults(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
