Randomised tests of pools with evacuations that come and go

Cause: tasks that an evacuated pool returns are started elsewhere, so that a wrong return is a second run.

Change: a fault evacuates a pool for a time; owner, successor and coordinator learn of begin and end at different times, the coordinator sometimes from the reports only. Two scenarios for best-effort jobs and one for stored jobs.

--- a/fbsched/overlap_faults_test.go
+++ b/fbsched/overlap_faults_test.go
@@ -34,6 +34,8 @@
 	case faultCut, faultCutRequests, faultCutReplies:
 		nodes := []filbertford.NodeID{o.node, r.nextNode(), ""}
 		r.cutLink(f.kind, nodes[f.random.IntN(len(nodes))], host, 2*f.duration)
+	case faultEvacuate:
+		r.evacuate(f, p)
 	case faultStream:
 		r.breakStream(f.duration / 10)
 	case faultCoordinator:
--- a/fbsched/overlap_stored_test.go
+++ b/fbsched/overlap_stored_test.go
@@ -144,7 +144,10 @@
 		"coordinators": {kinds: []faultKind{faultStream, faultCoordinator, faultCoordinatorLost}},
 		"all daemons":  {kinds: slices.Concat(ownerFaults, []faultKind{faultStream, faultCoordinator, faultCoordinatorLost})},
 		"targets":      {kinds: []faultKind{faultMute, faultStuck, faultSlow, faultFailing, faultBusy, faultShrink, faultRecord, faultOtherID, faultSameID}},
-		"two pools":    {kinds: slices.Concat(ownerFaults, silence), pools: 2},
+		"evacuations": {
+			kinds: slices.Concat(ownerFaults, []faultKind{faultEvacuate, faultEvacuate, faultEvacuate, faultStream, faultCoordinator, faultCut, faultFailing}), pools: 2,
+		},
+		"two pools": {kinds: slices.Concat(ownerFaults, silence), pools: 2},
 	}
 	for name, tt := range tests {
 		tt.stored = true
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -64,6 +64,8 @@
 	owner *fakeOwner
 	fence uint64
 	hosts []string // of its targets
+	// evacuations is the number of evacuations in force.
+	evacuations int
 }
 
 // linkKey is a link between an owner and a target.
@@ -107,6 +109,7 @@
 	p.fence++
 	o.pool = NewPool(p.id, p.fence, o.wallOffset, r.now)
 	r.tracef("%s: owns the pool %s with fence %d", o.node, p.id, p.fence)
+	r.evacuateNewOwner(p, o)
 	nextRead := r.now + between(random, 0, 600)
 	if stale > 2*time.Second {
 		r.count("owners with old records")
@@ -394,6 +397,8 @@
 		"unguarded, capacity":          {kinds: []faultKind{faultShrink, faultStuck, faultGiveUp, faultTakeOver, faultCutReplies}, unguarded: true, long: true},
 		"channels break unnoticed":     {kinds: []faultKind{faultUnnoticed}, resend: true},
 		"unnoticed, two pools":         {kinds: []faultKind{faultUnnoticed}, resend: true, pools: 2},
+		"evacuations":                  {kinds: []faultKind{faultEvacuate, faultStream, faultTakeOver}},
+		"evacuations, two pools":       {kinds: slices.Concat(ownerFaults, linkFaults, coordinatorFaults, targetFaults, []faultKind{faultEvacuate, faultEvacuate, faultEvacuate}), pools: 2},
 		"coordinators lost":            {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true},
 		"coordinators lost, two pools": {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true, pools: 2},
 	}
