--- a/calls.go
+++ b/calls.go
@@ -35,6 +35,7 @@
 	labels     []string
 	capacity   Resources
 	draining   bool
+	coldFor    time.Duration
 }
 
 // NewTargetRecord returns the record of a target that accepts tasks.
@@ -49,6 +50,15 @@
 	return r
 }
 
+// WithColdFor returns a copy of r of a target that remains cold, that is slow, for the time.
+func (r TargetRecord) WithColdFor(d time.Duration) TargetRecord {
+	r.coldFor = d
+	return r
+}
+
+// ColdFor returns how much longer the target remained cold when it wrote the record.
+func (r TargetRecord) ColdFor() time.Duration { return r.coldFor }
+
 // WithStartedAt returns a copy of r of the instance that started at startedAt, in Unix
 // milliseconds.
 func (r TargetRecord) WithStartedAt(startedAt int64) TargetRecord {
--- a/cmd/filbertfordnode/serve.go
+++ b/cmd/filbertfordnode/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -68,7 +69,7 @@
 	addActor(&g, func(ctx context.Context) error { return node.Run(ctx, ls.peers) })
 	addActor(&g, func(ctx context.Context) error { return watchReload(ctx, opts, l) })
 	addServer(&g, platform.NewReadiness(node), ls.readiness)
-	addServer(&g, metricsServer(reporter), ls.metrics)
+	addServer(&g, metricsServer(reporter, node), ls.metrics)
 	addServer(&g, callers, ls.callers)
 	addShutdown(ctx, &g, node, callers, cfg.Duration("node", "grace")-graceMargin)
 	if err := g.Run(); err != nil && !errors.Is(err, context.Canceled) {
@@ -118,15 +119,32 @@
 	return ls, nil
 }
 
-func metricsServer(r *fbmetrics.Reporter) *http.Server {
+func metricsServer(r *fbmetrics.Reporter, n *fbnode.Node) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		_ = r.WriteText(w) // fails only if the client has disconnected
 	})
+	mux.HandleFunc("GET /evacuations", func(w http.ResponseWriter, _ *http.Request) { writeEvacuations(w, n.Evacuations()) })
 	return &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 }
 
+// evacuationsBody is the answer to a request for the evacuations that the daemon knows, in a
+// list as of the stand-alone daemon's operations listener.
+type evacuationsBody struct {
+	Version uint64   `json:"version"`
+	Zones   []string `json:"zones"`
+}
+
+func writeEvacuations(w http.ResponseWriter, e fbnode.Evacuations) {
+	body := evacuationsBody{Version: e.Version(), Zones: []string{}}
+	for _, dc := range e.DataCentres() {
+		body.Zones = append(body.Zones, string(dc))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode([]evacuationsBody{body}) // fails only if the client has disconnected
+}
+
 func addActor(g *run.Group, f func(ctx context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
--- a/fbcommand/root.go
+++ b/fbcommand/root.go
@@ -109,6 +109,7 @@
 			newReady(s),
 			newVMs(s),
 			newTargets(s),
+			newEvacuations(s),
 			newBurn(s),
 			NewSettings(s),
 			newLoad(s),
--- a/fbevacuation/state.go
+++ b/fbevacuation/state.go
@@ -15,10 +15,10 @@
 // State is the set of evacuated data centres as of a version of the store. The zero State
 // is unknown.
 //
-// The set is that of all versions of the store from version to readVersion. Daemons
-// compare version, which changes only with the set. A daemon that receives a state with a
-// version between the two and another set knows the newer state, and raises its own
-// version so that the others ask for it.
+// The set is that of the store at version and at readVersion. Daemons compare version,
+// which changes only with the set. A daemon that receives a state with a version between
+// the two and another set knows the newer state, and raises its own version so that the
+// others ask for it.
 type State struct {
 	known       bool
 	version     uint64
--- a/fbnode/evacuation.go
+++ b/fbnode/evacuation.go
@@ -1,6 +1,7 @@
 package fbnode
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -22,6 +23,8 @@
 	// inForce holds the evacuated data centres that have been logged, and whether each is
 	// a data centre of the fleet.
 	inForce map[filbertford.DataCentre]bool
+	// endedAt holds when the last evacuation of a data centre has ended.
+	endedAt map[filbertford.DataCentre]time.Duration
 	// rejected holds the versions of the malformed rows that have been logged.
 	rejected map[string]uint64
 	// unknownSince is since when a pool of this daemon waits for the evacuations, 0 if
@@ -29,14 +32,36 @@
 	unknownSince time.Duration
 	unanswered   bool
 
+	published      atomic.Pointer[Evacuations]
 	evacuatedPools tally.Gauge
 	rejectedRows   tally.Counter
 	unknownCentres tally.Counter
 }
 
+// Evacuations are the evacuated data centres as of a version of the store.
+type Evacuations struct {
+	version     uint64
+	dataCentres []filbertford.DataCentre
+}
+
+// Version returns the version of the store, 0 if the evacuations are unknown.
+func (e Evacuations) Version() uint64 { return e.version }
+
+// DataCentres returns the evacuated data centres in ascending order.
+func (e Evacuations) DataCentres() []filbertford.DataCentre { return e.dataCentres }
+
+// Evacuations returns the evacuations that the daemon knows.
+func (n *Node) Evacuations() Evacuations {
+	if e := n.evacuations.published.Load(); e != nil {
+		return *e
+	}
+	return Evacuations{}
+}
+
 func newEvacuationState(scope tally.Scope) *evacuationState {
 	return &evacuationState{
 		inForce: make(map[filbertford.DataCentre]bool), rejected: make(map[string]uint64),
+		endedAt:        make(map[filbertford.DataCentre]time.Duration),
 		evacuatedPools: scope.Gauge("evacuated_pools"),
 		rejectedRows:   scope.Tagged(map[string]string{"cause": "malformed"}).Counter("evacuations_rejected"),
 		unknownCentres: scope.Tagged(map[string]string{"cause": "unknown"}).Counter("evacuations_rejected"),
@@ -70,6 +95,16 @@
 	n.applyEvacuations(now, "store")
 }
 
+// evacuatesOtherThan reports whether any other data centre is evacuated.
+func (e *evacuationState) evacuatesOtherThan(dc filbertford.DataCentre) bool {
+	for other, known := range e.inForce {
+		if known && other != dc {
+			return true
+		}
+	}
+	return false
+}
+
 // rejectEvacuation logs and counts a malformed row once for each of its versions.
 func (n *Node) rejectEvacuation(c filbertford.Change, err error) {
 	key := c.Row().Key()
@@ -106,33 +141,38 @@
 		return
 	}
 	e.unknownSince, e.unanswered = 0, false
-	pools := make(map[filbertford.DataCentre]bool)
+	n.logEvacuations(now, source)
+	e.published.Store(&Evacuations{version: e.state.Version(), dataCentres: e.state.DataCentres()})
 	evacuated := 0
 	for _, s := range n.specs {
 		if s.DataCentre() == "" {
 			continue
 		}
 		in := e.state.Contains(s.DataCentre())
-		pools[s.DataCentre()] = true
 		n.coordinator.SetEvacuated(now, s.ID(), in)
 		if p := n.pools[s.ID()]; p != nil {
-			p.SetEvacuated(in)
+			p.SetEvacuated(now, in)
+			p.SetOthersEvacuated(e.evacuatesOtherThan(s.DataCentre()))
 		}
 		if in {
 			evacuated++
 		}
 	}
 	e.evacuatedPools.Update(float64(evacuated))
-	n.logEvacuations(pools, source)
 }
 
 // logEvacuations logs the evacuations that have begun or ended since the last call. One of
 // an unknown data centre has no effect until the data centre is known.
-func (n *Node) logEvacuations(known map[filbertford.DataCentre]bool, source string) {
+func (n *Node) logEvacuations(now time.Duration, source string) {
 	e := n.evacuations
+	known := make(map[filbertford.DataCentre]bool)
+	for _, s := range n.specs {
+		known[s.DataCentre()] = true
+	}
 	for dc := range e.inForce {
 		if !e.state.Contains(dc) {
 			delete(e.inForce, dc)
+			e.endedAt[dc] = now
 			fbevent.EvacuationEnded.Log(n.deps.Log, "zone", dc, "version", e.state.Version(), "source", source)
 		}
 	}
@@ -157,7 +197,12 @@
 	e := n.evacuations
 	switch {
 	case e.state.Known():
-		p.SetEvacuated(e.state.Contains(poolDataCentre(p.ID())))
+		dc := poolDataCentre(p.ID())
+		p.SetEvacuated(now, e.state.Contains(dc))
+		p.SetOthersEvacuated(e.evacuatesOtherThan(dc))
+		if ended, ok := e.endedAt[dc]; ok {
+			p.RampFrom(ended)
+		}
 	case !e.unanswered:
 		p.HoldUntilEvacuationsKnown()
 		if e.unknownSince == 0 {
@@ -183,7 +228,7 @@
 	e.unknownSince, e.unanswered = 0, true
 	fbevent.EvacuationsUnanswered.Log(n.deps.Log)
 	for _, p := range n.pools {
-		p.SetEvacuated(false)
+		p.SetEvacuated(now, false)
 	}
 }
 
--- a/fbsched/capacity.go
+++ b/fbsched/capacity.go
@@ -35,9 +35,9 @@
 			capacity = &serviceCapacity{minFactor: math.Inf(1)}
 			out[service] = capacity
 		}
-		factor := p.factorOf(t)
+		factor := p.factorOf(t) * p.coldFactorOf(now, t)
 		capacity.minFactor = min(capacity.minFactor, factor)
-		free := t.rec.Capacity().Sub(t.used)
+		free := p.free(now, t)
 		if !t.health.accepts(now, len(t.runs)) || t.hasUnknownDemand() || t.aloneRuns > 0 {
 			continue
 		}
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -79,7 +79,7 @@
 	})
 	p.reportStart(t, best.id())
 	p.poll(now, best)
-	chosen.closed = alone || !best.health.accepts(now, len(best.runs))
+	chosen.closed = alone || p.rampShare(now, best) < 1 || !best.health.accepts(now, len(best.runs))
 	capacity.reserve(chosen, r.demand)
 	return true
 }
@@ -249,8 +249,8 @@
 		if !p.usable(now, t, name) || !t.health.accepts(now, 0) {
 			continue
 		}
-		capacity.total += t.rec.Capacity().CPU()
-		if free := t.rec.Capacity().Sub(t.used).CPU(); free > 0 && t.health.accepts(now, len(t.runs)) && t.aloneRuns == 0 && !p.reserved(t) {
+		capacity.total += p.rampedCPU(now, t)
+		if free := p.rampedCPU(now, t) - t.used.CPU(); free > 0 && t.health.accepts(now, len(t.runs)) && t.aloneRuns == 0 && !p.reserved(t) {
 			capacity.free = append(capacity.free, free)
 		}
 	}
--- a/fbsched/evacuation.go
+++ b/fbsched/evacuation.go
@@ -7,16 +7,27 @@
 	"github.com/filbertford/filbertford"
 )
 
+// poolEvacuation is what a pool knows of evacuations.
+type poolEvacuation struct {
+	evacuated          bool
+	evacuationsUnknown bool // see HoldUntilEvacuationsKnown
+	othersEvacuated    bool
+	rampFrom           time.Duration // see RampFrom, 0 if the load isn't increased gradually
+}
+
 // HoldUntilEvacuationsKnown starts no tasks until SetEvacuated is called, since the pool's
 // data centre may be evacuated.
 func (p *Pool) HoldUntilEvacuationsKnown() { p.evacuationsUnknown = true }
 
 // SetEvacuated sets whether the pool's data centre is evacuated. An evacuated pool starts
 // nothing, reports no capacity and returns the tasks that wait; runs continue.
-func (p *Pool) SetEvacuated(evacuated bool) {
+func (p *Pool) SetEvacuated(now time.Duration, evacuated bool) {
 	if p.evacuated == evacuated && !p.evacuationsUnknown {
 		return
 	}
+	if p.evacuated {
+		p.RampFrom(now)
+	}
 	p.evacuated, p.evacuationsUnknown = evacuated, false
 	p.capacityChanged, p.dispatchDue = true, true
 }
--- a/fbsched/overlap_evacuation_test.go
+++ b/fbsched/overlap_evacuation_test.go
@@ -12,7 +12,7 @@
 		p.evacuations += n
 		r.after(between(f.random, 0, 500), func() {
 			if o := p.owner; !o.stopped {
-				r.handle(o, func() { o.pool.SetEvacuated(p.evacuations > 0) })
+				r.handle(o, func() { o.pool.SetEvacuated(r.now, p.evacuations > 0) })
 			}
 		})
 		r.after(between(f.random, 0, 500), func() {
@@ -32,13 +32,13 @@
 	}
 	r.count("owners of evacuated pools")
 	if r.random.IntN(2) == 0 {
-		o.pool.SetEvacuated(true)
+		o.pool.SetEvacuated(r.now, true)
 		return
 	}
 	o.pool.HoldUntilEvacuationsKnown()
 	r.after(time.Second, func() {
 		if !o.stopped {
-			r.handle(o, func() { o.pool.SetEvacuated(p.evacuations > 0) })
+			r.handle(o, func() { o.pool.SetEvacuated(r.now, p.evacuations > 0) })
 		}
 	})
 }
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -76,38 +76,37 @@
 // Pool runs tasks on the targets that one daemon owns. It is not safe for
 // concurrent use.
 type Pool struct {
-	id                 filbertford.PoolID
-	fence              uint64
-	wallOffset         int64
-	targets            map[filbertford.TargetID]*target
-	sortedTargets      []*target
-	tasks              map[filbertford.TaskKey]*task
-	activeRuns         map[filbertford.TaskKey]*run
-	secondRuns         map[filbertford.TaskKey]int // number of runs beside the active one
-	runNumbers         map[filbertford.TaskKey]uint64
-	outcomes           map[filbertford.TaskKey]taskOutcome
-	inheritedFailures  map[filbertford.TaskKey]int // failed runs that earlier owners started
-	losses             map[filbertford.TaskKey]*taskLosses
-	silentTargets      map[filbertford.TargetID][]filbertford.TaskKey // tasks with a loss that the target's reply would refute
-	endedTargets       map[filbertford.TargetID]endedTarget
-	departed           map[filbertford.TargetID]bool     // targets that left the pool before they were listed
-	shardOwners        map[filbertford.JobKey]shardOwner // of stored jobs
-	queue              queue
-	kindFactors        *kindFactors
-	roundTrips         *roundTrips
-	createdAt          time.Duration
-	allListed          bool
-	surveyed           bool          // see checkSurveyed
-	surveyFrom         time.Duration // calls that were sent before don't count for the survey
-	dispatchDue        bool          // a queued task may be able to start
-	nextLossCheck      time.Duration // see tickLosses
-	startsHeldUntil    time.Duration
-	suspendedUntil     time.Duration // see HandleSuspension
-	capacityChanged    bool
-	scheduling         filbertford.Scheduling
-	evacuated          bool
-	evacuationsUnknown bool
-	actions            []Action
+	id                filbertford.PoolID
+	fence             uint64
+	wallOffset        int64
+	targets           map[filbertford.TargetID]*target
+	sortedTargets     []*target
+	tasks             map[filbertford.TaskKey]*task
+	activeRuns        map[filbertford.TaskKey]*run
+	secondRuns        map[filbertford.TaskKey]int // number of runs beside the active one
+	runNumbers        map[filbertford.TaskKey]uint64
+	outcomes          map[filbertford.TaskKey]taskOutcome
+	inheritedFailures map[filbertford.TaskKey]int // failed runs that earlier owners started
+	losses            map[filbertford.TaskKey]*taskLosses
+	silentTargets     map[filbertford.TargetID][]filbertford.TaskKey // tasks with a loss that the target's reply would refute
+	endedTargets      map[filbertford.TargetID]endedTarget
+	departed          map[filbertford.TargetID]bool     // targets that left the pool before they were listed
+	shardOwners       map[filbertford.JobKey]shardOwner // of stored jobs
+	queue             queue
+	kindFactors       *kindFactors
+	roundTrips        *roundTrips
+	createdAt         time.Duration
+	allListed         bool
+	surveyed          bool          // see checkSurveyed
+	surveyFrom        time.Duration // calls that were sent before don't count for the survey
+	dispatchDue       bool          // a queued task may be able to start
+	nextLossCheck     time.Duration // see tickLosses
+	startsHeldUntil   time.Duration
+	suspendedUntil    time.Duration // see HandleSuspension
+	capacityChanged   bool
+	scheduling        filbertford.Scheduling
+	poolEvacuation
+	actions []Action
 }
 
 // task is a task that a coordinator has offered and that has not ended. It misses its
@@ -316,6 +315,7 @@
 	p.checkSurveyed(now)
 	p.tickStored(now)
 	p.tickLosses(now)
+	p.tickRamp(now)
 	p.dispatch(now)
 	p.expire(now)
 	p.removeOldOutcomes(now)
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -43,6 +43,7 @@
 	reservedFor  *task
 	used         filbertford.Resources
 	health       health
+	coldUntil    time.Duration // by its record
 	fullUntil    time.Duration // no tasks are started before, because the target was full
 }
 
@@ -137,6 +138,7 @@
 		if rec.Draining() && !t.rec.Draining() {
 			p.emitEvent(Event{Kind: EventTargetDraining, Target: id})
 		}
+		t.setColdFor(now, rec.ColdFor())
 		t.rec, t.removed = rec, false
 		return
 	}
@@ -156,7 +158,7 @@
 
 func newTarget(now time.Duration, rec filbertford.TargetRecord) *target {
 	return &target{
-		rec: rec, startedAt: rec.Instance().StartedAt(), lastReply: now,
+		rec: rec, startedAt: rec.Instance().StartedAt(), lastReply: now, coldUntil: now + rec.ColdFor(),
 		runs:        make(map[filbertford.TaskKey]*run),
 		unconfirmed: make(map[uint64]Confirm),
 		unclaimed:   make(map[uint64]unclaimedOutcome),
--- a/fbstandin/records.go
+++ b/fbstandin/records.go
@@ -25,6 +25,7 @@
 	Labels      []string       `json:"labels"`
 	StartedAtMS int64          `json:"born"`
 	Seq         uint64         `json:"seq"`
+	ColdMS      int64          `json:"coldMs,omitempty"`
 }
 
 // WorkerCapacity is the resources of a worker: thousandths of a core, megabytes
@@ -97,6 +98,7 @@
 			r.StartedAtMS, r.Seq = startedAtMS, 0
 		}
 		r.Seq++
+		r.ColdMS = w.coldMS()
 		if s.currentFaults().Outage == "" && !down {
 			silent[id] = 0
 			if err := s.PutWorker(id, r); err != nil {
--- a/fbstandin/worker.go
+++ b/fbstandin/worker.go
@@ -22,6 +22,9 @@
 	DelayMS int `json:"late_ms"`
 	// SlowFactor multiplies the duration of new runs; 0 leaves it as it is.
 	SlowFactor int `json:"slow"`
+	// ColdMS makes the worker cold for this time in milliseconds: its record says so, and
+	// new runs take coldFactor times as long. 0 ends it.
+	ColdMS int `json:"cold_ms"`
 }
 
 // Limits of workers, the same as the platform's, and times of the stand-in.
@@ -29,6 +32,7 @@
 	maxLease             = time.Second
 	maxPollWait          = 2 * time.Second
 	pollInterval         = 5 * time.Millisecond
+	coldFactor           = 3                     // by which runs of a cold worker take longer
 	defaultWorkerRunTime = 80 * time.Millisecond // run time of a task whose spec has none
 )
 
@@ -42,6 +46,8 @@
 	mu     sync.Mutex
 	faults WorkerFaults
 	calls  int
+	// coldUntil is when the worker stops being cold.
+	coldUntil time.Time
 	workerLife
 }
 
@@ -231,7 +237,14 @@
 func (w *Worker) SetFaults(f WorkerFaults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.faults = f
+	w.faults, w.coldUntil = f, time.Now().Add(time.Duration(f.ColdMS)*time.Millisecond)
+}
+
+// coldMS returns how much longer the worker is cold, in milliseconds.
+func (w *Worker) coldMS() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(0, time.Until(w.coldUntil).Milliseconds())
 }
 
 // Running ends the runs that are due and returns the tasks that are still running.
@@ -315,6 +328,9 @@
 	w.extendLease(leaseExpiry)
 	w.highestRuns[task] = run
 	duration *= time.Duration(max(w.faults.SlowFactor, 1))
+	if time.Now().Before(w.coldUntil) {
+		duration *= coldFactor
+	}
 	w.runs[task] = &workerRun{number: run, record: w.recorder.recordStart(task), cpu: cpu, startedAt: w.clock(), duration: duration, fails: w.faults.Fail, hangs: w.faults.Hang}
 	return ""
 }
