--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -15,7 +15,11 @@
 // dispatch starts queued tasks, most urgent first.
 func (p *Pool) dispatch(now time.Duration) {
 	p.dispatchDue = false
-	if p.queue.len() == 0 || !p.surveyed || now < max(p.startsHeldUntil, p.suspendedUntil) {
+	if p.evacuated {
+		p.releaseWaiting(now)
+		return
+	}
+	if p.queue.len() == 0 || !p.surveyed || p.evacuationsUnknown || now < max(p.startsHeldUntil, p.suspendedUntil) {
 		return
 	}
 	capacities := p.capacityByService(now)
@@ -76,7 +80,7 @@
 	})
 	p.reportStart(t, best.id())
 	p.poll(now, best)
-	chosen.closed = alone || !best.health.accepts(now, len(best.runs))
+	chosen.closed = alone || p.rampShare(now, best) < 1 || !best.health.accepts(now, len(best.runs))
 	capacity.reserve(chosen, r.demand)
 	return true
 }
@@ -146,7 +150,7 @@
 
 // usable reports whether tasks of the service may be started on the target.
 func (p *Pool) usable(now time.Duration, t *target, service string) bool {
-	return t.rec.Service() == service && t.listed && t.misses < maxMisses && t.clock.known && !t.rec.Draining() &&
+	return !p.evacuated && t.rec.Service() == service && t.listed && t.misses < maxMisses && t.clock.known && !t.rec.Draining() &&
 		!t.removed && now >= t.fullUntil && t.grantsLease(now)
 }
 
@@ -242,8 +246,8 @@
 		if !p.usable(now, t, name) || !t.health.accepts(now, 0) {
 			continue
 		}
-		capacity.total += t.rec.Capacity().CPU()
-		if free := t.rec.Capacity().Sub(t.used).CPU(); free > 0 && t.health.accepts(now, len(t.runs)) && t.aloneRuns == 0 && !p.reserved(t) {
+		capacity.total += p.rampedCPU(now, t)
+		if free := p.rampedCPU(now, t) - t.used.CPU(); free > 0 && t.health.accepts(now, len(t.runs)) && t.aloneRuns == 0 && !p.reserved(t) {
 			capacity.free = append(capacity.free, free)
 		}
 	}
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -105,7 +105,8 @@
 	suspendedUntil    time.Duration // see HandleSuspension
 	capacityChanged   bool
 	scheduling        filbertford.Scheduling
-	actions           []Action
+	poolEvacuation
+	actions []Action
 }
 
 // task is a task that a coordinator has offered and that has not ended. It misses its
@@ -314,6 +315,7 @@
 	p.checkSurveyed(now)
 	p.tickStored(now)
 	p.tickLosses(now)
+	p.tickRamp(now)
 	p.dispatch(now)
 	p.expire(now)
 	p.removeOldOutcomes(now)
--- a/fbstandin/records.go
+++ b/fbstandin/records.go
@@ -25,6 +25,7 @@
 	Labels      []string       `json:"labels"`
 	StartedAtMS int64          `json:"born"`
 	Seq         uint64         `json:"seq"`
+	ColdMS      int64          `json:"coldMs,omitempty"`
 }
 
 // WorkerCapacity is the resources of a worker: thousandths of a core, megabytes
@@ -65,6 +66,14 @@
 	return nil
 }
 
+// Evacuate writes the row that evacuates a zone, as an operator does.
+func (s *RowStore) Evacuate(zone string) { s.Put("op", "", evacuationKey(zone), []byte("{}")) }
+
+// EndEvacuation removes the row that evacuates a zone.
+func (s *RowStore) EndEvacuation(zone string) { s.Remove("op", "", evacuationKey(zone)) }
+
+func evacuationKey(zone string) string { return "evacuate/" + zone }
+
 // PutWorker writes a worker's record.
 func (s *RowStore) PutWorker(id string, r WorkerRecord) error {
 	data, err := json.Marshal(r)
@@ -89,6 +98,7 @@
 			r.StartedAtMS, r.Seq = startedAtMS, 0
 		}
 		r.Seq++
+		r.ColdMS = w.coldMS()
 		if s.currentFaults().Outage == "" && !down {
 			silent[id] = 0
 			if err := s.PutWorker(id, r); err != nil {
