--- a/fbnode/evacuation.go
+++ b/fbnode/evacuation.go
@@ -169,9 +169,12 @@
 	for _, s := range n.specs {
 		known[s.DataCentre()] = true
 	}
-	for dc := range e.inForce {
-		if !e.state.Contains(dc) {
-			delete(e.inForce, dc)
+	for dc, wasKnown := range e.inForce {
+		if e.state.Contains(dc) {
+			continue
+		}
+		delete(e.inForce, dc)
+		if wasKnown {
 			e.endedAt[dc] = now
 			fbevent.EvacuationEnded.Log(n.deps.Log, "zone", dc, "version", e.state.Version(), "source", source)
 		}
--- a/fbnode/evacuation_test.go
+++ b/fbnode/evacuation_test.go
@@ -5,30 +5,41 @@
 	"time"
 
 	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbevacuation"
+	"github.com/filbertford/filbertford/fblink"
 	"github.com/filbertford/filbertford/fbtimer"
 )
 
-// evacuate returns a change of the routes table that evacuates a data centre.
-func evacuate(dc string, version uint64) filbertford.Change {
-	return filbertford.NewChange(filbertford.NewRow("evacuate/"+dc, []byte("{}"), version))
-}
-
-// TestEvacuationStopsStarts guards against starts in a data centre while its row exists, also
-// beside rows that can't be decoded or name no data centre of the fleet, and against a pool
-// that stays closed after the row is gone.
-func TestEvacuationStopsStarts(t *testing.T) {
-	n := newOwner(t)
-	n.routesChanged(fbtimer.SinceBoot(), false, filbertford.NewSnapshot(7, 0, evacuate("", 5), evacuate("nowhere", 6), evacuate(testDataCentre, 7)))
-	n.handleMessage(fbtimer.SinceBoot(), coordinatorMember, n.batch("00000000000000aa").WithOfferNumber(1))
-	n.run(100 * time.Millisecond)
-	if starts, _ := n.target.counts(); starts != 0 {
-		t.Errorf("%d starts in an evacuated data centre", starts)
+// TestNewOwnerWaitsForEvacuations guards against a new owner that starts tasks before it knows
+// the evacuations, and against one that waits for ever while it can learn of them from nobody.
+func TestNewOwnerWaitsForEvacuations(t *testing.T) {
+	tests := map[string]struct {
+		learn func(n *testOwner)
+		want  int
+	}{
+		"unknown":                   {learn: func(*testOwner) {}},
+		"read from the store":       {learn: func(n *testOwner) { n.routesChanged(fbtimer.SinceBoot(), true, filbertford.NewSnapshot(9, 0)) }, want: 1},
+		"neither store nor daemons": {learn: func(n *testOwner) { n.tickEvacuations(fbtimer.SinceBoot() + evacuationsTimeout) }, want: 1},
+		"evacuated, by another daemon": {learn: func(n *testOwner) {
+			n.handleMessage(fbtimer.SinceBoot(), coordinatorMember, fblink.NewEvacuationsPush(9, testDataCentre))
+		}},
 	}
-	removed := filbertford.NewRemovalChange(filbertford.NewRow("evacuate/"+testDataCentre, nil, 8))
-	n.routesChanged(fbtimer.SinceBoot(), false, filbertford.NewSnapshot(8, 0, removed))
-	n.handleMessage(fbtimer.SinceBoot(), coordinatorMember, n.batch("00000000000000bb").WithOfferNumber(2))
-	n.run(100 * time.Millisecond)
-	if starts, _ := n.target.counts(); starts != 1 {
-		t.Errorf("%d starts after the evacuation, want 1", starts)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newOwner(t)
+			n.evacuations.state = fbevacuation.State{}
+			n.addPool(fbtimer.SinceBoot(), testDataCentre, n.pools[testDataCentre].Fence())
+			n.run(50 * time.Millisecond)
+			n.handleMessage(fbtimer.SinceBoot(), coordinatorMember, n.batch("00000000000000aa").WithOfferNumber(1))
+			n.run(50 * time.Millisecond)
+			if starts, _ := n.target.counts(); starts != 0 {
+				t.Fatalf("%d starts before the evacuations are known", starts)
+			}
+			tt.learn(n)
+			n.run(50 * time.Millisecond)
+			if starts, _ := n.target.counts(); starts != tt.want {
+				t.Errorf("%d starts, want %d", starts, tt.want)
+			}
+		})
 	}
 }
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -262,7 +262,7 @@
 		c.finish(now, j, filbertford.AnswerNotRun, fmt.Sprintf("no pool can be reached for %v", now-c.allUnownedSince))
 		return
 	}
-	if c.allEvacuated() {
+	if c.allEvacuated(r.Service()) {
 		c.finish(now, j, filbertford.AnswerNotRun, allEvacuatedReason)
 		return
 	}
--- a/fbsched/evacuation.go
+++ b/fbsched/evacuation.go
@@ -13,6 +13,7 @@
 	evacuationsUnknown bool // see HoldUntilEvacuationsKnown
 	othersEvacuated    bool
 	rampFrom           time.Duration // see RampFrom, 0 if the load isn't increased gradually
+	nextRampReport     time.Duration
 }
 
 // HoldUntilEvacuationsKnown starts no tasks until SetEvacuated is called, since the pool's
@@ -96,14 +97,20 @@
 // known to be evacuated.
 func (v *poolView) accepts() bool { return v.owner != "" && !v.evacuated && !v.releases }
 
-// allEvacuated reports whether all pools are known to be evacuated.
-func (c *Coordinator) allEvacuated() bool {
+// allEvacuated reports whether a pool is known to be evacuated and no other one has targets of
+// the service. A pool whose targets are not known counts as one that has.
+func (c *Coordinator) allEvacuated(service string) bool {
+	evacuated := false
 	for _, v := range c.pools {
-		if !v.evacuated && !v.releases {
+		if v.evacuated || v.releases {
+			evacuated = true
+			continue
+		}
+		if len(v.capacities) == 0 || v.capacities[service] != nil {
 			return false
 		}
 	}
-	return len(c.pools) > 0
+	return evacuated
 }
 
 // taskReleased handles that a pool has returned a task because it is evacuated. The task
@@ -134,12 +141,12 @@
 }
 
 // allEvacuatedReason is the reason in the answer to a job that no pool may start.
-const allEvacuatedReason = "all data centres are evacuated"
+const allEvacuatedReason = "all data centres with targets of the service are evacuated"
 
 // abandonIfEvacuated abandons a best-effort job that has a task for which no pool is left,
 // unless a run of it may have started: the runs of an evacuated data centre continue.
 func (c *Coordinator) abandonIfEvacuated(now time.Duration, j *job) {
-	if !j.stored && !j.mayHaveRun && j.returnDeadline == 0 && c.allEvacuated() && c.hasWaitingTask(j) {
+	if !j.stored && !j.mayHaveRun && j.returnDeadline == 0 && c.allEvacuated(j.route.Service()) && c.hasWaitingTask(j) {
 		c.abandon(now, j, allEvacuatedReason)
 	}
 }
--- a/fbsched/ramp.go
+++ b/fbsched/ramp.go
@@ -15,6 +15,8 @@
 	maxRampTime = time.Minute
 	// rampStart is the share of its capacity that a target gets at once.
 	rampStart = 0.25
+	// rampReportPeriod is the time between two reports of the growing capacity.
+	rampReportPeriod = 100 * time.Millisecond
 	// coldFactor is by how much longer runs are assumed to take on a cold target. The
 	// platform doesn't state it; the factor makes warm targets preferred.
 	coldFactor = 2
@@ -68,13 +70,16 @@
 	if p.rampFrom == 0 {
 		return
 	}
-	p.capacityChanged, p.dispatchDue = true, true
+	if now >= p.nextRampReport {
+		p.nextRampReport, p.capacityChanged = now+rampReportPeriod, true
+	}
+	p.dispatchDue = true
 	for _, t := range p.sortedTargets {
 		if p.rampShare(now, t) < 1 {
 			return
 		}
 	}
-	p.rampFrom = 0
+	p.rampFrom, p.capacityChanged = 0, true
 }
 
 // setColdFor sets how much longer a target remains cold, as its record says.
