Coordinators accept jobs by their objective, setting admission = objective

Cause: all work queues until nearly all of it is late, because a job is accepted while the shortest backlog fits into three objectives; and jobs are rejected although targets are free, because a pool with any waiting task counts as full. Change: package fbadmission with both rules, interface Admitter in the root package; pools report their rate and the queued work of each priority; Submit passes the load of all pools to the rule. With admission = objective free targets count although tasks wait. Not yet: recall of jobs that can't meet their objective, Retry-After, metrics. Result: tests of fbsched (without the known failures), fbnode, fblink and the root pass with the default settings. The rule isn't measured yet.

--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -97,6 +97,9 @@
 	Age time.Duration
 	// ListsAge is the age of the target's lists that the decision is based on.
 	ListsAge time.Duration
+	// Admission is why a job was accepted or rejected, Priority that of its route.
+	Admission filbertford.AdmissionReason
+	Priority  int
 }
 
 // EventKind is the kind of an Event.
@@ -130,6 +133,8 @@
 	EventPoolSettled         EventKind = "settled"
 	EventTasksPlaced         EventKind = "placed"
 	EventJobAnswered         EventKind = "answered"
+	EventJobAdmitted         EventKind = "admitted"
+	EventJobRejected         EventKind = "rejected"
 )
 
 func (StartCall) action()      {}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -48,6 +48,8 @@
 	allUnownedSince time.Duration
 	anyOwned        bool // some pool has an owner
 	scheduling      filbertford.Scheduling
+	admitter        filbertford.Admitter // set by the first job
+	tickedAt        time.Duration
 	actions         []Action
 }
 
@@ -73,7 +75,8 @@
 	usefulUntil    time.Duration // when a job with a waiting task is abandoned
 	deadline       time.Duration
 	steps          []stepState
-	mayHaveRun     bool // a run of a task may have started
+	chain          time.Duration // estimated run time of the longest chain of tasks
+	mayHaveRun     bool          // a run of a task may have started
 	stored         bool
 	returnDeadline time.Duration // when an abandoned job stops waiting for its tasks, 0 if not abandoned
 	reason         string
@@ -243,6 +246,7 @@
 		due: now + r.Objective(estimate), deadline: now + timeout - answerMargin,
 		usefulUntil: now + min(lateFactor*r.Objective(estimate), timeout-answerMargin),
 		steps:       make([]stepState, len(w.Steps())),
+		chain:       estimate,
 	}
 	for i, s := range w.Steps() {
 		j.steps[i] = stepState{remaining: s.Count(), tasks: make([]taskState, s.Count())}
@@ -252,12 +256,9 @@
 		c.finish(now, j, filbertford.AnswerNotRun, fmt.Sprintf("no pool can be reached for %v", now-c.allUnownedSince))
 		return
 	}
-	if backlog := c.shortestBacklog(r.Service()); now+backlog+estimate > j.usefulUntil {
-		c.finish(now, j, filbertford.AnswerNotRun, fmt.Sprintf("the queues are too long: shortest %v, estimate %v, useful for %v",
-			backlog.Round(time.Millisecond), estimate, j.usefulUntil-now))
-		return
+	if c.admit(now, j) {
+		c.advance(now, j)
 	}
-	c.advance(now, j)
 }
 
 // criticalPath returns the estimated duration of the longest chain of dependent
@@ -361,6 +362,7 @@
 
 // Tick abandons jobs that can't be completed in time and offers waiting tasks.
 func (c *Coordinator) Tick(now time.Duration) {
+	c.tickedAt = now
 	for _, id := range c.poolIDs() {
 		if v := c.pools[id]; v.heldOwner != "" {
 			c.SetOwner(now, id, v.heldOwner, v.heldFence)
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -233,6 +234,7 @@
 // Capacities returns the capacity of the pool by service, ordered by service name.
 func (p *Pool) Capacities(now time.Duration) []Capacity {
 	byService := make(map[string]*Capacity)
+	rates := make(map[string]float64)
 	var services []string
 	for _, t := range p.sortedTargets {
 		name := t.rec.Service()
@@ -246,6 +248,7 @@
 			continue
 		}
 		capacity.total += t.rec.Capacity().CPU()
+		rates[name] += float64(t.rec.Capacity().CPU()) / p.factorOf(t)
 		if free := t.rec.Capacity().Sub(t.used).CPU(); free > 0 && t.health.accepts(now, len(t.runs)) && t.aloneRuns == 0 && !p.reserved(t) {
 			capacity.free = append(capacity.free, free)
 		}
@@ -255,7 +258,8 @@
 	for _, name := range services {
 		capacity := byService[name]
 		capacity.backlog = p.backlog(name, capacity.total)
-		out = append(out, *capacity)
+		rate := int(rates[name])
+		out = append(out, capacity.WithRate(rate, p.waitingWork(name, rate)...))
 	}
 	return out
 }
@@ -275,6 +279,24 @@
 	return time.Duration(work / float64(total))
 }
 
+// waitingWork returns the queued tasks of the service by priority.
+func (p *Pool) waitingWork(service string, rate int) []WaitingWork {
+	if rate == 0 {
+		return nil
+	}
+	work := make(map[int]float64)
+	for _, t := range p.queue.tasks {
+		if t.batch.service == service {
+			work[t.batch.priority] += float64(t.batch.step.Estimate()) * float64(t.batch.step.Demand().CPU())
+		}
+	}
+	out := make([]WaitingWork, 0, len(work))
+	for _, priority := range slices.Sorted(maps.Keys(work)) {
+		out = append(out, NewWaitingWork(priority, time.Duration(work[priority]/float64(rate))))
+	}
+	return out
+}
+
 // nextRunNumber returns the number of the next run of a task. Runs of stored jobs have
 // odd numbers, so that an owner can distinguish them from runs of best-effort jobs that it
 // finds on a target.
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -16,6 +16,12 @@
 	total   int
 	backlog time.Duration
 	offered float64 // thousandths of a core times nanoseconds
+	// objective states that jobs are admitted by their objective. Free targets count then
+	// although tasks wait, because those can't use them.
+	objective  bool
+	rate       int
+	waiting    []float64 // by priority, with the tasks offered, in the unit of offered
+	reportedAt time.Duration
 }
 
 // SetCapacities sets the capacity of a pool by service. It ignores reports of an
@@ -27,7 +33,15 @@
 	}
 	v.capacities = make(map[string]*capacityView, len(capacities))
 	for _, capacity := range capacities {
-		v.capacities[capacity.service] = &capacityView{free: slices.Clone(capacity.free), total: capacity.total, backlog: capacity.backlog}
+		view := &capacityView{
+			free: slices.Clone(capacity.free), total: capacity.total, backlog: capacity.backlog,
+			objective: c.admitsByObjective(), rate: capacity.rate, reportedAt: c.tickedAt,
+		}
+		for _, w := range capacity.waiting {
+			view.addWaiting(w.priority, float64(w.backlog)*float64(capacity.rate))
+		}
+		view.offered = 0
+		v.capacities[capacity.service] = view
 	}
 }
 
@@ -107,18 +121,18 @@
 			return parts
 		}
 	}
-	return c.queueRest(parts, candidates, step, n)
+	return c.queueRest(parts, candidates, step, j.route.Priority(), n)
 }
 
 // queueRest assigns each of the n tasks that no pool has capacity for to the pool
 // with the shortest backlog.
-func (c *Coordinator) queueRest(parts []part, candidates []candidate, step filbertford.Step, n int) []part {
+func (c *Coordinator) queueRest(parts []part, candidates []candidate, step filbertford.Step, priority, n int) []part {
 	work := float64(step.Estimate()) * float64(step.Demand().CPU())
 	for range n {
 		best := slices.MinFunc(candidates, func(a, b candidate) int {
 			return cmp.Compare(a.capacity.estimatedBacklog(), b.capacity.estimatedBacklog())
 		})
-		best.capacity.offered += work
+		best.capacity.addWaiting(priority, work)
 		i := slices.IndexFunc(parts, func(p part) bool { return p.pool == best.pool })
 		if i < 0 {
 			parts = append(parts, part{pool: best.pool})
@@ -141,7 +155,7 @@
 // fits returns how many tasks that need cpu thousandths of a core can start
 // immediately.
 func (c *capacityView) fits(cpu int) int {
-	if c.backlog > 0 {
+	if c.backlog > 0 && !c.objective {
 		return 0
 	}
 	n := 0
