Jobs that can't meet their objective leave the queues; admission is logged and counted

Cause: jobs that had no chance any more stayed in the queues until they expired, callers got 504 for jobs that never started, and the acceptance by free targets counted targets that are too slow for the job, on which a pool doesn't start it. Change: Coordinator.Tick recalls such jobs and answers 503 when all tasks have returned; a start that crosses the recall lets the job go on. Tasks that wait go to the pool with the shortest wait for their priority. Retry-After from the waiting work, spread by the job's key.

--- a/admission.go
+++ b/admission.go
@@ -22,6 +22,9 @@
 	// AdmissionSlow means that the job was rejected because no target is fast enough for
 	// a useful answer.
 	AdmissionSlow AdmissionReason = "slow"
+	// AdmissionWithdrawn means that the job was accepted, but taken back before any of its
+	// tasks had started, because it couldn't end in time any more.
+	AdmissionWithdrawn AdmissionReason = "withdrawn"
 )
 
 // ArrivingJob describes a job to an Admitter.
--- a/fbadmission/admission.go
+++ b/fbadmission/admission.go
@@ -31,6 +31,14 @@
 // beyond it, the queues would vary by the work that arrives during the age of a report.
 const rampShare = 0.5
 
+// estimateMargin allows for the variance of callers' estimates, as in a pool.
+const estimateMargin = 1.25
+
+// minSlackShare is the share of the time left after the expected run that a job may wait
+// even if the margin for its estimate takes more. Without it a job with a long run would be
+// rejected though hardly any work waits.
+const minSlackShare = 0.25
+
 // objective accepts jobs that are expected to end within their objective, and late ones
 // while hardly any work waits.
 type objective struct{}
@@ -46,19 +54,21 @@
 	if scale(j.Chain(), l.Fastest()) > j.Useful() {
 		return filbertford.RejectJob(filbertford.AdmissionSlow)
 	}
-	// A pool starts tasks that would be late on a slow target on a fast one, so that the
-	// fastest targets determine whether there is time to wait.
-	slack := j.Objective() - scale(j.Chain(), max(1, l.Fastest()))
-	threshold := scale(slack, 1-rampShare*j.Spread())
-	if slack > 0 && l.Wait() <= threshold {
-		return filbertford.AcceptJob(filbertford.AdmissionInTime)
+	limit := min(j.Objective(), j.Useful())
+	if scale(j.Chain(), l.Fastest()) <= limit {
+		run := scale(j.Chain(), l.Factor())
+		slack := max(limit-scale(run, estimateMargin), scale(limit-run, minSlackShare), 0)
+		if l.Wait() <= scale(slack, 1-rampShare*j.Spread()) {
+			return filbertford.AcceptJob(filbertford.AdmissionInTime)
+		}
+		return filbertford.RejectJob(filbertford.AdmissionWait)
 	}
 	// A late job occupies targets that work of any priority could use in time. Under a
 	// sustained overload work of some priority always waits as long as its objective
 	// allows. The same threshold as for a job on a fleet as fast as estimated keeps late
 	// jobs out then.
 	room := scale(j.Objective()-j.Chain(), 1-rampShare)
-	if slack <= 0 && l.Total() <= room && l.Total()+scale(j.Chain(), l.Factor()) <= j.Useful() {
+	if l.Total() <= room && l.Total()+scale(j.Chain(), l.Factor()) <= j.Useful() {
 		return filbertford.AcceptJob(filbertford.AdmissionLate)
 	}
 	return filbertford.RejectJob(filbertford.AdmissionWait)
--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -33,6 +33,8 @@
 	TargetLeasesExpired = warnEvent("FE7046", "leases at an unreachable target expired; its runs have ended")
 	TargetSuspect       = warnEvent("FE7047", "target is suspect; it gets one task at a time")
 	JobAnswered         = infoEvent("FE7051", "job answered")
+	JobAdmitted         = infoEvent("FE7071", "job accepted")
+	JobRejected         = infoEvent("FE7072", "job rejected, or taken back before it started")
 	TasksPlaced         = infoEvent("FE7052", "tasks offered to a pool")
 	RunStarted          = infoEvent("FE7053", "starting a run")
 	RunEnded            = infoEvent("FE7054", "run ended")
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -1,8 +1,10 @@
 package fblink
 
 import (
+	"cmp"
 	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -170,22 +172,56 @@
 	for _, waiting := range c.Waiting() {
 		w.Waiting = append(w.Waiting, &fbwire.Waiting{Priority: uint32(waiting.Priority()), BacklogUs: uint32(waiting.Backlog().Microseconds())})
 	}
+	w.Fastest = uint32(math.Round(c.Fastest() * fastestUnit))
+	known := len(c.Factors()) == len(c.Free())
 	if len(c.Free()) <= maxExactTargets {
-		for _, f := range c.Free() {
+		for i, f := range c.Free() {
 			w.Free = append(w.Free, uint32(f))
+			if known {
+				w.Factors = append(w.Factors, factorToWire(c.Factors()[i], 1))
+			}
 		}
 		return w
 	}
-	counts := make(map[uint32]uint32)
-	for _, f := range c.Free() {
-		counts[uint32(f/freeStep*freeStep)]++
+	type group struct{ free, factor uint32 }
+	counts := make(map[group]uint32)
+	for i, f := range c.Free() {
+		g := group{free: uint32(f / freeStep * freeStep)}
+		if known {
+			g.factor = factorToWire(c.Factors()[i], factorStep)
+		}
+		counts[g]++
 	}
-	for _, f := range slices.Sorted(maps.Keys(counts)) {
-		w.Free, w.Counts = append(w.Free, f), append(w.Counts, counts[f])
+	groups := slices.SortedFunc(maps.Keys(counts), func(a, b group) int {
+		return cmp.Or(cmp.Compare(a.free, b.free), cmp.Compare(a.factor, b.factor))
+	})
+	for _, g := range groups {
+		w.Free, w.Counts = append(w.Free, g.free), append(w.Counts, counts[g])
+		if known {
+			w.Factors = append(w.Factors, g.factor)
+		}
 	}
 	return w
 }
 
+// factorToWire returns a factor in hundredths, rounded up to a multiple of step, so that no
+// target seems faster than it is.
+func factorToWire(f float64, step int) uint32 {
+	hundredths := int(math.Ceil(min(f, maxFactor) * factorUnit))
+	return uint32((hundredths + step - 1) / step * step)
+}
+
+const (
+	fastestUnit = 1000
+	factorUnit  = 100
+	// factorStep is the difference between the factors, in hundredths, that are told apart in
+	// a pool with more than maxExactTargets targets. It is less than that between machine
+	// kinds, and keeps the number of groups small.
+	factorStep = 25
+	// maxFactor is the highest factor that is sent. No task ends in time on such a target.
+	maxFactor = 100
+)
+
 // The free capacity of a pool with more than maxExactTargets targets is sent as the
 // number of targets with the same free capacity, rounded down to a multiple of
 // freeStep thousandths of a core. So the size of the message doesn't grow with the
@@ -199,6 +235,8 @@
 
 func capacityFromWire(w *fbwire.Room) fbsched.Capacity {
 	free := make([]int, 0, len(w.GetFree()))
+	known := len(w.GetFactors()) == len(w.GetFree())
+	var factors []float64
 	for i, f := range w.GetFree() {
 		count := uint32(1)
 		if i < len(w.GetCounts()) {
@@ -206,6 +244,9 @@
 		}
 		for range min(int(count), maxTargets-len(free)) {
 			free = append(free, int(f))
+			if known {
+				factors = append(factors, float64(w.GetFactors()[i])/factorUnit)
+			}
 		}
 	}
 	var waiting []fbsched.WaitingWork
@@ -213,7 +254,8 @@
 		waiting = append(waiting, fbsched.NewWaitingWork(int(p.GetPriority()), time.Duration(p.GetBacklogUs())*time.Microsecond))
 	}
 	return fbsched.NewCapacity(w.GetService(), free, int(w.GetTotal()), time.Duration(w.GetBacklogUs())*time.Microsecond).
-		WithRate(int(w.GetRate()), waiting...)
+		WithRate(int(w.GetRate()), waiting...).
+		WithFactors(float64(w.GetFastest())/fastestUnit, factors)
 }
 
 func batchToWire(b fbsched.Batch) *fbwire.Batch {
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -1,6 +1,7 @@
 package fbnode
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -16,9 +17,10 @@
 // eventRecorder logs and counts the decisions of pools and of the coordinator, and
 // logs changes in the fleet.
 type eventRecorder struct {
-	log      *log.Logger
-	scope    tally.Scope
-	counters map[fbsched.EventKind]tally.Counter
+	log        *log.Logger
+	scope      tally.Scope
+	counters   map[fbsched.EventKind]tally.Counter
+	admissions map[admissionKey]tally.Counter
 	// answerLatency and startWait are the latencies of answers and of run starts.
 	answerLatency   tally.Histogram
 	startWait       tally.Histogram
@@ -36,7 +38,7 @@
 
 func newEventRecorder(logger *log.Logger, scope tally.Scope, droppedLines func() uint64) *eventRecorder {
 	return &eventRecorder{
-		log: logger, scope: scope, counters: make(map[fbsched.EventKind]tally.Counter), limiter: fblog.NewLimiter(), droppedLines: droppedLines,
+		log: logger, scope: scope, counters: make(map[fbsched.EventKind]tally.Counter), admissions: make(map[admissionKey]tally.Counter), limiter: fblog.NewLimiter(), droppedLines: droppedLines,
 		answerLatency: scope.Histogram("answer_latency", latencyBuckets), startWait: scope.Histogram("start_wait", latencyBuckets),
 	}
 }
@@ -69,6 +71,8 @@
 	fbsched.EventPoolSettled:         fbevent.PoolSettled,
 	fbsched.EventTasksPlaced:         fbevent.TasksPlaced,
 	fbsched.EventJobAnswered:         fbevent.JobAnswered,
+	fbsched.EventJobAdmitted:         fbevent.JobAdmitted,
+	fbsched.EventJobRejected:         fbevent.JobRejected,
 }
 
 func (r *eventRecorder) recordDecision(now time.Duration, e fbsched.Event) {
@@ -83,6 +87,8 @@
 		r.answerLatency.RecordDuration(e.Age)
 	case fbsched.EventRunStarted:
 		r.startWait.RecordDuration(e.Age)
+	case fbsched.EventJobAdmitted, fbsched.EventJobRejected:
+		r.countAdmission(e)
 	}
 	logEvent, ok := decisionEvents[e.Kind]
 	if !ok {
@@ -93,6 +99,24 @@
 	}
 }
 
+// admissionKey identifies a counter of admissions.
+type admissionKey struct {
+	reason   filbertford.AdmissionReason
+	priority int
+}
+
+// countAdmission counts the decision about a job by its reason and the priority of its
+// route.
+func (r *eventRecorder) countAdmission(e fbsched.Event) {
+	k := admissionKey{e.Admission, e.Priority}
+	c, ok := r.admissions[k]
+	if !ok {
+		c = r.scope.Tagged(map[string]string{"reason": string(k.reason), "priority": strconv.Itoa(k.priority)}).Counter("admissions")
+		r.admissions[k] = c
+	}
+	c.Inc(1)
+}
+
 func decisionFields(e fbsched.Event) []any {
 	var fields []any
 	if e.Pool != "" {
@@ -116,6 +140,9 @@
 	if e.ListsAge != 0 {
 		fields = append(fields, "lists_age_ms", e.ListsAge.Milliseconds())
 	}
+	if e.Admission != "" {
+		fields = append(fields, "decision", e.Admission, "priority", e.Priority)
+	}
 	if e.Reason != "" {
 		fields = append(fields, "reason", e.Reason)
 	}
--- a/fbsched/admission.go
+++ b/fbsched/admission.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -33,23 +34,49 @@
 	}
 	load, rate := c.fleetLoad(now, j)
 	decision := c.admitter.Admit(arriving.WithSpread(spread(j.workload.Key(), now)), load)
-	e := Event{
-		Kind: EventJobAdmitted, Task: filbertford.NewTaskKey(j.workload.Key(), 0, 0, 0), Priority: j.route.Priority(), Admission: decision.Reason(),
-		Age: load.Age(),
-		Reason: fmt.Sprintf("%s: wait %v, all work %v, rate %d, factor %.2f, fastest %.2f, estimate %v, objective %v, useful for %v", decision.Reason(),
-			load.Wait().Round(time.Millisecond), load.Total().Round(time.Millisecond), rate, load.Factor(), load.Fastest(),
-			j.chain, j.due-now, j.usefulUntil-now),
-	}
+	inputs := c.admissionInputs(now, j, load, rate)
 	if decision.Accepted() {
-		c.emit(e)
+		c.emit(c.admissionEvent(EventJobAdmitted, j, decision.Reason(), inputs, load.Age()))
 		return true
 	}
-	e.Kind = EventJobRejected
-	c.emit(e)
-	c.finish(now, j, filbertford.AnswerNotRun, e.Reason)
+	c.emit(c.admissionEvent(EventJobRejected, j, decision.Reason(), inputs, load.Age()))
+	c.finish(now, j, filbertford.AnswerNotRun, string(decision.Reason())+": "+inputs)
 	return false
 }
 
+// admissionInputs returns what the decision about a job depends on, for logs and the
+// caller.
+func (*Coordinator) admissionInputs(now time.Duration, j *job, load filbertford.FleetLoad, rate int) string {
+	return fmt.Sprintf("waited %v, wait %v, all work %v, rate %d, factor %.2f, fastest %.2f, free %v, estimate %v, objective %v, useful for %v",
+		(now - j.submittedAt).Round(time.Millisecond), load.Wait().Round(time.Millisecond), load.Total().Round(time.Millisecond),
+		rate, load.Factor(), load.Fastest(), load.Free(), j.chain.Round(time.Millisecond), (j.due - now).Round(time.Millisecond), (j.usefulUntil - now).Round(time.Millisecond))
+}
+
+// admissionEvent returns the event of a decision that is based on reports of the given
+// age.
+func (*Coordinator) admissionEvent(kind EventKind, j *job, reason filbertford.AdmissionReason, inputs string, age time.Duration) Event {
+	return Event{
+		Kind: kind, Task: filbertford.NewTaskKey(j.workload.Key(), 0, 0, 0), Priority: j.route.Priority(), Admission: reason, Reason: inputs, Age: age,
+	}
+}
+
+// retryAfter returns when the caller of a job that was not run may send it again: when the
+// work that waits now is done, and later by a time that differs from caller to caller, so
+// that they don't all return at once.
+func (c *Coordinator) retryAfter(j *job) time.Duration {
+	if !c.admitsByObjective() {
+		return min(c.shortestBacklog(j.route.Service()), maxRetryAfter)
+	}
+	load, _ := c.fleetLoad(c.tickedAt, j)
+	drain := load.Total()
+	wait := drain + time.Duration(spread(j.workload.Key(), 0)*float64(drain+minRetryAfter))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// minRetryAfter is the shortest delay that a rejected caller is asked to wait: HTTP has whole
+// seconds.
+const minRetryAfter = time.Second
+
 func (c *Coordinator) admitsByObjective() bool {
 	return c.scheduling.Admission() == filbertford.AdmitByObjective
 }
@@ -63,19 +90,29 @@
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
+// maxReportAge is the age from which on a report doesn't count: the owner of a pool reports
+// four times in this time in a fleet of any size, and counts as lost after it.
+const maxReportAge = time.Second
+
+// reports returns the capacities of the pools that can run tasks of the service, as their
+// owners have lately reported them. The others count as having no capacity.
+func (c *Coordinator) reports(now time.Duration, service string) []*capacityView {
+	out := make([]*capacityView, 0, len(c.pools))
+	for _, v := range c.pools {
+		if r := v.capacities[service]; r != nil && v.owner != "" && r.total > 0 && now-r.reportedAt <= maxReportAge {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // fleetLoad returns the load of all pools together as a job sees it, and their rate.
 func (c *Coordinator) fleetLoad(now time.Duration, j *job) (load filbertford.FleetLoad, rate int) {
 	var own, all, total float64 // work and CPU
 	var age time.Duration
-	fastest := math.Inf(1)
-	for _, v := range c.pools {
-		capacity := v.capacities[j.route.Service()]
-		if capacity == nil || v.owner == "" || capacity.total == 0 {
-			continue // it counts as having no capacity
-		}
+	for _, capacity := range c.reports(now, j.route.Service()) {
 		rate += capacity.usableRate()
 		total += float64(capacity.total)
-		fastest = min(fastest, capacity.fastest())
 		own += capacity.workAhead(j.route.Priority(), c.scheduling.Order())
 		all += capacity.workAhead(math.MaxInt, c.scheduling.Order())
 		age = max(age, now-capacity.reportedAt)
@@ -83,21 +120,16 @@
 	if rate == 0 {
 		return filbertford.FleetLoad{}, 0
 	}
-	load = filbertford.NewFleetLoad(c.shortestBacklog(j.route.Service()), c.fitsNow(j)).
-		WithFactors(total/float64(rate), fastest).
+	load = filbertford.NewFleetLoad(c.shortestBacklog(j.route.Service()), c.fitsNow(now, j)).
+		WithFactors(total/float64(rate), c.fastestFactor(now, j.route.Service())).
 		WithWaits(time.Duration(own/float64(rate)), time.Duration(all/float64(rate)), age)
 	return load, rate
 }
 
 // fitsNow reports whether free targets of all pools together can run the ready tasks of
 // the job now.
-func (c *Coordinator) fitsNow(j *job) bool {
-	var pools []*capacityView
-	for _, v := range c.pools {
-		if capacity := v.capacities[j.route.Service()]; capacity != nil && v.owner != "" {
-			pools = append(pools, capacity)
-		}
-	}
+func (c *Coordinator) fitsNow(now time.Duration, j *job) bool {
+	pools := c.reports(now, j.route.Service())
 	ready := 0
 	for number, step := range j.workload.Steps() {
 		if !j.ready(number) {
@@ -105,14 +137,14 @@
 		}
 		if ready++; ready == 2 {
 			for i, p := range pools {
-				pools[i] = &capacityView{free: slices.Clone(p.free), objective: true}
+				pools[i] = &capacityView{free: slices.Clone(p.free), factors: p.factors, backlog: p.backlog, objective: true}
 			}
 		}
-		cpu, n := max(1, step.Demand().CPU()), step.Count()
+		cpu, n, maxFactor := max(1, step.Demand().CPU()), step.Count(), c.maxFactor(now, j, step)
 		for _, p := range pools {
-			fits := min(n, p.fits(cpu))
+			fits := min(n, p.fits(step, maxFactor))
 			if ready > 1 {
-				p.reserve(cpu, fits)
+				p.reserve(cpu, fits, maxFactor)
 			}
 			n -= fits
 		}
@@ -131,9 +163,36 @@
 	return c.rate
 }
 
-// fastest returns the factor by which runs on the pool's targets take longer than
-// estimated.
-func (c *capacityView) fastest() float64 { return float64(c.total) / float64(c.usableRate()) }
+// fastestFactor returns the factor by which runs on the fastest usable targets of any pool
+// take longer than estimated, 1 if unknown.
+func (c *Coordinator) fastestFactor(now time.Duration, service string) float64 {
+	fastest := math.Inf(1)
+	for _, capacity := range c.reports(now, service) {
+		fastest = min(fastest, cmp.Or(capacity.fastest, float64(capacity.total)/float64(capacity.usableRate())))
+	}
+	if math.IsInf(fastest, 1) {
+		return 1
+	}
+	return fastest
+}
+
+// maxFactor returns the highest factor of a target on which a task of the step that starts
+// now ends in time. If no target is fast enough, there is no limit, because the task runs
+// on any target then.
+func (c *Coordinator) maxFactor(now time.Duration, j *job, step filbertford.Step) float64 {
+	if !c.admitsByObjective() || j.stored || step.Estimate() <= 0 {
+		return math.Inf(1)
+	}
+	run := step.Estimate()
+	if !j.mayHaveRun {
+		run = j.chain
+	}
+	factor := float64(min(j.due, j.usefulUntil)-now) / float64(run)
+	if factor < c.fastestFactor(now, j.route.Service()) {
+		return math.Inf(1)
+	}
+	return factor
+}
 
 // workAhead returns the work, in thousandths of a core times nanoseconds at the usable
 // rate, that the pool does before a new task of the priority.
@@ -160,6 +219,14 @@
 	return ahead
 }
 
+// expectedWait returns the time that a new task of the priority waits in the pool.
+func (c *Coordinator) expectedWait(v *capacityView, priority int) time.Duration {
+	if !v.objective || v.total == 0 {
+		return v.estimatedBacklog()
+	}
+	return time.Duration(v.workAhead(priority, c.scheduling.Order()) / float64(v.usableRate()))
+}
+
 // addWaiting adds work of a priority that was offered since the last report.
 func (c *capacityView) addWaiting(priority int, work float64) {
 	c.offered += work
--- a/fbsched/answer.go
+++ b/fbsched/answer.go
@@ -79,12 +79,8 @@
 
 // finishAbandoned answers an abandoned job once no pool has any of its tasks.
 func (c *Coordinator) finishAbandoned(now time.Duration, j *job) {
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			if t.pool != "" && !t.done {
-				return
-			}
-		}
+	if j.hasAssignedTask() {
+		return
 	}
 	if j.mayHaveRun {
 		c.finish(now, j, filbertford.AnswerUnknown, j.reason)
@@ -107,7 +103,7 @@
 	}
 	answer := filbertford.NewWorkloadAnswer(kind, reason)
 	if kind == filbertford.AnswerNotRun {
-		answer = answer.WithRetryAfter(min(c.shortestBacklog(j.route.Service()), maxRetryAfter))
+		answer = answer.WithRetryAfter(c.retryAfter(j))
 	}
 	for _, r := range j.requestIDs {
 		delete(c.byRequest, r)
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -78,6 +78,7 @@
 	chain          time.Duration // estimated run time of the longest chain of tasks
 	mayHaveRun     bool          // a run of a task may have started
 	stored         bool
+	recalledAt     time.Duration // when its tasks were recalled, 0 if they weren't or one has started
 	returnDeadline time.Duration // when an abandoned job stops waiting for its tasks, 0 if not abandoned
 	reason         string
 	startReported  bool // JobStarted was emitted
@@ -223,7 +224,7 @@
 	if len(items) > 0 {
 		// A report that the pool sent before it receives this batch does not
 		// prove that no task runs.
-		j.mayHaveRun = true
+		j.mayHaveRun, j.recalledAt = true, 0
 		c.offer(v, c.batch(now, j, number, pool, items).WithResume(now-v.lostAt), j)
 	}
 	c.searchPool(now, j, number, pool)
@@ -297,6 +298,9 @@
 	}
 	t.failures, t.crashes = max(t.failures, r.Failures()), max(t.crashes, r.Crashes())
 	j.mayHaveRun = j.mayHaveRun || r.Started()
+	if j.recalledAt != 0 && c.handleRecalled(now, j, t, r.Status()) {
+		return
+	}
 	if j.returnDeadline != 0 {
 		if r.Status() != StatusStarted {
 			t.pool = ""
@@ -380,6 +384,7 @@
 			c.abandon(now, j, "no pool for a task in time")
 		}
 	}
+	c.leaveQueues(now)
 	c.placeWaiting(now)
 }
 
@@ -399,7 +404,7 @@
 // advance offers the tasks whose steps are ready, and finishes a job whose steps are
 // all done.
 func (c *Coordinator) advance(now time.Duration, j *job) {
-	if j.returnDeadline != 0 {
+	if j.returnDeadline != 0 || j.recalledAt != 0 {
 		return
 	}
 	remaining := 0
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -248,9 +248,13 @@
 			continue
 		}
 		capacity.total += t.rec.Capacity().CPU()
-		rates[name] += float64(t.rec.Capacity().CPU()) / p.factorOf(t)
+		factor := p.factorOf(t)
+		rates[name] += float64(t.rec.Capacity().CPU()) / factor
+		if capacity.fastest == 0 || factor < capacity.fastest {
+			capacity.fastest = factor
+		}
 		if free := t.rec.Capacity().Sub(t.used).CPU(); free > 0 && t.health.accepts(now, len(t.runs)) && t.aloneRuns == 0 && !p.reserved(t) {
-			capacity.free = append(capacity.free, free)
+			capacity.free, capacity.factors = append(capacity.free, free), append(capacity.factors, factor)
 		}
 	}
 	slices.Sort(services)
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -355,6 +355,8 @@
 	backlog time.Duration
 	rate    int
 	waiting []WaitingWork
+	fastest float64
+	factors []float64
 }
 
 // WaitingWork is the time that a pool's usable targets need, at their rate, for the
@@ -409,3 +411,19 @@
 // Waiting returns the queued tasks by priority, in ascending order. It is empty if the
 // rate is 0.
 func (c Capacity) Waiting() []WaitingWork { return c.waiting }
+
+// WithFactors returns a copy of c with the factor by which runs on the fastest usable
+// target take longer than estimated, and the factors of the targets in Free, in their
+// order.
+func (c Capacity) WithFactors(fastest float64, free []float64) Capacity {
+	c.fastest, c.factors = fastest, free
+	return c
+}
+
+// Fastest returns the factor of the fastest usable target, 0 if the pool's owner doesn't
+// report it.
+func (c Capacity) Fastest() float64 { return c.fastest }
+
+// Factors returns the factors of the targets in Free, in their order. It is empty if the
+// pool's owner doesn't report them.
+func (c Capacity) Factors() []float64 { return c.factors }
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -12,14 +12,14 @@
 // capacityView is the last reported capacity of a pool less the tasks offered to it
 // since, in thousandths of a core.
 type capacityView struct {
-	free    []int
-	total   int
-	backlog time.Duration
-	offered float64 // thousandths of a core times nanoseconds
-	// objective states that jobs are admitted by their objective. Free targets count then
-	// although tasks wait, because those can't use them.
-	objective  bool
+	free       []int
+	factors    []float64 // of the targets in free, nil if unknown
+	total      int
+	backlog    time.Duration
+	offered    float64 // thousandths of a core times nanoseconds
+	objective  bool    // jobs are admitted by their objective
 	rate       int
+	fastest    float64   // factor of the fastest target, 0 if unknown
 	waiting    []float64 // by priority, with the tasks offered, in the unit of offered
 	reportedAt time.Duration
 }
@@ -35,7 +35,10 @@
 	for _, capacity := range capacities {
 		view := &capacityView{
 			free: slices.Clone(capacity.free), total: capacity.total, backlog: capacity.backlog,
-			objective: c.admitsByObjective(), rate: capacity.rate, reportedAt: c.tickedAt,
+			objective: c.admitsByObjective(), rate: capacity.rate, fastest: capacity.fastest, reportedAt: c.tickedAt,
+		}
+		if len(capacity.factors) == len(capacity.free) {
+			view.factors = capacity.factors
 		}
 		for _, w := range capacity.waiting {
 			view.addWaiting(w.priority, float64(w.backlog)*float64(capacity.rate))
@@ -56,7 +59,7 @@
 	if len(items) == 0 {
 		return
 	}
-	for _, part := range c.split(j, number, len(items)) {
+	for _, part := range c.split(now, j, number, len(items)) {
 		batch := items[:part.tasks]
 		items = items[part.tasks:]
 		for _, i := range batch {
@@ -80,9 +83,10 @@
 // split divides n tasks of a step among the pools: all to one that can start them
 // immediately, preferably the home pool; otherwise by free capacity, and the rest to
 // the pools with the shortest backlog.
-func (c *Coordinator) split(j *job, number, n int) []part {
+func (c *Coordinator) split(now time.Duration, j *job, number, n int) []part {
 	step, service := j.workload.Steps()[number], j.route.Service()
 	cpu := max(1, step.Demand().CPU())
+	maxFactor := c.maxFactor(now, j, step)
 	var candidates []candidate
 	for _, id := range c.poolIDs() {
 		v := c.pools[id]
@@ -93,7 +97,7 @@
 		if capacity == nil {
 			capacity = &capacityView{backlog: time.Minute}
 		}
-		k := candidate{pool: id, capacity: capacity, fits: capacity.fits(cpu)}
+		k := candidate{pool: id, capacity: capacity, fits: capacity.fits(step, maxFactor)}
 		if id == c.home {
 			k.bias = homeBias
 		}
@@ -115,7 +119,7 @@
 		if fits == 0 {
 			continue
 		}
-		k.capacity.reserve(cpu, fits)
+		k.capacity.reserve(cpu, fits, maxFactor)
 		parts = append(parts, part{pool: k.pool, tasks: fits})
 		if n -= fits; n == 0 {
 			return parts
@@ -130,7 +134,7 @@
 	work := float64(step.Estimate()) * float64(step.Demand().CPU())
 	for range n {
 		best := slices.MinFunc(candidates, func(a, b candidate) int {
-			return cmp.Compare(a.capacity.estimatedBacklog(), b.capacity.estimatedBacklog())
+			return cmp.Compare(c.expectedWait(a.capacity, priority), c.expectedWait(b.capacity, priority))
 		})
 		best.capacity.addWaiting(priority, work)
 		i := slices.IndexFunc(parts, func(p part) bool { return p.pool == best.pool })
@@ -152,26 +156,43 @@
 	bias     int
 }
 
-// fits returns how many tasks that need cpu thousandths of a core can start
-// immediately.
-func (c *capacityView) fits(cpu int) int {
-	if c.backlog > 0 && !c.objective {
+// fits returns how many tasks of the step can start immediately on targets whose factor is
+// at most maxFactor.
+//
+// If jobs are admitted by their objective, free targets count although tasks wait, because
+// those tasks can't use them. Reports don't tell which labels and accelerators are free, so
+// that this doesn't hold for steps that require them.
+func (c *capacityView) fits(step filbertford.Step, maxFactor float64) int {
+	cpu := max(1, step.Demand().CPU())
+	if c.backlog > 0 && (!c.objective || step.Label() != "" || step.Demand().GPU() > 0) {
 		return 0
 	}
 	n := 0
-	for _, free := range c.free {
-		n += free / cpu
+	for i, free := range c.free {
+		if !c.fastEnough(i, maxFactor) {
+			continue
+		}
+		if limit := step.MaxPerTarget(); c.objective && limit > 0 {
+			n += min(free/cpu, limit)
+		} else {
+			n += free / cpu
+		}
 	}
 	return n
 }
 
+// fastEnough reports whether the factor of the target with the index is at most maxFactor.
+func (c *capacityView) fastEnough(i int, maxFactor float64) bool {
+	return c.factors == nil || c.factors[i] <= maxFactor
+}
+
 // reserve subtracts the CPU of n tasks from the free capacity, each on the target
-// with the least sufficient capacity.
-func (c *capacityView) reserve(cpu, n int) {
+// with the least sufficient capacity whose factor is at most maxFactor.
+func (c *capacityView) reserve(cpu, n int, maxFactor float64) {
 	for ; n > 0; n-- {
 		best := -1
 		for i, free := range c.free {
-			if free >= cpu && (best < 0 || free < c.free[best]) {
+			if free >= cpu && c.fastEnough(i, maxFactor) && (best < 0 || free < c.free[best]) {
 				best = i
 			}
 		}
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -76,6 +76,7 @@
 	delivery   func() delivery
 	// linkDown reports whether requests to, or replies from, the target at the address are lost.
 	linkDown func(o *fakeOwner, address string) (request, reply bool)
+	answer   func(from filbertford.NodeID, a Answer) // called for all coordinators
 	answered func(request uint64, kind filbertford.AnswerKind)
 	// streams counts the streams between the coordinator and the owners. Messages on an
 	// earlier stream are lost.
@@ -86,6 +87,8 @@
 	// keepLateCalls lets a late call reach another instance than it was sent to.
 	keepLateCalls bool
 	trace         func(format string, args ...any)
+	// endsRunsLazily lets targets end their runs when they are called, not in the order of time.
+	endsRunsLazily bool
 	// unguarded lets targets start runs beyond their capacity, which is a violation.
 	unguarded bool
 	crashes   crashSimulation
@@ -201,7 +204,9 @@
 	for len(sim.events) > 0 && sim.events[0].at <= end {
 		e := heap.Pop(&sim.events).(event)
 		sim.now = max(sim.now, e.at)
-		sim.endDueRuns()
+		if !sim.endsRunsLazily {
+			sim.endDueRuns()
+		}
 		e.do()
 		sim.flush()
 	}
@@ -398,7 +403,16 @@
 			sim.tracef("%s: withdrawal of %s", o.node, v.Withdrawal.Job())
 			o.pool.Withdraw(sim.now, from, v.Withdrawal.Job())
 		})
+	case SendRecall:
+		sim.sendToOwner(v.To, func(o *fakeOwner) {
+			if o.pool.Fence() == v.Recall.Fence() {
+				o.pool.Recall(sim.now, from, v.Recall.Job())
+			}
+		})
 	case Answer:
+		if sim.answer != nil {
+			sim.answer(from, v)
+		}
 		if from != sim.node {
 			return // its caller has left
 		}
