--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -48,6 +48,8 @@
 	allUnownedSince time.Duration
 	anyOwned        bool // some pool has an owner
 	scheduling      filbertford.Scheduling
+	admitter        filbertford.Admitter // set by the first job
+	tickedAt        time.Duration
 	lastOfferNumber uint64
 	releasedJobs    []filbertford.JobKey // with tasks that evacuated pools have returned
 	releasedAt      time.Duration        // when the last of them was returned
@@ -78,8 +80,10 @@
 	usefulUntil    time.Duration // when a job with a waiting task is abandoned
 	deadline       time.Duration
 	steps          []stepState
-	mayHaveRun     bool // a run of a task may have started
+	chain          time.Duration // estimated run time of the longest chain of tasks
+	mayHaveRun     bool          // a run of a task may have started
 	stored         bool
+	recalledAt     time.Duration // when its tasks were recalled, 0 if they weren't or one has started
 	returnDeadline time.Duration // when an abandoned job stops waiting for its tasks, 0 if not abandoned
 	reason         string
 	startReported  bool // JobStarted was emitted
@@ -230,7 +234,7 @@
 	if len(items) > 0 {
 		// A report that the pool sent before it receives this batch does not
 		// prove that no task runs.
-		j.mayHaveRun = true
+		j.mayHaveRun, j.recalledAt = true, 0
 		c.offer(v, c.batch(now, j, number, pool, items).WithResume(now-v.lostAt), j)
 	}
 	c.searchPool(now, j, number, pool)
@@ -253,6 +257,7 @@
 		due: now + r.Objective(estimate), deadline: now + timeout - answerMargin,
 		usefulUntil: now + min(lateFactor*r.Objective(estimate), timeout-answerMargin),
 		steps:       make([]stepState, len(w.Steps())),
+		chain:       estimate,
 	}
 	for i, s := range w.Steps() {
 		j.steps[i] = stepState{remaining: s.Count(), tasks: make([]taskState, s.Count())}
@@ -266,12 +271,9 @@
 		c.finish(now, j, filbertford.AnswerNotRun, allEvacuatedReason)
 		return
 	}
-	if backlog := c.shortestBacklog(r.Service()); now+backlog+estimate > j.usefulUntil {
-		c.finish(now, j, filbertford.AnswerNotRun, fmt.Sprintf("the queues are too long: shortest %v, estimate %v, useful for %v",
-			backlog.Round(time.Millisecond), estimate, j.usefulUntil-now))
-		return
+	if c.admit(now, j) {
+		c.advance(now, j)
 	}
-	c.advance(now, j)
 }
 
 // criticalPath returns the estimated duration of the longest chain of dependent
@@ -313,6 +315,9 @@
 	}
 	t.failures, t.crashes = max(t.failures, r.Failures()), max(t.crashes, r.Crashes())
 	j.mayHaveRun = j.mayHaveRun || r.Started()
+	if j.recalledAt != 0 && c.handleRecalled(now, j, t, r.Status()) {
+		return
+	}
 	if j.returnDeadline != 0 {
 		if r.Status() != StatusStarted {
 			t.pool = ""
@@ -380,6 +385,7 @@
 
 // Tick abandons jobs that can't be completed in time and offers waiting tasks.
 func (c *Coordinator) Tick(now time.Duration) {
+	c.tickedAt = now
 	for _, id := range c.poolIDs() {
 		if v := c.pools[id]; v.heldOwner != "" {
 			c.SetOwner(now, id, v.heldOwner, v.heldFence)
@@ -399,6 +405,7 @@
 			c.abandonIfEvacuated(now, j)
 		}
 	}
+	c.leaveQueues(now)
 	c.placeWaiting(now)
 }
 
@@ -418,7 +425,7 @@
 // advance offers the tasks whose steps are ready, and finishes a job whose steps are
 // all done.
 func (c *Coordinator) advance(now time.Duration, j *job) {
-	if j.returnDeadline != 0 {
+	if j.returnDeadline != 0 || j.recalledAt != 0 {
 		return
 	}
 	remaining := 0
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -234,6 +235,7 @@
 // Capacities returns the capacity of the pool by service, ordered by service name.
 func (p *Pool) Capacities(now time.Duration) []Capacity {
 	byService := make(map[string]*Capacity)
+	rates := make(map[string]float64)
 	var services []string
 	for _, t := range p.sortedTargets {
 		name := t.rec.Service()
@@ -246,9 +248,15 @@
 		if !p.usable(now, t, name) || !t.health.accepts(now, 0) {
 			continue
 		}
-		capacity.total += p.rampedCPU(now, t)
-		if free := p.rampedCPU(now, t) - t.used.CPU(); free > 0 && t.health.accepts(now, len(t.runs)) && t.aloneRuns == 0 && !p.reserved(t) {
-			capacity.free = append(capacity.free, free)
+		cpu := p.rampedCPU(now, t)
+		capacity.total += cpu
+		factor := p.factorOf(t)
+		rates[name] += float64(cpu) / factor
+		if capacity.fastest == 0 || factor < capacity.fastest {
+			capacity.fastest = factor
+		}
+		if free := cpu - t.used.CPU(); free > 0 && t.health.accepts(now, len(t.runs)) && t.aloneRuns == 0 && !p.reserved(t) {
+			capacity.free, capacity.factors = append(capacity.free, free), append(capacity.factors, factor)
 		}
 	}
 	slices.Sort(services)
@@ -256,7 +264,8 @@
 	for _, name := range services {
 		capacity := byService[name]
 		capacity.backlog = p.backlog(name, capacity.total)
-		out = append(out, *capacity)
+		rate := int(rates[name])
+		out = append(out, capacity.WithRate(rate, p.waitingWork(name, rate)...))
 	}
 	return out
 }
@@ -276,6 +285,24 @@
 	return time.Duration(work / float64(total))
 }
 
+// waitingWork returns the queued tasks of the service by priority.
+func (p *Pool) waitingWork(service string, rate int) []WaitingWork {
+	if rate == 0 {
+		return nil
+	}
+	work := make(map[int]float64)
+	for _, t := range p.queue.tasks {
+		if t.batch.service == service {
+			work[t.batch.priority] += float64(t.batch.step.Estimate()) * float64(t.batch.step.Demand().CPU())
+		}
+	}
+	out := make([]WaitingWork, 0, len(work))
+	for _, priority := range slices.Sorted(maps.Keys(work)) {
+		out = append(out, NewWaitingWork(priority, time.Duration(work[priority]/float64(rate))))
+	}
+	return out
+}
+
 // nextRunNumber returns the number of the next run of a task. Runs of stored jobs have
 // odd numbers, so that an owner can distinguish them from runs of best-effort jobs that it
 // finds on a target.
