Slow targets get one task at a time, or none for a while

Cause: a target that turns several times slower gets its full load until two of its runs have ended, and again every three seconds when its estimate has decayed: with a fifth of the targets slow, a quarter of the jobs of eight tasks had one there and were late. Change: with placement = in-time, a run that takes far longer than usual limits its target to one task at a time; from the second in a row the target gets none for 0.5 s, doubling to 4 s, and then one as a probe. Runs are compared with the median of the pool, so that an owner that is short of processor time doesn't put all targets aside.

--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -38,6 +38,7 @@
 	TargetReachable       = infoEvent("FE7045", "target replies again")
 	TargetLeasesExpired   = warnEvent("FE7046", "leases at an unreachable target expired; its runs have ended")
 	TargetSuspect         = warnEvent("FE7047", "target is suspect; it gets one task at a time")
+	TargetSlow            = warnEvent("FE7048", "target is far slower than others; it gets no tasks for a while, then one at a time")
 	JobAnswered           = infoEvent("FE7051", "job answered")
 	TasksPlaced           = infoEvent("FE7052", "tasks offered to a pool")
 	RunStarted            = infoEvent("FE7053", "starting a run")
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -58,6 +58,7 @@
 	fbsched.EventSecondRunFound:      fbevent.SecondRunFound,
 	fbsched.EventStartUnanswered:     fbevent.StartUnanswered,
 	fbsched.EventTargetSuspect:       fbevent.TargetSuspect,
+	fbsched.EventTargetSlow:          fbevent.TargetSlow,
 	fbsched.EventTargetQuarantined:   fbevent.TargetQuarantined,
 	fbsched.EventTargetTrusted:       fbevent.TargetTrusted,
 	fbsched.EventTargetUnreachable:   fbevent.TargetUnreachable,
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -127,6 +127,7 @@
 	EventTargetAdded         EventKind = "target-new"
 	EventTargetRemoved       EventKind = "target-gone"
 	EventTargetDraining      EventKind = "draining"
+	EventTargetSlow          EventKind = "slow"
 	EventPoolFenced          EventKind = "fenced"
 	EventPoolSettled         EventKind = "settled"
 	EventTasksPlaced         EventKind = "placed"
--- a/fbsched/capacity.go
+++ b/fbsched/capacity.go
@@ -31,6 +31,9 @@
 // and a task on a slower one would only end later.
 const scarceShare = 0.25
 
+// putsSlowAside reports whether targets get few tasks after runs that took far too long.
+func (p *Pool) putsSlowAside() bool { return p.scheduling.Placement() == filbertford.PlaceInTime }
+
 // placementOf returns how targets are chosen for the tasks of a service.
 func (p *Pool) placementOf(c *serviceCapacity) filbertford.Placement {
 	if p.scheduling.Placement() == filbertford.PlaceInTime && float64(c.freeCPU) < scarceShare*float64(c.totalCPU) {
--- a/fbsched/health.go
+++ b/fbsched/health.go
@@ -42,6 +42,7 @@
 	probing         bool          // from a quarantine until a run succeeds
 	slowdown        float64       // factor relative to the target's machine kind
 	slowdownAt      time.Duration
+	slowness        slowness
 }
 
 // decay halves the slowdown above 1 for each half-life that has passed.
@@ -58,7 +59,7 @@
 // accepts reports whether a target with the given number of runs may get another
 // task.
 func (h *health) accepts(now time.Duration, running int) bool {
-	if now < h.quarantineUntil {
+	if now < h.quarantineUntil || !h.slowness.accepts(now, running) {
 		return false
 	}
 	if h.suspect || h.probing {
@@ -141,6 +142,7 @@
 	factor := float64(now-r.startedAt) / float64(estimate)
 	kindFactor := p.kindFactors.factor(t.rec.MachineKind())
 	p.kindFactors.observe(t.rec.MachineKind(), min(factor, 4*kindFactor))
+	p.observeSpeed(now, t, r, factor/kindFactor)
 	slowdown := max(t.health.slowdown, 1)
 	t.health.slowdown = slowdown + targetWeight*(factor/kindFactor-slowdown)
 	t.health.slowdownAt = now
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -94,6 +94,7 @@
 	shardOwners       map[filbertford.JobKey]shardOwner // of stored jobs
 	queue             queue
 	kindFactors       *kindFactors
+	runTimeRatios     median // of run times and those expected for the machine kind
 	roundTrips        *roundTrips
 	createdAt         time.Duration
 	allListed         bool
