Stored tasks are offered to an owner that was held, and reports of progress don't end a search

Cause: two states in which a coordinator takes a stored task for one in a pool whose owner doesn't know it, with nobody who acts. (1) SetOwner holds an owner with a lower fencing token than the last one for two seconds; when Tick accepts it, only best-effort jobs were resumed, as the daemon had asked for the stored ones when the pool counted as without an owner. (2) A pool that is searching for a task itself reports a crash of its target (StatusRetried), or another coordinator's offer (StatusReassigned); the coordinator took that for the task being there, and ignored the StatusAbsent that followed. Change: action OwnerAccepted, on which the daemon verifies its shards and resumes their jobs; only StatusStarted, StatusDone and StatusFailed end a search, and crashes in the other reports are kept.

--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -237,6 +237,8 @@
 		if owner := n.ownedShards[shardOf(v.Job)]; owner != nil {
 			owner.MarkStarted(v.Job)
 		}
+	case fbsched.OwnerAccepted:
+		n.verifyShards(v.Pool)
 	case fbsched.PoolLost:
 		if p := n.pools[v.Pool]; p != nil {
 			n.fleet.HandleFenced(now, v.Pool, p.Fence())
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -73,6 +73,10 @@
 	Progress Progress
 }
 
+// OwnerAccepted reports that the coordinator uses an owner of the pool that it had not
+// accepted before, see Coordinator.SetOwner. Its stored jobs are to be resumed there.
+type OwnerAccepted struct{ Pool filbertford.PoolID }
+
 // JobStarted reports the first start of a run that the coordinator learns of for a
 // stored job.
 type JobStarted struct{ Job filbertford.JobKey }
@@ -144,4 +148,5 @@
 func (SendConfirm) action()    {}
 func (RecordOutcome) action()  {}
 func (JobStarted) action()     {}
+func (OwnerAccepted) action()  {}
 func (Event) action()          {}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -364,6 +364,9 @@
 	for _, id := range c.poolIDs() {
 		if v := c.pools[id]; v.heldOwner != "" {
 			c.SetOwner(now, id, v.heldOwner, v.heldFence)
+			if v.owner != "" {
+				c.emit(OwnerAccepted{Pool: id})
+			}
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(c.jobs)) {
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -412,6 +412,10 @@
 		sim.sendToOwner(v.To, func(o *fakeOwner) { o.pool.HandleConfirm(sim.now, v.Confirm) })
 	case RecordOutcome:
 		sim.record(from, v)
+	case OwnerAccepted:
+		if from == sim.node {
+			sim.coordinator.ResumeStored(sim.now, v.Pool)
+		}
 	case PoolLost:
 		o.stopped = true
 	case Event:
--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -189,20 +189,25 @@
 }
 
 // resolveSearch handles a report on a task that is being searched for. It reports
-// whether the pool has the task, which ends the search.
+// whether the pool has the task, which ends the search. Reports of crashes and of another
+// coordinator's offer don't show that: the pool may be searching for the task too, and
+// report it as absent later.
 func (c *Coordinator) resolveSearch(now time.Duration, j *job, t *taskState, r Report) bool {
 	v := c.pools[r.Pool()]
 	if v == nil || v.fence != r.Fence() {
 		return false
 	}
-	if r.Status() != StatusAbsent && r.Status() != StatusReturned {
+	t.failures, t.crashes = max(t.failures, r.Failures()), max(t.crashes, r.Crashes())
+	switch r.Status() {
+	case StatusStarted, StatusDone, StatusFailed:
 		t.search, t.pool, t.fence = nil, r.Pool(), r.Fence()
 		return true
-	}
-	t.search.absent[r.Pool()] = r.Fence()
-	if c.absentFromAll(now, t.search) {
-		t.search = nil
-		c.advance(now, j)
+	case StatusAbsent, StatusReturned:
+		t.search.absent[r.Pool()] = r.Fence()
+		if c.absentFromAll(now, t.search) {
+			t.search = nil
+			c.advance(now, j)
+		}
 	}
 	return false
 }
