A new owner doesn't wait for targets that another one has replaced

Cause: a resumed task of a stored job waits up to ten seconds at each new owner of its pool for the lists of all targets. A target that crashed and whose record was removed before the owner had listed it was waited for during all of that time, also when another target replied at its address. While tasks crash targets there often is one, so that a change of owner costs ten seconds, and owners that change more often leave the task for good. Change: a departed target doesn't count once a target that started later is listed at its address. SetDeparted takes records.

--- a/fbnode/fake_daemon_test.go
+++ b/fbnode/fake_daemon_test.go
@@ -8,6 +8,7 @@
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbfleet"
 	"github.com/filbertford/filbertford/fbsched"
+	"github.com/filbertford/filbertford/fbshard"
 )
 
 // simDaemon is a daemon of the simulated fleet. It connects the state machines of the fleet,
@@ -21,6 +22,7 @@
 	fleet          *fbfleet.Fleet
 	coordinator    *fbsched.Coordinator
 	pools          map[filbertford.PoolID]*fbsched.Pool
+	shards         map[filbertford.PoolID]*fbshard.Owner // nil without stored jobs
 	links          map[filbertford.NodeID]*simLink
 	requests       map[uint64]func(filbertford.WorkloadAnswer)
 	broken         map[uint64]func() // tells the caller of a request that its connection broke
@@ -114,6 +116,11 @@
 	}
 	if gap > abandonAfter {
 		d.coordinator.AbandonAll(now, "the daemon was suspended")
+		for _, spec := range d.sim.specs {
+			if !isShard(spec.ID()) {
+				d.verifyShards(spec.ID())
+			}
+		}
 	}
 }
 
@@ -126,6 +133,7 @@
 		d.pools[id].Tick(now, simWallOffset)
 	}
 	d.coordinator.Tick(now)
+	d.tickShards()
 	d.tickClaims()
 }
 
@@ -185,6 +193,7 @@
 			acted = true
 			d.doAction(a)
 		}
+		acted = d.flushShards() || acted
 		d.handleFleetEvents()
 	}
 	d.sendDueHeartbeats()
@@ -196,11 +205,20 @@
 		d.sim.logf("%s fleet: %s %s %s %d %s %s", d.name(), e.Kind(), e.Pool(), e.Owner().Node(), e.Owner().Fence(), e.Node(), e.Reason())
 		switch e.Kind() {
 		case fbfleet.EventAcquired:
+			if isShard(e.Pool()) {
+				d.addShard(e.Pool(), e.Owner().Fence())
+				continue
+			}
 			d.addPool(e.Pool(), e.Owner().Fence())
 		case fbfleet.EventReleased:
 			delete(d.pools, e.Pool())
+			d.dropShard(e.Pool())
 		case fbfleet.EventOwner:
+			if isShard(e.Pool()) {
+				continue
+			}
 			d.coordinator.SetOwner(now, e.Pool(), e.Owner().Node(), e.Owner().Fence())
+			d.verifyShards(e.Pool())
 		case fbfleet.EventPeerUnreachable:
 			d.dropCoordinator(e.Node())
 		case fbfleet.EventProbe:
@@ -265,6 +283,9 @@
 
 func (d *simDaemon) doAction(a fbsched.Action) {
 	now, self := d.sim.now, d.name()
+	if d.doStoredAction(a) {
+		return
+	}
 	switch v := a.(type) {
 	case fbsched.SendReport:
 		if v.To == self {
@@ -338,12 +359,15 @@
 	t := s.targetByID(id)
 	carryOutLate := func() {
 		s.after(s.lateness(), func() {
-			if !s.blocked(name, t.id()) {
+			if !t.down && !s.blocked(name, t.id()) {
 				s.logf("%s carries out a late %s of %s", t.id(), kind, name)
 				do(t)
 			}
 		})
 	}
+	if t.down {
+		return
+	}
 	switch fate := s.fate(name, t.id()); fate {
 	case fateLost:
 		return
@@ -352,7 +376,7 @@
 		return
 	}
 	reply := func(r filbertford.CallReply) {
-		if s.blocked(t.id(), name) || s.losesReply() {
+		if t.down || s.blocked(t.id(), name) || s.losesReply() {
 			return
 		}
 		s.after(s.oneWay(t.id(), name), func() {
@@ -368,6 +392,9 @@
 		deadline := s.now + wait
 		var attempt func()
 		attempt = func() {
+			if t.down {
+				return
+			}
 			r := do(t)
 			if len(r.Ended()) == 0 && r.Outcome() == filbertford.CallDone && s.now < deadline {
 				s.after(5*time.Millisecond, attempt)
--- a/fbnode/fake_links_test.go
+++ b/fbnode/fake_links_test.go
@@ -12,6 +12,7 @@
 	for _, s := range d.sim.specs {
 		if d.fleet.Owner(s.ID()).Node() == node {
 			d.coordinator.Resume(d.sim.now, s.ID())
+			d.verifyShards(s.ID())
 		}
 	}
 }
--- a/fbnode/fake_target_test.go
+++ b/fbnode/fake_target_test.go
@@ -32,6 +32,8 @@
 	highest      map[filbertford.TaskKey]uint64
 	ended        []filbertford.EndedRun
 	lastSequence uint64
+	down         bool // it has crashed
+	reboots      int  // under other IDs
 }
 
 func (t *simTarget) id() string { return string(t.rec.Instance().ID()) }
--- a/fbnode/fleet_simulation_test.go
+++ b/fbnode/fleet_simulation_test.go
@@ -108,6 +108,7 @@
 	tickLast    bool // a daemon that resumes handles its tick after all that waits
 	trace       bool
 	lines       []string
+	stored      *storedSim // nil without stored jobs
 	violations  []string
 }
 
@@ -183,6 +184,9 @@
 }
 
 func (s *fleetSim) targetByID(id filbertford.TargetID) *simTarget {
+	if s.stored != nil && s.stored.renamed[id] != nil {
+		return s.stored.renamed[id]
+	}
 	i := slices.IndexFunc(s.targets, func(t *simTarget) bool { return t.rec.Instance().ID() == id })
 	return s.targets[i]
 }
@@ -201,6 +205,9 @@
 		s.violation("TWICE", "%s started on %s beside %s", key, where, strings.Join(others, "; "))
 	}
 	s.running[key] = append(s.running[key], where)
+	if s.stored != nil {
+		s.stored.runStarted(key, t)
+	}
 }
 
 func (s *fleetSim) runEnded(key filbertford.TaskKey, t *simTarget, r *simRun, outcome filbertford.RunOutcome) {
@@ -282,7 +289,9 @@
 		}
 		d.fleet.SetPools(s.specs)
 		for _, spec := range s.specs {
-			d.coordinator.AddPool(spec.ID())
+			if !isShard(spec.ID()) {
+				d.coordinator.AddPool(spec.ID())
+			}
 		}
 		s.daemons[name] = d
 		s.logf("%s starts, incarnation %d", name, m.Incarnation())
--- a/fbnode/targets.go
+++ b/fbnode/targets.go
@@ -30,7 +30,7 @@
 
 // departure describes the removal of a target's record.
 type departure struct {
-	pool      filbertford.PoolID
+	rec       filbertford.TargetRecord
 	removedAt time.Duration
 }
 
@@ -107,7 +107,7 @@
 			continue
 		}
 		if rec := t.records[key]; !rec.Draining() || t.malformed[key] {
-			t.departed[key] = departure{pool: dataCentrePool(rec.DataCentre()), removedAt: now}
+			t.departed[key] = departure{rec: rec, removedAt: now}
 		}
 		delete(t.records, key)
 		delete(t.decodedVersions, key)
@@ -123,13 +123,13 @@
 	return pruned
 }
 
-// departures returns the targets that have left a pool without draining first,
-// sorted by ID.
-func (t *targetCache) departures(id filbertford.PoolID) []filbertford.TargetID {
-	var out []filbertford.TargetID
+// departures returns the records of the targets that have left a pool without draining
+// first, sorted by ID.
+func (t *targetCache) departures(id filbertford.PoolID) []filbertford.TargetRecord {
+	var out []filbertford.TargetRecord
 	for _, key := range slices.Sorted(maps.Keys(t.departed)) {
-		if t.departed[key].pool == id {
-			out = append(out, filbertford.TargetID(key))
+		if rec := t.departed[key].rec; dataCentrePool(rec.DataCentre()) == id {
+			out = append(out, rec)
 		}
 	}
 	return out
--- a/fbnode/targets_test.go
+++ b/fbnode/targets_test.go
@@ -31,7 +31,11 @@
 	if n := len(c.inPool("nordnes")); n != 0 {
 		t.Errorf("%d records after the delay, want 0", n)
 	}
-	if diff := cmp.Diff([]filbertford.TargetID{"t00"}, c.departures("nordnes")); diff != "" {
+	var departed []filbertford.TargetID
+	for _, rec := range c.departures("nordnes") {
+		departed = append(departed, rec.Instance().ID())
+	}
+	if diff := cmp.Diff([]filbertford.TargetID{"t00"}, departed); diff != "" {
 		t.Errorf("departures (-want +got):\n%s", diff)
 	}
 	c.apply(now+removalDelay, false, row(3, "nordnes"))
--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -175,7 +175,7 @@
 		if !ended.draining {
 			p.addLoss(now, key, added)
 		}
-	} else if p.departed[item.target] {
+	} else if _, ok := p.departed[item.target]; ok {
 		added.state, added.unsure = lossRemoved, true // an earlier owner may have counted it
 		p.addLoss(now, key, added)
 	}
--- a/fbsched/overlap_records_test.go
+++ b/fbsched/overlap_records_test.go
@@ -22,7 +22,13 @@
 	next      int // the first change that it has not read
 	records   map[filbertford.TargetID]filbertford.TargetRecord
 	removedAt map[filbertford.TargetID]time.Duration
-	departed  map[filbertford.TargetID]time.Duration
+	departed  map[filbertford.TargetID]departedRecord
+}
+
+// departedRecord is the record of a target that left without draining, and when it did.
+type departedRecord struct {
+	rec filbertford.TargetRecord
+	at  time.Duration
 }
 
 // read applies the changes up to the given time.
@@ -53,13 +59,13 @@
 			continue
 		}
 		if !c.records[id].Draining() {
-			c.departed[id] = now
+			c.departed[id] = departedRecord{rec: c.records[id], at: now}
 		}
 		delete(c.records, id)
 		delete(c.removedAt, id)
 		pruned = true
 	}
-	maps.DeleteFunc(c.departed, func(_ filbertford.TargetID, at time.Duration) bool { return now-at > cacheDepartureLimit })
+	maps.DeleteFunc(c.departed, func(_ filbertford.TargetID, d departedRecord) bool { return now-d.at > cacheDepartureLimit })
 	return pruned
 }
 
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -93,7 +93,7 @@
 	c := &recordCache{
 		records:   make(map[filbertford.TargetID]filbertford.TargetRecord),
 		removedAt: make(map[filbertford.TargetID]time.Duration),
-		departed:  make(map[filbertford.TargetID]time.Duration),
+		departed:  make(map[filbertford.TargetID]departedRecord),
 	}
 	for _, change := range r.table {
 		if at := change.at + stale; at <= r.now || change.at == 0 {
@@ -112,7 +112,10 @@
 		r.count("owners with old records")
 		o.pool.HoldStarts(r.now + 300*time.Millisecond)
 	}
-	departed := slices.Sorted(maps.Keys(c.departed))
+	var departed []filbertford.TargetRecord
+	for _, id := range slices.Sorted(maps.Keys(c.departed)) {
+		departed = append(departed, c.departed[id].rec)
+	}
 	if len(departed) > 0 {
 		r.count("owners with departed targets")
 	}
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -90,8 +90,8 @@
 	losses            map[filbertford.TaskKey]*taskLosses
 	silentTargets     map[filbertford.TargetID][]filbertford.TaskKey // tasks with a loss that the target's reply would refute
 	endedTargets      map[filbertford.TargetID]endedTarget
-	departed          map[filbertford.TargetID]bool     // targets that left the pool before they were listed
-	shardOwners       map[filbertford.JobKey]shardOwner // of stored jobs
+	departed          map[filbertford.TargetID]filbertford.TargetRecord // left the pool before they were listed
+	shardOwners       map[filbertford.JobKey]shardOwner                 // of stored jobs
 	queue             queue
 	kindFactors       *kindFactors
 	roundTrips        *roundTrips
@@ -158,7 +158,7 @@
 		losses:            make(map[filbertford.TaskKey]*taskLosses),
 		silentTargets:     make(map[filbertford.TargetID][]filbertford.TaskKey),
 		endedTargets:      make(map[filbertford.TargetID]endedTarget),
-		departed:          make(map[filbertford.TargetID]bool),
+		departed:          make(map[filbertford.TargetID]filbertford.TargetRecord),
 		shardOwners:       make(map[filbertford.JobKey]shardOwner),
 		kindFactors:       newKindFactors(),
 		roundTrips:        newRoundTrips(),
@@ -321,9 +321,10 @@
 
 // checkAllListed sets allListed when every target has been listed: from then on, a
 // task without a known run is not running. A target that can't be reached may still
-// execute runs of an earlier owner, even if its record has been removed.
+// execute runs of an earlier owner, even if its record has been removed, unless another
+// target replies at its address.
 func (p *Pool) checkAllListed(now time.Duration) {
-	if p.allListed || len(p.sortedTargets) == 0 || len(p.departed) > 0 {
+	if p.allListed || len(p.sortedTargets) == 0 || p.departedMayRun() {
 		return
 	}
 	for _, t := range p.sortedTargets {
--- a/fbsched/pool_test.go
+++ b/fbsched/pool_test.go
@@ -147,7 +147,7 @@
 			sim.delivery = func() delivery { return delivery{requestDelay: time.Millisecond, replyDelay: time.Millisecond} }
 			sim.owners = append(sim.owners, b)
 			if tt.departed {
-				b.pool.SetDeparted([]filbertford.TargetID{"t01"})
+				b.pool.SetDeparted([]filbertford.TargetRecord{recordOf("t01", 1)})
 			}
 			if !tt.record {
 				records = []filbertford.TargetRecord{sim.targets["t00"].rec}
--- a/fbsched/resume_stored_test.go
+++ b/fbsched/resume_stored_test.go
@@ -93,3 +93,54 @@
 		})
 	}
 }
+
+// TestResumedTaskDoesNotWaitForReplacedTarget checks a stored task whose target has crashed and
+// is back under another ID when the pool has a new owner, which never lists the first one. The
+// task would wait for ten seconds at each new owner, and for good if owners change more often.
+func TestResumedTaskDoesNotWaitForReplacedTarget(t *testing.T) {
+	tests := map[string]struct {
+		startedAt int64 // of the target that is listed at the address
+		known     bool  // the record of the first one is removed after the owner has read it
+		waits     bool
+	}{
+		"record was removed before":  {startedAt: 2},
+		"record is removed later":    {startedAt: 2, known: true},
+		"target has started earlier": {startedAt: 1, waits: true},
+		"another target, as unknown": {waits: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(1, 2)
+			sim.crashUnder(func(filbertford.TaskKey) bool { return false })
+			old := recordOf("t00", 1)
+			target := sim.targets["t00"]
+			target.restart("t00-1", tt.startedAt)
+			o := &fakeOwner{node: "b", pool: NewPool(testPool, 2, testWallOffset, sim.now), wallOffset: testWallOffset}
+			sim.linkDown = func(*fakeOwner, string) (bool, bool) { return tt.known && sim.now < time.Minute+time.Second, false }
+			if tt.known {
+				o.pool.SetTargets(sim.now, []filbertford.TargetRecord{old})
+			} else {
+				o.pool.SetDeparted([]filbertford.TargetRecord{old})
+			}
+			sim.owners = append(sim.owners, o)
+			sim.scheduleTick(o)
+			sim.advance(500 * time.Millisecond)
+			o.pool.SetTargets(sim.now, []filbertford.TargetRecord{target.rec})
+			sim.coordinator.SetOwner(sim.now, testPool, "a", 1)
+			sim.startStored(deadlyJob, 1, false)
+			sim.announceOwner(o)
+			sim.coordinator.ResumeStored(sim.now, testPool)
+			began := sim.now
+			for sim.starts == 0 && sim.now < began+20*time.Second {
+				sim.advance(100 * time.Millisecond)
+			}
+			limit := time.Second
+			if tt.waits {
+				limit = listTimeout
+			}
+			if waited := sim.now - began; waited > limit || tt.waits && waited < limit-time.Second {
+				t.Errorf("the task is started after %v, want %v", waited, limit)
+			}
+		})
+	}
+}
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -96,10 +96,25 @@
 
 // SetDeparted adds targets whose records were removed although they were not draining,
 // and that may still run tasks of an earlier owner.
-func (p *Pool) SetDeparted(ids []filbertford.TargetID) {
-	for _, id := range ids {
-		p.departed[id] = true
+func (p *Pool) SetDeparted(records []filbertford.TargetRecord) {
+	for _, rec := range records {
+		p.departed[rec.Instance().ID()] = rec
+	}
+}
+
+// departedMayRun reports whether a target that left the pool before it was listed may still
+// execute runs: no target that started later has been listed at its address.
+func (p *Pool) departedMayRun() bool {
+	for _, rec := range p.departed {
+		startedAt := rec.Instance().StartedAt()
+		replaced := startedAt != 0 && slices.ContainsFunc(p.sortedTargets, func(t *target) bool {
+			return t.listed && !t.removed && t.rec.Address() == rec.Address() && t.startedAt > startedAt
+		})
+		if !replaced {
+			return true
+		}
 	}
+	return false
 }
 
 // SetTargets replaces the records of the pool's targets.
@@ -165,7 +180,7 @@
 
 func (p *Pool) removeTarget(t *target) {
 	if !t.listed {
-		p.departed[t.id()] = true
+		p.departed[t.id()] = t.rec.WithStartedAt(t.startedAt)
 	}
 	delete(p.targets, t.id())
 	p.sortedTargets = slices.DeleteFunc(p.sortedTargets, func(o *target) bool { return o == t })
