A shard owner whose jobs have all ended reads its claim too

Cause: VerifyClaim did nothing while no job of the shard was unfinished. An owner that was cut off while another daemon owned the shard, accepted jobs and ended is taken for the owner again by all others; nobody ran those jobs until a submission to the shard failed with a conflict. Change: only an owner without any job makes no read, so that deployments without stored jobs make no more calls. Left: an owner that has never had a job in the shard still doesn't read.

--- a/fbshard/verify.go
+++ b/fbshard/verify.go
@@ -20,9 +20,11 @@
 
 // VerifyClaim reads the claim before tasks are offered again to a pool that was
 // unreachable or has a new owner. This daemon may have been cut off, and another
-// owner of the shard may have recorded the outcomes of those tasks meanwhile.
+// owner of the shard may have recorded the outcomes of those tasks meanwhile, and may have
+// stored jobs that this one doesn't know, also if all of its own have ended. An owner that
+// has no jobs doesn't read: deployments without stored jobs make no calls for the shards.
 func (o *Owner) VerifyClaim(pool filbertford.PoolID) {
-	if o.phase == phaseLost || !o.hasUnfinishedJobs() {
+	if o.phase == phaseLost || len(o.jobs) == 0 {
 		return
 	}
 	if !slices.Contains(o.verification.queued, pool) {
@@ -31,16 +33,6 @@
 	o.sendVerification()
 }
 
-// hasUnfinishedJobs reports whether any job is not in a final state.
-func (o *Owner) hasUnfinishedJobs() bool {
-	for _, j := range o.jobs {
-		if !j.state.final() {
-			return true
-		}
-	}
-	return false
-}
-
 func (o *Owner) sendVerification() {
 	v := &o.verification
 	if o.phase != phaseServing || len(v.inFlight) > 0 || len(v.queued) == 0 || v.retryAt != 0 {
