--- a/fbsched/overlap_records_test.go
+++ b/fbsched/overlap_records_test.go
@@ -83,7 +83,21 @@
 // writeRecord writes or removes a record after the delay.
 func (r *overlapRun) writeRecord(delay time.Duration, rec filbertford.TargetRecord, removed bool) {
 	r.after(delay, func() {
+		if removed && r.plan.scenario.stored && r.recordedAgain(rec) {
+			return
+		}
 		r.tracef("store: record of %s, started at %d, removed %v, draining %v", rec.Instance().ID(), rec.Instance().StartedAt(), removed, rec.Draining())
 		r.table = append(r.table, recordChange{at: r.now, id: rec.Instance().ID(), rec: rec, removed: removed})
 	})
 }
+
+// recordedAgain reports whether a target that has started again under its ID has written a newer
+// record. That isn't removed with the earlier one, or the pool would have lost the target for good.
+func (r *overlapRun) recordedAgain(rec filbertford.TargetRecord) bool {
+	for _, change := range slices.Backward(r.table) {
+		if change.id == rec.Instance().ID() {
+			return !change.removed && change.rec.Instance().StartedAt() > rec.Instance().StartedAt()
+		}
+	}
+	return false
+}
--- a/fbsched/overlap_stored_test.go
+++ b/fbsched/overlap_stored_test.go
@@ -145,6 +145,9 @@
 		"all daemons":  {kinds: slices.Concat(ownerFaults, []faultKind{faultStream, faultCoordinator, faultCoordinatorLost})},
 		"targets":      {kinds: []faultKind{faultMute, faultStuck, faultSlow, faultFailing, faultBusy, faultShrink, faultRecord, faultOtherID, faultSameID}},
 		"two pools":    {kinds: slices.Concat(ownerFaults, silence), pools: 2},
+		"targets and links, two pools": {pools: 2, kinds: slices.Concat(silence, []faultKind{
+			faultStream, faultOtherID, faultSameID, faultStuck, faultFailing, faultBusy, faultShrink,
+		})},
 	}
 	for name, tt := range tests {
 		tt.stored = true
