--- a/fbsched/overlap_stored_test.go
+++ b/fbsched/overlap_stored_test.go
@@ -148,6 +148,9 @@
 			kinds: slices.Concat(ownerFaults, []faultKind{faultEvacuate, faultEvacuate, faultEvacuate, faultStream, faultCoordinator, faultCut, faultFailing}), pools: 2,
 		},
 		"two pools": {kinds: slices.Concat(ownerFaults, silence), pools: 2},
+		"targets and links, two pools": {pools: 2, kinds: slices.Concat(silence, []faultKind{
+			faultStream, faultOtherID, faultSameID, faultStuck, faultFailing, faultBusy, faultShrink,
+		})},
 	}
 	for name, tt := range tests {
 		tt.stored = true
