Coordinators recall waiting tasks and offer them to pools that are free

Cause: a task that no pool can start is bound to the queue of one pool, and stays there when another pool becomes free. Change: package fbbalance decides which jobs move, by the coordinator's share of all waiting work; the coordinator recalls their tasks (fbsched/rebalance.go) when reports arrive and from Tick, and offers what is returned to the free pool, the rest back.

--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -47,4 +47,7 @@
 	TargetCrashed       = warnEvent("FE7063", "target has crashed under a task; the task runs alone from now on")
 	TargetNotCrashed    = infoEvent("FE7064", "target of a lost run replies again; it had not crashed")
 	TaskGivenUp         = errorEvent("FE7065", "task given up, because targets crash under it")
+	TasksRecalled       = infoEvent("FE7081", "waiting tasks of a job recalled from a pool, because another pool is free")
+	TasksMoved          = infoEvent("FE7082", "recalled tasks offered to another pool")
+	RecallTooLate       = infoEvent("FE7083", "recalled task had started")
 )
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbbalance"
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbfleet"
 	"github.com/filbertford/filbertford/fblink"
@@ -142,6 +144,7 @@
 		recorder:       newEventRecorder(deps.Log, deps.Metrics, deps.DroppedLines),
 	}
 	n.coordinator.SetScheduling(opts.Scheduling)
+	n.coordinator.SetBalancer(fbbalance.Share{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.hub = fblink.NewHub(opts.Member, n)
 	n.updatePools()
 	return n
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -93,6 +93,7 @@
 			n.coordinator.SetCapacities(c.Pool(), c.Fence(), capacities)
 		}
 	}
+	n.coordinator.Rebalance(now)
 	n.reportNewerClaims(from.Node(), h.Heartbeat().Claims())
 	if h.RoutesVersion() > n.routesVersion() {
 		n.hub.Send(from.Node(), fblink.NewRoutesPull(n.routesVersion()))
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -69,6 +69,9 @@
 	fbsched.EventPoolSettled:         fbevent.PoolSettled,
 	fbsched.EventTasksPlaced:         fbevent.TasksPlaced,
 	fbsched.EventJobAnswered:         fbevent.JobAnswered,
+	fbsched.EventTasksRecalled:       fbevent.TasksRecalled,
+	fbsched.EventTasksMoved:          fbevent.TasksMoved,
+	fbsched.EventRecallTooLate:       fbevent.RecallTooLate,
 }
 
 func (r *eventRecorder) recordDecision(now time.Duration, e fbsched.Event) {
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -130,6 +130,10 @@
 	EventPoolSettled         EventKind = "settled"
 	EventTasksPlaced         EventKind = "placed"
 	EventJobAnswered         EventKind = "answered"
+	EventTasksRecalled       EventKind = "recalled"
+	EventTaskReturned        EventKind = "returned"
+	EventTasksMoved          EventKind = "moved"
+	EventRecallTooLate       EventKind = "recall-late"
 )
 
 func (StartCall) action()      {}
--- a/fbsched/answer.go
+++ b/fbsched/answer.go
@@ -101,6 +101,7 @@
 		return
 	}
 	delete(c.jobs, key)
+	c.untrackJob(key)
 	if j.stored {
 		c.withdraw(j)
 		return
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -48,7 +48,8 @@
 	allUnownedSince time.Duration
 	anyOwned        bool // some pool has an owner
 	scheduling      filbertford.Scheduling
-	actions         []Action
+	balancing
+	actions []Action
 }
 
 // poolView is a coordinator's view of a pool.
@@ -60,6 +61,8 @@
 	heldOwner  filbertford.NodeID // an earlier owner that still claims the pool, see SetOwner
 	heldFence  uint64
 	capacities map[string]*capacityView
+	reports    int     // number of capacity reports
+	draw       float64 // random number, drawn for each report
 }
 
 // job is a job in progress. It misses its objective after due, and its callers stop
@@ -77,7 +80,8 @@
 	stored         bool
 	returnDeadline time.Duration // when an abandoned job stops waiting for its tasks, 0 if not abandoned
 	reason         string
-	startReported  bool // JobStarted was emitted
+	startReported  bool  // JobStarted was emitted
+	move           *move // nil unless tasks were recalled
 	offered        map[poolOwner]bool
 }
 
@@ -103,6 +107,9 @@
 	failures int
 	crashes  int // of targets under the task
 	returns  int
+	waiting  bool    // it was offered to its pool and isn't known to have started
+	recalled bool    // its pool was asked to return it
+	moves    int     // how often it was offered to another pool after a recall
 	search   *search // set while pools are asked for a task of an earlier coordinator
 }
 
@@ -215,6 +222,7 @@
 	for index, t := range j.steps[number].tasks {
 		if t.pool == pool && !t.done {
 			items = append(items, NewItem(index, t.failures).WithCrashes(t.crashes).WithTarget(t.target))
+			c.untrackResumed(j, &j.steps[number].tasks[index])
 		}
 	}
 	if len(items) > 0 {
@@ -294,6 +302,7 @@
 	if t.done || t.pool != r.Pool() || t.fence != r.Fence() && r.Status() != StatusDone {
 		return
 	}
+	c.reported(now, j, t, r)
 	t.failures, t.crashes = max(t.failures, r.Failures()), max(t.crashes, r.Crashes())
 	j.mayHaveRun = j.mayHaveRun || r.Started()
 	if j.returnDeadline != 0 {
@@ -351,6 +360,10 @@
 			return // it answers an earlier offer: a pool keeps a task that may have been started
 		}
 		t.pool, t.target = "", ""
+		if t.recalled {
+			c.advanceReturned(now, j)
+			return
+		}
 		if t.returns++; t.returns > maxReturns && !j.stored {
 			c.abandon(now, j, "no pool keeps a task")
 			return
@@ -379,6 +392,8 @@
 		}
 	}
 	c.placeWaiting(now)
+	c.endMoves(now)
+	c.Rebalance(now)
 }
 
 // poolIDs returns the IDs of the known pools in ascending order.
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -29,6 +29,10 @@
 	for _, capacity := range capacities {
 		v.capacities[capacity.service] = &capacityView{free: slices.Clone(capacity.free), total: capacity.total, backlog: capacity.backlog}
 	}
+	v.reports++
+	if c.balances() {
+		v.draw = c.random.Float64()
+	}
 }
 
 // placeStep offers the tasks of a step that have no pool.
@@ -42,13 +46,31 @@
 	if len(items) == 0 {
 		return
 	}
-	for _, part := range c.split(j, number, len(items)) {
+	others, returned := separateReturned(&j.steps[number], items)
+	if len(others) > 0 {
+		c.placeItems(now, j, number, others, c.split(j, number, len(others)))
+	}
+	if len(returned) > 0 {
+		c.placeItems(now, j, number, returned, c.splitReturned(j, number, len(returned)))
+	}
+}
+
+// placeItems offers tasks of a step to the pools of the parts.
+func (c *Coordinator) placeItems(now time.Duration, j *job, number int, items []Item, parts []part) {
+	for _, part := range parts {
 		batch := items[:part.tasks]
 		items = items[part.tasks:]
+		moved := false
 		for _, i := range batch {
-			j.steps[number].tasks[i.index].pool = part.pool
+			t := &j.steps[number].tasks[i.index]
+			t.pool, moved = part.pool, moved || t.recalled
+		}
+		if moved {
+			c.countMove(now, j, number, part.pool, batch)
 		}
-		c.offer(c.pools[part.pool], c.batch(now, j, number, part.pool, batch), j)
+		b := c.batch(now, j, number, part.pool, batch)
+		c.offer(c.pools[part.pool], b, j)
+		c.trackOffer(now, j, b.WithFence(c.pools[part.pool].fence))
 		c.emit(Event{
 			Kind: EventTasksPlaced, Pool: part.pool, Task: filbertford.NewTaskKey(j.workload.Key(), 0, number, batch[0].index),
 			Fence: c.pools[part.pool].fence, Age: now - j.submittedAt,
--- a/fbsched/simulation_calls_test.go
+++ b/fbsched/simulation_calls_test.go
@@ -224,3 +224,25 @@
 	}
 	return n
 }
+
+// delayBetween returns the delay of messages between an owner and a coordinator.
+func (sim *simulation) delayBetween(o *fakeOwner, coordinator filbertford.NodeID) time.Duration {
+	if sim.linkDelay == nil {
+		return time.Millisecond
+	}
+	return sim.linkDelay(coordinator, o)
+}
+
+// sendToOwner sends a message of a coordinator to an owner.
+func (sim *simulation) sendToOwner(from, node filbertford.NodeID, do func(o *fakeOwner)) {
+	for _, o := range sim.owners {
+		if o.node == node && !o.isolated && !sim.streamDown {
+			stream := sim.streams
+			sim.after(sim.delayBetween(o, from), func() {
+				if stream == sim.streams {
+					sim.handle(o, func() { do(o) })
+				}
+			})
+		}
+	}
+}
--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -113,6 +113,7 @@
 func (c *Coordinator) DropStored(job filbertford.JobKey) {
 	if j := c.jobs[job]; j != nil && j.stored {
 		delete(c.jobs, job)
+		c.untrackJob(job)
 	}
 }
 
@@ -124,6 +125,7 @@
 		maps.Copy(owners, j.offered)
 	}
 	delete(c.jobs, job)
+	c.untrackJob(job)
 	for id, v := range c.pools {
 		if v.owner != "" {
 			owners[poolOwner{id, v.owner}] = true
