Moves go by evidence from reports and by measured round trips

Cause: tasks waited 60 ms, or half of the time that they could, before they were recalled, and tasks that were late after the move took free targets from later jobs. Change: a task is recalled once a report that left after the task had arrived shows a backlog; the coordinator measures round trips for that. Jobs that can't meet their objective after the move stay.

--- a/balance.go
+++ b/balance.go
@@ -5,13 +5,14 @@
 // PoolLoad is what a coordinator knows of a pool's targets of one service, from the
 // last report of the pool's owner.
 type PoolLoad struct {
-	pool    PoolID
-	home    bool
-	free    []int
-	total   int
-	backlog time.Duration
-	pending int
-	draw    float64
+	pool      PoolID
+	home      bool
+	free      []int
+	total     int
+	backlog   time.Duration
+	pending   int
+	draw      float64
+	roundTrip time.Duration
 }
 
 // NewPoolLoad returns the load of a pool: the free CPU of each usable target and the
@@ -43,6 +44,13 @@
 	return l
 }
 
+// WithRoundTrip returns a copy of l with the shortest time in which the pool has answered
+// the coordinator, 0 if unknown.
+func (l PoolLoad) WithRoundTrip(d time.Duration) PoolLoad {
+	l.roundTrip = d
+	return l
+}
+
 // Pool returns the pool.
 func (l PoolLoad) Pool() PoolID { return l.pool }
 
@@ -67,6 +75,10 @@
 // Draw returns the random number of the report.
 func (l PoolLoad) Draw() float64 { return l.draw }
 
+// RoundTrip returns the shortest time in which the pool has answered the coordinator, 0 if
+// unknown.
+func (l PoolLoad) RoundTrip() time.Duration { return l.roundTrip }
+
 // WaitingJob is a job's tasks that wait in the queue of a pool.
 type WaitingJob struct {
 	job         JobKey
--- a/fbbalance/share.go
+++ b/fbbalance/share.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/filbertford/filbertford"
 )
@@ -18,10 +19,11 @@
 // Moves implements filbertford.Balancer.
 //
 // The home pool is filled first, because tasks sent to it cross no link between data
-// centres. Jobs that can still meet their objective go first, then by priority, then those
-// with the most time left: the pool in which they wait starts its most urgent tasks itself,
-// and a move takes time that these don't have. The tasks of a job move together if the free
-// targets hold them all.
+// centres. Jobs that can't meet their objective after a move stay: the free targets are of
+// more use to jobs that can, and a late result isn't worth the bytes. The others move by
+// priority, then those with the most time left first, since the pool in which they wait
+// starts its most urgent tasks itself. The tasks of a job move together if the free targets
+// hold them all.
 func (Share) Moves(pools []filbertford.PoolLoad, waiting []filbertford.WaitingJob) []filbertford.Move {
 	sources := backlogs(pools)
 	share := ownShare(sources, waiting)
@@ -35,10 +37,21 @@
 		return nil
 	}
 	slices.SortFunc(movable, compareJobs)
+	roundTrips := make(map[filbertford.PoolID]time.Duration, len(pools))
+	for _, p := range pools {
+		roundTrips[p.Pool()] = p.RoundTrip()
+	}
 	var moves []filbertford.Move
 	moved := make(map[filbertford.JobKey]bool)
 	for _, target := range targets(pools) {
-		moves = append(moves, fill(target, share, movable, moved)...)
+		useful := slices.DeleteFunc(slices.Clone(movable), func(w filbertford.WaitingJob) bool {
+			// The recall and its reports take a round trip, the offer half of one.
+			return moved[w.Job()] || w.Pool() == target.Pool() || w.LatestStart() < roundTrips[w.Pool()]+target.RoundTrip()/2
+		})
+		for _, m := range fill(target, share, useful) {
+			moved[m.Job()] = true
+			moves = append(moves, m)
+		}
 	}
 	return moves
 }
@@ -91,14 +104,8 @@
 	return out
 }
 
-// compareJobs orders jobs by the urgency of their move.
+// compareJobs orders jobs for moves.
 func compareJobs(a, b filbertford.WaitingJob) int {
-	if meetsA, meetsB := a.LatestStart() >= 0, b.LatestStart() >= 0; meetsA != meetsB {
-		if meetsA {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(
 		cmp.Compare(a.Priority(), b.Priority()),
 		cmp.Compare(b.LatestStart(), a.LatestStart()),
@@ -110,7 +117,7 @@
 // fill returns the moves to one pool. What the coordinator has already sent there and what
 // it moves now doesn't exceed its share of the usable CPU; the pool's draw decides whether
 // a job that exceeds it only partly is moved, so that the share is met on average.
-func fill(target filbertford.PoolLoad, share float64, movable []filbertford.WaitingJob, moved map[filbertford.JobKey]bool) []filbertford.Move {
+func fill(target filbertford.PoolLoad, share float64, movable []filbertford.WaitingJob) []filbertford.Move {
 	free := slices.Clone(target.Free())
 	smallest := 0
 	for _, w := range movable {
@@ -124,11 +131,8 @@
 		if budget <= 0 {
 			break
 		}
-		if w.Pool() == target.Pool() || moved[w.Job()] {
-			continue
-		}
 		n := min(w.Tasks(), slots(free, w.CPU()))
-		if n == 0 {
+		if n == 0 || slices.ContainsFunc(moves, func(m filbertford.Move) bool { return m.Job() == w.Job() }) {
 			continue
 		}
 		need := float64(n) * float64(w.CPU())
@@ -137,7 +141,6 @@
 		}
 		budget -= need
 		reserve(free, w.CPU(), n)
-		moved[w.Job()] = true
 		moves = append(moves, filbertford.NewMove(w.Job(), w.Pool(), target.Pool(), n))
 	}
 	return moves
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -61,8 +61,10 @@
 	heldOwner  filbertford.NodeID // an earlier owner that still claims the pool, see SetOwner
 	heldFence  uint64
 	capacities map[string]*capacityView
-	reports    int     // number of capacity reports
-	draw       float64 // random number, drawn for each report
+	reported   bool          // a report of capacities has arrived since the last call of Rebalance
+	reportedAt time.Duration // when the last one arrived
+	draw       float64       // random number, drawn for each report
+	roundTrip  time.Duration // shortest time from an offer to the report of a start, 0 if unknown
 }
 
 // job is a job in progress. It misses its objective after due, and its callers stop
@@ -99,18 +101,18 @@
 
 // taskState is the location and progress of a task.
 type taskState struct {
-	pool     filbertford.PoolID   // empty while the task waits for a pool
-	fence    uint64               // of the owner that the task was last offered to
-	resumed  bool                 // another owner may have started it when it was last offered
-	target   filbertford.TargetID // that the task was last started on
-	done     bool
-	failures int
-	crashes  int // of targets under the task
-	returns  int
-	waiting  bool    // it was offered to its pool and isn't known to have started
-	recalled bool    // its pool was asked to return it
-	moves    int     // how often it was offered to another pool after a recall
-	search   *search // set while pools are asked for a task of an earlier coordinator
+	pool       filbertford.PoolID   // empty while the task waits for a pool
+	fence      uint64               // of the owner that the task was last offered to
+	resumed    bool                 // another owner may have started it when it was last offered
+	target     filbertford.TargetID // that the task was last started on
+	done       bool
+	failures   int
+	crashes    int // of targets under the task
+	returns    int
+	waitsSince time.Duration // when it was offered to its pool, 0 once it may have been started
+	recalled   bool          // its pool was asked to return it
+	moves      int           // how often it was offered to another pool after a recall
+	search     *search       // set while pools are asked for a task of an earlier coordinator
 }
 
 // search is a search for a task in all pools.
--- a/fbsched/faketarget_test.go
+++ b/fbsched/faketarget_test.go
@@ -109,8 +109,22 @@
 	return slices.SortedFunc(maps.Keys(t.runs), func(a, b filbertford.TaskKey) int { return cmp.Compare(a.String(), b.String()) })
 }
 
+// hasDueRun reports whether endDueRuns has anything to do. It saves sorting the runs.
+func (t *fakeTarget) hasDueRun() bool {
+	expired := t.clock() > t.lease
+	for _, r := range t.runs {
+		if expired || t.sim.now >= r.endsAt {
+			return true
+		}
+	}
+	return false
+}
+
 // endDueRuns ends the runs that are finished or whose lease has expired.
 func (t *fakeTarget) endDueRuns() {
+	if !t.hasDueRun() {
+		return
+	}
 	for _, key := range t.runningTasks() {
 		r := t.runs[key]
 		if t.clock() > t.lease {
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -29,9 +29,8 @@
 	for _, capacity := range capacities {
 		v.capacities[capacity.service] = &capacityView{free: slices.Clone(capacity.free), total: capacity.total, backlog: capacity.backlog}
 	}
-	v.reports++
 	if c.balances() {
-		v.draw = c.random.Float64()
+		v.reported, v.draw = true, c.random.Float64()
 	}
 }
 
--- a/fbsched/rebalance.go
+++ b/fbsched/rebalance.go
@@ -11,9 +11,6 @@
 
 // Limits of moves between pools.
 const (
-	// reportWait is how long a task waits in a pool before it is recalled: two periods of
-	// capacity reports in a small fleet, in which a report of its start would have arrived.
-	reportWait = 60 * time.Millisecond
 	// maxMoves is how often a task is moved. Each move is based on a report that is older
 	// than the move.
 	maxMoves = 2
@@ -42,7 +39,6 @@
 type waitingTasks struct {
 	job       *job
 	fence     uint64
-	reports   int           // that the pool's owner had sent by then
 	offeredAt time.Duration // when the last of them was offered
 	tasks     int
 	cpu       int
@@ -80,11 +76,11 @@
 		w = &waitingTasks{job: j, fence: b.fence}
 		c.waiting[key] = w
 	}
-	w.offeredAt, w.reports = now, c.pools[b.pool].reports
+	w.offeredAt = now
 	w.cpu, w.estimate = max(w.cpu, b.step.Demand().CPU()), max(w.estimate, b.step.Estimate())
 	for _, i := range b.items {
 		t := &j.steps[b.stepNumber].tasks[i.index]
-		t.waiting, t.recalled = true, false
+		t.waitsSince, t.recalled = now, false
 		w.tasks++
 		w.moves = max(w.moves, t.moves)
 	}
@@ -92,10 +88,10 @@
 
 // untrack records that a task has left the queue of its pool, or may have.
 func (c *Coordinator) untrack(j *job, t *taskState) {
-	if !t.waiting {
+	if t.waitsSince == 0 {
 		return
 	}
-	t.waiting = false
+	t.waitsSince = 0
 	key := waitingKey{j.workload.Key(), t.pool}
 	if w := c.waiting[key]; w != nil && w.job == j {
 		if w.tasks--; w.tasks <= 0 {
@@ -124,7 +120,15 @@
 // immediately. It is to be called after reports have arrived; Tick calls it too. Without
 // such pools it looks at no task.
 func (c *Coordinator) Rebalance(now time.Duration) {
-	if !c.balances() || len(c.waiting) == 0 {
+	if !c.balances() {
+		return
+	}
+	for _, v := range c.pools {
+		if v.reported {
+			v.reported, v.reportedAt = false, now
+		}
+	}
+	if len(c.waiting) == 0 {
 		return
 	}
 	for _, service := range c.unevenServices() {
@@ -170,7 +174,7 @@
 		}
 		waiting = append(waiting, filbertford.NewWaitingJob(key.job, key.pool, w.tasks, w.cpu, w.estimate).
 			WithUrgency(w.job.route.Priority(), w.job.due-now-w.estimate).
-			WithMovable(c.movable(now, key.pool, w)))
+			WithMovable(c.movable(key.pool, w)))
 	}
 	var pools []filbertford.PoolLoad
 	for _, id := range c.poolIDs() {
@@ -180,21 +184,18 @@
 			continue
 		}
 		pools = append(pools, filbertford.NewPoolLoad(id, capacity.free, capacity.total, capacity.backlog).
-			WithHome(id == c.home).WithPending(pending[id]).WithDraw(v.draw))
+			WithHome(id == c.home).WithPending(pending[id]).WithDraw(v.draw).WithRoundTrip(v.roundTrip))
 	}
 	return pools, waiting
 }
 
 // movable reports whether the tasks may be recalled: the pool's current owner was offered
-// them, has since reported its capacity, and would have reported their start.
-func (c *Coordinator) movable(now time.Duration, pool filbertford.PoolID, w *waitingTasks) bool {
+// them, and has since reported its capacity. A report that arrives a round trip after the offer
+// was sent after the offer had arrived, and after the start of what could start.
+func (c *Coordinator) movable(pool filbertford.PoolID, w *waitingTasks) bool {
 	v, j := c.pools[pool], w.job
-	if v.owner == "" || v.fence != w.fence || j.returnDeadline != 0 || j.move != nil || w.moves >= maxMoves {
-		return false
-	}
-	// A task with little time left may spend half of it on waiting, and the rest on the move.
-	wait := min(reportWait, max(0, j.due-w.estimate-w.offeredAt)/2)
-	return v.reports > w.reports && now-w.offeredAt >= wait
+	return v.owner != "" && v.fence == w.fence && j.returnDeadline == 0 && j.move == nil && w.moves < maxMoves &&
+		v.reportedAt > w.offeredAt && v.reportedAt-w.offeredAt >= v.roundTrip
 }
 
 // recall asks the owner of a pool to return the waiting tasks of a job.
@@ -207,7 +208,7 @@
 	w.job.move = &move{from: m.From(), to: m.To(), tasks: m.Tasks(), pending: w.tasks, sentAt: now}
 	for number := range w.job.steps {
 		for index := range w.job.steps[number].tasks {
-			if t := &w.job.steps[number].tasks[index]; t.waiting && t.pool == m.From() {
+			if t := &w.job.steps[number].tasks[index]; t.waitsSince != 0 && t.pool == m.From() {
 				t.recalled = true
 			}
 		}
@@ -225,6 +226,9 @@
 	if !c.balances() {
 		return
 	}
+	if v := c.pools[r.Pool()]; t.waitsSince != 0 && r.Status() == StatusStarted && (v.roundTrip == 0 || now-t.waitsSince < v.roundTrip) {
+		v.roundTrip = now - t.waitsSince
+	}
 	c.untrack(j, t)
 	if !t.recalled || r.Status() == StatusReturned && t.resumed {
 		return
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -215,7 +215,7 @@
 func (sim *simulation) endDueRuns() {
 	ids := sim.busyTargets[:0]
 	for id, t := range sim.targets {
-		if len(t.runs) > 0 {
+		if t.hasDueRun() {
 			ids = append(ids, id)
 		}
 	}
