--- a/fbbalance/share.go
+++ b/fbbalance/share.go
@@ -36,6 +36,10 @@
 	if len(movable) == 0 {
 		return nil
 	}
+	open := targets(pools, share, movable)
+	if len(open) == 0 {
+		return nil
+	}
 	slices.SortFunc(movable, compareJobs)
 	roundTrips := make(map[filbertford.PoolID]time.Duration, len(pools))
 	for _, p := range pools {
@@ -43,12 +47,12 @@
 	}
 	var moves []filbertford.Move
 	moved := make(map[filbertford.JobKey]bool)
-	for _, target := range targets(pools) {
+	for _, target := range open {
 		useful := slices.DeleteFunc(slices.Clone(movable), func(w filbertford.WaitingJob) bool {
 			// The recall and its reports take a round trip, the offer half of one.
 			return moved[w.Job()] || w.Pool() == target.Pool() || w.LatestStart() < roundTrips[w.Pool()]+target.RoundTrip()/2
 		})
-		for _, m := range fill(target, share, useful) {
+		for _, m := range target.fill(useful) {
 			moved[m.Job()] = true
 			moves = append(moves, m)
 		}
@@ -86,20 +90,35 @@
 	return min(1, own/all)
 }
 
-// targets returns the pools that can start tasks immediately, the home pool first, then
-// those with the most free CPU.
-func targets(pools []filbertford.PoolLoad) []filbertford.PoolLoad {
-	out := slices.DeleteFunc(slices.Clone(pools), func(p filbertford.PoolLoad) bool {
-		return p.Backlog() > 0 || len(p.Free()) == 0
-	})
-	slices.SortStableFunc(out, func(a, b filbertford.PoolLoad) int {
-		if a.Home() != b.Home() {
-			if a.Home() {
-				return -1
-			}
-			return 1
+// target is a pool that can start tasks immediately, with the CPU, in thousandths of a core,
+// that the coordinator may take there.
+type target struct {
+	filbertford.PoolLoad
+	usable int
+	budget float64
+}
+
+// targets returns the pools that can start some of the tasks immediately, the home pool first,
+// then those with the most usable CPU. The budget is the coordinator's share of it, less what
+// the coordinator has already sent there.
+func targets(pools []filbertford.PoolLoad, share float64, movable []filbertford.WaitingJob) []target {
+	smallest := slices.MinFunc(movable, func(a, b filbertford.WaitingJob) int { return cmp.Compare(a.CPU(), b.CPU()) }).CPU()
+	var out []target
+	for _, p := range pools {
+		usable := slots(p.Free(), smallest) * max(1, smallest)
+		budget := share*float64(usable) - float64(p.Pending())
+		if p.Backlog() == 0 && budget > 0 {
+			out = append(out, target{PoolLoad: p, usable: usable, budget: budget})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b target) int {
+		switch {
+		case a.Home() == b.Home():
+			return cmp.Compare(b.usable, a.usable)
+		case a.Home():
+			return -1
 		}
-		return cmp.Compare(sum(b.Free()), sum(a.Free()))
+		return 1
 	})
 	return out
 }
@@ -114,34 +133,26 @@
 	)
 }
 
-// fill returns the moves to one pool. What the coordinator has already sent there and what
-// it moves now doesn't exceed its share of the usable CPU; the pool's draw decides whether
-// a job that exceeds it only partly is moved, so that the share is met on average.
-func fill(target filbertford.PoolLoad, share float64, movable []filbertford.WaitingJob) []filbertford.Move {
-	free := slices.Clone(target.Free())
-	smallest := 0
-	for _, w := range movable {
-		if smallest == 0 || w.CPU() < smallest {
-			smallest = w.CPU()
-		}
-	}
-	budget := share*float64(usable(free, smallest)) - float64(target.Pending())
+// fill returns the moves of the jobs to the pool, which don't exceed the budget. The pool's
+// draw decides whether a job that exceeds it only partly is moved, so that the budget is met on
+// average.
+func (t target) fill(jobs []filbertford.WaitingJob) []filbertford.Move {
+	free, budget := slices.Clone(t.Free()), t.budget
+	moved := make(map[filbertford.JobKey]bool)
 	var moves []filbertford.Move
-	for _, w := range movable {
-		if budget <= 0 {
-			break
-		}
+	for _, w := range jobs {
 		n := min(w.Tasks(), slots(free, w.CPU()))
-		if n == 0 || slices.ContainsFunc(moves, func(m filbertford.Move) bool { return m.Job() == w.Job() }) {
+		if n == 0 || moved[w.Job()] {
 			continue
 		}
 		need := float64(n) * float64(w.CPU())
-		if budget <= target.Draw()*need {
+		if budget <= t.Draw()*need {
 			break
 		}
 		budget -= need
 		reserve(free, w.CPU(), n)
-		moves = append(moves, filbertford.NewMove(w.Job(), w.Pool(), target.Pool(), n))
+		moved[w.Job()] = true
+		moves = append(moves, filbertford.NewMove(w.Job(), w.Pool(), t.Pool(), n))
 	}
 	return moves
 }
@@ -155,9 +166,6 @@
 	return n
 }
 
-// usable returns the free CPU that tasks of the given CPU can use.
-func usable(free []int, cpu int) int { return slots(free, cpu) * max(1, cpu) }
-
 // reserve subtracts the CPU of n tasks, each from the target with the least sufficient
 // free CPU.
 func reserve(free []int, cpu, n int) {
@@ -174,11 +182,3 @@
 		free[best] -= cpu
 	}
 }
-
-func sum(values []int) int {
-	total := 0
-	for _, v := range values {
-		total += v
-	}
-	return total
-}
--- a/fbsched/overlap_faults_test.go
+++ b/fbsched/overlap_faults_test.go
@@ -242,6 +242,9 @@
 	r.node = filbertford.NodeID(fmt.Sprintf("c%d", r.coordinators))
 	r.coordinator = NewCoordinator(r.pools[f.random.IntN(len(r.pools))].id)
 	r.tracef("coordinator: %s instead of %s", r.node, old)
+	if r.plan.scenario.recalls {
+		setTestBalancer(r.coordinator, f.seed)
+	}
 	for _, p := range r.pools {
 		r.coordinator.AddPool(p.id)
 		r.announce(p, p.owner)
--- a/fbsched/overlap_plan_test.go
+++ b/fbsched/overlap_plan_test.go
@@ -69,6 +69,8 @@
 	unguarded bool
 	// stored jobs are kept by their coordinator's successor. Some of their tasks are deadly.
 	stored bool
+	// recalls lets the coordinator recall waiting tasks at random.
+	recalls bool
 	// long spreads the jobs over a time in which a target's capacity may have shrunk for long.
 	long bool
 }
--- a/fbsched/overlap_stored_test.go
+++ b/fbsched/overlap_stored_test.go
@@ -144,6 +144,7 @@
 		"coordinators": {kinds: []faultKind{faultStream, faultCoordinator, faultCoordinatorLost}},
 		"all daemons":  {kinds: slices.Concat(ownerFaults, []faultKind{faultStream, faultCoordinator, faultCoordinatorLost})},
 		"targets":      {kinds: []faultKind{faultMute, faultStuck, faultSlow, faultFailing, faultBusy, faultShrink, faultRecord, faultOtherID, faultSameID}},
+		"recalls":      {kinds: slices.Concat(ownerFaults, []faultKind{faultStream, faultCoordinator, faultCoordinatorLost}), pools: 2, recalls: true},
 		"two pools":    {kinds: slices.Concat(ownerFaults, silence), pools: 2},
 	}
 	for name, tt := range tests {
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -230,6 +230,10 @@
 		r.table = append(r.table, recordChange{id: id, rec: t.rec})
 	}
 	r.linkDown = r.checkLink
+	if p.scenario.recalls {
+		setTestBalancer(r.coordinator, p.seed)
+		r.scheduleRecall(rand.New(rand.NewPCG(p.seed, 4)))
+	}
 	return r
 }
 
@@ -395,6 +399,8 @@
 		"channels break unnoticed":     {kinds: []faultKind{faultUnnoticed}, resend: true},
 		"unnoticed, two pools":         {kinds: []faultKind{faultUnnoticed}, resend: true, pools: 2},
 		"coordinators lost":            {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true},
+		"recalls, two pools":           {kinds: all, resend: true, pools: 2, recalls: true},
+		"recalls, coordinators lost":   {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true, pools: 2, recalls: true},
 		"coordinators lost, two pools": {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true, pools: 2},
 	}
 	for name, tt := range tests {
--- a/fbsched/rebalance.go
+++ b/fbsched/rebalance.go
@@ -117,18 +117,19 @@
 }
 
 // Rebalance recalls tasks from pools with a backlog if other pools can start them
-// immediately. It is to be called after reports have arrived; Tick calls it too. Without
-// such pools it looks at no task.
+// immediately. It is to be called after reports have arrived; Tick calls it too. Without a
+// new report, or such pools, it looks at no task.
 func (c *Coordinator) Rebalance(now time.Duration) {
 	if !c.balances() {
 		return
 	}
+	reported := false
 	for _, v := range c.pools {
 		if v.reported {
-			v.reported, v.reportedAt = false, now
+			v.reported, v.reportedAt, reported = false, now, true
 		}
 	}
-	if len(c.waiting) == 0 {
+	if !reported || len(c.waiting) == 0 {
 		return
 	}
 	for _, service := range c.unevenServices() {
@@ -214,10 +215,13 @@
 		}
 	}
 	c.emit(SendRecall{To: v.owner, Recall: NewRecall(m.From(), m.Job(), v.fence)})
+	backlog := time.Duration(0)
+	if capacity := v.capacities[w.job.route.Service()]; capacity != nil {
+		backlog = capacity.backlog.Round(time.Millisecond)
+	}
 	c.emit(Event{
 		Kind: EventTasksRecalled, Pool: m.From(), Task: filbertford.NewTaskKey(m.Job(), 0, 0, 0), Fence: v.fence, Age: now - w.offeredAt,
-		Reason: fmt.Sprintf("%d tasks wait, backlog %v; %d of them for %s", w.tasks,
-			v.capacities[w.job.route.Service()].backlog.Round(time.Millisecond), m.Tasks(), m.To()),
+		Reason: fmt.Sprintf("%d tasks wait, backlog %v, report of %v ago; %d of them for %s", w.tasks, backlog, now-v.reportedAt, m.Tasks(), m.To()),
 	})
 }
 
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -238,9 +238,14 @@
 
 // addOwner adds an owner of the pool with the fencing token.
 func (sim *simulation) addOwner(node filbertford.NodeID, fence uint64) *fakeOwner {
-	o := &fakeOwner{node: node, pool: NewPool(testPool, fence, testWallOffset, sim.now), wallOffset: testWallOffset}
+	return sim.addPoolOwner(node, testPool, fence, sim.records())
+}
+
+// addPoolOwner adds an owner of a pool of the given targets.
+func (sim *simulation) addPoolOwner(node filbertford.NodeID, pool filbertford.PoolID, fence uint64, records []filbertford.TargetRecord) *fakeOwner {
+	o := &fakeOwner{node: node, pool: NewPool(pool, fence, testWallOffset, sim.now), wallOffset: testWallOffset}
 	sim.owners = append(sim.owners, o)
-	o.pool.SetTargets(sim.now, sim.records())
+	o.pool.SetTargets(sim.now, records)
 	sim.scheduleTick(o)
 	sim.flush()
 	return o
