The fleet simulation can move waiting tasks

Cause: recalls were tested with pools and one coordinator only, not with the streams and claims of daemons. Change: the simulated daemons carry recalls; flag -fleet.rebalance of TestFleetRunsNoTaskTwice lets coordinators move tasks.

--- a/fbnode/fake_daemon_test.go
+++ b/fbnode/fake_daemon_test.go
@@ -291,6 +291,17 @@
 		}
 		d.send(v.To, withdraw)
 		d.repeatWithdrawal(v.To, v.Withdrawal.Job(), withdraw)
+	case fbsched.SendRecall:
+		recall := func(r *simDaemon) {
+			if p := r.pools[v.Recall.Pool()]; p != nil && p.Fence() == v.Recall.Fence() {
+				p.Recall(r.sim.now, self, v.Recall.Job())
+			}
+		}
+		if v.To == self {
+			recall(d)
+			return
+		}
+		d.send(v.To, recall)
 	case fbsched.Answer:
 		if done := d.requests[v.RequestID]; done != nil {
 			delete(d.requests, v.RequestID)
--- a/fbnode/fleet_simulation_test.go
+++ b/fbnode/fleet_simulation_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbbalance"
 	"github.com/filbertford/filbertford/fbfleet"
 	"github.com/filbertford/filbertford/fbsched"
 )
@@ -20,6 +21,7 @@
 	fleetSeeds  = flag.Uint64("fleet.seeds", 20, "`number` of seeds of TestFleetRunsNoTaskTwice")
 	fleetTrace  = flag.Bool("fleet.trace", false, "log all events")
 	fleetRepeat = flag.Bool("fleet.repeat", false, "deliver withdrawals even if streams break")
+	fleetMoves  = flag.Bool("fleet.rebalance", false, "let coordinators move waiting tasks")
 	fleetOnly   = flag.String("fleet.only", "", "inject only faults whose names contain one of the `names`, separated by commas")
 )
 
@@ -280,6 +282,8 @@
 			requests:    make(map[uint64]func(filbertford.WorkloadAnswer)), broken: make(map[uint64]func()),
 			lastTick: s.now, sentHeartbeats: make(map[filbertford.NodeID]sentHeartbeat),
 		}
+		d.coordinator.SetScheduling(filbertford.Scheduling{}.WithRebalance(*fleetMoves))
+		d.coordinator.SetBalancer(fbbalance.Share{}, rand.New(rand.NewPCG(m.Incarnation(), 0)))
 		d.fleet.SetPools(s.specs)
 		for _, spec := range s.specs {
 			d.coordinator.AddPool(spec.ID())
