--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -75,6 +75,9 @@
 	fbsched.EventJobAnswered:         fbevent.JobAnswered,
 	fbsched.EventJobAdmitted:         fbevent.JobAdmitted,
 	fbsched.EventJobRejected:         fbevent.JobRejected,
+	fbsched.EventTasksRecalled:       fbevent.TasksRecalled,
+	fbsched.EventTasksMoved:          fbevent.TasksMoved,
+	fbsched.EventRecallTooLate:       fbevent.RecallTooLate,
 }
 
 func (r *eventRecorder) recordDecision(now time.Duration, e fbsched.Event) {
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -141,6 +141,10 @@
 	EventJobAnswered         EventKind = "answered"
 	EventJobAdmitted         EventKind = "admitted"
 	EventJobRejected         EventKind = "rejected"
+	EventTasksRecalled       EventKind = "recalled"
+	EventTaskReturned        EventKind = "returned"
+	EventTasksMoved          EventKind = "moved"
+	EventRecallTooLate       EventKind = "recall-late"
 )
 
 func (StartCall) action()      {}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -53,7 +53,8 @@
 	lastOfferNumber uint64
 	releasedJobs    []filbertford.JobKey // with tasks that evacuated pools have returned
 	releasedAt      time.Duration        // when the last of them was returned
-	actions         []Action
+	balancing
+	actions []Action
 }
 
 // poolView is a coordinator's view of a pool.
@@ -65,8 +66,12 @@
 	heldOwner  filbertford.NodeID // an earlier owner that still claims the pool, see SetOwner
 	heldFence  uint64
 	capacities map[string]*capacityView
-	evacuated  bool // this daemon knows of the evacuation
-	releases   bool // the owner has returned a task because of one, and reported no capacity since
+	evacuated  bool          // this daemon knows of the evacuation
+	releases   bool          // the owner has returned a task because of one, and reported no capacity since
+	reported   bool          // a report of capacities has arrived since the last call of Rebalance
+	reportedAt time.Duration // when the last one arrived
+	draw       float64       // random number, drawn for each report
+	roundTrip  time.Duration // shortest time from an offer to the report of a start, 0 if unknown
 }
 
 // job is a job in progress. It misses its objective after due, and its callers stop
@@ -86,7 +91,8 @@
 	recalledAt     time.Duration // when its tasks were recalled, 0 if they weren't or one has started
 	returnDeadline time.Duration // when an abandoned job stops waiting for its tasks, 0 if not abandoned
 	reason         string
-	startReported  bool // JobStarted was emitted
+	startReported  bool  // JobStarted was emitted
+	move           *move // nil unless tasks were recalled
 	offered        map[poolOwner]bool
 }
 
@@ -104,15 +110,18 @@
 
 // taskState is the location and progress of a task.
 type taskState struct {
-	pool     filbertford.PoolID   // empty while the task waits for a pool
-	fence    uint64               // of the owner that the task was last offered to
-	resumed  bool                 // another owner may have started it when it was last offered
-	offer    uint64               // number of the last offer
-	target   filbertford.TargetID // that the task was last started on
-	done     bool
-	failures int
-	crashes  int // of targets under the task
-	returns  int
+	pool       filbertford.PoolID   // empty while the task waits for a pool
+	fence      uint64               // of the owner that the task was last offered to
+	resumed    bool                 // another owner may have started it when it was last offered
+	offer      uint64               // number of the last offer
+	target     filbertford.TargetID // that the task was last started on
+	done       bool
+	failures   int
+	crashes    int // of targets under the task
+	returns    int
+	waitsSince time.Duration // when it was offered to its pool, 0 once it may have been started
+	recalled   bool          // its pool was asked to return it, to move it
+	moves      int           // how often it was offered to another pool after a recall
 	// releasedBy are the pools that have returned a task of a stored job.
 	releasedBy []filbertford.PoolID
 	search     *search // set while pools are asked for a task of an earlier coordinator
@@ -229,6 +238,7 @@
 	for index, t := range j.steps[number].tasks {
 		if t.pool == pool && !t.done {
 			items = append(items, NewItem(index, t.failures).WithCrashes(t.crashes).WithTarget(t.target))
+			c.untrackResumed(j, &j.steps[number].tasks[index])
 		}
 	}
 	if len(items) > 0 {
@@ -313,6 +323,7 @@
 	if t.done || t.pool != r.Pool() || t.fence != r.Fence() && r.Status() != StatusDone {
 		return
 	}
+	c.reported(now, j, t, r)
 	t.failures, t.crashes = max(t.failures, r.Failures()), max(t.crashes, r.Crashes())
 	j.mayHaveRun = j.mayHaveRun || r.Started()
 	if j.recalledAt != 0 && c.handleRecalled(now, j, t, r.Status()) {
@@ -375,6 +386,10 @@
 			return // it answers an earlier offer: a pool keeps a task that may have been started
 		}
 		t.pool, t.target = "", ""
+		if t.recalled {
+			c.advanceReturned(now, j)
+			return
+		}
 		if t.returns++; t.returns > maxReturns && !j.stored {
 			c.abandon(now, j, "no pool keeps a task")
 			return
@@ -410,6 +425,8 @@
 	}
 	c.leaveQueues(now)
 	c.placeWaiting(now)
+	c.endMoves(now)
+	c.Rebalance(now)
 }
 
 // poolIDs returns the IDs of the known pools in ascending order.
--- a/fbsched/leave.go
+++ b/fbsched/leave.go
@@ -28,7 +28,7 @@
 	contended := make(map[string]bool)  // services for which a job waits that can meet its objective
 	var hopeless, useless []*job
 	for _, j := range c.jobs {
-		if j.stored || j.mayHaveRun || j.recalledAt != 0 || j.returnDeadline != 0 {
+		if j.stored || j.mayHaveRun || j.recalledAt != 0 || j.move != nil || j.returnDeadline != 0 {
 			continue
 		}
 		service := j.route.Service()
--- a/fbsched/overlap_stored_test.go
+++ b/fbsched/overlap_stored_test.go
@@ -147,6 +147,7 @@
 		"evacuations": {
 			kinds: slices.Concat(ownerFaults, []faultKind{faultEvacuate, faultEvacuate, faultEvacuate, faultStream, faultCoordinator, faultCut, faultFailing}), pools: 2,
 		},
+		"recalls":   {kinds: slices.Concat(ownerFaults, []faultKind{faultStream, faultCoordinator, faultCoordinatorLost}), pools: 2, recalls: true},
 		"two pools": {kinds: slices.Concat(ownerFaults, silence), pools: 2},
 		"targets and links, two pools": {pools: 2, kinds: slices.Concat(silence, []faultKind{
 			faultStream, faultOtherID, faultSameID, faultStuck, faultFailing, faultBusy, faultShrink,
--- a/fbsched/overload_test.go
+++ b/fbsched/overload_test.go
@@ -81,7 +81,7 @@
 			o.after(time.Duration(o.random.Int64N(int64(period))), func() { o.report(owner, node, period) })
 		}
 	}
-	o.answer, o.endsRunsLazily = o.record, true
+	o.fleetAnswered, o.endsRunsLazily = o.record, true
 	return o
 }
 
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -47,6 +47,9 @@
 		view.offered = 0
 		v.capacities[capacity.service] = view
 	}
+	if c.balances() {
+		v.reported, v.draw = true, c.random.Float64()
+	}
 }
 
 // placeStep offers the tasks of a step that have no pool.
@@ -60,13 +63,31 @@
 	if len(items) == 0 {
 		return
 	}
-	for _, part := range c.split(now, j, number, len(items)) {
+	others, returned := separateReturned(&j.steps[number], items)
+	if len(others) > 0 {
+		c.placeItems(now, j, number, others, c.split(now, j, number, len(others)))
+	}
+	if len(returned) > 0 {
+		c.placeItems(now, j, number, returned, c.splitReturned(now, j, number, len(returned)))
+	}
+}
+
+// placeItems offers tasks of a step to the pools of the parts.
+func (c *Coordinator) placeItems(now time.Duration, j *job, number int, items []Item, parts []part) {
+	for _, part := range parts {
 		batch := items[:part.tasks]
 		items = items[part.tasks:]
+		moved := false
 		for _, i := range batch {
-			j.steps[number].tasks[i.index].pool = part.pool
+			t := &j.steps[number].tasks[i.index]
+			t.pool, moved = part.pool, moved || t.recalled
+		}
+		if moved {
+			c.countMove(now, j, number, part.pool, batch)
 		}
-		c.offer(c.pools[part.pool], c.batch(now, j, number, part.pool, batch), j)
+		b := c.batch(now, j, number, part.pool, batch)
+		c.offer(c.pools[part.pool], b, j)
+		c.trackOffer(now, j, b.WithFence(c.pools[part.pool].fence))
 		c.emit(Event{
 			Kind: EventTasksPlaced, Pool: part.pool, Task: filbertford.NewTaskKey(j.workload.Key(), 0, number, batch[0].index),
 			Fence: c.pools[part.pool].fence, Age: now - j.submittedAt,
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -76,8 +76,11 @@
 	delivery   func() delivery
 	// linkDown reports whether requests to, or replies from, the target at the address are lost.
 	linkDown func(o *fakeOwner, address string) (request, reply bool)
-	answer   func(from filbertford.NodeID, a Answer) // called for all coordinators
 	answered func(request uint64, kind filbertford.AnswerKind)
+	// fleetAnswered is called for the answers of all coordinators.
+	fleetAnswered func(from filbertford.NodeID, a Answer)
+	// linkDelay returns the delay of messages between a coordinator and an owner, nil for 1 ms.
+	linkDelay func(coordinator filbertford.NodeID, o *fakeOwner) time.Duration
 	// streams counts the streams between the coordinator and the owners. Messages on an
 	// earlier stream are lost.
 	streams           int
@@ -216,7 +219,7 @@
 func (sim *simulation) endDueRuns() {
 	ids := sim.busyTargets[:0]
 	for id, t := range sim.targets {
-		if len(t.runs) > 0 {
+		if t.hasDueRun() {
 			ids = append(ids, id)
 		}
 	}
@@ -239,9 +242,14 @@
 
 // addOwner adds an owner of the pool with the fencing token.
 func (sim *simulation) addOwner(node filbertford.NodeID, fence uint64) *fakeOwner {
-	o := &fakeOwner{node: node, pool: NewPool(testPool, fence, testWallOffset, sim.now), wallOffset: testWallOffset}
+	return sim.addPoolOwner(node, testPool, fence, sim.records())
+}
+
+// addPoolOwner adds an owner of a pool of the given targets.
+func (sim *simulation) addPoolOwner(node filbertford.NodeID, pool filbertford.PoolID, fence uint64, records []filbertford.TargetRecord) *fakeOwner {
+	o := &fakeOwner{node: node, pool: NewPool(pool, fence, testWallOffset, sim.now), wallOffset: testWallOffset}
 	sim.owners = append(sim.owners, o)
-	o.pool.SetTargets(sim.now, sim.records())
+	o.pool.SetTargets(sim.now, records)
 	sim.scheduleTick(o)
 	sim.flush()
 	return o
@@ -380,7 +388,7 @@
 		sim.poll(o, v)
 	case SendReport:
 		if other := sim.others[v.To]; other != nil && !o.isolated {
-			sim.after(time.Millisecond, func() { other.HandleReport(sim.now, v.Report) })
+			sim.after(sim.delayBetween(o, v.To), func() { other.HandleReport(sim.now, v.Report) })
 		}
 		if v.To != sim.node {
 			return // that coordinator has stopped
@@ -390,7 +398,7 @@
 			sim.coordinator.HandleReport(sim.now, v.Report)
 		})
 	case SendBatch:
-		sim.sendToOwner(v.To, func(o *fakeOwner) {
+		sim.sendToOwner(from, v.To, func(o *fakeOwner) {
 			if o.pool.Fence() == v.Batch.Fence() {
 				if sim.trace != nil {
 					sim.tracef("%s: batch of %s, resume %v: %+v", o.node, v.Batch.Job(), v.Batch.Resume(), v.Batch.Items())
@@ -399,19 +407,20 @@
 			}
 		})
 	case SendWithdrawal:
-		sim.sendToOwner(v.To, func(o *fakeOwner) {
+		sim.sendToOwner(from, v.To, func(o *fakeOwner) {
 			sim.tracef("%s: withdrawal of %s", o.node, v.Withdrawal.Job())
 			o.pool.Withdraw(sim.now, from, v.Withdrawal.Job())
 		})
 	case SendRecall:
-		sim.sendToOwner(v.To, func(o *fakeOwner) {
+		sim.sendToOwner(from, v.To, func(o *fakeOwner) {
 			if o.pool.Fence() == v.Recall.Fence() {
+				sim.tracef("%s: recall of %s", o.node, v.Recall.Job())
 				o.pool.Recall(sim.now, from, v.Recall.Job())
 			}
 		})
 	case Answer:
-		if sim.answer != nil {
-			sim.answer(from, v)
+		if sim.fleetAnswered != nil {
+			sim.fleetAnswered(from, v)
 		}
 		if from != sim.node {
 			return // its caller has left
@@ -423,7 +432,7 @@
 			sim.answered(v.RequestID, v.Answer.Kind())
 		}
 	case SendConfirm:
-		sim.sendToOwner(v.To, func(o *fakeOwner) { o.pool.HandleConfirm(sim.now, v.Confirm) })
+		sim.sendToOwner(from, v.To, func(o *fakeOwner) { o.pool.HandleConfirm(sim.now, v.Confirm) })
 	case RecordOutcome:
 		sim.record(from, v)
 	case OwnerAccepted:
@@ -440,19 +449,6 @@
 	}
 }
 
-func (sim *simulation) sendToOwner(node filbertford.NodeID, do func(o *fakeOwner)) {
-	for _, o := range sim.owners {
-		if o.node == node && !o.isolated && !sim.streamDown {
-			stream := sim.streams
-			sim.after(time.Millisecond, func() {
-				if stream == sim.streams {
-					sim.handle(o, func() { do(o) })
-				}
-			})
-		}
-	}
-}
-
 // tracef adds a line to the trace.
 func (sim *simulation) tracef(format string, args ...any) {
 	if sim.trace != nil {
