Soak: evacuations of data centres from seed 20,000 on

Cause: evacuations were tried only beside single faults.

Change: a fault writes the row of a data centre and removes it after its duration. Plans of lower seeds stay as they were.

--- a/fbsoak/inject.go
+++ b/fbsoak/inject.go
@@ -55,6 +55,12 @@
 		s.recordImpact(f.Index, f)
 		f.Link = LinkReset
 		s.injectLinkFault(ctx, f, s.nodes[f.Index].callers, "callers", f.Index)
+	case FaultEvacuation:
+		s.recordImpact(-1, f)
+		dataCentre := s.opts.DataCentres[f.Index%len(s.opts.DataCentres)]
+		s.store.Evacuate(dataCentre)
+		s.sleep(ctx, f.Duration)
+		s.store.EndEvacuation(dataCentre)
 	default:
 		s.recordImpact(-1, f)
 		s.injectStoreFault(ctx, f)
--- a/fbsoak/plan.go
+++ b/fbsoak/plan.go
@@ -37,6 +37,8 @@
 	FaultTargetSlow     FaultKind = "target-slow"
 	FaultTargetsLate    FaultKind = "targets-late" // many calls to all targets are carried out late
 	FaultCallers        FaultKind = "callers"      // the connections of callers to a daemon are reset
+
+	FaultEvacuation FaultKind = "evacuation" // the data centre of a daemon is evacuated
 )
 
 // firstSeedOfLaterKinds is the first seed whose plans have laterKinds too. Those of lower
@@ -49,6 +51,9 @@
 	FaultTargetsLate, FaultTargetsLate, FaultTargetsLate, FaultCallers, FaultCallers,
 }
 
+// firstSeedOfEvacuations is the first seed whose plans have evacuations too.
+const firstSeedOfEvacuations = 20_000
+
 // Limits of drawn faults.
 const (
 	minFaultDuration = 200 * time.Millisecond
@@ -58,6 +63,8 @@
 	// minLateness and maxLateness limit how late FaultTargetsLate makes calls.
 	minLateness = 500 * time.Millisecond
 	maxLateness = 3 * time.Second
+	// evacuationWeight is the weight of evacuations; that of most other faults is 1 to 3.
+	evacuationWeight = 8
 	// rollingInterval is the time between two planned restarts: a daemon stops within
 	// a few seconds, so that the next one begins to stop soon after.
 	rollingInterval = 3 * time.Second
@@ -106,6 +113,9 @@
 	if seed >= firstSeedOfLaterKinds {
 		kinds = append(kinds, laterKinds...)
 	}
+	if seed >= firstSeedOfEvacuations {
+		kinds = append(kinds, slices.Repeat([]FaultKind{FaultEvacuation}, evacuationWeight)...)
+	}
 	links := []LinkState{LinkSlow, LinkBlocked, LinkBlockedToTarget, LinkBlockedFromTarget, LinkReset}
 	meanInterval := meanIntervals[r.IntN(len(meanIntervals))]
 	var faults []Fault
