Waiting tasks are divided among the pools by rate and wait, with admission = objective

Cause: all coordinators queued tasks in the pool with the shortest wait until its next report, so that queues swung and other pools ran dry while jobs were rejected. And a job with a long run was rejected while hardly any work waited, because the margin for its estimate took all of its time. Change: tasks that no pool can start are divided in proportion to the rate, and in inverse proportion to the wait plus 100 ms; a job may wait an eighth of the time that the fastest targets leave, whatever the margin. TestOverload counts by estimates which jobs free targets could run, and requires that none of them is rejected at half the capacity.

--- a/fbadmission/admission.go
+++ b/fbadmission/admission.go
@@ -34,10 +34,10 @@
 // estimateMargin allows for the variance of callers' estimates, as in a pool.
 const estimateMargin = 1.25
 
-// minSlackShare is the share of the time left after the expected run that a job may wait
-// even if the margin for its estimate takes more. Without it a job with a long run would be
-// rejected though hardly any work waits.
-const minSlackShare = 0.25
+// minSlackShare is the share of the time left on the fastest targets that a job may wait
+// though the margin for its estimate leaves less. Without it a job with a long run would be
+// rejected while hardly any work waits.
+const minSlackShare = 0.125
 
 // objective accepts jobs that are expected to end within their objective, and late ones
 // while hardly any work waits.
@@ -56,8 +56,7 @@
 	}
 	limit := min(j.Objective(), j.Useful())
 	if scale(j.Chain(), l.Fastest()) <= limit {
-		run := scale(j.Chain(), l.Factor())
-		slack := max(limit-scale(run, estimateMargin), scale(limit-run, minSlackShare), 0)
+		slack := max(limit-scale(j.Chain(), l.Factor()*estimateMargin), scale(limit-scale(j.Chain(), l.Fastest()), minSlackShare))
 		if l.Wait() <= scale(slack, 1-rampShare*j.Spread()) {
 			return filbertford.AcceptJob(filbertford.AdmissionInTime)
 		}
--- a/fbsched/admission.go
+++ b/fbsched/admission.go
@@ -219,12 +219,43 @@
 	return ahead
 }
 
-// expectedWait returns the time that a new task of the priority waits in the pool.
-func (c *Coordinator) expectedWait(v *capacityView, priority int) time.Duration {
-	if !v.objective || v.total == 0 {
-		return v.estimatedBacklog()
+// waitSpread is added to the wait of each pool before tasks are divided among the pools in
+// inverse proportion to it: the typical age of a report of another data centre. If all
+// coordinators chose the pool with the shortest wait, the others would run dry until their
+// next reports, and that one would get the work of all.
+const waitSpread = 100 * time.Millisecond
+
+// queueByWait assigns the n tasks that no pool has capacity for to pools with a probability
+// that grows with their rate and falls with the wait there. Each task takes the given work.
+func (c *Coordinator) queueByWait(parts []part, candidates []candidate, work float64, priority, n int) []part {
+	weights := make([]float64, len(candidates))
+	for range n {
+		var sum float64
+		for i, k := range candidates {
+			weights[i] = c.queueWeight(k.capacity, priority)
+			sum += weights[i]
+		}
+		// The multiples of the golden ratio are spread evenly, also over few numbers.
+		c.queueSequence = math.Mod(c.queueSequence+math.Phi, 1)
+		chosen, x := 0, c.queueSequence*sum
+		for chosen < len(candidates)-1 && x >= weights[chosen] {
+			x -= weights[chosen]
+			chosen++
+		}
+		candidates[chosen].capacity.addWaiting(priority, work)
+		parts = addPart(parts, candidates[chosen].pool, 1)
+	}
+	return parts
+}
+
+// queueWeight returns the share of waiting tasks that a pool gets, relative to other pools.
+// A pool without usable targets gets tasks only if no pool has any.
+func (c *Coordinator) queueWeight(v *capacityView, priority int) float64 {
+	rate := float64(v.usableRate())
+	if rate == 0 {
+		return 0
 	}
-	return time.Duration(v.workAhead(priority, c.scheduling.Order()) / float64(v.usableRate()))
+	return rate / (v.workAhead(priority, c.scheduling.Order())/rate + float64(waitSpread))
 }
 
 // addWaiting adds work of a priority that was offered since the last report.
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -50,6 +50,7 @@
 	scheduling      filbertford.Scheduling
 	admitter        filbertford.Admitter // set by the first job
 	tickedAt        time.Duration
+	queueSequence   float64 // see queueByWait
 	actions         []Action
 }
 
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -132,18 +132,26 @@
 // with the shortest backlog.
 func (c *Coordinator) queueRest(parts []part, candidates []candidate, step filbertford.Step, priority, n int) []part {
 	work := float64(step.Estimate()) * float64(step.Demand().CPU())
+	if c.admitsByObjective() {
+		return c.queueByWait(parts, candidates, work, priority, n)
+	}
 	for range n {
 		best := slices.MinFunc(candidates, func(a, b candidate) int {
-			return cmp.Compare(c.expectedWait(a.capacity, priority), c.expectedWait(b.capacity, priority))
+			return cmp.Compare(a.capacity.estimatedBacklog(), b.capacity.estimatedBacklog())
 		})
 		best.capacity.addWaiting(priority, work)
-		i := slices.IndexFunc(parts, func(p part) bool { return p.pool == best.pool })
-		if i < 0 {
-			parts = append(parts, part{pool: best.pool})
-			i = len(parts) - 1
-		}
-		parts[i].tasks++
+		parts = addPart(parts, best.pool, 1)
+	}
+	return parts
+}
+
+// addPart assigns n more tasks to the pool.
+func addPart(parts []part, pool filbertford.PoolID, n int) []part {
+	i := slices.IndexFunc(parts, func(p part) bool { return p.pool == pool })
+	if i < 0 {
+		return append(parts, part{pool: pool, tasks: n})
 	}
+	parts[i].tasks += n
 	return parts
 }
 
