--- a/fbsched/overload_test.go
+++ b/fbsched/overload_test.go
@@ -187,6 +187,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel() // each takes seconds
 			before := newOverload(filbertford.Scheduling{}).play(tt.load)
 			o := newOverload(filbertford.Scheduling{}.WithAdmission(filbertford.AdmitByObjective))
 			r := o.play(tt.load)
