Reports send each factor once, with the number of entries that have it

Cause: bytes between data centres are charged for, and a factor for each entry of the free CPU let the report of 117 targets grow from 112 to 287 bytes (up to 8 cores free on each) and from 334 to 578 (up to 48). Change: entries are sorted by factor; Room has the distinct factors and their counts.

--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -173,42 +172,53 @@
 		w.Waiting = append(w.Waiting, &fbwire.Waiting{Priority: uint32(waiting.Priority()), BacklogUs: uint32(waiting.Backlog().Microseconds())})
 	}
 	w.Fastest = uint32(math.Round(c.Fastest() * fastestUnit))
-	known := len(c.Factors()) == len(c.Free())
-	if len(c.Free()) <= maxExactTargets {
-		for i, f := range c.Free() {
-			w.Free = append(w.Free, uint32(f))
-			if known {
-				w.Factors = append(w.Factors, factorToWire(c.Factors()[i], 1))
-			}
-		}
-		return w
-	}
 	type group struct{ free, factor uint32 }
+	exact, known := len(c.Free()) <= maxExactTargets, len(c.Factors()) == len(c.Free())
 	counts := make(map[group]uint32)
+	var groups []group
 	for i, f := range c.Free() {
-		g := group{free: uint32(f / freeStep * freeStep)}
+		g := group{free: uint32(f)}
+		if !exact {
+			g.free = uint32(f / freeStep * freeStep)
+		}
 		if known {
-			g.factor = factorToWire(c.Factors()[i], factorStep)
+			g.factor = factorToWire(c.Factors()[i], exact)
+		}
+		if counts[g]++; exact || counts[g] == 1 {
+			groups = append(groups, g)
 		}
-		counts[g]++
 	}
-	groups := slices.SortedFunc(maps.Keys(counts), func(a, b group) int {
-		return cmp.Or(cmp.Compare(a.free, b.free), cmp.Compare(a.factor, b.factor))
+	slices.SortStableFunc(groups, func(a, b group) int {
+		if exact || a.factor != b.factor {
+			return cmp.Compare(a.factor, b.factor)
+		}
+		return cmp.Compare(a.free, b.free)
 	})
 	for _, g := range groups {
-		w.Free, w.Counts = append(w.Free, g.free), append(w.Counts, counts[g])
-		if known {
-			w.Factors = append(w.Factors, g.factor)
+		w.Free = append(w.Free, g.free)
+		if !exact {
+			w.Counts = append(w.Counts, counts[g])
+		}
+		last := len(w.Factors) - 1
+		switch {
+		case !known:
+		case last >= 0 && w.Factors[last] == g.factor:
+			w.FactorEntries[last]++
+		default:
+			w.Factors, w.FactorEntries = append(w.Factors, g.factor), append(w.FactorEntries, 1)
 		}
 	}
 	return w
 }
 
-// factorToWire returns a factor in hundredths, rounded up to a multiple of step, so that no
-// target seems faster than it is.
-func factorToWire(f float64, step int) uint32 {
+// factorToWire returns a factor in hundredths, rounded up, so that no target seems faster
+// than it is, and to a multiple of factorStep unless it is to be exact.
+func factorToWire(f float64, exact bool) uint32 {
 	hundredths := int(math.Ceil(min(f, maxFactor) * factorUnit))
-	return uint32((hundredths + step - 1) / step * step)
+	if !exact {
+		hundredths = (hundredths + factorStep - 1) / factorStep * factorStep
+	}
+	return uint32(hundredths)
 }
 
 const (
@@ -235,8 +245,15 @@
 
 func capacityFromWire(w *fbwire.Room) fbsched.Capacity {
 	free := make([]int, 0, len(w.GetFree()))
-	known := len(w.GetFactors()) == len(w.GetFree())
-	var factors []float64
+	var entryFactors, factors []float64
+	for i, n := range w.GetFactorEntries() {
+		for range min(int(n), len(w.GetFree())-len(entryFactors)) {
+			if i < len(w.GetFactors()) {
+				entryFactors = append(entryFactors, float64(w.GetFactors()[i])/factorUnit)
+			}
+		}
+	}
+	known := len(entryFactors) == len(w.GetFree())
 	for i, f := range w.GetFree() {
 		count := uint32(1)
 		if i < len(w.GetCounts()) {
@@ -245,7 +262,7 @@
 		for range min(int(count), maxTargets-len(free)) {
 			free = append(free, int(f))
 			if known {
-				factors = append(factors, float64(w.GetFactors()[i])/factorUnit)
+				factors = append(factors, entryFactors[i])
 			}
 		}
 	}
--- a/fblink/convert_test.go
+++ b/fblink/convert_test.go
@@ -124,6 +124,24 @@
 			if size := proto.Size(w); size > 400 {
 				t.Errorf("message has %d bytes, want at most 400", size)
 			}
+			factors := make([]float64, targets)
+			for i := range factors {
+				factors[i] = 0.7 + float64(i%2) // a slow target must not seem fast
+			}
+			c := capacityFromWire(capacityToWire(fbsched.NewCapacity("svc", free, total, 0).WithFactors(0.7, factors)))
+			fast := 0
+			for i, f := range c.Free() {
+				if c.Factors()[i] < 1 {
+					fast += f
+				}
+			}
+			wantFast := 0
+			for i := 0; i < targets; i += 2 {
+				wantFast += free[i]
+			}
+			if fast > wantFast || wantFast-fast > targets*freeStep {
+				t.Errorf("free capacity of fast targets is %d, want at most %d below %d", fast, targets*freeStep, wantFast)
+			}
 		})
 	}
 }
