--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -50,6 +50,7 @@
 	scheduling      filbertford.Scheduling
 	admitter        filbertford.Admitter // set by the first job
 	tickedAt        time.Duration
+	queueSequence   float64 // see queueByWait
 	lastOfferNumber uint64
 	releasedJobs    []filbertford.JobKey // with tasks that evacuated pools have returned
 	releasedAt      time.Duration        // when the last of them was returned
