Order of waiting tasks by priority

Cause: a pool starts its waiting tasks by latest start, so that the tasks of priority 2, whose objectives are long, go first when all work is late: Batch.Priority was not read.

Dispatch also stops when no waiting task fits on any target.

--- a/fbsched/bench_test.go
+++ b/fbsched/bench_test.go
@@ -12,16 +12,19 @@
 // full: the poll reply that lists the end, with queues of several lengths, and the next
 // start.
 func BenchmarkBacklog(b *testing.B) {
-	for _, queued := range []int{0, 100, 1000} {
-		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
-			benchmarkBacklog(b, 88, queued)
-		})
+	for _, queued := range []int{0, 100, 1000, 4000} {
+		for _, order := range []filbertford.QueueOrder{filbertford.OrderByDeadline, filbertford.OrderByPriority} {
+			b.Run(fmt.Sprintf("queued=%d/order=%s", queued, order), func(b *testing.B) {
+				benchmarkBacklog(b, 88, queued, filbertford.Scheduling{}.WithOrder(order))
+			})
+		}
 	}
 }
 
-func benchmarkBacklog(b *testing.B, targets, queued int) {
+func benchmarkBacklog(b *testing.B, targets, queued int, s filbertford.Scheduling) {
 	now := time.Minute
 	p := NewPool("nordnes", 1, 1_000_000, now)
+	p.SetScheduling(s)
 	records := make([]filbertford.TargetRecord, targets)
 	for i := range records {
 		id := filbertford.TargetID(fmt.Sprintf("t%02d", i))
@@ -35,7 +38,7 @@
 		jobs++
 		step := filbertford.NewStep(1, filbertford.NewResources(7000+jobs%5*500, 64, 0), 100*time.Millisecond)
 		batch := NewBatch("nordnes", filbertford.JobKey(fmt.Sprintf("%016x", jobs)), 0, 0, step, []Item{NewItem(0, 0)}).
-			WithWork("", "ordering", 3).WithTimes(time.Hour, time.Hour)
+			WithWork("", "ordering", 3).WithPriority(jobs%3).WithTimes(time.Hour, time.Hour)
 		p.Offer(now, "node-1", batch)
 	}
 	var started []filbertford.StartRunRequest
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -17,18 +17,12 @@
 	if p.queue.len() == 0 || !p.surveyed || now < max(p.startsHeldUntil, p.suspendedUntil) {
 		return
 	}
-	capacities := p.capacityByService(now)
-	started := false
-	p.queue.each(now, func(t *task) {
-		capacity := capacities[t.batch.service]
-		if capacity == nil || !p.suspected(t.key) && !t.batch.step.Demand().Fits(capacity.maxFree) {
-			return
+	p.visitQueue(now, p.capacityByService(now), func(t *task, capacity *serviceCapacity) bool {
+		if !p.suspected(t.key) && !t.batch.step.Demand().Fits(capacity.maxFree) {
+			return false
 		}
-		started = p.startTask(now, t, capacity) || started
+		return p.startTask(now, t, capacity)
 	})
-	if started {
-		p.queue.removeFunc(func(t *task) bool { return t.run != nil })
-	}
 }
 
 // startTask starts a task if a target of its service has capacity for it, and reports
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -136,6 +136,7 @@
 	if p.suspected(t.key) && len(r.target.runs) == 1 {
 		r.isolate()
 	}
+	p.jobsStarted(now, []filbertford.JobKey{t.key.Job()})
 	p.reportStart(t, r.target.id())
 	p.emitEvent(Event{Kind: EventRunAdopted, Task: t.key, Target: r.target.id(), Run: r.number, Age: now - r.startedAt})
 }
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -93,6 +93,7 @@
 	departed          map[filbertford.TargetID]bool     // targets that left the pool before they were listed
 	shardOwners       map[filbertford.JobKey]shardOwner // of stored jobs
 	queue             queue
+	startedJobs       map[filbertford.JobKey]time.Duration // when a task of the job was last started
 	kindFactors       *kindFactors
 	roundTrips        *roundTrips
 	createdAt         time.Duration
@@ -129,6 +130,7 @@
 	reofferBy                time.Duration        // when it is dropped unless it is offered again, 0 for never
 	run                      *run
 	started                  bool // a run was started or adopted
+	jobStarted               bool // a task of the job had been started when this one was queued
 }
 
 // taskOutcome is the outcome of a task that has ended.
@@ -160,6 +162,8 @@
 		endedTargets:      make(map[filbertford.TargetID]endedTarget),
 		departed:          make(map[filbertford.TargetID]bool),
 		shardOwners:       make(map[filbertford.JobKey]shardOwner),
+		queue:             newQueue(filbertford.OrderByDeadline),
+		startedJobs:       make(map[filbertford.JobKey]time.Duration),
 		kindFactors:       newKindFactors(),
 		roundTrips:        newRoundTrips(),
 		capacityChanged:   true,
@@ -168,7 +172,9 @@
 
 // SetScheduling sets the settings that apply under contention. It must be called before
 // the pool is used.
-func (p *Pool) SetScheduling(s filbertford.Scheduling) { p.scheduling = s }
+func (p *Pool) SetScheduling(s filbertford.Scheduling) {
+	p.scheduling, p.queue = s, newQueue(s.Order())
+}
 
 // ID returns the pool's name.
 func (p *Pool) ID() filbertford.PoolID { return p.id }
@@ -218,6 +224,7 @@
 }
 
 func (p *Pool) enqueue(t *task) {
+	_, t.jobStarted = p.startedJobs[t.key.Job()]
 	p.queue.add(t)
 	p.dispatchDue, p.capacityChanged = true, true
 }
@@ -314,6 +321,7 @@
 	p.checkSurveyed(now)
 	p.tickStored(now)
 	p.tickLosses(now)
+	p.forgetStartedJobs(now)
 	p.dispatch(now)
 	p.expire(now)
 	p.removeOldOutcomes(now)
