Reservation of targets for large tasks, and backfilling

Cause: a task that needs more than one of two runs on a target leaves finds room only when two runs end at about the same time; small tasks fill every gap before. Large tasks wait longest and are lost first above capacity.

Change: with backfill, a pool reserves the target on which the task is expected to end first, by the expected ends of the runs there. Others start there only if they are expected to end before, or fit beside it. At most a tenth of the usable targets are reserved, for tasks that the next end of a run on most targets doesn't make room for: first those before a task that is about to start, and every 20 ms the first in the queue that can meet their objective. A reservation that isn't met a quarter of the awaited run later is given up, and another target, or the same one, is chosen. Best fit prefers gaps that a waiting task could use.

--- a/fbsched/bench_test.go
+++ b/fbsched/bench_test.go
@@ -13,9 +13,13 @@
 // start.
 func BenchmarkBacklog(b *testing.B) {
 	for _, queued := range []int{0, 100, 1000, 4000} {
-		for _, order := range []filbertford.QueueOrder{filbertford.OrderByDeadline, filbertford.OrderByPriority} {
-			b.Run(fmt.Sprintf("queued=%d/order=%s", queued, order), func(b *testing.B) {
-				benchmarkBacklog(b, 88, queued, filbertford.Scheduling{}.WithOrder(order))
+		for _, s := range []filbertford.Scheduling{
+			{},
+			filbertford.Scheduling{}.WithOrder(filbertford.OrderByPriority),
+			filbertford.Scheduling{}.WithOrder(filbertford.OrderByPriority).WithBackfill(true),
+		} {
+			b.Run(fmt.Sprintf("queued=%d/order=%s/backfill=%v", queued, s.Order(), s.Backfill()), func(b *testing.B) {
+				benchmarkBacklog(b, 88, queued, s)
 			})
 		}
 	}
--- a/fbsched/capacity.go
+++ b/fbsched/capacity.go
@@ -13,12 +13,15 @@
 	factor float64 // by which a run takes longer than estimated
 	free   filbertford.Resources
 	closed bool // accepts no more tasks
+	// tenancy is the reservation for a large task, nil if none applies.
+	tenancy *tenancy
 }
 
 // serviceCapacity is the free capacity of a pool's targets for one service.
 type serviceCapacity struct {
 	targets   []targetCapacity      // also those that are reserved, which are closed
 	maxFree   filbertford.Resources // maximum of each free resource over targets that are not closed
+	openFree  filbertford.Resources // as maxFree, over targets to which no reservation applies
 	minFactor float64               // minimum over all usable targets, including full ones
 }
 
@@ -72,10 +75,14 @@
 
 // updateMaxFree updates maxFree after the free capacity of a target has changed.
 func (c *serviceCapacity) updateMaxFree() {
-	c.maxFree = filbertford.Resources{}
+	c.maxFree, c.openFree = filbertford.Resources{}, filbertford.Resources{}
 	for i := range c.targets {
-		if !c.targets[i].closed {
-			c.maxFree = c.maxFree.Max(c.targets[i].free)
+		if c.targets[i].closed {
+			continue
+		}
+		c.maxFree = c.maxFree.Max(c.targets[i].free)
+		if c.targets[i].tenancy == nil {
+			c.openFree = c.openFree.Max(c.targets[i].free)
 		}
 	}
 }
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -17,18 +17,20 @@
 	if p.queue.len() == 0 || !p.surveyed || now < max(p.startsHeldUntil, p.suspendedUntil) {
 		return
 	}
-	p.visitQueue(now, p.capacityByService(now), func(t *task, capacity *serviceCapacity) bool {
-		if !p.suspected(t.key) && !t.batch.step.Demand().Fits(capacity.maxFree) {
+	capacities := p.capacityByService(now)
+	p.visitQueue(now, capacities, func(t *task, capacity *serviceCapacity) bool {
+		if !p.suspected(t.key) && !p.backfill.mayFit(t, capacity) {
+			p.backfill.wait(p, now, t, capacity)
 			return false
 		}
-		return p.startTask(now, t, capacity)
+		return p.startTask(now, t, capacity, capacities)
 	})
 }
 
 // startTask starts a task if a target of its service has capacity for it, and reports
 // whether it did.
-func (p *Pool) startTask(now time.Duration, t *task, capacity *serviceCapacity) bool {
-	if t.coordinatorUnreachableAt != 0 || t.reofferBy != 0 || p.activeRuns[t.key] != nil || p.secondRuns[t.key] > 0 || p.heldBack(t.key) || !p.earlierRunsEnded(now, t) {
+func (p *Pool) startTask(now time.Duration, t *task, capacity *serviceCapacity, capacities map[string]*serviceCapacity) bool {
+	if !p.startable(now, t) {
 		return false
 	}
 	var chosen *targetCapacity
@@ -36,8 +38,7 @@
 	if alone {
 		chosen = p.chooseEmptyTarget(now, t, capacity)
 	} else {
-		chosen = p.chooseTarget(t, capacity)
-		t.waitsForFaster = chosen != nil && shouldWaitForFaster(now, t, chosen, capacity.minFactor)
+		chosen = p.chooseFreeTarget(now, t, capacity, capacities)
 	}
 	if chosen == nil || t.waitsForFaster {
 		return false
@@ -48,7 +49,7 @@
 	r := &run{
 		target: best, key: t.key, number: p.nextRunNumber(now, t), task: t, state: runStarting,
 		demand: step.Demand(), startedAt: now, progressedAt: now,
-		expected:    time.Duration(float64(step.Estimate()) * chosen.factor),
+		expected:    scaled(step.Estimate(), chosen.factor),
 		leaseExpiry: lease, onLiveTarget: best.heardLately(now),
 	}
 	best.leaseExpiry = max(best.leaseExpiry, r.leaseExpiry)
@@ -70,10 +71,16 @@
 	p.reportStart(t, best.id())
 	p.poll(now, best)
 	chosen.closed = alone || !best.health.accepts(now, len(best.runs))
+	p.backfill.started(p, now, t, chosen)
 	capacity.reserve(chosen, r.demand)
 	return true
 }
 
+// startable reports whether the task may be started if a target has capacity for it.
+func (p *Pool) startable(now time.Duration, t *task) bool {
+	return t.coordinatorUnreachableAt == 0 && t.reofferBy == 0 && p.activeRuns[t.key] == nil && p.secondRuns[t.key] == 0 && !p.heldBack(t.key) && p.earlierRunsEnded(now, t)
+}
+
 // earlierRunsEnded reports whether no run that an earlier owner started can still be
 // executing the task. Before notBefore, all targets must be listed, because the report
 // of the last start may not have reached the coordinator. So must the target in the last
@@ -99,18 +106,17 @@
 // chooseTarget returns the target on which the task is expected to end first. Among
 // equals it prefers the one with the least CPU left. It returns nil if no target can
 // run the task.
-func (p *Pool) chooseTarget(t *task, capacity *serviceCapacity) *targetCapacity {
+func (p *Pool) chooseTarget(now time.Duration, t *task, capacity *serviceCapacity) *targetCapacity {
 	step := t.batch.step
 	var best *targetCapacity
 	var bestCost float64
 	var bestLeft int
 	for i := range capacity.targets {
 		c := &capacity.targets[i]
-		if c.closed || !step.Demand().Fits(c.free) || !c.target.rec.HasLabel(step.Label()) ||
-			slices.Contains(t.avoid, c.target.id()) && !p.triedAllTargets(t) || c.target.atTaskLimit(t, step.MaxPerTarget()) {
+		if c.closed || !step.Demand().Fits(c.free) || !p.suits(t, c) || !c.tenancy.permits(t, now+scaled(step.Estimate(), c.factor)) {
 			continue
 		}
-		cost, left := c.factor, c.free.CPU()-step.Demand().CPU()
+		cost, left := c.factor, p.backfill.gap(p, c.free.CPU()-step.Demand().CPU())
 		if step.Rack() != "" && !c.target.rec.HasLabel(step.Rack()) {
 			cost *= offRackFactor
 		}
@@ -121,6 +127,13 @@
 	return best
 }
 
+// suits reports whether the task may be started on the target if it has capacity.
+func (p *Pool) suits(t *task, c *targetCapacity) bool {
+	step := t.batch.step
+	return c.target.rec.HasLabel(step.Label()) && (!slices.Contains(t.avoid, c.target.id()) || p.triedAllTargets(t)) &&
+		!c.target.atTaskLimit(t, step.MaxPerTarget())
+}
+
 // estimateMargin allows for the variance of callers' estimates.
 const estimateMargin = 1.25
 
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -93,6 +93,7 @@
 	departed          map[filbertford.TargetID]bool     // targets that left the pool before they were listed
 	shardOwners       map[filbertford.JobKey]shardOwner // of stored jobs
 	queue             queue
+	backfill          *backfill
 	startedJobs       map[filbertford.JobKey]time.Duration // when a task of the job was last started
 	kindFactors       *kindFactors
 	roundTrips        *roundTrips
@@ -130,6 +131,8 @@
 	reofferBy                time.Duration        // when it is dropped unless it is offered again, 0 for never
 	run                      *run
 	started                  bool // a run was started or adopted
+	reserved                 bool // a target is reserved for it, see backfill
+	reservedInTime           bool // it could meet its objective when the target was reserved
 	jobStarted               bool // a task of the job had been started when this one was queued
 }
 
@@ -173,7 +176,7 @@
 // SetScheduling sets the settings that apply under contention. It must be called before
 // the pool is used.
 func (p *Pool) SetScheduling(s filbertford.Scheduling) {
-	p.scheduling, p.queue = s, newQueue(s.Order())
+	p.scheduling, p.queue, p.backfill = s, newQueue(s.Order()), newBackfill(s.Backfill())
 }
 
 // ID returns the pool's name.
--- a/fbsched/poolload_test.go
+++ b/fbsched/poolload_test.go
@@ -40,6 +40,9 @@
 	served   bool          // all tasks ended within the objective
 }
 
+// objectiveOf returns the objective of a job of one step whose tasks take the given time.
+func objectiveOf(d time.Duration) time.Duration { return d*16/10 + 60*time.Millisecond }
+
 // run returns the jobs that were offered, ordered by time.
 func (l poolLoad) run(seed uint64) (*simulation, []*offeredJob) {
 	sim, random := newSimulation(l.targets, l.cpu/1000), rand.New(rand.NewPCG(seed, 1))
@@ -64,14 +67,14 @@
 				estimate = time.Duration(float64(d) / e)
 			}
 			j := &offeredJob{class: i, at: time.Duration(at * float64(time.Second)), duration: d, cpu: class.minCPU + random.IntN(class.maxCPU-class.minCPU+1)}
-			j.due = time.Duration(1.6*float64(d)) + 60*time.Millisecond
+			j.due = objectiveOf(d)
 			jobs, byKey[key], sim.works[key] = append(jobs, j), j, d
 			step := filbertford.NewStep(class.tasks, filbertford.NewResources(j.cpu, 1, 0), estimate)
 			var items []Item
 			for index := range class.tasks {
 				items = append(items, NewItem(index, 0))
 			}
-			batch := NewBatch(testPool, key, 0, 0, step, items).WithWork("", "ordering", 3).WithPriority(class.priority).WithTimes(j.due, 3*j.due-estimate)
+			batch := NewBatch(testPool, key, 0, 0, step, items).WithWork("", "ordering", 3).WithPriority(class.priority).WithTimes(objectiveOf(estimate), 3*objectiveOf(estimate)-estimate)
 			sim.after(j.at, func() {
 				current := sim.owners[len(sim.owners)-1]
 				current.pool.Offer(sim.now, sim.node, batch.WithFence(current.pool.Fence()))
--- a/fbsched/urgency.go
+++ b/fbsched/urgency.go
@@ -31,6 +31,7 @@
 		c := capacityOf(t)
 		return c != nil && now+time.Duration(float64(t.batch.step.Estimate())*c.minFactor) <= t.due
 	}
+	p.backfill.beginPass(p, now, capacities, inTime)
 	var started []filbertford.JobKey
 	minCPU, complete := math.MaxInt, true
 	p.queue.order.Visit(now, p.queue.tasks, inTime, func(t *task) bool {
