--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -47,4 +47,7 @@
 	TargetCrashed       = warnEvent("FE7063", "target has crashed under a task; the task runs alone from now on")
 	TargetNotCrashed    = infoEvent("FE7064", "target of a lost run replies again; it had not crashed")
 	TaskGivenUp         = errorEvent("FE7065", "task given up, because targets crash under it")
+	TargetReserved      = infoEvent("FE7071", "target reserved for a large task that fits nowhere")
+	ReservationUsed     = infoEvent("FE7072", "task with a reservation is started")
+	ReservationEnded    = infoEvent("FE7073", "reservation given up")
 )
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -22,6 +22,7 @@
 	// answerLatency and startWait are the latencies of answers and of run starts.
 	answerLatency   tally.Histogram
 	startWait       tally.Histogram
+	largeStartWait  tally.Histogram // of runs that need more than half of their target
 	limiter         *fblog.Limiter
 	lastOmissions   time.Duration
 	droppedLines    func() uint64 // number of lines dropped because the output was too slow
@@ -38,6 +39,7 @@
 	return &eventRecorder{
 		log: logger, scope: scope, counters: make(map[fbsched.EventKind]tally.Counter), limiter: fblog.NewLimiter(), droppedLines: droppedLines,
 		answerLatency: scope.Histogram("answer_latency", latencyBuckets), startWait: scope.Histogram("start_wait", latencyBuckets),
+		largeStartWait: scope.Histogram("start_wait_large", latencyBuckets),
 	}
 }
 
@@ -51,6 +53,9 @@
 	fbsched.EventTaskGivenUp:         fbevent.TaskGivenUp,
 	fbsched.EventTaskRequeued:        fbevent.TaskRequeued,
 	fbsched.EventTaskExpired:         fbevent.TaskExpired,
+	fbsched.EventTargetReserved:      fbevent.TargetReserved,
+	fbsched.EventReservationUsed:     fbevent.ReservationUsed,
+	fbsched.EventReservationEnded:    fbevent.ReservationEnded,
 	fbsched.EventRunStopped:          fbevent.RunStopped,
 	fbsched.EventRunAdopted:          fbevent.RunAdopted,
 	fbsched.EventRunFound:            fbevent.RunFound,
@@ -83,6 +88,9 @@
 		r.answerLatency.RecordDuration(e.Age)
 	case fbsched.EventRunStarted:
 		r.startWait.RecordDuration(e.Age)
+		if e.Large {
+			r.largeStartWait.RecordDuration(e.Age)
+		}
 	}
 	logEvent, ok := decisionEvents[e.Kind]
 	if !ok {
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -95,6 +95,8 @@
 	// Age is how long the run, task or state concerned has lasted, or the length of a
 	// quarantine.
 	Age time.Duration
+	// Large states that the task of a started run needs more than half of its target.
+	Large bool
 	// ListsAge is the age of the target's lists that the decision is based on.
 	ListsAge time.Duration
 }
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -62,7 +62,7 @@
 	t.run, t.started, p.capacityChanged = r, true, true
 	p.emitEvent(Event{
 		Kind: EventRunStarted, Task: t.key, Target: best.id(), Started: best.rec.Instance().StartedAt(), Run: r.number,
-		Fence: p.fence, Age: now - t.queuedAt, ListsAge: now - best.listsAt,
+		Fence: p.fence, Age: now - t.queuedAt, ListsAge: now - best.listsAt, Large: 2*r.demand.CPU() > best.rec.Capacity().CPU(),
 	})
 	p.emit(StartCall{
 		Request: filbertford.NewStartRunRequest(best.rec.Instance(), best.rec.Address(), t.key, r.number, t.batch.spec, r.leaseExpiry, p.fence),
--- a/fbsched/priority_load_test.go
+++ b/fbsched/priority_load_test.go
@@ -22,21 +22,21 @@
 const reservedCPU = 0.1
 
 // TestPrioritiesAboveCapacity guards against the inversion in which jobs of priority 0, whose
-// objectives are short, are served less than those of priority 2, and against the starvation
-// of the lower priorities.
+// objectives are short, are served less than those of priority 2, also because of reservations,
+// and against the starvation of the lower priorities.
 func TestPrioritiesAboveCapacity(t *testing.T) {
 	for _, load := range []float64{1.5, 3} {
 		t.Run(fmt.Sprintf("%v times the capacity", load), func(t *testing.T) {
 			l := poolLoad{targets: 40, cpu: 32_000, classes: threePriorities(load), duration: 2 * time.Second}
-			for _, order := range []filbertford.QueueOrder{filbertford.OrderByDeadline, filbertford.OrderByPriority} {
-				l.scheduling = filbertford.Scheduling{}.WithOrder(order)
+			byPriority := filbertford.Scheduling{}.WithOrder(filbertford.OrderByPriority)
+			for _, l.scheduling = range []filbertford.Scheduling{{}, byPriority, byPriority.WithBackfill(true)} {
 				_, jobs := l.run(1)
 				var served [3]float64
 				for priority := range served {
 					served[priority] = servedShare(jobs, func(j *offeredJob) bool { return j.class == priority })
 				}
-				t.Logf("order %s: served %.2f", order, served)
-				if order == filbertford.OrderByDeadline {
+				t.Logf("order %s, backfill %v: served %.2f", l.scheduling.Order(), l.scheduling.Backfill(), served)
+				if l.scheduling.Order() == filbertford.OrderByDeadline {
 					continue
 				}
 				if served[0] < served[2] {
--- a/fbsched/reserve.go
+++ b/fbsched/reserve.go
@@ -48,13 +48,15 @@
 // tenancy is a reservation that applies to the tasks that are visited in a pass.
 type tenancy struct {
 	reservation filbertford.Reservation
+	task        *task
+	priorities  bool // tasks of a higher priority than the task's don't wait for it
 	spare       filbertford.Resources
 }
 
 // permits reports whether the task may be started on the target, which is expected to run it
 // until end, without delaying the task that the target is reserved for.
 func (y *tenancy) permits(t *task, end time.Duration) bool {
-	return y == nil || y.reservation.Task() == t.key || end <= y.reservation.At() || t.batch.step.Demand().Fits(y.spare)
+	return y == nil || y.task == t || y.priorities && t.batch.priority < y.task.batch.priority || end <= y.reservation.At() || t.batch.step.Demand().Fits(y.spare)
 }
 
 // occupy records that a task was started on the target.
@@ -65,8 +67,8 @@
 }
 
 // beginPass ends the reservations whose reason has gone, before waiting tasks are visited. The
-// others apply from the start, also to more urgent tasks, so that a task starts when its target
-// is free: they hold few targets for a short time. Those of tasks that couldn't meet their
+// others apply from the start, also to more urgent tasks of the same priority, so that a task
+// starts when its target is free: they hold few targets for a short time. Those of tasks that couldn't meet their
 // objective any more apply only to tasks that are visited later.
 func (b *backfill) beginPass(p *Pool, now time.Duration, capacities map[string]*serviceCapacity, inTime func(*task) bool) {
 	if b == nil {
@@ -96,7 +98,7 @@
 		case c == nil || c.closed || !p.suits(t, c) || !t.batch.step.Demand().Fits(c.target.rec.Capacity()):
 			b.end(p, now, r, "the target is not usable")
 		case t.reservedInTime:
-			b.apply(p, now, r, c)
+			b.apply(p, now, t, r, c)
 		}
 	}
 	b.reserveForBlocked(p, now, capacities) // may choose the same target if it is still the best
@@ -124,9 +126,10 @@
 }
 
 // apply makes a reservation apply to the tasks that are visited from now on.
-func (b *backfill) apply(p *Pool, now time.Duration, r filbertford.Reservation, c *targetCapacity) {
+func (b *backfill) apply(p *Pool, now time.Duration, t *task, r filbertford.Reservation, c *targetCapacity) {
 	b.runs = b.runs[:0]
-	c.tenancy = &tenancy{reservation: r, spare: r.Spare(b.outlook(p, now, c))}
+	byPriority := p.scheduling.Order() == filbertford.OrderByPriority
+	c.tenancy = &tenancy{reservation: r, task: t, priorities: byPriority, spare: r.Spare(b.outlook(p, now, c))}
 }
 
 func (b *backfill) end(p *Pool, now time.Duration, r filbertford.Reservation, reason string) {
@@ -166,7 +169,7 @@
 	case t.reserved:
 		r, _ := b.plan.ForTask(t.key)
 		if c := capacity.of(r.Target()); c != nil && c.tenancy == nil {
-			b.apply(p, now, r, c)
+			b.apply(p, now, t, r, c)
 			capacity.updateMaxFree()
 		}
 	case len(b.blocked) < b.limit && b.needsReservation(t) && !p.suspected(t.key) && p.startable(now, t):
