--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -99,6 +99,8 @@
 	// Age is how long the run, task or state concerned has lasted, or the length of a
 	// quarantine.
 	Age time.Duration
+	// Large states that the task of a started run needs more than half of its target.
+	Large bool
 	// ListsAge is the age of the target's lists that the decision is based on.
 	ListsAge time.Duration
 	// Admission is why a job was accepted or rejected, Priority that of its route.
@@ -120,6 +122,10 @@
 	EventTargetCrashed       EventKind = "crash"
 	EventTargetNotCrashed    EventKind = "silent"
 	EventTaskGivenUp         EventKind = "given-up"
+	EventTargetReserved      EventKind = "reserve"
+	EventReservationUsed     EventKind = "reserved-start"
+	EventReservationEnded    EventKind = "reservation-end"
+	EventRunBackfilled       EventKind = "backfill"
 	EventRunStopped          EventKind = "stop-run"
 	EventRunAdopted          EventKind = "adopted"
 	EventRunFound            EventKind = "found"
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -24,23 +24,19 @@
 		return
 	}
 	capacities := p.capacityByService(now)
-	started := false
-	p.queue.each(now, func(t *task) {
-		capacity := capacities[t.batch.service]
-		if capacity == nil || !p.suspected(t.key) && !t.batch.step.Demand().Fits(capacity.maxFree) {
-			return
+	p.visitQueue(now, capacities, func(t *task, capacity *serviceCapacity) bool {
+		if !p.suspected(t.key) && !p.backfill.mayFit(t, capacity) {
+			p.backfill.wait(p, now, t, capacity)
+			return false
 		}
-		started = p.startTask(now, t, capacity) || started
+		return p.startTask(now, t, capacity, capacities)
 	})
-	if started {
-		p.queue.removeFunc(func(t *task) bool { return t.run != nil })
-	}
 }
 
 // startTask starts a task if a target of its service has capacity for it, and reports
 // whether it did.
-func (p *Pool) startTask(now time.Duration, t *task, capacity *serviceCapacity) bool {
-	if t.coordinatorUnreachableAt != 0 || t.reofferBy != 0 || p.activeRuns[t.key] != nil || p.secondRuns[t.key] > 0 || p.heldBack(t.key) || !p.earlierRunsEnded(now, t) {
+func (p *Pool) startTask(now time.Duration, t *task, capacity *serviceCapacity, capacities map[string]*serviceCapacity) bool {
+	if !p.startable(now, t) {
 		return false
 	}
 	var chosen *targetCapacity
@@ -48,8 +44,7 @@
 	if alone {
 		chosen = p.chooseEmptyTarget(now, t, capacity)
 	} else {
-		chosen = p.chooseTarget(now, t, capacity)
-		t.waitsForFaster = chosen != nil && shouldWaitForFaster(now, t, chosen, capacity.minFactor)
+		chosen = p.chooseFreeTarget(now, t, capacity, capacities)
 	}
 	if chosen == nil || t.waitsForFaster {
 		return false
@@ -60,7 +55,7 @@
 	r := &run{
 		target: best, key: t.key, number: p.nextRunNumber(now, t), task: t, state: runStarting,
 		demand: step.Demand(), startedAt: now, progressedAt: now,
-		expected:    time.Duration(float64(step.Estimate()) * chosen.factor),
+		expected:    scaled(step.Estimate(), chosen.factor),
 		leaseExpiry: lease, onLiveTarget: best.heardLately(now),
 	}
 	best.leaseExpiry = max(best.leaseExpiry, r.leaseExpiry)
@@ -73,7 +68,7 @@
 	t.run, t.started, p.capacityChanged = r, true, true
 	p.emitEvent(Event{
 		Kind: EventRunStarted, Task: t.key, Target: best.id(), Started: best.rec.Instance().StartedAt(), Run: r.number,
-		Fence: p.fence, Age: now - t.queuedAt, ListsAge: now - best.listsAt,
+		Fence: p.fence, Age: now - t.queuedAt, ListsAge: now - best.listsAt, Large: 2*r.demand.CPU() > best.rec.Capacity().CPU(),
 	})
 	p.emit(StartCall{
 		Request: filbertford.NewStartRunRequest(best.rec.Instance(), best.rec.Address(), t.key, r.number, t.batch.spec, r.leaseExpiry, p.fence),
@@ -82,10 +77,16 @@
 	p.reportStart(t, best.id())
 	p.poll(now, best)
 	chosen.closed = alone || p.rampShare(now, best) < 1 || !best.health.accepts(now, len(best.runs))
+	p.backfill.started(p, now, t, chosen)
 	capacity.reserve(chosen, r.demand)
 	return true
 }
 
+// startable reports whether the task may be started if a target has capacity for it.
+func (p *Pool) startable(now time.Duration, t *task) bool {
+	return t.coordinatorUnreachableAt == 0 && t.reofferBy == 0 && p.activeRuns[t.key] == nil && p.secondRuns[t.key] == 0 && !p.heldBack(t.key) && p.earlierRunsEnded(now, t)
+}
+
 // earlierRunsEnded reports whether no run that an earlier owner started can still be
 // executing the task. Before notBefore, all targets must be listed, because the report
 // of the last start may not have reached the coordinator. So must the target in the last
@@ -116,15 +117,15 @@
 	var bestTarget filbertford.FreeTarget
 	for i := range capacity.targets {
 		c := &capacity.targets[i]
-		if c.closed || !step.Demand().Fits(c.free) || !c.target.rec.HasLabel(step.Label()) ||
-			slices.Contains(t.avoid, c.target.id()) && !p.triedAllTargets(t) || c.target.atTaskLimit(t, step.MaxPerTarget()) {
+		if c.closed || !step.Demand().Fits(c.free) || !p.suits(t, c) || !c.tenancy.permits(t, now+scaled(step.Estimate(), c.factor)) {
 			continue
 		}
 		factor := c.factor
 		if step.Rack() != "" && !c.target.rec.HasLabel(step.Rack()) {
 			factor *= offRackFactor
 		}
-		candidate := filbertford.NewFreeTarget(time.Duration(factor*float64(step.Estimate())), c.free.CPU()-step.Demand().CPU())
+		left := p.backfill.gap(p, c.free.CPU()-step.Demand().CPU())
+		candidate := filbertford.NewFreeTarget(scaled(step.Estimate(), factor), left)
 		if best == nil || capacity.placement.Better(t.due-now, candidate, bestTarget) {
 			best, bestTarget = c, candidate
 		}
@@ -132,6 +133,13 @@
 	return best
 }
 
+// suits reports whether the task may be started on the target if it has capacity.
+func (p *Pool) suits(t *task, c *targetCapacity) bool {
+	step := t.batch.step
+	return c.target.rec.HasLabel(step.Label()) && (!slices.Contains(t.avoid, c.target.id()) || p.triedAllTargets(t)) &&
+		!c.target.atTaskLimit(t, step.MaxPerTarget())
+}
+
 // shouldWaitForFaster reports whether the task would miss its objective on the chosen
 // target, but can still meet it on a target with the lowest factor, which may have
 // capacity soon.
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -93,6 +93,8 @@
 	departed          map[filbertford.TargetID]filbertford.TargetRecord // left the pool before they were listed
 	shardOwners       map[filbertford.JobKey]shardOwner                 // of stored jobs
 	queue             queue
+	backfill          *backfill
+	startedJobs       map[filbertford.JobKey]time.Duration // when a task of the job was last started
 	kindFactors       *kindFactors
 	runTimeRatios     median // of run times and those expected for the machine kind
 	roundTrips        *roundTrips
@@ -131,6 +133,9 @@
 	reofferBy                time.Duration        // when it is dropped unless it is offered again, 0 for never
 	run                      *run
 	started                  bool // a run was started or adopted
+	reserved                 bool // a target is reserved for it, see backfill
+	reservedInTime           bool // it could meet its objective when the target was reserved
+	jobStarted               bool // a task of the job had been started when this one was queued
 }
 
 // taskOutcome is the outcome of a task that has ended.
@@ -162,6 +167,8 @@
 		endedTargets:      make(map[filbertford.TargetID]endedTarget),
 		departed:          make(map[filbertford.TargetID]filbertford.TargetRecord),
 		shardOwners:       make(map[filbertford.JobKey]shardOwner),
+		queue:             newQueue(filbertford.OrderByDeadline),
+		startedJobs:       make(map[filbertford.JobKey]time.Duration),
 		kindFactors:       newKindFactors(),
 		roundTrips:        newRoundTrips(),
 		capacityChanged:   true,
@@ -170,7 +177,9 @@
 
 // SetScheduling sets the settings that apply under contention. It must be called before
 // the pool is used.
-func (p *Pool) SetScheduling(s filbertford.Scheduling) { p.scheduling = s }
+func (p *Pool) SetScheduling(s filbertford.Scheduling) {
+	p.scheduling, p.queue, p.backfill = s, newQueue(s.Order()), newBackfill(s.Backfill())
+}
 
 // ID returns the pool's name.
 func (p *Pool) ID() filbertford.PoolID { return p.id }
@@ -220,6 +229,7 @@
 }
 
 func (p *Pool) enqueue(t *task) {
+	_, t.jobStarted = p.startedJobs[t.key.Job()]
 	p.queue.add(t)
 	p.dispatchDue, p.capacityChanged = true, true
 }
@@ -316,6 +326,7 @@
 	p.checkSurveyed(now)
 	p.tickStored(now)
 	p.tickLosses(now)
+	p.forgetStartedJobs(now)
 	p.tickRamp(now)
 	p.dispatch(now)
 	p.expire(now)
