Shorter load harness of the pool's tests

Cause: the harness had a hook and fields that no test used.

Change: they are gone; the tests check the same.

--- a/fbsched/backfill_load_test.go
+++ b/fbsched/backfill_load_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -24,9 +23,9 @@
 		if !match(j) {
 			continue
 		}
-		wait := 3 * j.due
-		if len(j.starts) > 0 {
-			wait = slices.Min(j.starts)
+		wait := j.firstStart
+		if wait == 0 {
+			wait = 3 * j.due
 		}
 		mean, longest, n = mean+wait, max(longest, wait), n+1
 	}
--- a/fbsched/poolload_test.go
+++ b/fbsched/poolload_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -24,26 +23,24 @@
 	scheduling    filbertford.Scheduling
 	classes       []loadClass
 	duration      time.Duration
-	estimateError float64                    // an estimate is too long or too short by up to this factor, 1.4 by default
-	during        func(*simulation, float64) // called at intervals of a tenth of the duration
+	estimateError float64 // an estimate is too long or too short by up to this factor, 1.4 by default
 }
 
 // offeredJob is a job that was offered to the pool.
 type offeredJob struct {
-	class    int
-	cpu      int
-	at       time.Duration
-	due      time.Duration // after at
-	duration time.Duration // of each task
-	starts   []time.Duration
-	wait     time.Duration // until the last start
-	served   bool          // all tasks ended within the objective
+	class                 int
+	cpu                   int
+	at                    time.Duration
+	due                   time.Duration // after at
+	duration              time.Duration // of each task
+	firstStart, lastStart time.Duration // after at, 0 for none
+	served                bool          // all tasks ended within the objective
 }
 
 // objectiveOf returns the objective of a job of one step whose tasks take the given time.
 func objectiveOf(d time.Duration) time.Duration { return d*16/10 + 60*time.Millisecond }
 
-// run returns the jobs that were offered, ordered by time.
+// run returns the jobs that were offered.
 func (l poolLoad) run(seed uint64) (*simulation, []*offeredJob) {
 	sim, random := newSimulation(l.targets, l.cpu/1000), rand.New(rand.NewPCG(seed, 1))
 	sim.eachTarget(func(t *fakeTarget) { t.setCapacity(filbertford.NewResources(l.cpu, 64_000, 0)) })
@@ -51,7 +48,7 @@
 	o.pool.SetScheduling(l.scheduling)
 	sim.advance(300 * time.Millisecond)
 	sim.announceOwner(o)
-	begin, estimateError := sim.now, max(l.estimateError, 1.4)
+	estimateError := max(l.estimateError, 1.4)
 	byKey := make(map[filbertford.JobKey]*offeredJob)
 	var jobs []*offeredJob
 	for i, class := range l.classes {
@@ -75,24 +72,17 @@
 				items = append(items, NewItem(index, 0))
 			}
 			batch := NewBatch(testPool, key, 0, 0, step, items).WithWork("", "ordering", 3).WithPriority(class.priority).WithTimes(objectiveOf(estimate), 3*objectiveOf(estimate)-estimate)
-			sim.after(j.at, func() {
-				current := sim.owners[len(sim.owners)-1]
-				current.pool.Offer(sim.now, sim.node, batch.WithFence(current.pool.Fence()))
-			})
+			sim.after(j.at, func() { o.pool.Offer(sim.now, sim.node, batch.WithFence(1)) })
 		}
 	}
-	for tenth := range 10 {
-		sim.advance(l.duration / 10)
-		if l.during != nil {
-			l.during(sim, float64(tenth+1)/10)
-		}
-	}
-	sim.advance(6 * time.Second)
+	sim.advance(l.duration + 6*time.Second)
 	for _, event := range sim.poolEvents {
 		if event.Kind == EventRunStarted {
 			j := byKey[event.Task.Job()]
-			j.starts = append(j.starts, event.Age)
-			j.wait = max(j.wait, event.Age)
+			if j.firstStart == 0 {
+				j.firstStart = max(event.Age, 1)
+			}
+			j.lastStart = max(j.lastStart, event.Age)
 		}
 	}
 	for key, j := range byKey {
@@ -100,10 +90,8 @@
 		for index := range l.classes[j.class].tasks {
 			done += min(1, sim.done[filbertford.NewTaskKey(key, 0, 0, index)])
 		}
-		j.served = done == l.classes[j.class].tasks && j.wait+j.duration <= j.due
+		j.served = done == l.classes[j.class].tasks && j.lastStart+j.duration <= j.due
 	}
-	slices.SortFunc(jobs, func(a, b *offeredJob) int { return int(a.at - b.at) })
-	sim.now -= begin
 	return sim, jobs
 }
 
