An owner's delay doesn't count as slowness of its targets

Cause: the factor by which runs take longer than estimated was learned from the time until their end was handled. Change: with admission by objective the target's clock counts from the start to the list of ended runs.

--- a/admission.go
+++ b/admission.go
@@ -22,6 +22,9 @@
 	// AdmissionSlow means that the job was rejected because no target is fast enough for
 	// a useful answer.
 	AdmissionSlow AdmissionReason = "slow"
+	// AdmissionDelay means that the job was rejected because the owners of the pools are
+	// short of processor time and would handle its end too late.
+	AdmissionDelay AdmissionReason = "delay"
 	// AdmissionWithdrawn means that the job was accepted, but taken back before any of its
 	// tasks had started, because it couldn't end in time any more.
 	AdmissionWithdrawn AdmissionReason = "withdrawn"
@@ -73,6 +76,7 @@
 	free     bool
 	factor   float64
 	fastest  float64
+	delay    time.Duration
 	wait     time.Duration
 	total    time.Duration
 	age      time.Duration
@@ -98,6 +102,15 @@
 	return l
 }
 
+// WithDelay returns a copy of l with the time that owners of pools add to each run.
+func (l FleetLoad) WithDelay(d time.Duration) FleetLoad {
+	l.delay = d
+	return l
+}
+
+// Delay returns the time that owners of pools add to each run.
+func (l FleetLoad) Delay() time.Duration { return l.delay }
+
 // Known reports whether any pool has reported its load.
 func (l FleetLoad) Known() bool { return l.known }
 
--- a/fbadmission/admission.go
+++ b/fbadmission/admission.go
@@ -48,15 +48,19 @@
 	if !l.Known() {
 		return filbertford.AcceptJob(filbertford.AdmissionUnknown)
 	}
+	limit, shortest := min(j.Objective(), j.Useful()), scale(j.Chain(), l.Fastest())
+	if shortest <= limit && shortest+l.Delay() > limit {
+		return filbertford.RejectJob(filbertford.AdmissionDelay)
+	}
 	if l.Free() {
 		return filbertford.AcceptJob(filbertford.AdmissionFree)
 	}
-	if scale(j.Chain(), l.Fastest()) > j.Useful() {
+	if shortest > j.Useful() {
 		return filbertford.RejectJob(filbertford.AdmissionSlow)
 	}
-	limit := min(j.Objective(), j.Useful())
-	if scale(j.Chain(), l.Fastest()) <= limit {
-		slack := max(limit-scale(j.Chain(), l.Factor()*estimateMargin), scale(limit-scale(j.Chain(), l.Fastest()), minSlackShare))
+	if shortest <= limit {
+		limit -= l.Delay()
+		slack := max(limit-scale(j.Chain(), l.Factor()*estimateMargin), scale(limit-shortest, minSlackShare))
 		if l.Wait() <= scale(slack, 1-rampShare*j.Spread()) {
 			return filbertford.AcceptJob(filbertford.AdmissionInTime)
 		}
--- a/fbadmission/admission_test.go
+++ b/fbadmission/admission_test.go
@@ -34,6 +34,8 @@
 		"slow targets, nothing waits":       {job, load.WithFactors(2.2, 2.2), true, filbertford.AdmissionLate},
 		"slow targets, others wait":         {job, load.WithFactors(2.2, 2.2).WithWaits(0, 150*ms, 0), false, filbertford.AdmissionWait},
 		"targets too slow for any use":      {slow, load.WithFactors(2, 1.7), false, filbertford.AdmissionSlow},
+		"owners are short of processor":     {job, filbertford.NewFleetLoad(0, true).WithDelay(200 * ms), false, filbertford.AdmissionDelay},
+		"owners are a little late":          {job, load.WithDelay(50*ms).WithWaits(60*ms, 60*ms, 0), true, filbertford.AdmissionInTime},
 		"sustained overload isn't for late": {job, load.WithWaits(150*ms, 150*ms, 0), false, filbertford.AdmissionWait},
 	}
 	for name, tt := range tests {
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -171,6 +171,7 @@
 	for _, waiting := range c.Waiting() {
 		w.Waiting = append(w.Waiting, &fbwire.Waiting{Priority: uint32(waiting.Priority()), BacklogUs: uint32(waiting.Backlog().Microseconds())})
 	}
+	w.DelayUs = uint32(c.Delay().Microseconds())
 	w.Fastest = uint32(math.Round(c.Fastest() * fastestUnit))
 	type group struct{ free, factor uint32 }
 	exact, known := len(c.Free()) <= maxExactTargets, len(c.Factors()) == len(c.Free())
@@ -272,7 +273,8 @@
 	}
 	return fbsched.NewCapacity(w.GetService(), free, int(w.GetTotal()), time.Duration(w.GetBacklogUs())*time.Microsecond).
 		WithRate(int(w.GetRate()), waiting...).
-		WithFactors(float64(w.GetFastest())/fastestUnit, factors)
+		WithFactors(float64(w.GetFastest())/fastestUnit, factors).
+		WithDelay(time.Duration(w.GetDelayUs()) * time.Microsecond)
 }
 
 func batchToWire(b fbsched.Batch) *fbwire.Batch {
--- a/fblink/convert_test.go
+++ b/fblink/convert_test.go
@@ -30,7 +30,7 @@
 	route := filbertford.NewRoute("h", "/p/", "svc").WithPolicy(2, 3).WithObjective(1.6, 60*time.Millisecond, 0)
 	claims := []fbfleet.Claim{fbfleet.NewClaim("p", 9)}
 	capacities := map[filbertford.PoolID][]fbsched.Capacity{"p": {
-		fbsched.NewCapacity("svc", []int{1, 2}, 3, 4*time.Millisecond).WithRate(2, fbsched.NewWaitingWork(1, 5*time.Millisecond)).WithFactors(0.7, []float64{0.75, 1.5}),
+		fbsched.NewCapacity("svc", []int{1, 2}, 3, 4*time.Millisecond).WithRate(2, fbsched.NewWaitingWork(1, 5*time.Millisecond)).WithDelay(3*time.Millisecond).WithFactors(0.7, []float64{0.75, 1.5}),
 	}}
 	tests := map[string]Message{
 		"beat":        NewHeartbeat(fbfleet.NewHeartbeat(sender, true, map[filbertford.NodeID]bool{self: true}, claims).WithStarting(true).WithPeriod(time.Second), capacities, 4).WithEvacuationsVersion(8),
--- a/fbsched/admission.go
+++ b/fbsched/admission.go
@@ -47,8 +47,8 @@
 // admissionInputs returns what the decision about a job depends on, for logs and the
 // caller.
 func (*Coordinator) admissionInputs(now time.Duration, j *job, load filbertford.FleetLoad, rate int) string {
-	return fmt.Sprintf("waited %v, wait %v, all work %v, rate %d, factor %.2f, fastest %.2f, free %v, estimate %v, objective %v, useful for %v",
-		(now - j.submittedAt).Round(time.Millisecond), load.Wait().Round(time.Millisecond), load.Total().Round(time.Millisecond),
+	return fmt.Sprintf("waited %v, wait %v, delay %v, all work %v, rate %d, factor %.2f, fastest %.2f, free %v, estimate %v, objective %v, useful for %v",
+		(now - j.submittedAt).Round(time.Millisecond), load.Wait().Round(time.Millisecond), load.Delay().Round(time.Millisecond), load.Total().Round(time.Millisecond),
 		rate, load.Factor(), load.Fastest(), load.Free(), j.chain.Round(time.Millisecond), (j.due - now).Round(time.Millisecond), (j.usefulUntil - now).Round(time.Millisecond))
 }
 
@@ -108,11 +108,12 @@
 
 // fleetLoad returns the load of all pools together as a job sees it, and their rate.
 func (c *Coordinator) fleetLoad(now time.Duration, j *job) (load filbertford.FleetLoad, rate int) {
-	var own, all, total float64 // work and CPU
+	var own, all, total, delay float64 // work and CPU, and delay weighted by rate
 	var age time.Duration
 	for _, capacity := range c.reports(now, j.route.Service()) {
 		rate += capacity.usableRate()
 		total += float64(capacity.total)
+		delay += float64(capacity.delay) * float64(capacity.usableRate())
 		own += capacity.workAhead(j.route.Priority(), c.scheduling.Order())
 		all += capacity.workAhead(math.MaxInt, c.scheduling.Order())
 		age = max(age, now-capacity.reportedAt)
@@ -122,6 +123,7 @@
 	}
 	load = filbertford.NewFleetLoad(c.shortestBacklog(j.route.Service()), c.fitsNow(now, j)).
 		WithFactors(total/float64(rate), c.fastestFactor(now, j.route.Service())).
+		WithDelay(time.Duration(delay/float64(rate))).
 		WithWaits(time.Duration(own/float64(rate)), time.Duration(all/float64(rate)), age)
 	return load, rate
 }
--- a/fbsched/capacity_report.go
+++ b/fbsched/capacity_report.go
@@ -11,6 +11,7 @@
 	rate    int
 	waiting []WaitingWork
 	fastest float64
+	delay   time.Duration
 	factors []float64
 }
 
@@ -82,3 +83,12 @@
 // Factors returns the factors of the targets in Free, in their order. It is empty if the
 // pool's owner doesn't report them.
 func (c Capacity) Factors() []float64 { return c.factors }
+
+// WithDelay returns a copy of c with the time that the pool's owner adds to each run.
+func (c Capacity) WithDelay(d time.Duration) Capacity {
+	c.delay = d
+	return c
+}
+
+// Delay returns the time that passes beside a run until its end is handled.
+func (c Capacity) Delay() time.Duration { return c.delay }
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -204,7 +204,7 @@
 		return
 	}
 	if reply.Outcome() == filbertford.CallDone {
-		r.confirmedAt = received
+		r.confirmedAt, r.startClock = received, reply.Clock()
 		if r.state == runStarting || r.state == runUncertain && !r.stopWanted {
 			r.state, r.progressedAt = runWorking, now
 		}
@@ -273,7 +273,7 @@
 		capacity := byService[name]
 		capacity.backlog = p.backlog(name, capacity.total)
 		rate := int(rates[name])
-		out = append(out, capacity.WithRate(rate, p.waitingWork(name, rate)...))
+		out = append(out, capacity.WithRate(rate, p.waitingWork(name, rate)...).WithDelay(p.delay.estimate(now)))
 	}
 	return out
 }
--- a/fbsched/health.go
+++ b/fbsched/health.go
@@ -124,8 +124,9 @@
 	p.emitEvent(Event{Kind: EventTargetSuspect, Target: t.id(), Task: failed.key, Reason: "failed run"})
 }
 
-// observeRun updates the health and slowdown of a target from a run that is done.
-func (p *Pool) observeRun(now time.Duration, t *target, r *run, outcome filbertford.RunOutcome) {
+// observeRun updates the health and slowdown of a target from a run that is done. The
+// target listed the end at the given time of its clock.
+func (p *Pool) observeRun(now time.Duration, t *target, r *run, outcome filbertford.RunOutcome, listedClock int64) {
 	if outcome != filbertford.RunDone {
 		return
 	}
@@ -139,7 +140,7 @@
 	if estimate <= 0 {
 		return
 	}
-	factor := float64(now-r.startedAt) / float64(estimate)
+	factor := float64(p.runTime(now, r, listedClock)) / float64(estimate)
 	kindFactor := p.kindFactors.factor(t.rec.MachineKind())
 	p.kindFactors.observe(t.rec.MachineKind(), min(factor, 4*kindFactor))
 	p.observeSpeed(now, t, r, factor/kindFactor)
--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -14,7 +14,7 @@
 	for _, e := range r.Ended() {
 		if e.Sequence() > t.lastSequence {
 			t.lastSequence = e.Sequence()
-			p.runEnded(now, t, e)
+			p.runEnded(now, t, e, r.Clock())
 		}
 	}
 }
@@ -117,8 +117,9 @@
 	}
 }
 
-// runEnded handles a run that the target lists as ended.
-func (p *Pool) runEnded(now time.Duration, t *target, e filbertford.EndedRun) {
+// runEnded handles a run that the target lists as ended, in lists that it wrote at the given
+// time of its clock.
+func (p *Pool) runEnded(now time.Duration, t *target, e filbertford.EndedRun, listedClock int64) {
 	r := t.runs[e.Task()]
 	if r == nil || r.number != e.Run() {
 		p.inheritedRunEnded(now, t, e)
@@ -131,7 +132,7 @@
 		t.trackOutcome(e, task.failures)
 	}
 	if task == nil {
-		p.observeRun(now, t, r, e.Outcome())
+		p.observeRun(now, t, r, e.Outcome(), listedClock)
 		if !r.stopWanted || isStoredRun(r.number) {
 			p.inheritedRunEnded(now, t, e)
 		}
@@ -139,7 +140,7 @@
 	}
 	switch e.Outcome() {
 	case filbertford.RunDone:
-		p.observeRun(now, t, r, e.Outcome())
+		p.observeRun(now, t, r, e.Outcome(), listedClock)
 		p.finishTask(now, task, StatusDone)
 	case filbertford.RunFailed:
 		p.taskFailed(now, t, task)
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -19,8 +19,9 @@
 	offered    float64 // thousandths of a core times nanoseconds
 	objective  bool    // jobs are admitted by their objective
 	rate       int
-	fastest    float64   // factor of the fastest target, 0 if unknown
-	waiting    []float64 // by priority, with the tasks offered, in the unit of offered
+	fastest    float64       // factor of the fastest target, 0 if unknown
+	delay      time.Duration // that the owner adds to each run
+	waiting    []float64     // by priority, with the tasks offered, in the unit of offered
 	reportedAt time.Duration
 }
 
@@ -36,7 +37,7 @@
 		v.releases = v.releases && capacity.total == 0
 		view := &capacityView{
 			free: slices.Clone(capacity.free), total: capacity.total, backlog: capacity.backlog,
-			objective: c.admitsByObjective(), rate: capacity.rate, fastest: capacity.fastest, reportedAt: c.tickedAt,
+			objective: c.admitsByObjective(), rate: capacity.rate, fastest: capacity.fastest, delay: capacity.delay, reportedAt: c.tickedAt,
 		}
 		if len(capacity.factors) == len(capacity.free) {
 			view.factors = capacity.factors
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -96,6 +96,7 @@
 	startedJobs       map[filbertford.JobKey]time.Duration // when a task of the job was last started
 	kindFactors       *kindFactors
 	runTimeRatios     median // of run times and those expected for the machine kind
+	delay             ownerDelay
 	roundTrips        *roundTrips
 	createdAt         time.Duration
 	allListed         bool
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -74,6 +74,7 @@
 	demand       filbertford.Resources
 	startedAt    time.Duration
 	confirmedAt  time.Duration // when the target answered the start
+	startClock   int64         // reading of the target's clock then, 0 if unknown
 	expected     time.Duration
 	leaseExpiry  int64 // of the lease sent with the start, on the target's clock
 	listed       bool
