The reservation that applies to a target has a usual name

Cause: its type was called tenancy, another word for the same concept. Change: activeReservation, field reservation. Result: no change of behaviour; tests of reservations pass.

--- a/fbsched/capacity.go
+++ b/fbsched/capacity.go
@@ -14,8 +14,8 @@
 	factor float64 // by which a run takes longer than estimated
 	free   filbertford.Resources
 	closed bool // accepts no more tasks
-	// tenancy is the reservation for a large task, nil if none applies.
-	tenancy *tenancy
+	// reservation is the reservation for a large task, nil if none applies.
+	reservation *activeReservation
 }
 
 // serviceCapacity is the free capacity of a pool's targets for one service.
@@ -106,7 +106,7 @@
 			continue
 		}
 		c.maxFree = c.maxFree.Max(c.targets[i].free)
-		if c.targets[i].tenancy == nil {
+		if c.targets[i].reservation == nil {
 			c.openFree = c.openFree.Max(c.targets[i].free)
 		}
 	}
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -117,7 +117,7 @@
 	var bestTarget filbertford.FreeTarget
 	for i := range capacity.targets {
 		c := &capacity.targets[i]
-		if c.closed || !step.Demand().Fits(c.free) || !p.suits(t, c) || !c.tenancy.permits(t, now+scaled(step.Estimate(), c.factor)) {
+		if c.closed || !step.Demand().Fits(c.free) || !p.suits(t, c) || !c.reservation.permits(t, now+scaled(step.Estimate(), c.factor)) {
 			continue
 		}
 		factor := c.factor
--- a/fbsched/reserve.go
+++ b/fbsched/reserve.go
@@ -45,8 +45,8 @@
 	return &backfill{plan: fbqueue.NewPlan(), ordinary: make(map[string]filbertford.Resources)}
 }
 
-// tenancy is a reservation that applies to the tasks that are visited in a pass.
-type tenancy struct {
+// activeReservation is a reservation that applies to the tasks that are visited in a pass.
+type activeReservation struct {
 	reservation filbertford.Reservation
 	task        *task
 	priorities  bool // tasks of a higher priority than the task's don't wait for it
@@ -55,14 +55,14 @@
 
 // permits reports whether the task may be started on the target, which is expected to run it
 // until end, without delaying the task that the target is reserved for.
-func (y *tenancy) permits(t *task, end time.Duration) bool {
-	return y == nil || y.task == t || y.priorities && t.batch.priority < y.task.batch.priority || end <= y.reservation.At() || t.batch.step.Demand().Fits(y.spare)
+func (a *activeReservation) permits(t *task, end time.Duration) bool {
+	return a == nil || a.task == t || a.priorities && t.batch.priority < a.task.batch.priority || end <= a.reservation.At() || t.batch.step.Demand().Fits(a.spare)
 }
 
 // occupy records that a task was started on the target.
-func (y *tenancy) occupy(r *run) {
-	if y != nil && r.startedAt+r.expected > y.reservation.At() {
-		y.spare = y.spare.Sub(r.demand)
+func (a *activeReservation) occupy(r *run) {
+	if a != nil && r.startedAt+r.expected > a.reservation.At() {
+		a.spare = a.spare.Sub(r.demand)
 	}
 }
 
@@ -129,7 +129,7 @@
 func (b *backfill) apply(p *Pool, now time.Duration, t *task, r filbertford.Reservation, c *targetCapacity) {
 	b.runs = b.runs[:0]
 	byPriority := p.scheduling.Order() == filbertford.OrderByPriority
-	c.tenancy = &tenancy{reservation: r, task: t, priorities: byPriority, spare: r.Spare(b.outlook(p, now, c))}
+	c.reservation = &activeReservation{reservation: r, task: t, priorities: byPriority, spare: r.Spare(b.outlook(p, now, c))}
 }
 
 func (b *backfill) end(p *Pool, now time.Duration, r filbertford.Reservation, reason string) {
@@ -151,14 +151,14 @@
 		reason := "on another target"
 		if r.Target() == c.target.id() {
 			reason = "on the reserved target"
-			c.tenancy = nil
+			c.reservation = nil
 		}
 		p.emitEvent(Event{Kind: EventReservationUsed, Task: t.key, Target: c.target.id(), Reason: reason, Age: now - r.Made()})
 	}
-	if c.tenancy != nil {
+	if c.reservation != nil {
 		p.emitEvent(Event{Kind: EventRunBackfilled, Task: t.key, Target: c.target.id(), Run: t.run.number, Age: now - t.queuedAt})
 	}
-	c.tenancy.occupy(t.run)
+	c.reservation.occupy(t.run)
 }
 
 // wait records that a task fits nowhere. Its reservation applies to the tasks that are visited
@@ -168,7 +168,7 @@
 	case b == nil:
 	case t.reserved:
 		r, _ := b.plan.ForTask(t.key)
-		if c := capacity.of(r.Target()); c != nil && c.tenancy == nil {
+		if c := capacity.of(r.Target()); c != nil && c.reservation == nil {
 			b.apply(p, now, t, r, c)
 			capacity.updateMaxFree()
 		}
@@ -202,7 +202,7 @@
 		}
 		if t != nil {
 			if c := capacities[t.batch.service].of(r.Target()); c != nil {
-				c.tenancy = nil
+				c.reservation = nil
 			}
 		}
 		b.end(p, now, r, "a task that can meet its objective needs it")
