--- a/fbsoak/plan.go
+++ b/fbsoak/plan.go
@@ -51,9 +51,15 @@
 	FaultTargetsLate, FaultTargetsLate, FaultTargetsLate, FaultCallers, FaultCallers,
 }
 
-// firstSeedOfEvacuations is the first seed whose plans have evacuations too.
+// firstSeedOfEvacuations is the first seed whose plans have evacuations too, and whose
+// daemons schedule under contention.
 const firstSeedOfEvacuations = 20_000
 
+// contentionSettings are the settings by which daemons schedule under contention.
+var contentionSettings = []string{
+	"scheduling.admission=objective", "scheduling.order=priority", "scheduling.placement=in-time", "scheduling.backfill=on", "scheduling.rebalance=on",
+}
+
 // Limits of drawn faults.
 const (
 	minFaultDuration = 200 * time.Millisecond
--- a/fbsoak/soak.go
+++ b/fbsoak/soak.go
@@ -275,6 +275,11 @@
 	for key, address := range n.addresses {
 		args = append(args, "-set", "node."+key+"="+address)
 	}
+	if s.opts.Seed >= firstSeedOfEvacuations && s.opts.Earlier == "" { // an earlier version may not know the settings
+		for _, setting := range contentionSettings {
+			args = append(args, "-set", setting)
+		}
+	}
 	programs := []string{s.opts.Program}
 	if s.opts.Earlier != "" {
 		programs = append(programs, s.opts.Earlier)
