A start without an answer is no crash while other tasks ran on the target

The task then crashed one target alone, and was given up after one crash instead of two: its job was shown as failed, and the users' rule saw a task that could run and doesn't (LOST). Change: the loss of a run that was neither confirmed nor listed counts as a crash only if no other run was there. The task still runs alone from then on, so that the next loss is sure. Result: TestUnansweredStartBesideOthersIsNoCrash fails before and passes now.

--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -129,7 +129,7 @@
 	if !t.rec.Draining() && r.stopConfirmedAt == 0 {
 		p.addLoss(now, r.key, loss{
 			target: t.id(), startedAt: t.startedAt, state: state, alone: others == 0, at: now,
-			unsure: !r.onLiveTarget && !r.listed && r.confirmedAt == 0,
+			unsure: !r.listed && r.confirmedAt == 0 && (!r.onLiveTarget || others > 0),
 		})
 	}
 }
--- a/fbsched/crash_test.go
+++ b/fbsched/crash_test.go
@@ -252,3 +252,28 @@
 		t.Error("the task is suspected")
 	}
 }
+
+// TestUnansweredStartBesideOthersIsNoCrash guards against a task that is given up after one
+// crash: a target crashes under another task just before it would have started this one.
+func TestUnansweredStartBesideOthersIsNoCrash(t *testing.T) {
+	now := time.Minute
+	p := NewPool(testPool, 1, 1_000_000, now)
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", 1)})
+	answerLists(p, now, "t00", 1, 10)
+	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), 100*time.Millisecond)
+	offer := func(job filbertford.JobKey) filbertford.StartRunRequest {
+		p.Offer(now, "c", NewBatch(testPool, job, 0, 0, step, []Item{NewItem(0, 0)}).
+			WithWork("", "ordering", 3).WithTimes(time.Second, time.Hour).WithFence(1).WithStored(true, false))
+		return startCalls(p.TakeActions(now))[0]
+	}
+	p.HandleStartReply(now, offer("00000000000000aa"), filbertford.NewCallReply(filbertford.CallDone, 11).WithStartedAt(1), now, now)
+	p.HandleStartReply(now, offer(deadlyJob), filbertford.NewCallReply(filbertford.CallUnknown, 0).WithDetail("EOF"), now, now)
+	now += 50 * time.Millisecond
+	answerLists(p, now, "t00", 2, 5) // another instance of the target
+	if got := p.crashesOf(filbertford.NewTaskKey("00000000000000aa", 0, 0, 0)); got != 1 {
+		t.Errorf("%d targets crashed under the task that ran, want 1", got)
+	}
+	if got := p.crashesOf(deadlyTask); got != 0 || !p.suspected(deadlyTask) {
+		t.Errorf("%d targets crashed under the task whose start was not answered, suspected %v; want 0 and true", got, p.suspected(deadlyTask))
+	}
+}
