fbsched: randomised targets start again as the platform's do

Replies to starts, stops and rejections had a start time in the simulation, acknowledgements counted for one poll only, and calls under way reached the new instance. Now only lists have the start time, ends up to the highest acknowledged number are forgotten, calls to a target that goes down are reset or lost, the clock starts anew anywhere, and the time of day may have been set back between two starts. Two scenarios restart targets while many short jobs arrive.

--- a/fbsched/faketarget_test.go
+++ b/fbsched/faketarget_test.go
@@ -31,6 +31,7 @@
 	highest      map[filbertford.TaskKey]uint64
 	ended        []filbertford.EndedRun
 	lastSequence uint64
+	acked        uint64 // the highest that was sent: ends up to it are forgotten, also later ones
 	speed        float64
 	failing      bool
 	hanging      bool
@@ -80,7 +81,7 @@
 		t.sim.ended(key, filbertford.RunBroken)
 	}
 	t.boots++
-	t.bootedAt, t.clockOffset, t.fence, t.lease, t.lastSequence, t.ended, t.held = t.sim.now, time.Millisecond, 0, 0, 0, nil, nil
+	t.bootedAt, t.clockOffset, t.fence, t.lease, t.lastSequence, t.acked, t.ended, t.held = t.sim.now, time.Millisecond, 0, 0, 0, 0, nil, nil
 	t.runs, t.highest = make(map[filbertford.TaskKey]*fakeRun), make(map[filbertford.TaskKey]uint64)
 	t.down, t.muted, t.draining, t.shrunkFrom = false, false, false, filbertford.Resources{}
 	r := t.rec
@@ -144,8 +145,9 @@
 	t.lease = max(t.lease, min(time.Duration(lease)*time.Millisecond, limit))
 }
 
+// reply returns a reply without a start time, which only lists of runs have.
 func (t *fakeTarget) reply(o filbertford.CallOutcome) filbertford.CallReply {
-	return filbertford.NewCallReply(o, t.clock().Milliseconds()).WithStartedAt(t.rec.Instance().StartedAt())
+	return filbertford.NewCallReply(o, t.clock().Milliseconds())
 }
 
 func (t *fakeTarget) check(instance filbertford.TargetInstance, fence uint64) (filbertford.CallReply, bool) {
--- a/fbsched/overlap_faults_test.go
+++ b/fbsched/overlap_faults_test.go
@@ -263,6 +263,44 @@
 	}
 }
 
+// restartTarget lets a target go down and start again under its ID. Its clock starts anew, lower
+// or higher, and its time of day may have been set back.
+func (r *overlapRun) restartTarget(f fault, t *fakeTarget) {
+	id, old, reading, away := t.rec.Instance().ID(), t.rec, t.clock(), f.duration/time.Duration(1+f.random.IntN(20))
+	if f.random.IntN(3) > 0 {
+		away = between(f.random, 20, 1500)
+	}
+	startedAt := testWallOffset + (r.now + away).Milliseconds()
+	if f.random.IntN(3) == 0 {
+		r.count("targets whose time of day is set back")
+		startedAt = old.Instance().StartedAt() - between(f.random, 1, 2000).Milliseconds()
+	}
+	clocks := []time.Duration{time.Millisecond, between(f.random, 1, 1_000_000), max(time.Millisecond, reading+between(f.random, -3000, 3000))}
+	clock := clocks[f.random.IntN(len(clocks))]
+	t.crash()
+	boots := t.boots
+	r.after(away, func() {
+		if t.boots != boots {
+			return
+		}
+		t.restart(id, startedAt)
+		t.clockOffset = clock
+		r.tracef("%s: starts again at %d, its clock is %v", id, startedAt, clock)
+		rec, boots, unrecorded := t.rec, t.boots, between(f.random, 0, 3000)
+		if f.random.IntN(2) == 0 {
+			unrecorded /= 30
+		}
+		if f.random.IntN(2) == 0 {
+			r.writeRecord(time.Duration(f.random.Int64N(int64(unrecorded)+1)), old, false) // before the new one
+		}
+		r.after(unrecorded, func() {
+			if t.boots == boots {
+				r.writeRecord(0, rec, false)
+			}
+		})
+	})
+}
+
 // disturb carries out a fault of a target.
 func (r *overlapRun) disturb(f fault, t *fakeTarget) {
 	startedAt := testWallOffset + r.now.Milliseconds()
@@ -275,7 +313,15 @@
 		})
 	}
 	switch f.kind {
-	case faultSameID, faultOtherID:
+	case faultSameID:
+		r.restartTarget(f, t)
+		for _, host := range slices.Sorted(maps.Keys(r.targets)) {
+			if f.random.IntN(4) == 0 && r.targets[host] != t {
+				r.count("targets that start again together")
+				r.restartTarget(f, r.targets[host])
+			}
+		}
+	case faultOtherID:
 		id, old, away := t.rec.Instance().ID(), t.rec, f.duration/time.Duration(1+f.random.IntN(20))
 		t.crash()
 		boots := t.boots
@@ -283,11 +329,9 @@
 			if t.boots != boots {
 				return
 			}
-			if f.kind == faultOtherID {
-				host, _, _ := strings.Cut(t.rec.Address(), ":")
-				id = filbertford.TargetID(fmt.Sprintf("%s-%d", host, t.boots))
-				r.writeRecord(between(f.random, 300, 4000), old, true)
-			}
+			host, _, _ := strings.Cut(t.rec.Address(), ":")
+			id = filbertford.TargetID(fmt.Sprintf("%s-%d", host, t.boots))
+			r.writeRecord(between(f.random, 300, 4000), old, true)
 			t.restart(id, startedAt+away.Milliseconds())
 			rec, boots := t.rec, t.boots
 			r.after(between(f.random, 0, 3000), func() {
--- a/fbsched/overlap_plan_test.go
+++ b/fbsched/overlap_plan_test.go
@@ -73,6 +73,8 @@
 	recalls bool
 	// long spreads the jobs over a time in which a target's capacity may have shrunk for long.
 	long bool
+	// crowded plans have more jobs, whose tasks are short in half of the plans.
+	crowded bool
 }
 
 // drawPlan draws a plan.
@@ -97,9 +99,12 @@
 	}
 	crisis := between(random, 500, 5500) // when most faults begin
 	jobs := rapid.IntRange(1, 12).Draw(rt, "jobs")
-	if s.long {
+	if s.long || s.crowded {
 		jobs *= 3
 	}
+	if s.crowded && random.IntN(2) == 0 {
+		p.maxWork = between(random, 20, 100)
+	}
 	for range jobs {
 		p.jobs = append(p.jobs, plannedJob{
 			at: between(random, 0, lastJob), tasks: 1 + random.IntN(6), work: between(random, 20, int(p.maxWork.Milliseconds())), timeout: between(random, 500, 8000),
--- a/fbsched/overlap_records_test.go
+++ b/fbsched/overlap_records_test.go
@@ -96,7 +96,7 @@
 func (r *overlapRun) recordedAgain(rec filbertford.TargetRecord) bool {
 	for _, change := range slices.Backward(r.table) {
 		if change.id == rec.Instance().ID() {
-			return !change.removed && change.rec.Instance().StartedAt() > rec.Instance().StartedAt()
+			return !change.removed && change.rec.Instance().StartedAt() != rec.Instance().StartedAt()
 		}
 	}
 	return false
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -48,6 +48,7 @@
 	storedRun
 	plan         overlapPlan
 	random       *rand.Rand
+	downRandom   *rand.Rand // draws what happens to calls to targets that are down
 	counts       map[string]int
 	pools        []*overlapPool
 	ownerCount   int // of all pools so far
@@ -192,7 +193,7 @@
 	delay := func(limit time.Duration) time.Duration {
 		return time.Millisecond + time.Duration(r.random.Int64N(int64(limit)))
 	}
-	d := delivery{requestDelay: delay(5 * time.Millisecond), replyDelay: delay(5 * time.Millisecond)}
+	d := delivery{requestDelay: delay(5 * time.Millisecond), replyDelay: delay(5 * time.Millisecond), resetIfDown: r.downRandom.IntN(2) == 0}
 	switch luck := r.random.IntN(100); {
 	case luck < r.plan.latePercent:
 		r.count("calls carried out late")
@@ -215,7 +216,8 @@
 func (p overlapPlan) newRun(counts map[string]int, trace func(string, ...any)) *overlapRun {
 	r := &overlapRun{
 		simulation: newSimulation(p.targets, p.slots), plan: p, random: rand.New(rand.NewPCG(p.seed, 1)), counts: counts,
-		links: make(map[linkKey]*linkState), jobs: make(map[uint64]int),
+		downRandom: rand.New(rand.NewPCG(p.seed, 5)),
+		links:      make(map[linkKey]*linkState), jobs: make(map[uint64]int),
 	}
 	r.trace, r.unguarded, r.keepLateCalls, r.answered = trace, p.scenario.unguarded, p.scenario.keepLateCalls, r.handleAnswer
 	for i := range p.pools {
@@ -381,6 +383,7 @@
 	coordinatorFaults = []faultKind{faultStream, faultCoordinator, faultGiveUp, faultBroken}
 	targetFaults      = []faultKind{faultMute, faultStuck, faultSlow, faultFailing, faultBusy, faultDrain, faultShrink}
 	bootFaults        = []faultKind{faultOtherID, faultGone, faultRecord}
+	restartFaults     = []faultKind{faultSameID, faultSameID, faultSameID, faultGiveUp, faultBroken, faultRecord, faultBusy, faultStuck}
 )
 
 // TestRunsDoNotOverlapUnderFaults plays randomised runs. No task may have two runs at a time,
@@ -394,6 +397,8 @@
 		"targets":                      {kinds: slices.Concat(ownerFaults, targetFaults)},
 		"other IDs":                    {kinds: slices.Concat(ownerFaults, bootFaults)},
 		"same ID":                      {kinds: []faultKind{faultSameID}},
+		"same ID under load":           {kinds: restartFaults, crowded: true},
+		"same ID, several owners":      {kinds: slices.Concat(restartFaults, ownerFaults, linkFaults), crowded: true},
 		"same ID and late calls":       {kinds: []faultKind{faultSameID}, keepLateCalls: true},
 		"all and the same ID":          {kinds: slices.Concat(all, []faultKind{faultSameID})},
 		"all but the same ID":          {kinds: all},
--- a/fbsched/simulation_calls_test.go
+++ b/fbsched/simulation_calls_test.go
@@ -15,9 +15,10 @@
 	if req.Lease() > 0 {
 		t.extendLease(req.Lease())
 	}
+	t.acked = max(t.acked, req.Acked())
 	var kept []filbertford.EndedRun
 	for _, e := range t.ended {
-		if e.Sequence() > req.Acked() {
+		if e.Sequence() > t.acked {
 			kept = append(kept, e)
 		}
 	}
@@ -34,7 +35,7 @@
 		}
 		running = append(running, filbertford.NewRunStatus(key, r.number, percent))
 	}
-	return t.reply(filbertford.CallDone).WithRuns(running, kept)
+	return t.reply(filbertford.CallDone).WithStartedAt(t.rec.Instance().StartedAt()).WithRuns(running, kept)
 }
 
 // delivery determines how a call to a target is delivered.
@@ -43,6 +44,7 @@
 	lost                     bool          // no reply arrives
 	lateAfter                time.Duration // delay after which a lost call is carried out, 0 for never
 	resetAfter               time.Duration // delay after which the owner learns that a call is lost, 0 for its timeout
+	resetIfDown              bool          // the owner learns at once that the target is down
 }
 
 // targetRequest is a request to a target.
@@ -159,15 +161,24 @@
 		return
 	}
 	sim.after(d.requestDelay, func() {
-		if t.down && d.resetAfter > 0 {
+		if t.down && (d.resetAfter > 0 || d.resetIfDown) {
 			unknown()
 			return
 		}
+		if boots != t.boots && !sim.keepLateCalls {
+			if d.resetIfDown {
+				unknown()
+			}
+			return // it went down while the call was under way
+		}
 		sim.arrive(t, func() {
 			arrived, boots := sim.now, t.boots
 			var try func()
 			try = func() {
 				if t.boots != boots || t.down {
+					if d.resetIfDown {
+						unknown()
+					}
 					return // it went down while it held the call
 				}
 				r, ok := attempt(t, sim.now-arrived)
