Proposed: earlier instances of a target are told by their start times, not by the order

A record, or a late list, of an instance that the pool knows as an earlier one replaces no target, also if its start time is the higher one.

--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -1,6 +1,7 @@
 package fbsched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -27,7 +28,7 @@
 		}
 	case t.startedAt == 0:
 		t.startedAt = replied
-	case replied < t.startedAt && sent <= t.lastReply:
+	case sent <= t.lastReply && t.isEarlier(replied):
 		return nil
 	case replied != t.startedAt:
 		return p.replaceInstance(now, t, t.rec.WithStartedAt(replied))
@@ -35,12 +36,19 @@
 	return t
 }
 
+// isEarlier reports whether the start time is that of an earlier instance. Of two that the pool
+// knows, the one that started first may have the higher time.
+func (t *target) isEarlier(startedAt int64) bool {
+	return startedAt < t.startedAt || startedAt != t.startedAt && slices.Contains(t.earlier, startedAt)
+}
+
 // replaceInstance replaces a target that has started again. Runs that the earlier instance
 // has listed have ended with it. Any other run may be on either instance, or its start may
 // still reach the new one, so that the new one's lists decide.
 func (p *Pool) replaceInstance(now time.Duration, old *target, rec filbertford.TargetRecord) *target {
 	t := newTarget(now, rec)
 	t.pollNumber, t.restarted = old.pollNumber, true
+	t.earlier = append(slices.Clone(old.earlier), old.startedAt)
 	t.leasesUntil = now + lateCallTimeout + maxLease // the new instance may carry late calls out
 	p.targets[t.id()] = t
 	for i, o := range p.sortedTargets {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -15,10 +15,11 @@
 // discarded them. misses counts calls without a reply since the last reply.
 type target struct {
 	rec          filbertford.TargetRecord
-	startedAt    int64 // in Unix milliseconds, by the record or the replies; 0 if unknown
-	restarted    bool  // it has started again since the pool knows it
-	removed      bool  // the record has been removed
-	listed       bool  // its lists were read with the pool's fencing token
+	startedAt    int64   // in Unix milliseconds, by the record or the replies; 0 if unknown
+	restarted    bool    // it has started again since the pool knows it
+	earlier      []int64 // start times of the earlier instances that the pool knows
+	removed      bool    // the record has been removed
+	listed       bool    // its lists were read with the pool's fencing token
 	listedAt     time.Duration
 	clock        targetClock
 	leaseExpiry  int64         // the latest that was sent, on the target's clock
@@ -145,8 +146,8 @@
 			rec = rec.WithStartedAt(t.rec.Instance().StartedAt())
 		case t.startedAt == 0:
 			t.startedAt = startedAt
-		case startedAt < t.startedAt:
-			return // a late record of an earlier instance
+		case t.isEarlier(startedAt):
+			return // a late record of an earlier instance, or the store has no newer one yet
 		case startedAt > t.startedAt:
 			p.poll(now, p.replaceInstance(now, t, rec))
 			return
