Proposed: a record of another instance than the one that replies is confirmed by a poll

Where an instance has replied and the record has a higher start time, the reply to a poll that was sent after the record was read shows which of the two runs. Until then the runs stay; if no reply arrives, their leases expire. A target that has not replied is replaced at once, as before.

--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -31,11 +31,30 @@
 	case sent <= t.lastReply && t.isEarlier(replied):
 		return nil
 	case replied != t.startedAt:
-		return p.replaceInstance(now, t, t.rec.WithStartedAt(replied))
+		rec := t.rec.WithStartedAt(replied)
+		if t.announced != nil && t.announced.Instance().StartedAt() == replied {
+			rec = *t.announced
+		}
+		return p.replaceInstance(now, t, rec)
+	case t.announced != nil && sent > t.announcedAt:
+		t.earlier = append(t.earlier, t.announced.Instance().StartedAt())
+		t.announced = nil
 	}
 	return t
 }
 
+// announce handles the record of another instance than the one that has replied. The time of day
+// may have been set back, so that only the reply to another poll shows which one runs.
+func (p *Pool) announce(now time.Duration, t *target, rec filbertford.TargetRecord) {
+	t.removed = false
+	known := t.announced != nil && t.announced.Instance() == rec.Instance()
+	t.announced = &rec
+	if !known {
+		t.announcedAt = now
+		p.sendPoll(now, t)
+	}
+}
+
 // isEarlier reports whether the start time is that of an earlier instance. Of two that the pool
 // knows, the one that started first may have the higher time.
 func (t *target) isEarlier(startedAt int64) bool {
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -52,6 +52,9 @@
 // nextPollWait returns how long the target may hold a poll if no run ends.
 func (t *target) nextPollWait(now time.Duration) time.Duration {
 	wait := maxPollWait
+	if t.announced != nil {
+		return minPollInterval
+	}
 	for _, r := range t.runs {
 		if r.state == runUncertain {
 			return minPollInterval
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -15,11 +15,13 @@
 // discarded them. misses counts calls without a reply since the last reply.
 type target struct {
 	rec          filbertford.TargetRecord
-	startedAt    int64   // in Unix milliseconds, by the record or the replies; 0 if unknown
-	restarted    bool    // it has started again since the pool knows it
-	earlier      []int64 // start times of the earlier instances that the pool knows
-	removed      bool    // the record has been removed
-	listed       bool    // its lists were read with the pool's fencing token
+	startedAt    int64                     // in Unix milliseconds, by the record or the replies; 0 if unknown
+	restarted    bool                      // it has started again since the pool knows it
+	earlier      []int64                   // start times of the earlier instances that the pool knows
+	announced    *filbertford.TargetRecord // of another instance, until a reply shows which one runs
+	announcedAt  time.Duration
+	removed      bool // the record has been removed
+	listed       bool // its lists were read with the pool's fencing token
 	listedAt     time.Duration
 	clock        targetClock
 	leaseExpiry  int64         // the latest that was sent, on the target's clock
@@ -148,6 +150,9 @@
 			t.startedAt = startedAt
 		case t.isEarlier(startedAt):
 			return // a late record of an earlier instance, or the store has no newer one yet
+		case startedAt > t.startedAt && t.clock.known:
+			p.announce(now, t, rec)
+			return
 		case startedAt > t.startedAt:
 			p.poll(now, p.replaceInstance(now, t, rec))
 			return
