Proposed: polls acknowledge ends only once, and not after a call without a reply

An acknowledgement that has been answered isn't repeated, and after a call without a reply none is sent until lists have been read. A target that starts again before the pool has missed a reply, while an end is not acknowledged yet, can still forget ends.

--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -32,11 +32,20 @@
 	t.pollNumber++
 	p.emit(PollCall{
 		Number:  t.pollNumber,
-		Request: filbertford.NewPollRequest(t.rec.Instance(), t.rec.Address(), p.fence, t.lastAckable(), lease, wait),
+		Request: filbertford.NewPollRequest(t.rec.Instance(), t.rec.Address(), p.fence, t.nextAck(), lease, wait),
 		Timeout: p.roundTrips.pollTimeout(wait),
 	})
 }
 
+// nextAck returns the sequence that the next poll acknowledges, 0 for none. The target may have
+// started again since its last reply: it forgets ends of the new instance up to the sequence, too.
+func (t *target) nextAck() uint64 {
+	if last := t.lastAckable(); t.listedSinceMiss && last != t.acked {
+		return last
+	}
+	return 0
+}
+
 // pollBackoff returns the minimum time between two polls. It is 0 unless the target
 // has to keep outcomes, since it then replies to each poll immediately.
 func (t *target) pollBackoff() time.Duration {
@@ -117,7 +126,7 @@
 	}
 	if r.Outcome() == filbertford.CallDone {
 		t.listsSent = max(t.listsSent, sent)
-		t.acked = max(t.acked, c.Request.Acked())
+		t.acked, t.listedSinceMiss = max(t.acked, c.Request.Acked()), true
 		p.applyEnded(now, t, r)
 	}
 	if r.Outcome() == filbertford.CallDone && t.newerLists(r.Clock()) {
@@ -137,6 +146,7 @@
 
 // recordMiss counts a call that the target has not answered in time.
 func (p *Pool) recordMiss(t *target, reason string) {
+	t.listedSinceMiss = false
 	if t.misses++; t.misses == maxMisses {
 		p.emitEvent(Event{Kind: EventTargetUnreachable, Target: t.id(), Reason: reason, Age: t.polledAt - t.lastReply})
 		p.capacityChanged = true
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -14,40 +14,41 @@
 // sequence number of the target's ended runs, acked the one up to which the target has
 // discarded them. misses counts calls without a reply since the last reply.
 type target struct {
-	rec          filbertford.TargetRecord
-	startedAt    int64                     // in Unix milliseconds, by the record or the replies; 0 if unknown
-	restarted    bool                      // it has started again since the pool knows it
-	earlier      []int64                   // start times of the earlier instances that the pool knows
-	announced    *filbertford.TargetRecord // of another instance, until a reply shows which one runs
-	announcedAt  time.Duration
-	removed      bool // the record has been removed
-	listed       bool // its lists were read with the pool's fencing token
-	listedAt     time.Duration
-	clock        targetClock
-	leaseExpiry  int64         // the latest that was sent, on the target's clock
-	leasesUntil  time.Duration // when leases that were sent to an earlier instance have expired
-	lastSequence uint64
-	acked        uint64
-	unconfirmed  map[uint64]Confirm          // outcomes of stored jobs' runs that are not recorded, by sequence
-	unclaimed    map[uint64]unclaimedOutcome // outcomes of stored jobs' runs without a task, by sequence
-	polling      bool                        // the poll with the number pollNumber is not answered yet
-	pollNumber   uint64                      // of the last poll that was sent
-	pollSent     time.Duration
-	pollWait     time.Duration // how long the target may hold it
-	polledAt     time.Duration // when the last poll ended
-	listClock    int64         // the target's clock when it wrote the lists that were last applied
-	listsAt      time.Duration // when they were applied
-	listsSent    time.Duration // when the last answered poll was sent
-	lastReply    time.Duration
-	misses       int
-	runs         map[filbertford.TaskKey]*run
-	limitedRuns  int // number of runs whose lease is limited
-	aloneRuns    int // number of runs that other tasks are kept from
-	reservedFor  *task
-	used         filbertford.Resources
-	health       health
-	coldUntil    time.Duration // by its record
-	fullUntil    time.Duration // no tasks are started before, because the target was full
+	rec             filbertford.TargetRecord
+	startedAt       int64                     // in Unix milliseconds, by the record or the replies; 0 if unknown
+	restarted       bool                      // it has started again since the pool knows it
+	earlier         []int64                   // start times of the earlier instances that the pool knows
+	announced       *filbertford.TargetRecord // of another instance, until a reply shows which one runs
+	announcedAt     time.Duration
+	removed         bool // the record has been removed
+	listed          bool // its lists were read with the pool's fencing token
+	listedAt        time.Duration
+	clock           targetClock
+	leaseExpiry     int64         // the latest that was sent, on the target's clock
+	leasesUntil     time.Duration // when leases that were sent to an earlier instance have expired
+	lastSequence    uint64
+	acked           uint64
+	unconfirmed     map[uint64]Confirm          // outcomes of stored jobs' runs that are not recorded, by sequence
+	unclaimed       map[uint64]unclaimedOutcome // outcomes of stored jobs' runs without a task, by sequence
+	polling         bool                        // the poll with the number pollNumber is not answered yet
+	pollNumber      uint64                      // of the last poll that was sent
+	pollSent        time.Duration
+	pollWait        time.Duration // how long the target may hold it
+	polledAt        time.Duration // when the last poll ended
+	listClock       int64         // the target's clock when it wrote the lists that were last applied
+	listsAt         time.Duration // when they were applied
+	listsSent       time.Duration // when the last answered poll was sent
+	lastReply       time.Duration
+	listedSinceMiss bool // a poll has been answered since the last call without a reply
+	misses          int
+	runs            map[filbertford.TaskKey]*run
+	limitedRuns     int // number of runs whose lease is limited
+	aloneRuns       int // number of runs that other tasks are kept from
+	reservedFor     *task
+	used            filbertford.Resources
+	health          health
+	coldUntil       time.Duration // by its record
+	fullUntil       time.Duration // no tasks are started before, because the target was full
 }
 
 // unclaimedOutcome is the outcome of a run whose task no coordinator has offered to
