--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -28,19 +29,19 @@
 		}
 	case t.startedAt == 0:
 		t.startedAt, t.verifiedAt = replied, sent
-	case replied < t.startedAt && sent <= t.lastReply:
+	case sent <= t.lastReply && t.isEarlier(replied):
 		return nil
 	case replied != t.startedAt:
 		t = p.replaceInstance(now, t, t.rec.WithStartedAt(replied), "reply")
 		t.verifiedAt = sent
 	default:
-		t.verifiedAt = max(t.verifiedAt, sent)
+		t.verify(sent)
 	}
 	return t
 }
 
-// askStartTime polls a target whose record has a higher start time than its replies. If the time
-// of day was set back between two starts, the record may be that of the earlier instance, so that
+// askStartTime polls a target whose record has another start time than its replies. If the time
+// of day was set back between two starts, the record may be that of an earlier instance, so that
 // only a reply ends runs. The target gets no tasks until it replies.
 func (p *Pool) askStartTime(now time.Duration, t *target, startedAt int64) {
 	if t.askedFor == startedAt {
@@ -50,6 +51,24 @@
 	p.sendPoll(now, t)
 }
 
+// verify records that the reply to a call that was sent at the given time has shown the target's
+// start time.
+func (t *target) verify(sent time.Duration) {
+	t.verifiedAt = max(t.verifiedAt, sent)
+	if t.askedFor != 0 && t.verified() {
+		t.earlier, t.askedFor = append(t.earlier, t.askedFor), 0
+	}
+}
+
+// verified reports whether the target has replied since a record had another start time.
+func (t *target) verified() bool { return t.verifiedAt >= t.askedAt }
+
+// isEarlier reports whether the start time is that of an earlier instance. Of two that the pool
+// knows, the one that started first may have the higher time.
+func (t *target) isEarlier(startedAt int64) bool {
+	return startedAt < t.startedAt || startedAt != t.startedAt && slices.Contains(t.earlier, startedAt)
+}
+
 // replaceInstance replaces a target that has started again. Runs that the earlier instance
 // has listed have ended with it. Any other run may be on either instance, or its start may
 // still reach the new one, so that the new one's lists decide. shownBy says for the log what
@@ -57,6 +76,7 @@
 func (p *Pool) replaceInstance(now time.Duration, old *target, rec filbertford.TargetRecord, shownBy string) *target {
 	t := newTarget(now, rec)
 	t.pollNumber, t.restarted = old.pollNumber, true
+	t.earlier = append(slices.Clone(old.earlier), old.startedAt)
 	t.leasesUntil = now + lateCallTimeout + maxLease // the new instance may carry late calls out
 	p.targets[t.id()] = t
 	for i, o := range p.sortedTargets {
