A reply without a start time makes a target's losses doubtful

What callers would see: a job without a deadly task is given up as failed.

Cause: after a target was only silent, a reply to a start or a stop showed that it is up, but not which instance, so that the losses counted against its tasks stayed. If the target crashed under another task before it listed its runs, each of the earlier tasks counted as one under which it crashed.

Change: such a reply makes the losses of the instance doubtful; they don't count as crashes. A list refutes them, as before.

--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -301,8 +301,24 @@
 // targetReplied handles the reply of a target, with the start time in it or 0, to a call that
 // was sent at the given time. The target was only silent.
 func (p *Pool) targetReplied(now time.Duration, t *target, startedAt int64, sent time.Duration) {
-	if len(p.silentTargets[t.id()]) > 0 && (startedAt != 0 || t.startedAt == 0) {
+	switch {
+	case len(p.silentTargets[t.id()]) == 0:
+	case startedAt != 0 || t.startedAt == 0:
 		p.refuteLosses(now, t, sent)
+	default:
+		p.doubtLosses(t, sent)
+	}
+}
+
+// doubtLosses handles a reply without a start time, by which the target was likely only silent: its
+// losses before the given time don't count as crashes, also if it crashes before it lists its runs.
+func (p *Pool) doubtLosses(t *target, before time.Duration) {
+	for _, key := range p.tasksLostAt(t.id()) {
+		for i, lost := range p.losses[key].losses {
+			if lost.isOf(t.id(), t.startedAt) && lost.state == lossSilent && lost.at <= before {
+				p.losses[key].losses[i].unsure, p.dispatchDue = true, true
+			}
+		}
 	}
 }
 
