A new owner waits for the target that replied at a lost target's address

What callers see: two runs of one stored task at the same time, after its owner and its coordinator were lost.

Cause: a new owner whose records are a second or two old polls a target, and another one replies at its address. The owner removed the target, counted all targets as listed, though it had no record of the other one, and reported the task that it was to search for as absent; the task ran on the other one.

Change: if the lost target was not listed, it counts as departed until a target that started later is listed at its address, like one whose record was removed.

--- /dev/null
+++ b/fbsched/replaced_target_test.go
@@ -0,0 +1,41 @@
+package fbsched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// TestSearchWaitsForTargetAtReplacedAddress checks a new owner that learns from a reply that one of
+// its targets is gone, before it has read the record of the target that replied, which runs the task.
+func TestSearchWaitsForTargetAtReplacedAddress(t *testing.T) {
+	now := time.Minute
+	p := NewPool(testPool, 2, 1_000_000, now)
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", 1), recordOf("t01", 1)})
+	answerLists(p, now, "t01", 1, 500_000)
+	answerPoll(p, now, pollOf(p, "t00"), filbertford.NewCallReply(filbertford.CallRestarted, 0))
+	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), time.Second)
+	p.Offer(now, "c", NewBatch(testPool, "00000000000000aa", 0, 0, step, []Item{NewItem(0, 0)}).
+		WithWork("", "ordering", 3).WithTimes(time.Second, time.Hour).WithFence(2).WithStored(true, true).WithResume(0))
+	absent := func() bool {
+		for _, a := range p.TakeActions(now) {
+			if r, ok := a.(SendReport); ok && r.Report.Status() == StatusAbsent {
+				return true
+			}
+		}
+		return false
+	}
+	now += 20 * time.Millisecond
+	if p.Tick(now, 1_000_000); absent() {
+		t.Fatal("the task is reported as absent before the target at t00's address is known")
+	}
+	replacing := filbertford.NewTargetRecord(filbertford.NewTargetInstance("t00-1", 2), "ordering", "t00:80", "nordnes",
+		filbertford.NewResources(4000, 1000, 0), "a", "r1")
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t01", 1), replacing})
+	answerLists(p, now, "t00-1", 2, 100)
+	now += 20 * time.Millisecond
+	if p.Tick(now, 1_000_000); !absent() {
+		t.Error("the task isn't reported as absent once all targets are listed")
+	}
+}
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -210,7 +210,9 @@
 	}
 	p.removeTarget(t)
 	p.targetEnded(now, t)
-	delete(p.departed, t.id())
+	if t.listed { // else the one that replied may run tasks of an earlier owner, too
+		delete(p.departed, t.id())
+	}
 	p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Started: t.startedAt, Reason: "another target replied at its address"})
 }
 
