--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -22,7 +22,9 @@
 	var lease int64
 	var wait time.Duration
 	if t.clock.known && len(t.runs) > 0 && t.misses == 0 {
-		lease = t.nextLease(now)
+		lease = p.nextLease(now, t)
+	}
+	if lease != 0 {
 		t.leaseExpiry, t.leaseSentAt = max(t.leaseExpiry, lease), now
 	}
 	if t.listed && t.misses == 0 && len(t.runs) > 0 {
