--- a/fbsched/simulation_calls_test.go
+++ b/fbsched/simulation_calls_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -261,6 +263,25 @@
 	}
 }
 
+// scheduleHeartbeats lets the coordinators send heartbeats to all owners, as the daemons of a
+// small fleet do.
+func (sim *simulation) scheduleHeartbeats() {
+	sim.after(100*time.Millisecond, func() {
+		nodes := slices.Sorted(maps.Keys(sim.others))
+		if !sim.coordinatorPaused {
+			nodes = append(nodes, sim.node)
+		}
+		for _, node := range nodes {
+			for _, o := range sim.owners {
+				if !o.stopped {
+					sim.sendToOwner(node, o.node, func(*fakeOwner) {})
+				}
+			}
+		}
+		sim.scheduleHeartbeats()
+	})
+}
+
 // reconnect opens a new stream from the coordinator's daemon to each owner.
 func (sim *simulation) reconnect(node filbertford.NodeID) {
 	for _, o := range sim.owners {
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -131,25 +131,6 @@
 	return sim
 }
 
-// scheduleHeartbeats lets the coordinators send heartbeats to all owners, as the daemons of a
-// small fleet do.
-func (sim *simulation) scheduleHeartbeats() {
-	sim.after(100*time.Millisecond, func() {
-		nodes := slices.Sorted(maps.Keys(sim.others))
-		if !sim.coordinatorPaused {
-			nodes = append(nodes, sim.node)
-		}
-		for _, node := range nodes {
-			for _, o := range sim.owners {
-				if !o.stopped {
-					sim.sendToOwner(node, o.node, func(*fakeOwner) {})
-				}
-			}
-		}
-		sim.scheduleHeartbeats()
-	})
-}
-
 func (sim *simulation) scheduleCoordinatorTick() {
 	sim.after(20*time.Millisecond, func() {
 		sim.atCoordinator(func() { sim.coordinator.Tick(sim.now) })
