A target that doesn't show its start time is asked again

What callers would see: jobs wait while a target that has started again stays unused.

Cause: a target whose record has another start time is polled once and gets no tasks until it replies. If the reply has no start time (429, 503), an idle target was never polled again.

Change: such a target is polled until it has shown its start time.

--- a/fbsched/instance_test.go
+++ b/fbsched/instance_test.go
@@ -238,4 +238,9 @@
 	if again := startCalls(p.TakeActions(now)); len(again) > 0 {
 		t.Errorf("the task was started again on %s", again[0].Instance().ID())
 	}
+	answerLists(p, now, "t00", 1000, 45, filbertford.NewRunStatus(started[0].Task(), started[0].Run(), 20))
+	now += 20 * time.Millisecond
+	if p.SetTargets(now, records); !p.usable(now, p.targets["t00"], "ordering") {
+		t.Error("the target isn't usable after it has shown its start time")
+	}
 }
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -9,7 +9,7 @@
 // poll polls a target if there is a reason to. It does not extend the lease of a
 // target that does not answer, or that has a run which must have ended, so that its runs end.
 func (p *Pool) poll(now time.Duration, t *target) {
-	if t.polling || t.listed && t.listsSent >= p.surveyFrom && len(t.runs) == 0 && t.misses == 0 && (t.lastAckable() == t.acked || now-t.polledAt < ackDelay) {
+	if t.polling || t.listed && t.verified() && t.listsSent >= p.surveyFrom && len(t.runs) == 0 && t.misses == 0 && (t.lastAckable() == t.acked || now-t.polledAt < ackDelay) {
 		return
 	}
 	if now-t.polledAt < t.pollBackoff() {
@@ -48,11 +48,11 @@
 	return 0
 }
 
-// pollBackoff returns the minimum time between two polls. It is 0 unless the target
-// has to keep outcomes, since it then replies to each poll immediately.
+// pollBackoff returns the minimum time between two polls. It is 0 unless the target has to keep
+// outcomes or to show its start time, since it then replies to each poll immediately.
 func (t *target) pollBackoff() time.Duration {
 	switch {
-	case len(t.unconfirmed) > 0:
+	case len(t.unconfirmed) > 0, !t.verified():
 		return minPollInterval
 	case len(t.unclaimed) > 0:
 		return unclaimedPollInterval
