A late reply with an unknown start time has the target asked, and ends no runs

What callers would see: two runs of one task, if a target starts twice while a reply is under way, the second time after its time of day was set back.

Cause: of two start times that replies show, the later reply decided, also if its call was sent before the one whose reply has shown the present one.

Change: such a reply has the target polled for its start time.

Result: TestLateReplyOfUnseenInstanceFreesNoRun failed ("started again on t01") and passes.

--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -31,6 +31,9 @@
 		t.startedAt, t.verifiedAt = replied, sent
 	case sent <= t.lastReply && t.isEarlier(replied):
 		return nil
+	case replied != t.startedAt && sent < t.verifiedAt: // of an instance in between, or a later one
+		p.askStartTime(now, t, replied)
+		return nil
 	case replied != t.startedAt:
 		t = p.replaceInstance(now, t, t.rec.WithStartedAt(replied), "reply")
 		t.verifiedAt = sent
@@ -60,7 +63,7 @@
 	}
 }
 
-// verified reports whether the target has replied since a record had another start time.
+// verified reports whether the target has shown its start time since it was asked for it.
 func (t *target) verified() bool { return t.verifiedAt >= t.askedAt }
 
 // isEarlier reports whether the start time is that of an earlier instance. Of two that the pool
