A pool settles although a lost target's successor never comes

What callers would see: tasks that no target can hold wait for their deadline, for as long as the owner lives.

Cause: a target that was replaced before it was listed counts until a target that started later is listed at its address. If its machine went to another pool, there is none.

Change: it counts for listTimeout at most, the longest that tasks wait for it.

--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -350,7 +350,7 @@
 // execute runs of an earlier owner, even if its record has been removed, unless another
 // target replies at its address.
 func (p *Pool) checkAllListed(now time.Duration) {
-	if p.allListed || len(p.sortedTargets) == 0 || p.departedMayRun() {
+	if p.allListed || len(p.sortedTargets) == 0 || p.departedMayRun(now) {
 		return
 	}
 	for _, t := range p.sortedTargets {
--- a/fbsched/start_time_test.go
+++ b/fbsched/start_time_test.go
@@ -66,3 +66,18 @@
 		t.Errorf("the task was started again on %s", again[0].Instance().ID())
 	}
 }
+
+// TestPoolSettlesWithoutTargetAtReplacedAddress checks a new owner one of whose targets was replaced by
+// one of another pool: tasks that no target can hold must not wait for ever.
+func TestPoolSettlesWithoutTargetAtReplacedAddress(t *testing.T) {
+	now := time.Minute
+	p := NewPool(testPool, 2, 1_000_000, now)
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", 1), recordOf("t01", 1)})
+	answerLists(p, now, "t01", 1, 500_000)
+	answerPoll(p, now, pollOf(p, "t00"), filbertford.NewCallReply(filbertford.CallRestarted, 0))
+	now += listTimeout
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t01", 1)})
+	if p.Tick(now, 1_000_000); !p.allListed {
+		t.Error("the pool isn't settled")
+	}
+}
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -111,8 +111,12 @@
 }
 
 // departedMayRun reports whether a target that left the pool before it was listed may still
-// execute runs: no target that started later has been listed at its address.
-func (p *Pool) departedMayRun() bool {
+// execute runs: no target that started later has been listed at its address. After listTimeout
+// no task waits for it any more.
+func (p *Pool) departedMayRun(now time.Duration) bool {
+	if now-p.createdAt >= listTimeout {
+		return false
+	}
 	for _, rec := range p.departed {
 		startedAt := rec.Instance().StartedAt()
 		replaced := startedAt != 0 && slices.ContainsFunc(p.sortedTargets, func(t *target) bool {
