--- a/fbsched/clock.go
+++ b/fbsched/clock.go
@@ -39,7 +39,7 @@
 	return c.reading + time.Duration(float64(elapsed)*(1-maxClockDrift)).Milliseconds()
 }
 
-// slowestClock returns the longest time in which a target's clock may advance by d.
-func slowestClock(d time.Duration) time.Duration {
+// maxElapsed returns the longest time in which a target's clock may advance by d.
+func maxElapsed(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / (1 - maxClockDrift))
 }
--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -310,8 +310,9 @@
 	}
 }
 
-// doubtLosses handles a reply without a start time, by which the target was likely only silent: its
-// losses before the given time don't count as crashes, also if it crashes before it lists its runs.
+// doubtLosses handles a reply without a start time, which doesn't show whether the target was only
+// silent: if it crashes before it lists its runs, that may be under another task, so that its losses
+// before the given time don't count as crashes.
 func (p *Pool) doubtLosses(t *target, before time.Duration) {
 	for _, key := range p.tasksLostAt(t.id()) {
 		for i, lost := range p.losses[key].losses {
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -84,7 +84,7 @@
 
 // startable reports whether the task may be started if a target has capacity for it.
 func (p *Pool) startable(now time.Duration, t *task) bool {
-	return t.coordinatorUnreachableAt == 0 && t.reofferBy == 0 && p.activeRuns[t.key] == nil && p.secondRuns[t.key] == 0 && !p.heldBack(t.key) && !p.silent(now, t) && p.earlierRunsEnded(now, t)
+	return t.coordinatorUnreachableAt == 0 && t.reofferBy == 0 && p.activeRuns[t.key] == nil && p.secondRuns[t.key] == 0 && !p.heldBack(t.key) && !p.coordinatorSilent(now, t) && p.earlierRunsEnded(now, t)
 }
 
 // earlierRunsEnded reports whether no run that an earlier owner started can still be
--- a/fbsched/ending.go
+++ b/fbsched/ending.go
@@ -72,9 +72,9 @@
 	return at + silentLease, ok && !t.batch.stored
 }
 
-// silent reports whether the task's coordinator hasn't been heard for so long that its runs get
+// coordinatorSilent reports whether the task's coordinator hasn't been heard for so long that its runs get
 // shorter leases.
-func (p *Pool) silent(now time.Duration, t *task) bool {
+func (p *Pool) coordinatorSilent(now time.Duration, t *task) bool {
 	limit, ok := p.silenceLimit(t)
 	return ok && limit < now+leaseDuration
 }
@@ -90,7 +90,7 @@
 		if r.leaseLimit != 0 && (!ok || r.leaseLimit < limit) {
 			limit, ok = r.leaseLimit, true
 		}
-		if !silence || r.task == nil || !p.silent(now, r.task) {
+		if !silence || r.task == nil || !p.coordinatorSilent(now, r.task) {
 			continue
 		}
 		if at, _ := p.silenceLimit(r.task); !ok || at < limit {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -214,7 +214,8 @@
 	}
 	p.removeTarget(t)
 	p.targetEnded(now, t)
-	if t.listed { // else the one that replied may run tasks of an earlier owner, too
+	// If it was not listed, the one that replied may run tasks of an earlier owner, too.
+	if t.listed {
 		delete(p.departed, t.id())
 	}
 	p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Started: t.startedAt, Reason: "another target replied at its address"})
@@ -271,14 +272,14 @@
 	}
 }
 
-// unlistedUntil returns how long a run that the target has not listed may last at an instance
-// that started unnoticed before the start arrived. That one cuts leases by the clock of the earlier
-// instance to maxLease by its own.
+// unlistedUntil returns how long a run that the target has not listed may last, if an instance that
+// started unnoticed has carried the start out. By its clock, the lease may be far ahead; it then
+// grants maxLease.
 func (p *Pool) unlistedUntil(t *target, r *run) time.Duration {
 	if r.listed {
 		return 0
 	}
-	return t.leaseSentAt + slowestClock(maxLease) + p.roundTrips.callTimeout()
+	return t.leaseSentAt + maxElapsed(maxLease) + p.roundTrips.callTimeout()
 }
 
 func (p *Pool) stopUnclaimedRuns(now time.Duration, t *target) {
