fbnode: counts routes that daemons send each other, and the wait of events

The record of the incident can't tell whether the traffic between daemons consists of routes, whether a version came late by the store or by the control goroutine's queue.

Adds counters of pulls and pushes with their bytes, histograms of the time until a version is in force and of the time that events wait, and to FE7014 the bytes and how long a version has been known (known_ms). No decision changes; the requests and answers are the same as before.

--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -12,8 +12,12 @@
 
 // post queues f to be called by the control goroutine.
 func (n *Node) post(f func(now time.Duration)) {
+	queued := fbtimer.SinceBoot()
 	select {
-	case n.events <- f:
+	case n.events <- func(now time.Duration) {
+		n.eventsWait.RecordDuration(now - queued)
+		f(now)
+	}:
 	case <-n.ctx.Done():
 	}
 }
--- a/fbnode/heartbeat.go
+++ b/fbnode/heartbeat.go
@@ -106,10 +106,3 @@
 	}
 	return out
 }
-
-func (n *Node) routesVersion() uint64 {
-	if r := n.routes.Load(); r != nil {
-		return r.Version()
-	}
-	return 0
-}
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -108,6 +108,7 @@
 	pools            map[filbertford.PoolID]*fbsched.Pool
 	targets          *targetCache
 	routesValue      []byte
+	routesKnownSince time.Duration // when another daemon first named newer routes, 0 if none has
 	pendingAnswers   map[uint64]chan filbertford.WorkloadAnswer
 	ownedShards      map[filbertford.PoolID]*fbshard.Owner
 	pendingStored    map[uint64]*pendingStoredRequest
@@ -122,6 +123,8 @@
 	specs            []fbfleet.PoolSpec // of all known pools
 	recorder         *eventRecorder
 	evacuations      *evacuationState
+	routesMetrics    routesMetrics
+	eventsWait       tally.Histogram // from the queueing of an event until it is handled
 }
 
 var (
@@ -148,6 +151,8 @@
 		lastTick:       now,
 		recorder:       newEventRecorder(deps.Log, deps.Metrics, deps.DroppedLines),
 		evacuations:    newEvacuationState(deps.Metrics),
+		routesMetrics:  newRoutesMetrics(deps.Metrics),
+		eventsWait:     deps.Metrics.Histogram("events_wait", latencyBuckets),
 	}
 	n.coordinator.SetScheduling(opts.Scheduling)
 	n.coordinator.SetBalancer(fbbalance.Share{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -80,11 +80,9 @@
 	case fblink.StoredJobReply:
 		n.handleStoredReply(v)
 	case fblink.RoutesPull:
-		if n.routesVersion() > v.Have() && n.routesValue != nil {
-			n.hub.Send(from.Node(), fblink.NewRoutesPush(n.routesVersion(), n.routesValue))
-		}
+		n.handleRoutesPull(from.Node(), v)
 	case fblink.RoutesPush:
-		n.applyRoutes(v.Value(), "peer "+string(from.Node()))
+		n.handleRoutesPush(from.Node(), v)
 	case fblink.EvacuationsPull:
 		n.sendEvacuations(from.Node(), v)
 	case fblink.EvacuationsPush:
@@ -102,9 +100,7 @@
 	}
 	n.coordinator.Rebalance(now)
 	n.reportNewerClaims(from.Node(), h.Heartbeat().Claims())
-	if h.RoutesVersion() > n.routesVersion() {
-		n.hub.Send(from.Node(), fblink.NewRoutesPull(n.routesVersion()))
-	}
+	n.routesVersionNamed(from.Node(), h.RoutesVersion())
 	if version := n.evacuations.state.Version(); h.EvacuationsVersion() > version {
 		n.hub.Send(from.Node(), fblink.NewEvacuationsPull(version))
 	}
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -76,21 +76,6 @@
 	}
 }
 
-// applyRoutes replaces the routes in use if the given ones are newer.
-func (n *Node) applyRoutes(value []byte, source string) {
-	r, err := n.deps.Decoder.DecodeRoutes(value)
-	if err != nil {
-		fbevent.RoutesRejected.Log(n.deps.Log, "source", source, "error", err)
-		return
-	}
-	if r.Version() <= n.routesVersion() {
-		return
-	}
-	n.routesValue = value
-	n.routes.Store(r)
-	fbevent.RoutesApplied.Log(n.deps.Log, "version", r.Version(), "routes", r.Len(), "source", source)
-}
-
 func (n *Node) targetsChanged(now time.Duration, full bool, s filbertford.Snapshot) {
 	n.targets.readAt = now
 	if n.targets.apply(now, full, s) {
