A daemon requests newer routes from one other at a time

Callers were rejected with 404 for routes that had been confirmed up to 5 s before, and many more requests failed. After the routes of a fleet of 44 had grown by 1,400, the daemons sent each other 60 MB a second for 20 s: the links of those with 19 Mbit/s were full, and the next version waited behind texts of the last one.

A daemon requested the routes at each heartbeat that named a newer version, from each sender, until it had applied one; each request was answered with the whole text. Now package fbroutes allows one request at a time.

--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -163,6 +163,7 @@
 			n.coordinator.SetOwner(now, e.Pool(), e.Owner().Node(), e.Owner().Fence())
 			n.verifyShards(e.Pool())
 		case fbfleet.EventPeerUnreachable:
+			n.routesExchange.NodeUnreachable(e.Node())
 			n.dropCoordinator(now, e.Node())
 		case fbfleet.EventProbe:
 			n.probePool(e.Pool())
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -16,6 +16,7 @@
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbfleet"
 	"github.com/filbertford/filbertford/fblink"
+	"github.com/filbertford/filbertford/fbroutes"
 	"github.com/filbertford/filbertford/fbsched"
 	"github.com/filbertford/filbertford/fbshard"
 	"github.com/filbertford/filbertford/fbtimer"
@@ -108,7 +109,6 @@
 	pools            map[filbertford.PoolID]*fbsched.Pool
 	targets          *targetCache
 	routesValue      []byte
-	routesKnownSince time.Duration // when another daemon first named newer routes, 0 if none has
 	pendingAnswers   map[uint64]chan filbertford.WorkloadAnswer
 	ownedShards      map[filbertford.PoolID]*fbshard.Owner
 	pendingStored    map[uint64]*pendingStoredRequest
@@ -123,6 +123,7 @@
 	specs            []fbfleet.PoolSpec // of all known pools
 	recorder         *eventRecorder
 	evacuations      *evacuationState
+	routesExchange   *fbroutes.Exchange
 	routesMetrics    routesMetrics
 	eventsWait       tally.Histogram // from the queueing of an event until it is handled
 }
@@ -151,6 +152,7 @@
 		lastTick:       now,
 		recorder:       newEventRecorder(deps.Log, deps.Metrics, deps.DroppedLines),
 		evacuations:    newEvacuationState(deps.Metrics),
+		routesExchange: fbroutes.NewExchange(),
 		routesMetrics:  newRoutesMetrics(deps.Metrics),
 		eventsWait:     deps.Metrics.Histogram("events_wait", latencyBuckets),
 	}
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -100,7 +100,7 @@
 	}
 	n.coordinator.Rebalance(now)
 	n.reportNewerClaims(from.Node(), h.Heartbeat().Claims())
-	n.routesVersionNamed(from.Node(), h.RoutesVersion())
+	n.routesVersionNamed(now, from.Node(), h.RoutesVersion())
 	if version := n.evacuations.state.Version(); h.EvacuationsVersion() > version {
 		n.hub.Send(from.Node(), fblink.NewEvacuationsPull(version))
 	}
--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -11,6 +11,9 @@
 	"github.com/filbertford/filbertford/fbtimer"
 )
 
+// storeSource is the source of routes that were read from the store.
+const storeSource = "store"
+
 // routesMetrics are the metrics of the routes that daemons send each other.
 type routesMetrics struct {
 	pulls          tally.Counter // sent
@@ -31,13 +34,10 @@
 }
 
 // routesVersionNamed handles the version of the routes that another daemon uses.
-func (n *Node) routesVersionNamed(node filbertford.NodeID, version uint64) {
-	if version <= n.routesVersion() {
+func (n *Node) routesVersionNamed(now time.Duration, node filbertford.NodeID, version uint64) {
+	if !n.routesExchange.VersionNamed(now, node, version) {
 		return
 	}
-	if n.routesKnownSince == 0 {
-		n.routesKnownSince = fbtimer.SinceBoot()
-	}
 	n.routesMetrics.pulls.Inc(1)
 	n.hub.Send(node, fblink.NewRoutesPull(n.routesVersion()))
 }
@@ -68,11 +68,12 @@
 	}
 	n.routesValue = value
 	n.routes.Store(r)
+	now := fbtimer.SinceBoot()
 	var delay time.Duration
-	if n.routesKnownSince != 0 {
-		delay = fbtimer.SinceBoot() - n.routesKnownSince
-		n.routesKnownSince = 0
+	if since, behind := n.routesExchange.Behind(); behind {
+		delay = now - since
 	}
+	n.routesExchange.Applied(now, r.Version(), source == storeSource)
 	n.routesMetrics.delay.RecordDuration(delay)
 	fbevent.RoutesApplied.Log(n.deps.Log, "version", r.Version(), "routes", r.Len(), "bytes", len(value), "source", source, "known_ms", delay.Milliseconds())
 }
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -71,7 +71,7 @@
 	n.readEvacuations(now, full, s)
 	for _, c := range s.Changes() {
 		if n.deps.Decoder.IsRoutes(c.Row()) && !c.Removed() {
-			n.applyRoutes(c.Row().Value(), "store")
+			n.applyRoutes(c.Row().Value(), storeSource)
 		}
 	}
 }
