A daemon answers a request for routes once

During a rolling update daemons of the last version still request routes at each heartbeat; their links, and that of the daemon which answers, are full of texts that are of no use. A daemon queued the whole text for each request.

Now a version is sent to a daemon once within 0.5 s, unless the daemon names another version than before, as after a restart.

--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -80,7 +80,7 @@
 	case fblink.StoredJobReply:
 		n.handleStoredReply(v)
 	case fblink.RoutesPull:
-		n.handleRoutesPull(from.Node(), v)
+		n.handleRoutesPull(now, from.Node(), v)
 	case fblink.RoutesPush:
 		n.handleRoutesPush(from.Node(), v)
 	case fblink.EvacuationsPull:
--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -42,8 +42,8 @@
 	n.hub.Send(node, fblink.NewRoutesPull(n.routesVersion()))
 }
 
-func (n *Node) handleRoutesPull(node filbertford.NodeID, p fblink.RoutesPull) {
-	if n.routesVersion() <= p.Have() || n.routesValue == nil {
+func (n *Node) handleRoutesPull(now time.Duration, node filbertford.NodeID, p fblink.RoutesPull) {
+	if !n.routesExchange.PullReceived(now, node, p.Have()) {
 		return
 	}
 	n.routesMetrics.pushesSent.Inc(1)
--- a/fbroutes/exchange.go
+++ b/fbroutes/exchange.go
@@ -1,6 +1,7 @@
 package fbroutes
 
 import (
+	"maps"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -15,6 +16,9 @@
 	// another request would only add to its load.
 	minPullTimeout = time.Second
 	maxPullTimeout = 4 * time.Second
+	// pushInterval is the time in which a version is sent once to a daemon. It is shorter than
+	// minPullTimeout, so that a request that is repeated after that is answered.
+	pushInterval = 500 * time.Millisecond
 )
 
 // Exchange is what a daemon knows of the routes of the others. It is not safe for concurrent use.
@@ -27,10 +31,20 @@
 	pulledFrom  filbertford.NodeID
 	pulledAt    time.Duration
 	pullTimeout time.Duration
+	pushes      map[filbertford.NodeID]push
+}
+
+// push is the last text that was sent to a daemon.
+type push struct {
+	have    uint64 // the version that the daemon used
+	version uint64
+	at      time.Duration
 }
 
 // NewExchange returns the exchange of a daemon without routes.
-func NewExchange() *Exchange { return &Exchange{pullTimeout: minPullTimeout} }
+func NewExchange() *Exchange {
+	return &Exchange{pullTimeout: minPullTimeout, pushes: make(map[filbertford.NodeID]push)}
+}
 
 // Behind reports whether another daemon has named a newer version than that in use, and since when.
 func (e *Exchange) Behind() (since time.Duration, behind bool) {
@@ -71,3 +85,17 @@
 		e.pulling = false
 	}
 }
+
+// PullReceived handles a request for newer routes from a daemon that uses the version have. It
+// reports whether to send them.
+func (e *Exchange) PullReceived(now time.Duration, node filbertford.NodeID, have uint64) bool {
+	maps.DeleteFunc(e.pushes, func(_ filbertford.NodeID, p push) bool { return now-p.at >= pushInterval })
+	if e.version <= have {
+		return false
+	}
+	if last, ok := e.pushes[node]; ok && last.have == have && last.version == e.version {
+		return false
+	}
+	e.pushes[node] = push{have: have, version: e.version, at: now}
+	return true
+}
--- a/fbroutes/exchange_test.go
+++ b/fbroutes/exchange_test.go
@@ -58,3 +58,30 @@
 		})
 	}
 }
+
+// TestPullReceived checks which requests a daemon that uses version 5 answers.
+func TestPullReceived(t *testing.T) {
+	e := NewExchange()
+	e.Applied(0, 5, true)
+	for _, s := range []struct {
+		at   time.Duration
+		node filbertford.NodeID
+		have uint64
+		want bool
+	}{
+		{at: 1, node: "b", have: 5},
+		{at: 1, node: "b", have: 4, want: true},
+		{at: 2, node: "b", have: 4},
+		{at: 2, node: "c", have: 4, want: true},
+		{at: 3, node: "b", have: 0, want: true}, // it has started again
+		{at: 3 + pushInterval, node: "b", have: 0, want: true},
+	} {
+		if got := e.PullReceived(s.at, s.node, s.have); got != s.want {
+			t.Errorf("request of %s, which uses version %d, at %v: answered %v, want %v", s.node, s.have, s.at, got, s.want)
+		}
+	}
+	e.Applied(4+pushInterval, 6, true)
+	if !e.PullReceived(5+pushInterval, "b", 0) {
+		t.Error("a newer version isn't sent")
+	}
+}
