Routes don't wait behind the events of the control goroutine

A busy daemon handles thousands of events before the routes that it has received, so that it answers by an older version meanwhile. The state of the routes gets a lock of its own: the watcher of the store puts them in force itself, and requests, texts and versions of other daemons are handled where they are received. Texts are decoded in a goroutine of their own, so that the receiver isn't blocked.

The tests that use a version first now wait until it is in use.

--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -102,7 +102,7 @@
 	n.tickStored(now)
 	n.tickClaims(now)
 	n.tickEvacuations(now)
-	n.ready.Store(n.routes.Load() != nil && !n.stopping.Load() && n.hasPoolOwner())
+	n.ready.Store(n.Routes() != nil && !n.stopping.Load() && n.hasPoolOwner())
 	n.recorder.logOmissions(now)
 }
 
@@ -163,7 +163,7 @@
 			n.coordinator.SetOwner(now, e.Pool(), e.Owner().Node(), e.Owner().Fence())
 			n.verifyShards(e.Pool())
 		case fbfleet.EventPeerUnreachable:
-			n.routesExchange.NodeUnreachable(e.Node())
+			n.routesNodeUnreachable(e.Node())
 			n.dropCoordinator(now, e.Node())
 		case fbfleet.EventProbe:
 			n.probePool(e.Pool())
--- a/fbnode/control_test.go
+++ b/fbnode/control_test.go
@@ -93,7 +93,7 @@
 		_ = node.calls.Wait() // calls return no errors
 	})
 	n := &testOwner{Node: node, target: target}
-	n.routesChanged(fbtimer.SinceBoot(), true, filbertford.NewSnapshot(1, 0)) // nothing starts before the evacuations are known
+	n.readEvacuations(fbtimer.SinceBoot(), true, filbertford.NewSnapshot(1, 0)) // nothing starts before the evacuations are known
 	row := filbertford.NewChange(filbertford.NewRow("t00", []byte(testDataCentre), 1))
 	n.targetsChanged(fbtimer.SinceBoot(), true, filbertford.NewSnapshot(1, 0, row))
 	for range 100 {
--- a/fbnode/evacuation_test.go
+++ b/fbnode/evacuation_test.go
@@ -18,7 +18,7 @@
 		want  int
 	}{
 		"unknown":                   {learn: func(*testOwner) {}},
-		"read from the store":       {learn: func(n *testOwner) { n.routesChanged(fbtimer.SinceBoot(), true, filbertford.NewSnapshot(9, 0)) }, want: 1},
+		"read from the store":       {learn: func(n *testOwner) { n.readEvacuations(fbtimer.SinceBoot(), true, filbertford.NewSnapshot(9, 0)) }, want: 1},
 		"neither store nor daemons": {learn: func(n *testOwner) { n.tickEvacuations(fbtimer.SinceBoot() + evacuationsTimeout) }, want: 1},
 		"evacuated, by another daemon": {learn: func(n *testOwner) {
 			n.handleMessage(fbtimer.SinceBoot(), coordinatorMember, fblink.NewEvacuationsPush(9, testDataCentre))
--- a/fbnode/frontend.go
+++ b/fbnode/frontend.go
@@ -8,7 +8,12 @@
 )
 
 // Routes returns the routes in use, nil if there are none yet.
-func (n *Node) Routes() *filbertford.Routes { return n.routes.Load() }
+func (n *Node) Routes() *filbertford.Routes {
+	if t := n.routes.inUse.Load(); t != nil {
+		return t.routes
+	}
+	return nil
+}
 
 // Ready reports whether the daemon accepts new connections.
 func (n *Node) Ready() bool { return n.ready.Load() }
--- a/fbnode/heartbeat.go
+++ b/fbnode/heartbeat.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		n.sentHeartbeats[member.Node()] = sentHeartbeat{sentAt: now, period: period}
-		n.hub.Send(member.Node(), fblink.NewHeartbeat(heartbeat.ForReceiver(member.Node()).WithPeriod(period), capacities, n.routesVersion()).
+		n.hub.Send(member.Node(), fblink.NewHeartbeat(heartbeat.ForReceiver(member.Node()).WithPeriod(period), capacities, n.routes.version()).
 			WithEvacuationsVersion(n.evacuations.state.Version()))
 	}
 }
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -16,7 +16,6 @@
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbfleet"
 	"github.com/filbertford/filbertford/fblink"
-	"github.com/filbertford/filbertford/fbroutes"
 	"github.com/filbertford/filbertford/fbsched"
 	"github.com/filbertford/filbertford/fbshard"
 	"github.com/filbertford/filbertford/fbtimer"
@@ -93,7 +92,7 @@
 	calls  *workers
 	ctx    context.Context
 
-	routes        atomic.Pointer[filbertford.Routes]
+	routes        *routesState
 	ready         atomic.Bool
 	stopping      atomic.Bool
 	inFlight      atomic.Int64
@@ -108,7 +107,6 @@
 	coordinator      *fbsched.Coordinator
 	pools            map[filbertford.PoolID]*fbsched.Pool
 	targets          *targetCache
-	routesValue      []byte
 	pendingAnswers   map[uint64]chan filbertford.WorkloadAnswer
 	ownedShards      map[filbertford.PoolID]*fbshard.Owner
 	pendingStored    map[uint64]*pendingStoredRequest
@@ -123,8 +121,6 @@
 	specs            []fbfleet.PoolSpec // of all known pools
 	recorder         *eventRecorder
 	evacuations      *evacuationState
-	routesExchange   *fbroutes.Exchange
-	routesMetrics    routesMetrics
 	eventsWait       tally.Histogram // from the queueing of an event until it is handled
 }
 
@@ -152,8 +148,7 @@
 		lastTick:       now,
 		recorder:       newEventRecorder(deps.Log, deps.Metrics, deps.DroppedLines),
 		evacuations:    newEvacuationState(deps.Metrics),
-		routesExchange: fbroutes.NewExchange(),
-		routesMetrics:  newRoutesMetrics(deps.Metrics),
+		routes:         newRoutesState(deps.Metrics),
 		eventsWait:     deps.Metrics.Histogram("events_wait", latencyBuckets),
 	}
 	n.coordinator.SetScheduling(opts.Scheduling)
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -12,6 +12,7 @@
 
 // Receive implements fblink.Receiver.
 func (n *Node) Receive(from fbfleet.Member, messages []fblink.Message, newStream bool) {
+	messages = n.receiveRoutes(from.Node(), messages)
 	n.post(func(now time.Duration) {
 		if newStream {
 			for _, p := range n.pools {
@@ -31,7 +32,7 @@
 // Connected implements fblink.Receiver.
 func (n *Node) Connected(node filbertford.NodeID) {
 	n.post(func(now time.Duration) {
-		n.hub.Send(node, fblink.NewHeartbeat(n.fleet.Heartbeat(now), nil, n.routesVersion()).WithEvacuationsVersion(n.evacuations.state.Version()))
+		n.hub.Send(node, fblink.NewHeartbeat(n.fleet.Heartbeat(now), nil, n.routes.version()).WithEvacuationsVersion(n.evacuations.state.Version()))
 		n.hub.Send(node, fblink.NewRoster(append(n.fleet.Members(), n.fleet.Self())))
 		n.resumeTasks(now, node)
 	})
@@ -79,10 +80,6 @@
 		n.handleStoredRequest(from.Node(), v)
 	case fblink.StoredJobReply:
 		n.handleStoredReply(v)
-	case fblink.RoutesPull:
-		n.handleRoutesPull(now, from.Node(), v)
-	case fblink.RoutesPush:
-		n.handleRoutesPush(from.Node(), v)
 	case fblink.EvacuationsPull:
 		n.sendEvacuations(from.Node(), v)
 	case fblink.EvacuationsPush:
@@ -100,7 +97,6 @@
 	}
 	n.coordinator.Rebalance(now)
 	n.reportNewerClaims(from.Node(), h.Heartbeat().Claims())
-	n.routesVersionNamed(now, from.Node(), h.RoutesVersion())
 	if version := n.evacuations.state.Version(); h.EvacuationsVersion() > version {
 		n.hub.Send(from.Node(), fblink.NewEvacuationsPull(version))
 	}
--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -1,6 +1,8 @@
 package fbnode
 
 import (
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -8,12 +10,31 @@
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fblink"
+	"github.com/filbertford/filbertford/fbroutes"
 	"github.com/filbertford/filbertford/fbtimer"
 )
 
 // storeSource is the source of routes that were read from the store.
 const storeSource = "store"
 
+// routesState holds the routes in use. Its users are several goroutines: routes don't wait behind
+// the events of the control goroutine, which a busy daemon handles late.
+type routesState struct {
+	inUse    atomic.Pointer[routesText]
+	applying sync.Mutex // held while routes are decoded and put in use
+
+	mu       sync.Mutex
+	exchange *fbroutes.Exchange
+
+	metrics routesMetrics
+}
+
+// routesText is a version of the routes with the text that the operator wrote.
+type routesText struct {
+	routes *filbertford.Routes
+	value  []byte
+}
+
 // routesMetrics are the metrics of the routes that daemons send each other.
 type routesMetrics struct {
 	pulls          tally.Counter // sent
@@ -23,67 +44,136 @@
 	delay          tally.Histogram // from the first word of a version until it is in force
 }
 
-func newRoutesMetrics(scope tally.Scope) routesMetrics {
-	return routesMetrics{
-		pulls:          scope.Counter("routes_pulls"),
-		pushesSent:     scope.Tagged(map[string]string{"direction": "sent"}).Counter("routes_pushes"),
-		pushesReceived: scope.Tagged(map[string]string{"direction": "received"}).Counter("routes_pushes"),
-		bytesSent:      scope.Counter("routes_bytes_sent"),
-		delay:          scope.Histogram("routes_delay", latencyBuckets),
+func newRoutesState(scope tally.Scope) *routesState {
+	return &routesState{
+		exchange: fbroutes.NewExchange(),
+		metrics: routesMetrics{
+			pulls:          scope.Counter("routes_pulls"),
+			pushesSent:     scope.Tagged(map[string]string{"direction": "sent"}).Counter("routes_pushes"),
+			pushesReceived: scope.Tagged(map[string]string{"direction": "received"}).Counter("routes_pushes"),
+			bytesSent:      scope.Counter("routes_bytes_sent"),
+			delay:          scope.Histogram("routes_delay", latencyBuckets),
+		},
 	}
 }
 
+// version returns the version in use, 0 for none.
+func (s *routesState) version() uint64 {
+	if t := s.inUse.Load(); t != nil {
+		return t.routes.Version()
+	}
+	return 0
+}
+
+// receiveRoutes handles what the messages of a daemon say of the routes. It returns the messages
+// that are left to the control goroutine.
+func (n *Node) receiveRoutes(from filbertford.NodeID, messages []fblink.Message) []fblink.Message {
+	left := make([]fblink.Message, 0, len(messages))
+	for _, m := range messages {
+		switch v := m.(type) {
+		case fblink.RoutesPull:
+			n.handleRoutesPull(from, v)
+			continue
+		case fblink.RoutesPush:
+			n.handleRoutesPush(from, v)
+			continue
+		case fblink.Heartbeat:
+			n.routesVersionNamed(from, v.RoutesVersion())
+		}
+		left = append(left, m)
+	}
+	return left
+}
+
 // routesVersionNamed handles the version of the routes that another daemon uses.
-func (n *Node) routesVersionNamed(now time.Duration, node filbertford.NodeID, version uint64) {
-	if !n.routesExchange.VersionNamed(now, node, version) {
+func (n *Node) routesVersionNamed(node filbertford.NodeID, version uint64) {
+	s := n.routes
+	if version <= s.version() {
 		return
 	}
-	n.routesMetrics.pulls.Inc(1)
-	n.hub.Send(node, fblink.NewRoutesPull(n.routesVersion()))
+	s.mu.Lock()
+	pull := s.exchange.VersionNamed(fbtimer.SinceBoot(), node, version)
+	s.mu.Unlock()
+	if pull {
+		s.metrics.pulls.Inc(1)
+		n.hub.Send(node, fblink.NewRoutesPull(s.version()))
+	}
 }
 
-func (n *Node) handleRoutesPull(now time.Duration, node filbertford.NodeID, p fblink.RoutesPull) {
-	if !n.routesExchange.PullReceived(now, node, p.Have()) {
+func (n *Node) handleRoutesPull(node filbertford.NodeID, p fblink.RoutesPull) {
+	s := n.routes
+	s.mu.Lock()
+	push := s.exchange.PullReceived(fbtimer.SinceBoot(), node, p.Have())
+	s.mu.Unlock()
+	if !push {
 		return
 	}
-	n.routesMetrics.pushesSent.Inc(1)
-	n.routesMetrics.bytesSent.Inc(int64(len(n.routesValue)))
-	n.hub.Send(node, fblink.NewRoutesPush(n.routesVersion(), n.routesValue))
+	text := s.inUse.Load()
+	s.metrics.pushesSent.Inc(1)
+	s.metrics.bytesSent.Inc(int64(len(text.value)))
+	n.hub.Send(node, fblink.NewRoutesPush(text.routes.Version(), text.value))
 }
 
 func (n *Node) handleRoutesPush(node filbertford.NodeID, p fblink.RoutesPush) {
-	n.routesMetrics.pushesReceived.Inc(1)
-	if p.Version() <= n.routesVersion() {
+	s := n.routes
+	s.metrics.pushesReceived.Inc(1)
+	if p.Version() <= s.version() {
 		return
 	}
-	n.applyRoutes(p.Value(), "peer "+string(node))
+	// Receive, which calls this, must not block.
+	n.calls.Go(func() error {
+		s.applying.Lock()
+		defer s.applying.Unlock()
+		if p.Version() > s.version() {
+			n.decodeRoutes(p.Value(), "peer "+string(node))
+		}
+		return nil
+	})
 }
 
 // applyRoutes replaces the routes in use if the given ones are newer.
 func (n *Node) applyRoutes(value []byte, source string) {
+	n.routes.applying.Lock()
+	defer n.routes.applying.Unlock()
+	n.decodeRoutes(value, source)
+}
+
+// decodeRoutes does the same. The caller holds the lock.
+func (n *Node) decodeRoutes(value []byte, source string) {
 	r, err := n.deps.Decoder.DecodeRoutes(value)
 	if err != nil {
 		fbevent.RoutesRejected.Log(n.deps.Log, "source", source, "error", err)
 		return
 	}
-	if r.Version() <= n.routesVersion() {
+	s := n.routes
+	if r.Version() <= s.version() {
 		return
 	}
-	n.routesValue = value
-	n.routes.Store(r)
 	now := fbtimer.SinceBoot()
+	s.mu.Lock()
+	s.inUse.Store(&routesText{routes: r, value: value})
 	var delay time.Duration
-	if since, behind := n.routesExchange.Behind(); behind {
+	if since, behind := s.exchange.Behind(); behind {
 		delay = now - since
 	}
-	n.routesExchange.Applied(now, r.Version(), source == storeSource)
-	n.routesMetrics.delay.RecordDuration(delay)
+	s.exchange.Applied(now, r.Version(), source == storeSource)
+	s.mu.Unlock()
+	s.metrics.delay.RecordDuration(delay)
 	fbevent.RoutesApplied.Log(n.deps.Log, "version", r.Version(), "routes", r.Len(), "bytes", len(value), "source", source, "known_ms", delay.Milliseconds())
 }
 
-func (n *Node) routesVersion() uint64 {
-	if r := n.routes.Load(); r != nil {
-		return r.Version()
+// routesNodeUnreachable handles that another daemon doesn't answer requests any more.
+func (n *Node) routesNodeUnreachable(node filbertford.NodeID) {
+	n.routes.mu.Lock()
+	defer n.routes.mu.Unlock()
+	n.routes.exchange.NodeUnreachable(node)
+}
+
+// readRoutes applies the routes in a read of the routes table.
+func (n *Node) readRoutes(s filbertford.Snapshot) {
+	for _, c := range s.Changes() {
+		if n.deps.Decoder.IsRoutes(c.Row()) && !c.Removed() {
+			n.applyRoutes(c.Row().Value(), storeSource)
+		}
 	}
-	return 0
 }
--- a/fbnode/routes_test.go
+++ b/fbnode/routes_test.go
@@ -27,7 +27,7 @@
 // names a newer version, each of which is answered with the whole text.
 func TestNewerRoutesAreRequestedOnce(t *testing.T) {
 	n := newRoutesNode(t)
-	n.Receive(routesPeer(0), []fblink.Message{fblink.NewRoutesPush(1, []byte("1"))}, false)
+	n.use(t, 1)
 	for range 10 {
 		for i := range 40 {
 			n.Receive(routesPeer(i), []fblink.Message{routesHeartbeat(routesPeer(i), 2)}, false)
@@ -42,7 +42,7 @@
 // TestLostRequestForRoutesIsRepeated guards against a daemon that waits for an answer for good.
 func TestLostRequestForRoutesIsRepeated(t *testing.T) {
 	n := newRoutesNode(t)
-	n.Receive(routesPeer(0), []fblink.Message{fblink.NewRoutesPush(1, []byte("1"))}, false)
+	n.use(t, 1)
 	for start := time.Now(); n.counter("routes_pulls") < 2; {
 		n.Receive(routesPeer(1), []fblink.Message{routesHeartbeat(routesPeer(1), 2)}, false)
 		n.run(50 * time.Millisecond)
@@ -56,8 +56,7 @@
 // link is too slow for one.
 func TestRepeatedRequestForRoutesIsAnsweredOnce(t *testing.T) {
 	n := newRoutesNode(t)
-	n.Receive(routesPeer(0), []fblink.Message{fblink.NewRoutesPush(2, []byte("2"))}, false)
-	n.run(50 * time.Millisecond)
+	n.use(t, 2)
 	for range 20 {
 		n.Receive(routesPeer(1), []fblink.Message{fblink.NewRoutesPull(1)}, false)
 	}
@@ -130,7 +129,7 @@
 	})
 	<-silent
 	rows.Put("op", "", "config", []byte("2"))
-	for acknowledged := time.Now(); n.routesVersion() != 2; n.run(10 * time.Millisecond) {
+	for acknowledged := time.Now(); n.routes.version() != 2; n.run(10 * time.Millisecond) {
 		if time.Since(acknowledged) > 2*time.Second {
 			t.Fatal("the version isn't in force 2 s after its acknowledgement")
 		}
@@ -160,6 +159,18 @@
 	return &routesNode{testOwner: &testOwner{Node: node}, scope: scope, decoder: decoder}
 }
 
+// use gives the daemon a version of the routes, from another daemon.
+func (n *routesNode) use(t *testing.T, version uint64) {
+	t.Helper()
+	push := fblink.NewRoutesPush(version, []byte(strconv.FormatUint(version, 10)))
+	n.Receive(routesPeer(0), []fblink.Message{push}, false)
+	for start := time.Now(); n.Routes() == nil; n.run(time.Millisecond) {
+		if time.Since(start) > time.Second {
+			t.Fatal("the routes aren't in use after 1 s")
+		}
+	}
+}
+
 // counter returns the sum of the counters of the name, without those of what is received.
 func (n *routesNode) counter(name string) int {
 	sum := 0
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -26,7 +26,7 @@
 // tableWatchers returns a watcher for each table that the daemon caches.
 func (n *Node) tableWatchers() []*tableWatcher {
 	applies := map[filbertford.TableName]func(now time.Duration, full bool, s filbertford.Snapshot){
-		filbertford.TableRoutes:  n.routesChanged,
+		filbertford.TableRoutes:  n.readEvacuations,
 		filbertford.TableTargets: n.targetsChanged,
 		filbertford.TableNodes:   n.nodesChanged,
 	}
@@ -36,6 +36,9 @@
 			store: n.deps.Store, table: table, log: n.deps.Log,
 			readPeriod: func() time.Duration { return 0 },
 			apply: func(full bool, s filbertford.Snapshot) {
+				if table == filbertford.TableRoutes {
+					n.readRoutes(s)
+				}
 				n.post(func(now time.Duration) { apply(now, full, s) })
 			},
 		}
@@ -67,15 +70,6 @@
 	}
 }
 
-func (n *Node) routesChanged(now time.Duration, full bool, s filbertford.Snapshot) {
-	n.readEvacuations(now, full, s)
-	for _, c := range s.Changes() {
-		if n.deps.Decoder.IsRoutes(c.Row()) && !c.Removed() {
-			n.applyRoutes(c.Row().Value(), storeSource)
-		}
-	}
-}
-
 func (n *Node) targetsChanged(now time.Duration, full bool, s filbertford.Snapshot) {
 	n.targets.readAt = now
 	if n.targets.apply(now, full, s) {
