--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -33,7 +33,7 @@
 	var out []*tableWatcher
 	for table, apply := range applies {
 		w := &tableWatcher{
-			store: n.deps.Store, table: table, log: n.deps.Log,
+			store: n.deps.Store, table: table, log: n.deps.Log, wait: watchWait,
 			readPeriod: func() time.Duration { return 0 },
 			apply: func(full bool, s filbertford.Snapshot) {
 				if table == filbertford.TableRoutes {
@@ -42,6 +42,9 @@
 				n.post(func(now time.Duration) { apply(now, full, s) })
 			},
 		}
+		if table == filbertford.TableRoutes {
+			w.wait = routesWatchWait
+		}
 		if table == filbertford.TableTargets {
 			w.readPeriod, w.wake = n.targetReadPeriod, n.wakeTargets
 		}
--- a/fbnode/watcher.go
+++ b/fbnode/watcher.go
@@ -17,9 +17,12 @@
 	// can't be reached. It doubles with each attempt.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
-	// watchTimeout is the longest time that the store holds a watch request without
+	// watchWait is the longest time that the store holds a watch request without
 	// changes. It adds to the time until a dead connection is detected.
-	watchTimeout = 2 * time.Second
+	watchWait = 2 * time.Second
+	// routesWatchWait is that of the routes, which must be in force soon after a change, also
+	// if the connection was lost just before.
+	routesWatchWait = time.Second
 	// ownerReadPeriod is the time between two reads of the target records by a daemon
 	// that owns a pool, candidateReadPeriod that by a daemon that ranks high enough to
 	// claim one, idleReadPeriod that by any other: it has no use for the records, and
@@ -39,6 +42,7 @@
 	store filbertford.Store
 	table filbertford.TableName
 	log   *log.Logger
+	wait  time.Duration // for changes, at the store
 	// readPeriod returns the shortest time between two reads of changes. Without it,
 	// a table whose rows are written all the time would be read for each write.
 	readPeriod func() time.Duration
@@ -83,7 +87,7 @@
 
 func (w *tableWatcher) read(ctx context.Context, synced bool, version uint64) (filbertford.Snapshot, error) {
 	if synced {
-		return w.store.Watch(ctx, w.table, version, watchTimeout)
+		return w.store.Watch(ctx, w.table, version, w.wait)
 	}
 	return w.store.List(ctx, w.table, "")
 }
