--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -17,11 +17,16 @@
 // storeSource is the source of routes that were read from the store.
 const storeSource = "store"
 
+// routesMaxAge is the time without an answer of the store to the watch of the routes from which
+// there may be newer ones: the store answers every routesWatchWait.
+const routesMaxAge = 2 * time.Second
+
 // routesState holds the routes in use. Its users are several goroutines: routes don't wait behind
 // the events of the control goroutine, which a busy daemon handles late.
 type routesState struct {
 	inUse    atomic.Pointer[routesText]
-	applying sync.Mutex // held while routes are decoded and put in use
+	applying sync.Mutex   // held while routes are decoded and put in use
+	readAt   atomic.Int64 // when the store last answered, in nanoseconds since boot; 0 for never
 
 	mu       sync.Mutex
 	exchange *fbroutes.Exchange
@@ -169,8 +174,22 @@
 	n.routes.exchange.NodeUnreachable(node)
 }
 
+// RoutesMayBeOld reports whether there may be newer routes than those in use: another daemon has
+// named a newer version, or the store has not answered lately.
+func (n *Node) RoutesMayBeOld() bool {
+	s := n.routes
+	if readAt := time.Duration(s.readAt.Load()); readAt == 0 || fbtimer.SinceBoot()-readAt > routesMaxAge {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, behind := s.exchange.Behind()
+	return behind
+}
+
 // readRoutes applies the routes in a read of the routes table.
 func (n *Node) readRoutes(s filbertford.Snapshot) {
+	defer func() { n.routes.readAt.Store(int64(fbtimer.SinceBoot())) }()
 	for _, c := range s.Changes() {
 		if n.deps.Decoder.IsRoutes(c.Row()) && !c.Removed() {
 			n.applyRoutes(c.Row().Value(), storeSource)
--- a/fbnode/routes_test.go
+++ b/fbnode/routes_test.go
@@ -87,6 +87,40 @@
 	}
 }
 
+// TestRoutesMayBeOld checks when a route that the routes in use lack may exist: a caller must not
+// learn that it doesn't.
+func TestRoutesMayBeOld(t *testing.T) {
+	tests := map[string]struct {
+		happens func(n *routesNode)
+		want    bool
+	}{
+		"the store has not answered yet": {happens: func(n *routesNode) { n.use(t, 1) }, want: true},
+		"the store has answered":         {happens: func(n *routesNode) { n.readRoutes(routesSnapshot(1)) }},
+		"a daemon names a newer version": {happens: func(n *routesNode) {
+			n.readRoutes(routesSnapshot(1))
+			n.Receive(routesPeer(1), []fblink.Message{routesHeartbeat(routesPeer(1), 2)}, false)
+		}, want: true},
+		"the newer version is in use": {happens: func(n *routesNode) {
+			n.readRoutes(routesSnapshot(1))
+			n.Receive(routesPeer(1), []fblink.Message{routesHeartbeat(routesPeer(1), 2)}, false)
+			n.readRoutes(routesSnapshot(2))
+		}},
+		"the store has not answered lately": {happens: func(n *routesNode) {
+			n.readRoutes(routesSnapshot(1))
+			n.routes.readAt.Add(-int64(routesMaxAge))
+		}, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newRoutesNode(t)
+			tt.happens(n)
+			if got := n.RoutesMayBeOld(); got != tt.want {
+				t.Errorf("routes may be old: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestRoutesOfKnownVersionAreNotDecoded guards against the decoding of texts that are of no use, which
 // takes 0.1 s for some thousand routes on a seventh of a core.
 func TestRoutesOfKnownVersionAreNotDecoded(t *testing.T) {
--- a/frontend.go
+++ b/frontend.go
@@ -68,6 +68,9 @@
 type Frontend interface {
 	// Routes returns the current routes, nil if none have been read yet.
 	Routes() *Routes
+	// RoutesMayBeOld reports whether there may be newer routes than those of Routes, so that
+	// a route that they lack may exist.
+	RoutesMayBeOld() bool
 	// Ready reports whether the daemon accepts new connections. While it does
 	// not, it closes connections after their request.
 	Ready() bool
