Requests for routes spread over the daemons that have them

A daemon asked whichever one sent the next heartbeat. In a large fleet those are the owners of pools, which send 16 times as many as others: if the store doesn't reach 33 of 44 daemons, an owner queues 33 texts on its link, requests are repeated meanwhile, and after 5 s nine daemons have not got the version, though 77 texts were sent.

A daemon now chooses at random among all that have named a newer version, and asks one that it has not asked before when there is no answer within 1 s; the control goroutine's tick makes the request when it is due. A daemon answers four of them a second, so that the others find more daemons that have the version.

--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -102,6 +102,7 @@
 	n.tickStored(now)
 	n.tickClaims(now)
 	n.tickEvacuations(now)
+	n.pullRoutes()
 	n.ready.Store(n.Routes() != nil && !n.stopping.Load() && n.hasPoolOwner())
 	n.recorder.logOmissions(now)
 }
--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -1,6 +1,7 @@
 package fbnode
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,7 +52,7 @@
 
 func newRoutesState(scope tally.Scope) *routesState {
 	return &routesState{
-		exchange: fbroutes.NewExchange(),
+		exchange: fbroutes.NewExchange(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		metrics: routesMetrics{
 			pulls:          scope.Counter("routes_pulls"),
 			pushesSent:     scope.Tagged(map[string]string{"direction": "sent"}).Counter("routes_pushes"),
@@ -97,7 +98,16 @@
 		return
 	}
 	s.mu.Lock()
-	pull := s.exchange.VersionNamed(fbtimer.SinceBoot(), node, version)
+	s.exchange.VersionNamed(fbtimer.SinceBoot(), node, version)
+	s.mu.Unlock()
+	n.pullRoutes()
+}
+
+// pullRoutes requests newer routes from another daemon if they are due.
+func (n *Node) pullRoutes() {
+	s := n.routes
+	s.mu.Lock()
+	node, pull := s.exchange.Pull(fbtimer.SinceBoot())
 	s.mu.Unlock()
 	if pull {
 		s.metrics.pulls.Inc(1)
@@ -161,7 +171,7 @@
 	if since, behind := s.exchange.Behind(); behind {
 		delay = now - since
 	}
-	s.exchange.Applied(now, r.Version(), source == storeSource)
+	s.exchange.Applied(r.Version(), source == storeSource)
 	s.mu.Unlock()
 	s.metrics.delay.RecordDuration(delay)
 	fbevent.RoutesApplied.Log(n.deps.Log, "version", r.Version(), "routes", r.Len(), "bytes", len(value), "source", source, "known_ms", delay.Milliseconds())
--- a/fbroutes/exchange.go
+++ b/fbroutes/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/filbertford/filbertford"
@@ -11,26 +13,25 @@
 	// storeDelay is how long a daemon whose last routes came from the store leaves the next ones to
 	// it. The store sends a new version to all daemons at once.
 	storeDelay = 400 * time.Millisecond
-	// minPullTimeout and maxPullTimeout bound the time after which a request without an answer is
-	// repeated. It doubles with each request: the link of the daemon may be too slow for the answer, and
-	// another request would only add to its load.
-	minPullTimeout = time.Second
-	maxPullTimeout = 4 * time.Second
-	// pushInterval is the time in which a version is sent once to a daemon. It is shorter than
-	// minPullTimeout, so that a request that is repeated after that is answered.
-	pushInterval = 500 * time.Millisecond
+	// pullTimeout is the time after which a request without an answer is repeated. It bounds the
+	// texts that a daemon receives if its link is too slow for them: one a second.
+	pullTimeout = time.Second
+	// pushInterval is the time in which a version is sent once to a daemon, and to maxPushes daemons
+	// at most: a text of 0.5 MB takes 0.2 s on a link of 19 Mbit/s, and the other daemons find more
+	// that have it when they repeat their requests.
+	pushInterval = 900 * time.Millisecond
+	maxPushes    = 4
 )
 
 // Exchange is what a daemon knows of the routes of the others. It is not safe for concurrent use.
 type Exchange struct {
-	version     uint64        // in use, 0 for none
-	fromStore   bool          // the version in use came from the store
-	newest      uint64        // the highest version that another daemon has named
-	behindSince time.Duration // since when a version newer than that in use is known
-	pulling     bool
-	pulledFrom  filbertford.NodeID
+	random      *rand.Rand
+	version     uint64                      // in use, 0 for none
+	fromStore   bool                        // the version in use came from the store
+	behindSince time.Duration               // since when a newer version is known
+	sources     map[filbertford.NodeID]bool // daemons that have named a newer version, and whether they were asked
+	pulledFrom  filbertford.NodeID          // empty if no request is under way
 	pulledAt    time.Duration
-	pullTimeout time.Duration
 	pushes      map[filbertford.NodeID]push
 }
 
@@ -42,47 +43,60 @@
 }
 
 // NewExchange returns the exchange of a daemon without routes.
-func NewExchange() *Exchange {
-	return &Exchange{pullTimeout: minPullTimeout, pushes: make(map[filbertford.NodeID]push)}
+func NewExchange(random *rand.Rand) *Exchange {
+	return &Exchange{
+		random:  random,
+		sources: make(map[filbertford.NodeID]bool),
+		pushes:  make(map[filbertford.NodeID]push),
+	}
 }
 
 // Behind reports whether another daemon has named a newer version than that in use, and since when.
 func (e *Exchange) Behind() (since time.Duration, behind bool) {
-	return e.behindSince, e.newest > e.version
+	return e.behindSince, len(e.sources) > 0
 }
 
-// VersionNamed handles the version that another daemon uses. It reports whether to request the
-// routes from that daemon now.
-func (e *Exchange) VersionNamed(now time.Duration, node filbertford.NodeID, version uint64) bool {
+// VersionNamed handles the version that another daemon uses.
+func (e *Exchange) VersionNamed(now time.Duration, node filbertford.NodeID, version uint64) {
 	if version <= e.version {
-		return false
+		return
 	}
-	if _, behind := e.Behind(); !behind {
+	if len(e.sources) == 0 {
 		e.behindSince = now
 	}
-	e.newest = max(e.newest, version)
+	e.sources[node] = e.sources[node]
+}
+
+// Pull returns the daemon to request newer routes from now, and false if there is none. Of those that
+// have newer ones it chooses any that it has not asked before.
+func (e *Exchange) Pull(now time.Duration) (filbertford.NodeID, bool) {
 	switch {
-	case e.pulling && now-e.pulledAt < e.pullTimeout:
-		return false
-	case e.pulling:
-		e.pullTimeout = min(2*e.pullTimeout, maxPullTimeout)
+	case len(e.sources) == 0, e.pulledFrom != "" && now-e.pulledAt < pullTimeout:
+		return "", false
 	case e.fromStore && now-e.behindSince < storeDelay:
-		return false
+		return "", false
 	}
-	e.pulling, e.pulledFrom, e.pulledAt = true, node, now
-	return true
+	nodes := slices.Sorted(maps.Keys(e.sources))
+	if fresh := slices.DeleteFunc(slices.Clone(nodes), func(n filbertford.NodeID) bool { return e.sources[n] }); len(fresh) > 0 {
+		nodes = fresh
+	}
+	e.pulledFrom, e.pulledAt = nodes[e.random.IntN(len(nodes))], now
+	e.sources[e.pulledFrom] = true
+	return e.pulledFrom, true
 }
 
 // Applied handles that a newer version is in use.
-func (e *Exchange) Applied(now time.Duration, version uint64, fromStore bool) {
+func (e *Exchange) Applied(version uint64, fromStore bool) {
 	e.version, e.fromStore = version, fromStore
-	e.pulling, e.pullTimeout, e.behindSince = false, minPullTimeout, now
+	e.pulledFrom = ""
+	clear(e.sources)
 }
 
 // NodeUnreachable handles the loss of another daemon, which doesn't answer a request any more.
 func (e *Exchange) NodeUnreachable(node filbertford.NodeID) {
-	if e.pulling && e.pulledFrom == node {
-		e.pulling = false
+	delete(e.sources, node)
+	if e.pulledFrom == node {
+		e.pulledFrom = ""
 	}
 }
 
@@ -93,7 +107,8 @@
 	if e.version <= have {
 		return false
 	}
-	if last, ok := e.pushes[node]; ok && last.have == have && last.version == e.version {
+	last, sent := e.pushes[node]
+	if sent && last.have == have && last.version == e.version || !sent && len(e.pushes) >= maxPushes {
 		return false
 	}
 	e.pushes[node] = push{have: have, version: e.version, at: now}
--- a/fbroutes/exchange_test.go
+++ b/fbroutes/exchange_test.go
@@ -1,22 +1,23 @@
 package fbroutes
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/filbertford/filbertford"
 )
 
-// step is a heartbeat of a daemon or, without a version, the loss of the daemon.
+// step is what happens to a daemon at a time.
 type step struct {
 	at      time.Duration
 	node    filbertford.NodeID
-	version uint64
-	want    bool // routes are requested
+	version uint64             // that the node names, 0 if it is lost
+	want    filbertford.NodeID // that routes are requested from then, empty for none
 }
 
-// TestVersionNamed checks when newer routes are requested by a daemon that uses version 5.
-func TestVersionNamed(t *testing.T) {
+// TestPull checks when newer routes are requested by a daemon that uses version 5, and from whom.
+func TestPull(t *testing.T) {
 	const second = time.Second
 	tests := map[string]struct {
 		fromPeer bool // the version in use came from another daemon
@@ -25,34 +26,37 @@
 		"not newer": {steps: []step{{at: second, node: "b", version: 5}, {at: 2 * second, node: "b", version: 4}}},
 		"the store doesn't deliver": {steps: []step{
 			{at: second, node: "b", version: 6},
-			{at: second + storeDelay - 1, node: "c", version: 6},
-			{at: second + storeDelay, node: "d", version: 6, want: true},
+			{at: second + storeDelay - 1, node: "b", version: 6},
+			{at: second + storeDelay, node: "b", version: 6, want: "b"},
 		}},
-		"the last routes came from a daemon": {fromPeer: true, steps: []step{{at: second, node: "b", version: 6, want: true}}},
+		"the last routes came from a daemon": {fromPeer: true, steps: []step{{at: second, node: "b", version: 6, want: "b"}}},
 		"no answer": {fromPeer: true, steps: []step{
-			{at: second, node: "b", version: 6, want: true},
-			{at: 2*second - 1, node: "c", version: 7},
-			{at: 2 * second, node: "c", version: 7, want: true},
-			{at: 4*second - 1, node: "d", version: 7},
-			{at: 4 * second, node: "d", version: 7, want: true},
+			{at: second, node: "b", version: 6, want: "b"},
+			{at: second + pullTimeout - 1, node: "c", version: 7},
+			{at: second + pullTimeout, node: "c", version: 7, want: "c"},
 		}},
-		"the daemon is lost": {fromPeer: true, steps: []step{
-			{at: second, node: "b", version: 6, want: true},
-			{at: second + 1, node: "c"},
-			{at: second + 2, node: "c", version: 6},
-			{at: second + 3, node: "b"},
-			{at: second + 4, node: "c", version: 6, want: true},
+		"no answer of the only one": {fromPeer: true, steps: []step{
+			{at: second, node: "b", version: 6, want: "b"},
+			{at: second + pullTimeout, node: "b", version: 6, want: "b"},
+		}},
+		"the daemon asked is lost": {fromPeer: true, steps: []step{
+			{at: second, node: "b", version: 6, want: "b"},
+			{at: second + 1, node: "c", version: 6},
+			{at: second + 2, node: "b", want: "c"},
 		}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			e := NewExchange()
-			e.Applied(0, 5, !tt.fromPeer)
+			e := newTestExchange()
+			e.Applied(5, !tt.fromPeer)
 			for _, s := range tt.steps {
 				if s.version == 0 {
 					e.NodeUnreachable(s.node)
-				} else if got := e.VersionNamed(s.at, s.node, s.version); got != s.want {
-					t.Errorf("version %d of %s at %v: requested %v, want %v", s.version, s.node, s.at, got, s.want)
+				} else {
+					e.VersionNamed(s.at, s.node, s.version)
+				}
+				if got, _ := e.Pull(s.at); got != s.want {
+					t.Errorf("at %v: routes are requested from %q, want %q", s.at, got, s.want)
 				}
 			}
 		})
@@ -61,8 +65,8 @@
 
 // TestPullReceived checks which requests a daemon that uses version 5 answers.
 func TestPullReceived(t *testing.T) {
-	e := NewExchange()
-	e.Applied(0, 5, true)
+	e := newTestExchange()
+	e.Applied(5, true)
 	for _, s := range []struct {
 		at   time.Duration
 		node filbertford.NodeID
@@ -72,16 +76,22 @@
 		{at: 1, node: "b", have: 5},
 		{at: 1, node: "b", have: 4, want: true},
 		{at: 2, node: "b", have: 4},
-		{at: 2, node: "c", have: 4, want: true},
 		{at: 3, node: "b", have: 0, want: true}, // it has started again
+		{at: 3, node: "c", have: 4, want: true},
+		{at: 3, node: "d", have: 4, want: true},
+		{at: 3, node: "e", have: 4, want: true},
+		{at: 3, node: "f", have: 4},
+		{at: 3 + pushInterval, node: "f", have: 4, want: true},
 		{at: 3 + pushInterval, node: "b", have: 0, want: true},
 	} {
 		if got := e.PullReceived(s.at, s.node, s.have); got != s.want {
 			t.Errorf("request of %s, which uses version %d, at %v: answered %v, want %v", s.node, s.have, s.at, got, s.want)
 		}
 	}
-	e.Applied(4+pushInterval, 6, true)
-	if !e.PullReceived(5+pushInterval, "b", 0) {
+	e.Applied(6, true)
+	if !e.PullReceived(4+pushInterval, "b", 0) {
 		t.Error("a newer version isn't sent")
 	}
 }
+
+func newTestExchange() *Exchange { return NewExchange(rand.New(rand.NewPCG(1, 1))) }
