--- a/fbsched/overlap_stored_test.go
+++ b/fbsched/overlap_stored_test.go
@@ -156,6 +156,7 @@
 	for name, tt := range tests {
 		tt.stored = true
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			counts := make(map[string]int)
 			rapid.Check(t, func(rt *rapid.T) {
 				p := drawPlan(rt, tt)
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -418,6 +418,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			counts := make(map[string]int)
 			rapid.Check(t, func(rt *rapid.T) {
 				p := drawPlan(rt, tt)
