A daemon remembers a version that is newer than the one it has just got

When two changes follow each other, a text with the first one made a daemon forget that others had named the second, until their next heartbeat, up to 1 s later; meanwhile it denied routes of the second version with 404. It now keeps the version that each daemon has named, and requests routes only from those that have newer ones.

TestBehindAfterOlderVersion failed before (not behind, no request).

--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -171,7 +171,7 @@
 	if since, behind := s.exchange.Behind(); behind {
 		delay = now - since
 	}
-	s.exchange.Applied(r.Version(), source == storeSource)
+	s.exchange.Applied(now, r.Version(), source == storeSource)
 	s.mu.Unlock()
 	s.metrics.delay.RecordDuration(delay)
 	fbevent.RoutesApplied.Log(n.deps.Log, "version", r.Version(), "routes", r.Len(), "bytes", len(value), "source", source, "known_ms", delay.Milliseconds())
--- a/fbroutes/exchange.go
+++ b/fbroutes/exchange.go
@@ -26,15 +26,21 @@
 // Exchange is what a daemon knows of the routes of the others. It is not safe for concurrent use.
 type Exchange struct {
 	random      *rand.Rand
-	version     uint64                      // in use, 0 for none
-	fromStore   bool                        // the version in use came from the store
-	behindSince time.Duration               // since when a newer version is known
-	sources     map[filbertford.NodeID]bool // daemons that have named a newer version, and whether they were asked
-	pulledFrom  filbertford.NodeID          // empty if no request is under way
+	version     uint64        // in use, 0 for none
+	fromStore   bool          // the version in use came from the store
+	behindSince time.Duration // since when a newer version is known
+	sources     map[filbertford.NodeID]source
+	pulledFrom  filbertford.NodeID // empty if no request is under way
 	pulledAt    time.Duration
 	pushes      map[filbertford.NodeID]push
 }
 
+// source is a daemon that has a newer version than that in use.
+type source struct {
+	version uint64
+	asked   bool // since the version in use has changed
+}
+
 // push is the last text that was sent to a daemon.
 type push struct {
 	have    uint64 // the version that the daemon used
@@ -46,7 +52,7 @@
 func NewExchange(random *rand.Rand) *Exchange {
 	return &Exchange{
 		random:  random,
-		sources: make(map[filbertford.NodeID]bool),
+		sources: make(map[filbertford.NodeID]source),
 		pushes:  make(map[filbertford.NodeID]push),
 	}
 }
@@ -64,7 +70,7 @@
 	if len(e.sources) == 0 {
 		e.behindSince = now
 	}
-	e.sources[node] = e.sources[node]
+	e.sources[node] = source{version: version, asked: e.sources[node].asked}
 }
 
 // Pull returns the daemon to request newer routes from now, and false if there is none. Of those that
@@ -77,19 +83,26 @@
 		return "", false
 	}
 	nodes := slices.Sorted(maps.Keys(e.sources))
-	if fresh := slices.DeleteFunc(slices.Clone(nodes), func(n filbertford.NodeID) bool { return e.sources[n] }); len(fresh) > 0 {
+	if fresh := slices.DeleteFunc(slices.Clone(nodes), func(n filbertford.NodeID) bool { return e.sources[n].asked }); len(fresh) > 0 {
 		nodes = fresh
 	}
-	e.pulledFrom, e.pulledAt = nodes[e.random.IntN(len(nodes))], now
-	e.sources[e.pulledFrom] = true
-	return e.pulledFrom, true
+	node := nodes[e.random.IntN(len(nodes))]
+	e.pulledFrom, e.pulledAt = node, now
+	e.sources[node] = source{version: e.sources[node].version, asked: true}
+	return node, true
 }
 
 // Applied handles that a newer version is in use.
-func (e *Exchange) Applied(version uint64, fromStore bool) {
+func (e *Exchange) Applied(now time.Duration, version uint64, fromStore bool) {
 	e.version, e.fromStore = version, fromStore
-	e.pulledFrom = ""
-	clear(e.sources)
+	e.behindSince, e.pulledFrom = now, ""
+	for node, s := range e.sources {
+		if s.asked = false; s.version > version {
+			e.sources[node] = s
+		} else {
+			delete(e.sources, node)
+		}
+	}
 }
 
 // NodeUnreachable handles the loss of another daemon, which doesn't answer a request any more.
--- a/fbroutes/exchange_test.go
+++ b/fbroutes/exchange_test.go
@@ -48,7 +48,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			e := newTestExchange()
-			e.Applied(5, !tt.fromPeer)
+			e.Applied(0, 5, !tt.fromPeer)
 			for _, s := range tt.steps {
 				if s.version == 0 {
 					e.NodeUnreachable(s.node)
@@ -63,10 +63,26 @@
 	}
 }
 
+// TestBehindAfterOlderVersion guards against a daemon that forgets of a version which is newer than
+// the one that it has just got.
+func TestBehindAfterOlderVersion(t *testing.T) {
+	e := newTestExchange()
+	e.Applied(0, 5, true)
+	e.VersionNamed(1, "b", 6)
+	e.VersionNamed(1, "c", 7)
+	e.Applied(2, 6, false)
+	if _, behind := e.Behind(); !behind {
+		t.Error("not behind with version 6, want behind, since a daemon uses version 7")
+	}
+	if got, _ := e.Pull(2); got != "c" {
+		t.Errorf("routes are requested from %q, want c, which has newer ones", got)
+	}
+}
+
 // TestPullReceived checks which requests a daemon that uses version 5 answers.
 func TestPullReceived(t *testing.T) {
 	e := newTestExchange()
-	e.Applied(5, true)
+	e.Applied(0, 5, true)
 	for _, s := range []struct {
 		at   time.Duration
 		node filbertford.NodeID
@@ -88,7 +104,7 @@
 			t.Errorf("request of %s, which uses version %d, at %v: answered %v, want %v", s.node, s.have, s.at, got, s.want)
 		}
 	}
-	e.Applied(6, true)
+	e.Applied(3+pushInterval, 6, true)
 	if !e.PullReceived(4+pushInterval, "b", 0) {
 		t.Error("a newer version isn't sent")
 	}
