A daemon that names an earlier version than before has no newer routes

A daemon that had started again with an earlier version still counted as one with newer routes, so that it was asked for them, and unknown routes were answered with 503. The case of TestPull failed before.

--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -94,9 +94,6 @@
 // routesVersionNamed handles the version of the routes that another daemon uses.
 func (n *Node) routesVersionNamed(node filbertford.NodeID, version uint64) {
 	s := n.routes
-	if version <= s.version() {
-		return
-	}
 	s.mu.Lock()
 	s.exchange.VersionNamed(fbtimer.SinceBoot(), node, version)
 	s.mu.Unlock()
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -36,16 +36,18 @@
 			store: n.deps.Store, table: table, log: n.deps.Log, wait: watchWait,
 			readPeriod: func() time.Duration { return 0 },
 			apply: func(full bool, s filbertford.Snapshot) {
-				if table == filbertford.TableRoutes {
-					n.readRoutes(s)
-				}
 				n.post(func(now time.Duration) { apply(now, full, s) })
 			},
 		}
-		if table == filbertford.TableRoutes {
+		switch table {
+		case filbertford.TableRoutes:
 			w.wait = routesWatchWait
-		}
-		if table == filbertford.TableTargets {
+			applyEvacuations := w.apply
+			w.apply = func(full bool, s filbertford.Snapshot) {
+				n.readRoutes(s)
+				applyEvacuations(full, s)
+			}
+		case filbertford.TableTargets:
 			w.readPeriod, w.wake = n.targetReadPeriod, n.wakeTargets
 		}
 		out = append(out, w)
--- a/fbroutes/exchange.go
+++ b/fbroutes/exchange.go
@@ -65,6 +65,7 @@
 // VersionNamed handles the version that another daemon uses.
 func (e *Exchange) VersionNamed(now time.Duration, node filbertford.NodeID, version uint64) {
 	if version <= e.version {
+		delete(e.sources, node)
 		return
 	}
 	if len(e.sources) == 0 {
--- a/fbroutes/exchange_test.go
+++ b/fbroutes/exchange_test.go
@@ -39,6 +39,10 @@
 			{at: second, node: "b", version: 6, want: "b"},
 			{at: second + pullTimeout, node: "b", version: 6, want: "b"},
 		}},
+		"it has started again with an earlier version": {steps: []step{
+			{at: second, node: "b", version: 6},
+			{at: second + storeDelay, node: "b", version: 4},
+		}},
 		"the daemon asked is lost": {fromPeer: true, steps: []step{
 			{at: second, node: "b", version: 6, want: "b"},
 			{at: second + 1, node: "c", version: 6},
