fbsoak: the routing table grows by hundreds of routes

The soak's routing table had two routes, so that it never showed what a long text costs the links between daemons. Two of three versions now have 500 and 1,000 routes more.

--- a/fbsoak/soak.go
+++ b/fbsoak/soak.go
@@ -301,8 +301,11 @@
 	return os.Create(filepath.Join(dir, name+".log"))
 }
 
-// putRoutes writes the next version of the routes: the one for jobs, and a probe
-// route that only this version has.
+// fillerRoutes is by how many routes the routing table grows from a version to the next one.
+const fillerRoutes = 500
+
+// putRoutes writes the next version of the routes: the one for jobs, a probe route that only
+// this version has, and others by which the table grows twice and shrinks again.
 func (s *Soak) putRoutes() error {
 	s.routesMu.Lock()
 	defer s.routesMu.Unlock()
@@ -313,7 +316,14 @@
 	route := fbstandin.RouteRow{Name: "jobs", Host: host, Prefix: "/jobs/", TargetDurationMS: objectiveMS, Service: "ordering", Attempts: 3, Stretch: 1.6}
 	probe := route
 	probe.Name, probe.Prefix = "probe", probePrefix(version)
-	return s.store.PutRoutes(version, route, probe)
+	routes := []fbstandin.RouteRow{route, probe}
+	for i := range fillerRoutes * int(version%3) {
+		filler := route
+		filler.Name = fmt.Sprintf("filler-%d", i)
+		filler.Prefix = "/" + filler.Name + "/"
+		routes = append(routes, filler)
+	}
+	return s.store.PutRoutes(version, routes...)
 }
 
 func probePrefix(version uint64) string { return fmt.Sprintf("/probe-%d/", version) }
