Pools: capacities of targets can't overflow their sums

The sums of a pool's capacity overflowed when the records of a few targets stated a huge one, and a negative one lowered them: free capacity counted as scarce, and other daemons were told a total that is negative. The decoder rejects such records; the pool now also limits what it takes of each, so that it doesn't rely on the decoder.

--- a/calls.go
+++ b/calls.go
@@ -56,6 +56,12 @@
 	return r
 }
 
+// WithCapacity returns a copy of r with the capacity.
+func (r TargetRecord) WithCapacity(c Resources) TargetRecord {
+	r.capacity = c
+	return r
+}
+
 // ColdFor returns how much longer the target remained cold when it wrote the record.
 func (r TargetRecord) ColdFor() time.Duration { return r.coldFor }
 
--- a/fbsched/capacity.go
+++ b/fbsched/capacity.go
@@ -29,6 +29,10 @@
 	placement filbertford.Placement
 }
 
+// maxCapacity is the most of each resource that counts of a target. The sums over a pool's targets
+// can't overflow, whatever the records say.
+const maxCapacity = 1 << 40
+
 // scarceShare is the share of the CPU of a service's usable targets below which free
 // capacity counts as scarce. Above it, fast targets are free for tasks that need them,
 // and a task on a slower one would only end later.
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -147,6 +147,7 @@
 }
 
 func (p *Pool) setTarget(now time.Duration, rec filbertford.TargetRecord) {
+	rec = rec.WithCapacity(rec.Capacity().Clamp(maxCapacity))
 	id := rec.Instance().ID()
 	t := p.targets[id]
 	if t != nil {
--- a/workload.go
+++ b/workload.go
@@ -123,6 +123,11 @@
 	return Resources{cpu: r.cpu - o.cpu, memory: r.memory - o.memory, gpu: r.gpu - o.gpu}
 }
 
+// Clamp returns r with each resource from 0 to the limit.
+func (r Resources) Clamp(limit int) Resources {
+	return NewResources(min(max(0, r.cpu), limit), min(max(0, r.memory), limit), min(max(0, r.gpu), limit))
+}
+
 // Step is a step of a workload: a number of tasks with the same requirements.
 type Step struct {
 	count        int
