Messages between daemons: large numbers don't wrap around

A number that needs more than 32 bits arrived as a small one: a backlog of two hours as 48 minutes, so that an overloaded pool seemed less so, a total capacity of 2^32+1 as 1, and a demand of 2^32+1 thousandths of a core as 1, so that a task that fits on no target could start. Such numbers are now sent as the largest that fits, negative ones as 0.

--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -15,10 +15,13 @@
 	"github.com/filbertford/filbertford/fbwire"
 )
 
+// clamp32 returns the number of a message that is closest to n.
+func clamp32[T int | int64](n T) uint32 { return uint32(min(max(0, int64(n)), math.MaxUint32)) }
+
 func memberToWire(m fbfleet.Member) *fbwire.Member {
 	return &fbwire.Member{
 		Node: string(m.Node()), Incarnation: m.Incarnation(), Address: m.Address(),
-		Zone: string(m.DataCentre()), Weight: uint32(m.Weight()),
+		Zone: string(m.DataCentre()), Weight: clamp32(m.Weight()),
 	}
 }
 
@@ -167,20 +170,20 @@
 }
 
 func capacityToWire(c fbsched.Capacity) *fbwire.Room {
-	w := &fbwire.Room{Service: c.Service(), Total: uint32(c.Total()), BacklogUs: uint32(c.Backlog().Microseconds()), Rate: uint32(c.Rate())}
+	w := &fbwire.Room{Service: c.Service(), Total: clamp32(c.Total()), BacklogUs: clamp32(c.Backlog().Microseconds()), Rate: clamp32(c.Rate())}
 	for _, waiting := range c.Waiting() {
-		w.Waiting = append(w.Waiting, &fbwire.Waiting{Priority: uint32(waiting.Priority()), BacklogUs: uint32(waiting.Backlog().Microseconds())})
+		w.Waiting = append(w.Waiting, &fbwire.Waiting{Priority: uint32(waiting.Priority()), BacklogUs: clamp32(waiting.Backlog().Microseconds())})
 	}
-	w.DelayUs = uint32(c.Delay().Microseconds())
+	w.DelayUs = clamp32(c.Delay().Microseconds())
 	w.Fastest = uint32(math.Round(c.Fastest() * fastestUnit))
 	type group struct{ free, factor uint32 }
 	exact, known := len(c.Free()) <= maxExactTargets, len(c.Factors()) == len(c.Free())
 	counts := make(map[group]uint32)
 	var groups []group
 	for i, f := range c.Free() {
-		g := group{free: uint32(f)}
+		g := group{free: clamp32(f)}
 		if !exact {
-			g.free = uint32(f / freeStep * freeStep)
+			g.free = clamp32(f / freeStep * freeStep)
 		}
 		if known {
 			g.factor = factorToWire(c.Factors()[i], exact)
@@ -355,8 +358,8 @@
 
 func stepToWire(s filbertford.Step) *fbwire.Step {
 	w := &fbwire.Step{
-		Count: uint32(s.Count()), Cpu: uint32(s.Demand().CPU()), Memory: uint32(s.Demand().Memory()), Gpu: uint32(s.Demand().GPU()),
-		EstimateUs: uint64(s.Estimate().Microseconds()), Label: s.Label(), Rack: s.Rack(), MaxPerTarget: uint32(s.MaxPerTarget()),
+		Count: uint32(s.Count()), Cpu: clamp32(s.Demand().CPU()), Memory: clamp32(s.Demand().Memory()), Gpu: clamp32(s.Demand().GPU()),
+		EstimateUs: uint64(s.Estimate().Microseconds()), Label: s.Label(), Rack: s.Rack(), MaxPerTarget: clamp32(s.MaxPerTarget()),
 	}
 	for _, a := range s.After() {
 		w.After = append(w.After, uint32(a))
--- a/fblink/convert_test.go
+++ b/fblink/convert_test.go
@@ -1,6 +1,7 @@
 package fblink
 
 import (
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -154,3 +155,28 @@
 		t.Errorf("%d targets, want %d", n, maxTargets)
 	}
 }
+
+// TestLargeNumbersDoNotWrapAround guards against numbers that arrive as small ones since they don't
+// fit into the message: a pool with too much work would seem free, and a task that fits on no
+// target would be started.
+func TestLargeNumbersDoNotWrapAround(t *testing.T) {
+	const large = 1<<32 + 1
+	c := capacityFromWire(capacityToWire(fbsched.NewCapacity("svc", []int{large}, large, 2*time.Hour).
+		WithRate(large, fbsched.NewWaitingWork(0, 2*time.Hour)).WithDelay(2 * time.Hour)))
+	for name, got := range map[string]int{
+		"free": c.Free()[0], "total": c.Total(), "rate": c.Rate(), "backlog": int(c.Backlog().Microseconds()),
+		"waiting": int(c.Waiting()[0].Backlog().Microseconds()), "delay": int(c.Delay().Microseconds()),
+	} {
+		if got != math.MaxUint32 {
+			t.Errorf("%s is %d, want %d", name, got, math.MaxUint32)
+		}
+	}
+	c = capacityFromWire(capacityToWire(fbsched.NewCapacity("svc", []int{-1}, -1, -time.Second).WithRate(-1)))
+	if c.Free()[0] != 0 || c.Total() != 0 || c.Rate() != 0 || c.Backlog() != 0 {
+		t.Errorf("negative numbers arrive as %+v, want 0", c)
+	}
+	s := stepFromWire(stepToWire(filbertford.NewStep(1, filbertford.NewResources(large, large, large), time.Second).WithPlacement("", "", large)))
+	if want := filbertford.NewResources(math.MaxUint32, math.MaxUint32, math.MaxUint32); s.Demand() != want || s.MaxPerTarget() != math.MaxUint32 {
+		t.Errorf("got a demand of %+v and %d per target, want %+v", s.Demand(), s.MaxPerTarget(), want)
+	}
+}
