Target records: log a malformed one once, forget those that are removed

A target whose record became malformed was logged again 2.5 s later, when its record was dropped: the cache then forgot which version it had decoded, though the row was still there. The version of a malformed row that was the first one of its key was kept forever. Versions are now kept as long as there is a row or a record.

The tests failed before:

--- FAIL: TestMalformedRecordIsLoggedOncePerVersion (0.00s) odd_records_test.go:49: 3 lines about two records after ten reads --- FAIL: TestMalformedRecordsOfManyTargetsAreForgotten (0.01s) odd_records_test.go:68: 100 entries are kept of 100 records that no longer exist

--- a/fbnode/targets.go
+++ b/fbnode/targets.go
@@ -83,9 +83,20 @@
 		delete(t.malformed, key)
 		delete(t.departed, key)
 	}
+	t.dropVersions()
 	return true
 }
 
+// dropVersions drops the decoded versions of the targets that have neither a row nor a record. That
+// of a malformed row is kept while the row exists, so that the row is logged only once.
+func (t *targetCache) dropVersions() {
+	maps.DeleteFunc(t.decodedVersions, func(key string, _ uint64) bool {
+		_, hasRow := t.rows.byKey[key]
+		_, hasRecord := t.records[key]
+		return !hasRow && !hasRecord
+	})
+}
+
 func (t *targetCache) setMalformed(now time.Duration, key string) {
 	rec, ok := t.records[key]
 	if !ok {
@@ -110,11 +121,13 @@
 			t.departed[key] = departure{rec: rec, removedAt: now}
 		}
 		delete(t.records, key)
-		delete(t.decodedVersions, key)
 		delete(t.removedAt, key)
 		delete(t.malformed, key)
 		pruned = true
 	}
+	if pruned {
+		t.dropVersions()
+	}
 	for key, d := range t.departed {
 		if now-d.removedAt > departureTimeout {
 			delete(t.departed, key)
