Limit the data centres that records of targets add to those in the settings

Each record with a zone of its own added a pool that all daemons claim, renew and report: a thousand records of another writer made a thousand pools. Beside the data centres in the settings, the 16 with the most targets now have one.

The test failed before:

--- FAIL: TestDataCentresOfOddRecordsAreLimited (0.32s) odd_records_test.go:94: there are 1003 pools, want the listed ones, that with most targets and few others

--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -178,17 +179,25 @@
 	return filbertford.DataCentre(pool)
 }
 
+// maxUnlistedDataCentres is the number of data centres beside those in the settings whose targets
+// form a pool. Another writer's records may name any number, and each pool costs every daemon work.
+const maxUnlistedDataCentres = 16
+
 // poolSpecs returns the pools of all known data centres and the shards of the
 // stored jobs.
 func (n *Node) poolSpecs() []fbfleet.PoolSpec {
 	seen := make(map[filbertford.DataCentre]bool)
 	var out []fbfleet.PoolSpec
-	for _, dataCentre := range append(n.targets.dataCentres(), n.opts.DataCentres...) {
-		if dataCentre != "" && !seen[dataCentre] {
-			seen[dataCentre] = true
-			out = append(out, fbfleet.NewPoolSpec(dataCentrePool(dataCentre), dataCentre))
+	add := func(limit int, dataCentres []filbertford.DataCentre) {
+		for _, dataCentre := range dataCentres {
+			if dataCentre != "" && !seen[dataCentre] && len(out) < limit {
+				seen[dataCentre] = true
+				out = append(out, fbfleet.NewPoolSpec(dataCentrePool(dataCentre), dataCentre))
+			}
 		}
 	}
+	add(math.MaxInt, n.opts.DataCentres)
+	add(len(out)+maxUnlistedDataCentres, n.targets.dataCentres())
 	for i := range shardCount {
 		out = append(out, fbfleet.NewPoolSpec(shardName(i), ""))
 	}
--- a/fbnode/odd_records_test.go
+++ b/fbnode/odd_records_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fbtimer"
 )
 
 // malformedLines returns how many records were logged as malformed.
@@ -69,3 +70,27 @@
 		t.Errorf("%d entries are kept of 100 records that no longer exist", n)
 	}
 }
+
+// TestDataCentresOfOddRecordsAreLimited guards against a pool for each record of another writer,
+// since all daemons claim, renew and report each pool.
+func TestDataCentresOfOddRecordsAreLimited(t *testing.T) {
+	n := newOwner(t)
+	n.opts.DataCentres = []filbertford.DataCentre{testDataCentre, "z-empty"}
+	var changes []filbertford.Change
+	for i := range 1000 {
+		changes = append(changes, filbertford.NewChange(filbertford.NewRow("odd-"+strconv.Itoa(i), []byte("a-"+strconv.Itoa(i)), 2)))
+	}
+	for i := range 3 { // of a data centre that the settings don't list yet
+		changes = append(changes, filbertford.NewChange(filbertford.NewRow("new-"+strconv.Itoa(i), []byte("z-new"), 2)))
+	}
+	n.targetsChanged(fbtimer.SinceBoot(), false, filbertford.NewSnapshot(2, 0, changes...))
+	pools := make(map[filbertford.DataCentre]bool)
+	for _, s := range n.specs {
+		if !isShard(s.ID()) {
+			pools[s.DataCentre()] = true
+		}
+	}
+	if len(pools) > 20 || !pools[testDataCentre] || !pools["z-empty"] || !pools["z-new"] {
+		t.Errorf("there are %d pools, want the listed ones, that with most targets and few others", len(pools))
+	}
+}
--- a/fbnode/targets.go
+++ b/fbnode/targets.go
@@ -1,6 +1,7 @@
 package fbnode
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -159,11 +160,13 @@
 	return out
 }
 
-// dataCentres returns the data centres of all targets.
+// dataCentres returns the data centres of all targets, those with the most targets first.
 func (t *targetCache) dataCentres() []filbertford.DataCentre {
-	seen := make(map[filbertford.DataCentre]bool)
+	counts := make(map[filbertford.DataCentre]int)
 	for _, rec := range t.records {
-		seen[rec.DataCentre()] = true
+		counts[rec.DataCentre()]++
 	}
-	return slices.Sorted(maps.Keys(seen))
+	return slices.SortedFunc(maps.Keys(counts), func(a, b filbertford.DataCentre) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
 }
