Daemons' rows: reject those that no daemon writes

A row of another writer among those of the daemons added a member, even if it was "{}" or its port was out of range. Members that don't exist count when the fleet looks for a majority until they are removed, daemons try to connect to them, and one with the name of a daemon and the incarnation replaced that daemon. Rows now need a valid address, and an incarnation and a weight that the settings and the clock allow.

The test failed before, among others as:

--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -10,19 +9,10 @@
 
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbevent"
-	"github.com/filbertford/filbertford/fbfleet"
 	"github.com/filbertford/filbertford/fbsched"
 	"github.com/filbertford/filbertford/fbtimer"
 )
 
-// memberRow is the value of a daemon's row in the nodes table.
-type memberRow struct {
-	Incarnation uint64 `json:"incarnation"`
-	Address     string `json:"address"`
-	DataCentre  string `json:"zone"`
-	Weight      int    `json:"weight"`
-}
-
 // tableWatchers returns a watcher for each table that the daemon caches.
 func (n *Node) tableWatchers() []*tableWatcher {
 	applies := map[filbertford.TableName]func(now time.Duration, full bool, s filbertford.Snapshot){
@@ -142,19 +132,11 @@
 	n.hub.SetMembers(n.membersToLink(now, n.fleet.Members()))
 }
 
-func decodeMember(row filbertford.Row) (fbfleet.Member, error) {
-	var b memberRow
-	if err := json.Unmarshal(row.Value(), &b); err != nil {
-		return fbfleet.Member{}, eris.Wrap(err, "decoding a daemon's row")
-	}
-	return fbfleet.NewMember(filbertford.NodeID(row.Key()), b.Incarnation, b.Address, filbertford.DataCentre(b.DataCentre), b.Weight), nil
-}
-
 // register writes the daemon's row, by which other daemons find it, retrying until
 // it succeeds. It returns when the context ends.
 func (n *Node) register(ctx context.Context) error {
 	m := n.opts.Member
-	value, err := json.Marshal(memberRow{Incarnation: m.Incarnation(), Address: m.Address(), DataCentre: string(m.DataCentre()), Weight: m.Weight()})
+	value, err := encodeMember(m)
 	if err != nil {
 		return eris.Wrap(err, "encoding the daemon's row")
 	}
