Daemons' rows: log a malformed one once

Whenever the store had compacted its history, the daemon read the table again and logged each malformed row again.

The test failed before:

--- FAIL: TestOddRowsOfDaemonsAddNoMembers (0.35s) odd_members_test.go:65: 144 lines about 48 odd rows

--- a/fbnode/member.go
+++ b/fbnode/member.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbfleet"
 )
 
@@ -78,3 +79,15 @@
 func printable(s string) bool {
 	return !strings.ContainsFunc(s, func(r rune) bool { return r == utf8.RuneError || unicode.IsControl(r) })
 }
+
+// logMalformedMember logs a daemon's row that can't be decoded, once for each version.
+func (n *Node) logMalformedMember(row filbertford.Row, err error) {
+	if n.malformedMembers[row.Key()] == row.Version() {
+		return
+	}
+	if n.malformedMembers == nil {
+		n.malformedMembers = make(map[string]uint64)
+	}
+	n.malformedMembers[row.Key()] = row.Version()
+	fbevent.RecordMalformed.Log(n.deps.Log, "node", row.Key(), "version", row.Version(), "error", err)
+}
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -123,6 +123,7 @@
 	specs            []fbfleet.PoolSpec // of all known pools
 	recorder         *eventRecorder
 	evacuations      *evacuationState
+	malformedMembers map[string]uint64 // versions of the daemons' rows that can't be decoded
 }
 
 var (
--- a/fbnode/odd_members_test.go
+++ b/fbnode/odd_members_test.go
@@ -50,7 +50,9 @@
 			changes = append(changes, filbertford.NewChange(filbertford.NewRow(key, []byte(memberRowWith(field, value)), 2)))
 		}
 	}
-	n.nodesChanged(fbtimer.SinceBoot(), true, filbertford.NewSnapshot(2, 0, changes...))
+	for range 3 { // the table is read again whenever the history was compacted
+		n.nodesChanged(fbtimer.SinceBoot(), true, filbertford.NewSnapshot(2, 0, changes...))
+	}
 	for _, m := range n.fleet.Members() {
 		if m.Node() != "good" {
 			t.Errorf("%.60q is a member", m.Node())
@@ -59,6 +61,9 @@
 	if !n.fleet.HasMember("good") {
 		t.Error("the daemon with a good row is no member")
 	}
+	if lines := malformedLines(&output); lines != len(changes)-1 {
+		t.Errorf("%d lines about %d odd rows", lines, len(changes)-1)
+	}
 	for line := range strings.Lines(output.String()) {
 		if len(line) > 600 {
 			t.Errorf("a line has %d bytes: %.300s", len(line), line)
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -120,13 +120,15 @@
 func (n *Node) nodesChanged(now time.Duration, _ bool, s filbertford.Snapshot) {
 	for _, c := range s.Changes() {
 		if c.Removed() {
+			delete(n.malformedMembers, c.Row().Key())
 			continue
 		}
 		m, err := decodeMember(c.Row())
 		if err != nil {
-			fbevent.RecordMalformed.Log(n.deps.Log, "node", c.Row().Key(), "version", c.Row().Version(), "error", err)
+			n.logMalformedMember(c.Row(), err)
 			continue
 		}
+		delete(n.malformedMembers, c.Row().Key())
 		n.fleet.AddMember(now, m)
 	}
 	n.hub.SetMembers(n.membersToLink(now, n.fleet.Members()))
