Stored jobs: a row that can't be decoded doesn't stop its shard

When another writer had left an odd row in the place of a job, each transaction with that job failed its condition. The owner then claimed the shard and read its jobs again, left out the odd row and its version, and sent the same transaction, without a pause: no job of the shard was accepted, ended or cancelled any more, and the calls took the store's budget. The same happened when a job was submitted under the ID of an odd row.

The owner of a stored job now writes its own state over the odd row. A row under an ID that the owner doesn't know may be an accepted job, so it stays, and a submission under that ID is answered as unknown.

The tests failed before:

--- FAIL: TestOverwrittenRowOfJobDoesNotStopShard (0.00s) odd_rows_test.go:88: more than 100 calls in 10 s --- FAIL: TestSubmissionOverOddRowDoesNotStopShard (0.00s) odd_rows_test.go:111: more than 100 calls in 10 s

--- a/fbshard/commit.go
+++ b/fbshard/commit.go
@@ -197,12 +197,14 @@
 		return
 	}
 	seen := make(map[filbertford.JobKey]bool)
+	o.malformed = make(map[filbertford.JobKey]bool)
 	for _, c := range s.Changes() {
 		key := filbertford.JobKey(c.Row().Key())
 		seen[key] = true
 		stored, err := decodeJob(key, c.Row().Value())
 		if err != nil {
 			o.emit(RowMalformed{Key: string(key), Cause: err})
+			o.handleMalformedRow(key, c.Row().Version())
 			continue
 		}
 		stored.version = c.Row().Version()
@@ -218,6 +220,19 @@
 	o.handleRequests()
 }
 
+// handleMalformedRow handles a job's row that can't be decoded. If this owner has stored the job, its
+// own state is written again. If not, the row may be that of an accepted job and stays: a
+// submission of the job is not accepted, since its transaction would fail for ever.
+func (o *Owner) handleMalformedRow(key filbertford.JobKey, version uint64) {
+	if j := o.jobs[key]; j != nil && j.version != 0 {
+		j.version = version
+		o.markDirty(key)
+		return
+	}
+	o.malformed[key] = true
+	delete(o.jobs, key)
+}
+
 // loadJob adds the job of a row that was read. If this owner already has the job,
 // its own state is newer than the row and is written again.
 func (o *Owner) loadJob(key filbertford.JobKey, stored *job) {
--- a/fbshard/owner.go
+++ b/fbshard/owner.go
@@ -50,6 +50,7 @@
 	phase        phase
 	claimVersion uint64 // version of the claim's row
 	jobs         map[filbertford.JobKey]*job
+	malformed    map[filbertford.JobKey]bool // jobs whose rows can't be decoded
 	requests     []request
 	dirty        []filbertford.JobKey // jobs whose rows are to be written
 	pending      *pendingCommit
@@ -276,6 +277,10 @@
 }
 
 func (o *Owner) handleSubmit(r request, j *job) bool {
+	if o.malformed[r.key] {
+		o.emit(Reply{RequestID: r.id}) // whether the job is stored is unknown
+		return true
+	}
 	if j == nil {
 		o.jobs[r.key] = r.submit
 		o.markDirty(r.key)
