Jobs: limit the sizes, times and policies of a job and of its row

A row with the state "x" or "gone" became a job that never ends; sizes and estimates of overflowed sums, and the messages between daemons hold 32 bits. Callers could submit such sizes as well. A job now has sizes below 2^31 and estimates up to a year, and a row one of the states that owners write. Priorities, attempts and objectives of routes are limited instead of rejected: an operator's change and an accepted job stay.

--- a/fbshard/odd_rows_test.go
+++ b/fbshard/odd_rows_test.go
@@ -1,6 +1,8 @@
 package fbshard
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,6 +32,66 @@
 	return true
 }
 
+// oddJobRows are values that no owner writes for a job.
+func oddJobRows() map[string]string {
+	rows := map[string]string{
+		"empty": "", "bytes": "\x00\xff", "null": "null", "list": "[]", "objects": strings.Repeat(`{"a":`, 20_000), "no steps": `{"state":"queued"}`,
+	}
+	whole := `{"state":"queued","host":"h","prefix":"/p/","service":"svc","priority":0,"attempts":2,"stretch":1,"slack_us":0,"spec":"spec",` +
+		`"steps":[{"count":2,"cpu":1,"memory":1,"gpu":0,"estimate_us":1000000,"after":[],"max_per_target":0,"done":[]}],"failures":{},"crashes":{}}`
+	const long = 60_000
+	numbers := []string{"99999999999999999999", "-1", "1.5", `"5"`, "[5]", strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)}
+	maximum := append(numbers, "9223372036854775807")
+	for field, values := range map[string][]string{
+		"state": {`""`, `"x"`, `"gone"`, "5", "null"}, "priority": {"99999999999999999999", "1.5", `"5"`}, "attempts": {"99999999999999999999", "1.5", `"5"`},
+		"stretch": {"1e400", `"1"`}, "slack_us": {"99999999999999999999", "1e3", `"5"`}, "spec": {"5", `"` + strings.Repeat("x", long) + `"`},
+		"count": append(numbers, "0", "null", "5000"), "cpu": maximum, "memory": maximum, "gpu": maximum,
+		"estimate_us": append(maximum, "9223372036854775"), "after": {"[0]", "[-1]", "5", `["a"]`}, "max_per_target": append(numbers, "1e3"),
+		"done":     {"[2]", "[-1]", "[99999999999999999999]", "5", `["a"]`, "{}"},
+		"failures": {"[]", `{"00000000000000aa.0.0.0":"a"}`, `{"00000000000000aa.0.0.0":99999999999999999999}`, "5"}, "crashes": {"[]", "5"},
+		"service": {"5", "{}"}, "host": {"5", "[]"}, "prefix": {"5", "{}"}, "steps": {"null", "5", "{}", "[]", "[5]", `"x"`},
+	} {
+		for _, value := range values {
+			rows[field+" "+value[:min(len(value), 30)]] = strings.Replace(whole, `"`+field+`":`, `"`+field+`":`+value+`,"other":`, 1)
+		}
+	}
+	return rows
+}
+
+// TestOddJobRowsAreRejected guards against stored jobs that no caller has submitted, with sizes and
+// times that overflow.
+func TestOddJobRowsAreRejected(t *testing.T) {
+	for name, value := range oddJobRows() {
+		if j, err := decodeJob("00000000000000aa", []byte(value)); err == nil {
+			t.Errorf("%s: accepted in the state %.20q", name, j.state)
+		} else if len(err.Error()) > 400 {
+			t.Errorf("%s: the error has %d bytes", name, len(err.Error()))
+		}
+	}
+}
+
+// TestOddPoliciesOfJobRowsAreLimited guards against objectives and attempts that overflow. The job
+// stays: a caller may have submitted it.
+func TestOddPoliciesOfJobRowsAreLimited(t *testing.T) {
+	for _, policy := range []string{
+		`"priority":9223372036854775807`, `"priority":-1`, `"attempts":0`, `"attempts":9223372036854775807`, `"attempts":-1`, `"stretch":-1`, `"stretch":1e300`,
+		`"slack_us":9223372036854775807`, `"slack_us":-9223372036854775808`, `"failures":{"00000000000000aa.0.0.0":-1}`, `"crashes":{"00000000000000aa.0.0.0":-1}`,
+	} {
+		j, err := decodeJob("00000000000000aa", []byte(`{"state":"queued","steps":[{"count":1,"estimate_us":1000000}],`+policy+`}`))
+		if err != nil {
+			t.Errorf("%s: %v", policy, err)
+			continue
+		}
+		r, p := j.route, j.progress(0, 0)
+		if due := r.Objective(time.Second); due < -200*365*24*time.Hour || due > 200*365*24*time.Hour {
+			t.Errorf("%s: the objective is %v", policy, due)
+		}
+		if r.Priority() < 0 || r.Priority() > math.MaxInt32 || r.Attempts() < 1 || r.Attempts() > math.MaxInt32 || p.Failures() < 0 || p.Crashes() < 0 {
+			t.Errorf("%s: priority %d, %d attempts, %d failures, %d crashes", policy, r.Priority(), r.Attempts(), p.Failures(), p.Crashes())
+		}
+	}
+}
+
 // TestOverwrittenRowOfJobDoesNotStopShard guards against a shard that accepts, ends and cancels no jobs
 // any more, since another writer has left a row in the place of one of its jobs.
 func TestOverwrittenRowOfJobDoesNotStopShard(t *testing.T) {
--- a/fbshard/row.go
+++ b/fbshard/row.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -121,11 +122,14 @@
 func decodeJob(key filbertford.JobKey, value []byte) (*job, error) {
 	var row jobRow
 	if err := json.Unmarshal(value, &row); err != nil {
-		return nil, eris.Wrap(err, "decoding a stored job")
+		return nil, eris.Errorf("decoding a stored job: %.200s", err)
+	}
+	if row.State != StateQueued && row.State != StateRunning && !row.State.final() {
+		return nil, eris.Errorf("stored job has unknown state %.40q", row.State)
 	}
 	steps := make([]filbertford.Step, len(row.Steps))
 	for i, s := range row.Steps {
-		steps[i] = filbertford.NewStep(s.Count, filbertford.NewResources(s.CPU, s.Memory, s.GPU), time.Duration(s.EstimateUS)*time.Microsecond).
+		steps[i] = filbertford.NewStep(s.Count, filbertford.NewResources(s.CPU, s.Memory, s.GPU), microseconds(s.EstimateUS)).
 			WithAfter(s.After...).WithPlacement(s.Label, s.Rack, s.MaxPerTarget)
 	}
 	w := filbertford.NewWorkload(key, row.Spec, steps...)
@@ -133,14 +137,14 @@
 		return nil, eris.Wrap(err, "validating a stored job")
 	}
 	route := filbertford.NewRoute(row.Host, row.Prefix, row.Service).WithPolicy(row.Priority, row.Attempts).
-		WithObjective(row.Stretch, time.Duration(row.SlackUS)*time.Microsecond, 0)
+		WithObjective(row.Stretch, microseconds(row.SlackUS), 0)
 	j := newJob(route, w)
 	j.state = row.State
 	for name, n := range row.Failures {
-		j.failures[name] = n
+		j.failures[name] = max(0, n)
 	}
 	for name, n := range row.Crashes {
-		j.crashes[name] = n
+		j.crashes[name] = max(0, n)
 	}
 	for i, s := range row.Steps {
 		for _, index := range s.Done {
@@ -152,3 +156,9 @@
 	}
 	return j, nil
 }
+
+// microseconds returns n microseconds, or the longest duration if that is shorter.
+func microseconds(n int64) time.Duration {
+	const longest = math.MaxInt64 / int64(time.Microsecond)
+	return time.Duration(min(max(n, -longest), longest)) * time.Microsecond
+}
--- a/route.go
+++ b/route.go
@@ -1,6 +1,7 @@
 package filbertford
 
 import (
+	"math"
 	"strings"
 	"time"
 )
@@ -22,10 +23,14 @@
 	return Route{host: host, prefix: prefix, service: service, attempts: 1, stretch: 1}
 }
 
+// maxObjective is the longest constant and the longest variable part of a latency objective. The sum
+// of both and of the time since boot doesn't overflow.
+const maxObjective = 100 * 365 * 24 * time.Hour
+
 // WithPolicy returns a copy of r with the priority, 0 first, and the number of
-// failed runs of a task after which its job fails, at least 1.
+// failed runs of a task after which its job fails, at least 1. Both have 31 bits at most.
 func (r Route) WithPolicy(priority, attempts int) Route {
-	r.priority, r.attempts = priority, max(attempts, 1)
+	r.priority, r.attempts = min(max(priority, 0), math.MaxInt32), min(max(attempts, 1), math.MaxInt32)
 	return r
 }
 
@@ -33,7 +38,7 @@
 // stretch times the run time of the job's longest chain of dependent tasks plus
 // the slack, and with their timeout, 0 for none. The stretch is at least 1.
 func (r Route) WithObjective(stretch float64, slack, timeout time.Duration) Route {
-	r.stretch, r.slack, r.timeout = max(stretch, 1), slack, timeout
+	r.stretch, r.slack, r.timeout = max(stretch, 1), min(max(slack, -maxObjective), maxObjective), min(timeout, maxObjective)
 	return r
 }
 
@@ -64,7 +69,7 @@
 // Objective returns the latency objective of a job whose longest chain of
 // dependent tasks runs for the given time.
 func (r Route) Objective(chain time.Duration) time.Duration {
-	return time.Duration(float64(chain)*r.stretch) + r.slack
+	return time.Duration(min(float64(chain)*r.stretch, float64(maxObjective))) + r.slack
 }
 
 // Routes is one version of the routing table. The zero Routes has version 0 and
--- a/workload.go
+++ b/workload.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -222,6 +223,11 @@
 	MaxSteps = 64
 	// MaxTasks is the maximum number of tasks of a step.
 	MaxTasks = 4096
+	// MaxSize is the maximum of each resource that a task needs, which messages between daemons
+	// can hold. No target has as much.
+	MaxSize = math.MaxInt32
+	// MaxEstimate is the maximum estimate of a task's run time. Sums of estimates don't overflow.
+	MaxEstimate = 366 * 24 * time.Hour
 )
 
 // Validate returns an error that describes the first invalid property of the
@@ -250,6 +256,9 @@
 	if s.demand.cpu < 0 || s.demand.memory < 0 || s.demand.gpu < 0 || s.estimate < 0 || s.maxPerTarget < 0 {
 		return eris.New("a size is negative")
 	}
+	if max(s.demand.cpu, s.demand.memory, s.demand.gpu) > MaxSize || s.estimate > MaxEstimate {
+		return eris.Errorf("a size is above %d or the estimate above %v", MaxSize, MaxEstimate)
+	}
 	for _, a := range s.after {
 		if a < 0 || a >= number {
 			return eris.Errorf("after names step %d, which is not an earlier one", a)
