Stored jobs: show 200 bytes at most of a claim that can't be decoded

With a number of 50,000 digits in an odd claim, its owner logged 50 KB every 5 s. The new test also checks that no odd claim is read more often.

The test failed before:

--- FAIL: TestOddClaimsAreReadRarely (0.02s) odd_rows_test.go:182: digits: the error has 50081 bytes odd_rows_test.go:182: digits: the error has 50081 bytes

--- a/fbshard/commit.go
+++ b/fbshard/commit.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/filbertford/filbertford"
 )
 
@@ -87,7 +89,7 @@
 		var row claimRow
 		if err := json.Unmarshal(c.Row().Value(), &row); err != nil {
 			// The row may be the claim of a newer owner. It stays as it is.
-			o.emit(RowMalformed{Key: claimKey, Cause: err})
+			o.emit(RowMalformed{Key: claimKey, Cause: eris.Errorf("decoding the claim: %.200s", err)})
 			o.retryAt = now + malformedClaimDelay
 			return
 		}
--- a/fbshard/odd_rows_test.go
+++ b/fbshard/odd_rows_test.go
@@ -153,3 +153,37 @@
 		t.Errorf("%d requests are kept", len(o.requests))
 	}
 }
+
+// TestOddClaimsAreReadRarely guards against an owner that reads a claim of another writer again and
+// again, without a pause, or that panics at it.
+func TestOddClaimsAreReadRarely(t *testing.T) {
+	for name, tt := range map[string]struct {
+		claim  string
+		serves bool
+	}{
+		"empty": {}, "bytes": {claim: "\x00\xff"}, "list": {claim: "[]"}, "nested": {claim: strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)},
+		"objects": {claim: strings.Repeat(`{"a":`, 20_000)}, "text": {claim: `{"node":"n1","fence":"3"}`}, "negative": {claim: `{"node":"n1","fence":-1}`},
+		"too large": {claim: `{"node":"n1","fence":99999999999999999999}`}, "fraction": {claim: `{"node":"n1","fence":1.5}`},
+		"digits": {claim: `{"node":"n1","fence":` + strings.Repeat("9", 50_000) + `}`}, "exponent": {claim: `{"node":"n1","fence":1e3}`},
+		"number as a name": {claim: `{"node":5,"fence":3}`}, "maximum": {claim: `{"node":"n1","fence":18446744073709551615}`},
+		"null": {claim: "null", serves: true}, "no fence": {claim: `{"node":"n1"}`, serves: true}, "long name": {claim: `{"node":"` + strings.Repeat("x", 60_000) + `","fence":3}`, serves: true},
+	} {
+		h := newTestHarness()
+		h.store.version++
+		h.store.rows[filbertford.TableClaims][claimKey] = filbertford.NewRow(claimKey, []byte(tt.claim), h.store.version)
+		o := New("jobs/0", "n2", 5)
+		h.collect(o)
+		o.Submit(1, testRoute, testJob(1))
+		if !h.completeCalls(o, 10) {
+			t.Errorf("%s: more than 10 calls in 10 s", name)
+		}
+		for _, m := range h.malformed {
+			if len(m.Cause.Error()) > 300 {
+				t.Errorf("%s: the error has %d bytes", name, len(m.Cause.Error()))
+			}
+		}
+		if h.replies[1].Accepted != tt.serves {
+			t.Errorf("%s: accepted %v, want %v, phase %q", name, h.replies[1].Accepted, tt.serves, o.phase)
+		}
+	}
+}
--- a/fbshard/owner_test.go
+++ b/fbshard/owner_test.go
@@ -59,6 +59,8 @@
 	lost     map[*Owner]bool
 	calls    map[*Owner][]StoreCall
 	verified map[*Owner]int
+
+	malformed []RowMalformed
 }
 
 func newTestHarness() *testHarness {
@@ -85,6 +87,8 @@
 			h.verified[o]++
 		case ShardLost:
 			h.lost[o] = true
+		case RowMalformed:
+			h.malformed = append(h.malformed, v)
 		}
 	}
 }
