A daemon doesn't forget that a newer version of the routes exists

When the only daemon that had named a version was lost or started again, the others took their own routes for current again and denied its routes with 404. A version that has been named exists, whoever is left. The age of an answer of the store also counted from when its routes had been decoded, and not from when it was read.

--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -47,7 +47,7 @@
 	pushesSent     tally.Counter
 	pushesReceived tally.Counter
 	bytesSent      tally.Counter
-	delay          tally.Histogram // from the first word of a version until it is in force
+	delay          tally.Histogram // from the first heartbeat that names a version until it is in force
 }
 
 func newRoutesState(scope tally.Scope) *routesState {
@@ -137,7 +137,7 @@
 		s.applying.Lock()
 		defer s.applying.Unlock()
 		if p.Version() > s.version() {
-			n.decodeRoutes(p.Value(), "peer "+string(node))
+			n.applyRoutesLocked(p.Value(), "peer "+string(node))
 		}
 		return nil
 	})
@@ -147,17 +147,18 @@
 func (n *Node) applyRoutes(value []byte, source string) {
 	n.routes.applying.Lock()
 	defer n.routes.applying.Unlock()
-	n.decodeRoutes(value, source)
+	n.applyRoutesLocked(value, source)
 }
 
-// decodeRoutes does the same. The caller holds the lock.
-func (n *Node) decodeRoutes(value []byte, source string) {
+// applyRoutesLocked replaces the routes in use if the given ones are newer. The caller holds
+// the lock.
+func (n *Node) applyRoutesLocked(value []byte, source string) {
+	s := n.routes
 	r, err := n.deps.Decoder.DecodeRoutes(value)
 	if err != nil {
 		fbevent.RoutesRejected.Log(n.deps.Log, "source", source, "error", err)
 		return
 	}
-	s := n.routes
 	if r.Version() <= s.version() {
 		return
 	}
@@ -196,10 +197,11 @@
 
 // readRoutes applies the routes in a read of the routes table.
 func (n *Node) readRoutes(s filbertford.Snapshot) {
-	defer func() { n.routes.readAt.Store(int64(fbtimer.SinceBoot())) }()
+	readAt := fbtimer.SinceBoot()
 	for _, c := range s.Changes() {
 		if n.deps.Decoder.IsRoutes(c.Row()) && !c.Removed() {
 			n.applyRoutes(c.Row().Value(), storeSource)
 		}
 	}
+	n.routes.readAt.Store(int64(readAt))
 }
--- a/fbroutes/exchange.go
+++ b/fbroutes/exchange.go
@@ -27,6 +27,7 @@
 type Exchange struct {
 	random      *rand.Rand
 	version     uint64        // in use, 0 for none
+	newest      uint64        // the highest version that any daemon has named
 	fromStore   bool          // the version in use came from the store
 	behindSince time.Duration // since when a newer version is known
 	sources     map[filbertford.NodeID]source
@@ -58,19 +59,21 @@
 }
 
 // Behind reports whether another daemon has named a newer version than that in use, and since when.
+// It has one although no daemon that named it is left: versions are never taken back.
 func (e *Exchange) Behind() (since time.Duration, behind bool) {
-	return e.behindSince, len(e.sources) > 0
+	return e.behindSince, e.newest > e.version
 }
 
 // VersionNamed handles the version that another daemon uses.
 func (e *Exchange) VersionNamed(now time.Duration, node filbertford.NodeID, version uint64) {
 	if version <= e.version {
-		delete(e.sources, node)
+		e.NodeUnreachable(node) // it has started again
 		return
 	}
-	if len(e.sources) == 0 {
+	if _, behind := e.Behind(); !behind {
 		e.behindSince = now
 	}
+	e.newest = max(e.newest, version)
 	e.sources[node] = source{version: version, asked: e.sources[node].asked}
 }
 
--- a/fbroutes/exchange_test.go
+++ b/fbroutes/exchange_test.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// TestBehindAfterOlderVersion guards against a daemon that forgets of a version which is newer than
-// the one that it has just got.
+// TestBehindAfterOlderVersion guards against a daemon that forgets a version which is newer than the
+// one that it has just got.
 func TestBehindAfterOlderVersion(t *testing.T) {
 	e := newTestExchange()
 	e.Applied(0, 5, true)
