The store is preferred again once it answers

A daemon that had got routes from another one requested each further version at once, although the store delivered it, since the store's copy of the version in use didn't count. Each text came twice.

--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -203,5 +203,8 @@
 			n.applyRoutes(c.Row().Value(), storeSource)
 		}
 	}
+	n.routes.mu.Lock()
+	n.routes.exchange.StoreAnswered()
+	n.routes.mu.Unlock()
 	n.routes.readAt.Store(int64(readAt))
 }
--- a/fbroutes/exchange.go
+++ b/fbroutes/exchange.go
@@ -28,7 +28,7 @@
 	random      *rand.Rand
 	version     uint64        // in use, 0 for none
 	newest      uint64        // the highest version that any daemon has named
-	fromStore   bool          // the version in use came from the store
+	fromStore   bool          // the store has answered since the version in use came from another daemon
 	behindSince time.Duration // since when a newer version is known
 	sources     map[filbertford.NodeID]source
 	pulledFrom  filbertford.NodeID // empty if no request is under way
@@ -109,6 +109,9 @@
 	}
 }
 
+// StoreAnswered handles an answer of the store, which delivers newer versions again.
+func (e *Exchange) StoreAnswered() { e.fromStore = true }
+
 // NodeUnreachable handles the loss of another daemon, which doesn't answer a request any more.
 func (e *Exchange) NodeUnreachable(node filbertford.NodeID) {
 	delete(e.sources, node)
