A malformed text of the routes is not requested again

If daemons of two versions disagree on whether a text is valid, one requested and decoded it each second for good, and answered 503 for unknown routes.

TestMalformedTextIsNotRequestedAgain failed before.

--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -137,7 +137,7 @@
 		s.applying.Lock()
 		defer s.applying.Unlock()
 		if p.Version() > s.version() {
-			n.applyRoutesLocked(p.Value(), "peer "+string(node))
+			n.applyRoutesLocked(p.Value(), p.Version(), "peer "+string(node))
 		}
 		return nil
 	})
@@ -147,16 +147,19 @@
 func (n *Node) applyRoutes(value []byte, source string) {
 	n.routes.applying.Lock()
 	defer n.routes.applying.Unlock()
-	n.applyRoutesLocked(value, source)
+	n.applyRoutesLocked(value, 0, source)
 }
 
-// applyRoutesLocked replaces the routes in use if the given ones are newer. The caller holds
-// the lock.
-func (n *Node) applyRoutesLocked(value []byte, source string) {
+// applyRoutesLocked replaces the routes in use if the given ones are newer. Their sender has named
+// their version, 0 if not. The caller holds the lock.
+func (n *Node) applyRoutesLocked(value []byte, version uint64, source string) {
 	s := n.routes
 	r, err := n.deps.Decoder.DecodeRoutes(value)
 	if err != nil {
 		fbevent.RoutesRejected.Log(n.deps.Log, "source", source, "error", err)
+		s.mu.Lock()
+		s.exchange.Rejected(fbtimer.SinceBoot(), version)
+		s.mu.Unlock()
 		return
 	}
 	if r.Version() <= s.version() {
--- a/fbroutes/exchange.go
+++ b/fbroutes/exchange.go
@@ -27,6 +27,7 @@
 type Exchange struct {
 	random      *rand.Rand
 	version     uint64        // in use, 0 for none
+	rejected    uint64        // the highest version whose text is malformed
 	newest      uint64        // the highest version that any daemon has named
 	fromStore   bool          // the store has answered since the version in use came from another daemon
 	behindSince time.Duration // since when a newer version is known
@@ -61,12 +62,15 @@
 // Behind reports whether another daemon has named a newer version than that in use, and since when.
 // It has one although no daemon that named it is left: versions are never taken back.
 func (e *Exchange) Behind() (since time.Duration, behind bool) {
-	return e.behindSince, e.newest > e.version
+	return e.behindSince, e.newest > e.known()
 }
 
+// known returns the version from which a text is of use only if it is newer.
+func (e *Exchange) known() uint64 { return max(e.version, e.rejected) }
+
 // VersionNamed handles the version that another daemon uses.
 func (e *Exchange) VersionNamed(now time.Duration, node filbertford.NodeID, version uint64) {
-	if version <= e.version {
+	if version <= e.known() {
 		e.NodeUnreachable(node) // it has started again
 		return
 	}
@@ -99,9 +103,20 @@
 // Applied handles that a newer version is in use.
 func (e *Exchange) Applied(now time.Duration, version uint64, fromStore bool) {
 	e.version, e.fromStore = version, fromStore
+	e.settle(now)
+}
+
+// Rejected handles that the text of a version is malformed. It isn't requested again.
+func (e *Exchange) Rejected(now time.Duration, version uint64) {
+	e.rejected = max(e.rejected, version)
+	e.settle(now)
+}
+
+// settle ends the request under way, and keeps the daemons that have newer routes yet.
+func (e *Exchange) settle(now time.Duration) {
 	e.behindSince, e.pulledFrom = now, ""
 	for node, s := range e.sources {
-		if s.asked = false; s.version > version {
+		if s.asked = false; s.version > e.known() {
 			e.sources[node] = s
 		} else {
 			delete(e.sources, node)
--- a/fbroutes/exchange_test.go
+++ b/fbroutes/exchange_test.go
@@ -83,6 +83,23 @@
 	}
 }
 
+// TestMalformedTextIsNotRequestedAgain guards against a request a second for a text that this daemon
+// can't decode, while the daemons of another version use it.
+func TestMalformedTextIsNotRequestedAgain(t *testing.T) {
+	e := newTestExchange()
+	e.Applied(0, 5, false)
+	e.VersionNamed(1, "b", 6)
+	e.Rejected(2, 6)
+	e.VersionNamed(3, "b", 6)
+	if node, pull := e.Pull(3); pull {
+		t.Errorf("routes are requested from %q again", node)
+	}
+	e.VersionNamed(4, "b", 7)
+	if _, pull := e.Pull(4); !pull {
+		t.Error("a version after the malformed one isn't requested")
+	}
+}
+
 // TestPullReceived checks which requests a daemon that uses version 5 answers.
 func TestPullReceived(t *testing.T) {
 	e := newTestExchange()
