The texts of routes that a daemon sends are limited by their size

A daemon sent four texts within 0.9 s, however short. If the store reached four of 44 daemons, a text of some KB was in force after up to 2.88 s, since requests that aren't answered are repeated only after 1 s. The limit is 2 MB now: four texts of 0.5 MB, or hundreds of short ones.

The cases of TestPullReceived for short texts failed before.

--- a/fbnode/routes.go
+++ b/fbnode/routes.go
@@ -172,7 +172,7 @@
 	if since, behind := s.exchange.Behind(); behind {
 		delay = now - since
 	}
-	s.exchange.Applied(now, r.Version(), source == storeSource)
+	s.exchange.Applied(now, r.Version(), len(value), source == storeSource)
 	s.mu.Unlock()
 	s.metrics.delay.RecordDuration(delay)
 	fbevent.RoutesApplied.Log(n.deps.Log, "version", r.Version(), "routes", r.Len(), "bytes", len(value), "source", source, "known_ms", delay.Milliseconds())
--- a/fbroutes/exchange.go
+++ b/fbroutes/exchange.go
@@ -16,17 +16,20 @@
 	// pullTimeout is the time after which a request without an answer is repeated. It bounds the
 	// texts that a daemon receives if its link is too slow for them: one a second.
 	pullTimeout = time.Second
-	// pushInterval is the time in which a version is sent once to a daemon, and to maxPushes daemons
-	// at most: a text of 0.5 MB takes 0.2 s on a link of 19 Mbit/s, and the other daemons find more
-	// that have it when they repeat their requests.
+	// pushInterval is the time in which a version is sent to a daemon once. It is shorter than
+	// pullTimeout, so that a repeated request is answered.
 	pushInterval = 900 * time.Millisecond
-	maxPushes    = 4
+	// maxPushBytes is the size of the texts that are sent in that time, at least one: those that a
+	// link of 19 Mbit/s carries. The daemons whose requests aren't answered find others that have
+	// the text by the time that they repeat them.
+	maxPushBytes = 2 << 20
 )
 
 // Exchange is what a daemon knows of the routes of the others. It is not safe for concurrent use.
 type Exchange struct {
 	random      *rand.Rand
 	version     uint64        // in use, 0 for none
+	size        int           // of its text in bytes
 	rejected    uint64        // the highest version whose text is malformed
 	newest      uint64        // the highest version that any daemon has named
 	fromStore   bool          // the store has answered since the version in use came from another daemon
@@ -47,6 +50,7 @@
 type push struct {
 	have    uint64 // the version that the daemon used
 	version uint64
+	size    int // in bytes
 	at      time.Duration
 }
 
@@ -100,9 +104,9 @@
 	return node, true
 }
 
-// Applied handles that a newer version is in use.
-func (e *Exchange) Applied(now time.Duration, version uint64, fromStore bool) {
-	e.version, e.fromStore = version, fromStore
+// Applied handles that a newer version is in use, whose text has the given size in bytes.
+func (e *Exchange) Applied(now time.Duration, version uint64, size int, fromStore bool) {
+	e.version, e.size, e.fromStore = version, size, fromStore
 	e.settle(now)
 }
 
@@ -142,10 +146,16 @@
 	if e.version <= have {
 		return false
 	}
-	last, sent := e.pushes[node]
-	if sent && last.have == have && last.version == e.version || !sent && len(e.pushes) >= maxPushes {
+	if last, ok := e.pushes[node]; ok && last.have == have && last.version == e.version {
 		return false
 	}
-	e.pushes[node] = push{have: have, version: e.version, at: now}
+	sent := 0
+	for _, p := range e.pushes {
+		sent += p.size
+	}
+	if sent > 0 && sent+e.size > maxPushBytes {
+		return false
+	}
+	e.pushes[node] = push{have: have, version: e.version, size: e.size, at: now}
 	return true
 }
--- a/fbroutes/exchange_test.go
+++ b/fbroutes/exchange_test.go
@@ -52,7 +52,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			e := newTestExchange()
-			e.Applied(0, 5, !tt.fromPeer)
+			e.Applied(0, 5, textSize, !tt.fromPeer)
 			for _, s := range tt.steps {
 				if s.version == 0 {
 					e.NodeUnreachable(s.node)
@@ -71,10 +71,10 @@
 // one that it has just got.
 func TestBehindAfterOlderVersion(t *testing.T) {
 	e := newTestExchange()
-	e.Applied(0, 5, true)
+	e.Applied(0, 5, textSize, true)
 	e.VersionNamed(1, "b", 6)
 	e.VersionNamed(1, "c", 7)
-	e.Applied(2, 6, false)
+	e.Applied(2, 6, textSize, false)
 	if _, behind := e.Behind(); !behind {
 		t.Error("not behind with version 6, want behind, since a daemon uses version 7")
 	}
@@ -87,7 +87,7 @@
 // can't decode, while the daemons of another version use it.
 func TestMalformedTextIsNotRequestedAgain(t *testing.T) {
 	e := newTestExchange()
-	e.Applied(0, 5, false)
+	e.Applied(0, 5, textSize, false)
 	e.VersionNamed(1, "b", 6)
 	e.Rejected(2, 6)
 	e.VersionNamed(3, "b", 6)
@@ -103,7 +103,7 @@
 // TestPullReceived checks which requests a daemon that uses version 5 answers.
 func TestPullReceived(t *testing.T) {
 	e := newTestExchange()
-	e.Applied(0, 5, true)
+	e.Applied(0, 5, textSize, true)
 	for _, s := range []struct {
 		at   time.Duration
 		node filbertford.NodeID
@@ -125,9 +125,15 @@
 			t.Errorf("request of %s, which uses version %d, at %v: answered %v, want %v", s.node, s.have, s.at, got, s.want)
 		}
 	}
-	e.Applied(3+pushInterval, 6, true)
-	if !e.PullReceived(4+pushInterval, "b", 0) {
-		t.Error("a newer version isn't sent")
+	e.Applied(3+2*pushInterval, 6, textSize/100, true)
+	for _, node := range []filbertford.NodeID{"b", "c", "d", "e", "f", "g"} {
+		if !e.PullReceived(3+2*pushInterval, node, 5) {
+			t.Errorf("a short text isn't sent to %s", node)
+		}
+	}
+	e.Applied(3+3*pushInterval, 7, 10*maxPushBytes, true)
+	if !e.PullReceived(3+3*pushInterval, "b", 6) || e.PullReceived(3+3*pushInterval, "c", 6) {
+		t.Error("want a text that is longer than the limit to be sent to one daemon")
 	}
 }
 
--- a/fbroutes/fleet_test.go
+++ b/fbroutes/fleet_test.go
@@ -24,7 +24,7 @@
 			for seed := range uint64(20) {
 				f := newFakeFleet(daemons, textTime, seed)
 				for _, d := range f.daemons[:reached] {
-					d.exchange.Applied(0, 2, true)
+					d.exchange.Applied(0, 2, textSize, true)
 				}
 				for f.now < limit && f.behind() > 0 {
 					f.step()
@@ -37,6 +37,8 @@
 	}
 }
 
+const textSize = 500_000 // bytes
+
 // fakeFleet is a fleet whose daemons exchange heartbeats and texts over links of their own.
 type fakeFleet struct {
 	now      time.Duration
@@ -58,7 +60,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	for i := range daemons {
 		d := &fakeDaemon{exchange: NewExchange(rand.New(rand.NewPCG(seed, uint64(i))))}
-		d.exchange.Applied(0, 1, true)
+		d.exchange.Applied(0, 1, textSize, true)
 		f.daemons = append(f.daemons, d)
 		f.index[fakeNode(i)] = i
 		f.tick(i, time.Duration(random.Int64N(int64(20*time.Millisecond))))
@@ -116,7 +118,7 @@
 			receiver.inFree = max(receiver.inFree, f.now) + f.textTime
 			f.at(receiver.inFree, func() {
 				if sent > receiver.exchange.version {
-					receiver.exchange.Applied(f.now, sent, false)
+					receiver.exchange.Applied(f.now, sent, textSize, false)
 				}
 			})
 		})
