A copy of a request about a stored job is not queued at its shard

The owner now drops a copy while the first one waits, and forgets the requests of a shard that it loses.

--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -111,7 +111,8 @@
 	pendingAnswers   map[uint64]chan filbertford.WorkloadAnswer
 	ownedShards      map[filbertford.PoolID]*fbshard.Owner
 	pendingStored    map[uint64]*pendingStoredRequest
-	origins          map[uint64]origin
+	origins          map[uint64]origin // of the requests that wait for a reply of a shard
+	queuedOrigins    map[origin]bool   // the same
 	lastOriginID     uint64
 	claims           claimState
 	lastTick         time.Duration
@@ -145,6 +146,7 @@
 		ownedShards:    make(map[filbertford.PoolID]*fbshard.Owner),
 		pendingStored:  make(map[uint64]*pendingStoredRequest),
 		origins:        make(map[uint64]origin),
+		queuedOrigins:  make(map[origin]bool),
 		wakeTargets:    make(chan struct{}, 1),
 		sentHeartbeats: make(map[filbertford.NodeID]sentHeartbeat),
 		lastTick:       now,
--- a/fbnode/stored.go
+++ b/fbnode/stored.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -55,10 +56,13 @@
 }
 
 // origin is the daemon that sent a request to a shard of this daemon, and that
-// daemon's ID of the request.
+// daemon's ID of the request. A daemon that has started again may use an ID again.
 type origin struct {
 	node      filbertford.NodeID
 	requestID uint64
+	shard     filbertford.PoolID
+	kind      fblink.RequestKind
+	job       filbertford.JobKey
 }
 
 // Submit stores a job.
@@ -207,8 +211,12 @@
 		}
 		return
 	}
+	sender := origin{node: from, requestID: r.ID(), shard: r.Shard(), kind: r.Kind(), job: r.Workload().Key()}
+	if n.queuedOrigins[sender] {
+		return // a copy, sent again because the shard has not replied yet
+	}
 	n.lastOriginID++
-	n.origins[n.lastOriginID] = origin{node: from, requestID: r.ID()}
+	n.origins[n.lastOriginID], n.queuedOrigins[sender] = sender, true
 	switch r.Kind() {
 	case fblink.RequestSubmit:
 		owner.Submit(n.lastOriginID, r.Route(), r.Workload())
@@ -253,6 +261,8 @@
 		return
 	}
 	delete(n.ownedShards, shard)
+	maps.DeleteFunc(n.origins, func(_ uint64, o origin) bool { return o.shard == shard })
+	maps.DeleteFunc(n.queuedOrigins, func(o origin, _ bool) bool { return o.shard == shard })
 	for _, key := range owner.JobKeys() {
 		n.coordinator.DropStored(key)
 	}
@@ -278,6 +288,7 @@
 	case fbshard.Reply:
 		to, ok := n.origins[v.RequestID]
 		delete(n.origins, v.RequestID)
+		delete(n.queuedOrigins, to)
 		if ok {
 			n.sendStoredReply(to, fblink.NewStoredJobReply(to.requestID, string(v.State), v.Accepted, 0))
 		}
