fbsched: failing test of jobs that are sent again at once

After a caller's connection has broken, its job may come again within milliseconds, by another daemon, which may offer it to another pool while the runs of the first attempt are being stopped.

--- a/fbsched/overlap_plan_test.go
+++ b/fbsched/overlap_plan_test.go
@@ -64,7 +64,9 @@
 	keepLateCalls bool
 	// resend lets callers that got no definite answer send their jobs again.
 	resend bool
-	pools  int
+	// resendAtOnce lets callers whose connection breaks send their jobs again within milliseconds.
+	resendAtOnce bool
+	pools        int
 	// unguarded targets start runs beyond their capacity.
 	unguarded bool
 	// stored jobs are kept by their coordinator's successor. Some of their tasks are deadly.
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -362,7 +362,11 @@
 
 func (r *overlapRun) sendAgain(job int) {
 	if r.plan.scenario.resend && r.now < time.Minute+15*time.Second {
-		r.after(retransmitDelay, func() {
+		delay := retransmitDelay
+		if r.plan.scenario.resendAtOnce {
+			delay = between(r.random, 0, 20)
+		}
+		r.after(delay, func() {
 			r.count("jobs that are sent again")
 			r.send(job)
 		})
@@ -404,6 +408,7 @@
 		"all but the same ID":          {kinds: all},
 		"jobs sent again":              {kinds: all, resend: true},
 		"jobs sent again, two pools":   {kinds: all, resend: true, pools: 2},
+		"jobs sent again at once":      {kinds: []faultKind{faultBroken}, resend: true, resendAtOnce: true, pools: 2},
 		"unguarded targets":            {kinds: slices.Concat(linkFaults, targetFaults), unguarded: true},
 		"unguarded, owners":            {kinds: all, unguarded: true},
 		"unguarded, capacity":          {kinds: []faultKind{faultShrink, faultStuck, faultGiveUp, faultTakeOver, faultCutReplies}, unguarded: true, long: true},
