Lists older than the clock in their reply: tests that fail

A pool takes a run that was listed for ended when a list without it has a higher reading of the target's clock. The platform states that each reply has a reading, not that it was taken with the lists. The simulation reads both at once and never breaks a connection behind a call that is carried out, so that polls rarely cross.

TestListOlderThanItsClock shows the cause.

--- a/fbsched/list_order_test.go
+++ b/fbsched/list_order_test.go
@@ -44,3 +44,25 @@
 		t.Errorf("the task was started again while its run works")
 	}
 }
+
+// TestListOlderThanItsClock delivers lists that a target read before a run began, with a reading of
+// its clock from after the lists that show the run.
+func TestListOlderThanItsClock(t *testing.T) {
+	now := time.Minute
+	p, first := poolWithRun(t, now)
+	older := PollCall{Request: pollOf(p, "t00"), Number: p.targets["t00"].pollNumber + 1}
+	sent := now
+	now += 5 * time.Millisecond
+	p.HandleStartReply(now, first, filbertford.NewCallReply(filbertford.CallDone, 1002), sent, now)
+	answerLists(p, now, "t00", 1, 1003, filbertford.NewRunStatus(first.Task(), first.Run(), 0))
+	lists := filbertford.NewCallReply(filbertford.CallDone, 1005).WithStartedAt(1)
+	now += time.Millisecond
+	p.HandlePollReply(now, older, lists, sent, now)
+	if again := startCalls(p.TakeActions(now)); len(again) > 0 {
+		t.Fatalf("the task was started again on %s beside its run", again[0].Instance().ID())
+	}
+	answerLists(p, now, "t00", 1, 1010)
+	if n := len(startCalls(p.TakeActions(now))); n != 1 {
+		t.Errorf("%d starts after a poll that was sent later doesn't list the run, want 1", n)
+	}
+}
--- a/fbsched/overlap_plan_test.go
+++ b/fbsched/overlap_plan_test.go
@@ -73,6 +73,8 @@
 	recalls bool
 	// long spreads the jobs over a time in which a target's capacity may have shrunk for long.
 	long bool
+	// lateClocks lets targets read their clock later than the runs that they list.
+	lateClocks bool
 	// crowded plans have more jobs, whose tasks are short in half of the plans.
 	crowded bool
 }
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -57,6 +57,7 @@
 	table        []recordChange
 	jobs         map[uint64]int // by request
 	request      uint64
+	connections  connectionFaults
 }
 
 // overlapPool is a pool with its newest owner.
@@ -219,6 +220,7 @@
 		downRandom: rand.New(rand.NewPCG(p.seed, 5)),
 		links:      make(map[linkKey]*linkState), jobs: make(map[uint64]int),
 	}
+	r.connections.random, r.breaks, r.writesLate = rand.New(rand.NewPCG(p.seed, 6)), r.breakConnection, r.writeLate
 	r.trace, r.unguarded, r.keepLateCalls, r.answered = trace, p.scenario.unguarded, p.scenario.keepLateCalls, r.handleAnswer
 	for i := range p.pools {
 		id := testPool
@@ -416,6 +418,12 @@
 		"recalls, coordinators lost":   {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true, pools: 2, recalls: true},
 		"coordinators lost, two pools": {kinds: slices.Concat(all, []faultKind{faultCoordinatorLost}), resend: true, pools: 2},
 	}
+	playScenarios(t, tests)
+}
+
+// playScenarios plays randomised runs of each scenario.
+func playScenarios(t *testing.T, tests map[string]scenario) {
+	t.Helper()
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			counts := make(map[string]int)
--- a/fbsched/simulation_calls_test.go
+++ b/fbsched/simulation_calls_test.go
@@ -114,7 +114,7 @@
 	if sim.trace != nil {
 		sim.tracef("%s: sends %s %+v", o.node, describe(req), d)
 	}
-	answered := false
+	answered, broken := false, false
 	unknown := func() {
 		if !answered {
 			answered = true
@@ -127,7 +127,7 @@
 		}
 	}
 	answer := func(r filbertford.CallReply) {
-		if answered && (!acceptsLate || sim.now > sent+timeout+lateReplyTimeout) {
+		if broken || answered && (!acceptsLate || sim.now > sent+timeout+lateReplyTimeout) {
 			return
 		}
 		answered = true
@@ -139,6 +139,14 @@
 		})
 	}
 	sim.after(timeout, unknown)
+	if sim.breaks != nil {
+		if d := sim.breaks(); d > 0 {
+			sim.after(min(d, timeout), func() {
+				broken = true
+				unknown()
+			})
+		}
+	}
 	if t == nil {
 		return
 	}
@@ -218,9 +226,18 @@
 
 // poll delivers a poll. The target holds it until a run ends or its wait is over.
 func (sim *simulation) poll(o *fakeOwner, c PollCall) {
+	var lists *filbertford.CallReply // read already, but not written yet
 	attempt := func(t *fakeTarget, held time.Duration) (filbertford.CallReply, bool) {
+		if lists != nil {
+			return t.reply(lists.Outcome()).WithStartedAt(lists.StartedAt()).WithRuns(lists.Running(), lists.Ended()), true
+		}
 		r := t.poll(c.Request)
-		return r, len(r.Ended()) > 0 || r.Outcome() != filbertford.CallDone || held >= c.Request.Wait()
+		ready := len(r.Ended()) > 0 || r.Outcome() != filbertford.CallDone || held >= c.Request.Wait()
+		if ready && r.Outcome() == filbertford.CallDone && sim.writesLate != nil && sim.writesLate() {
+			lists = &r
+			return r, false
+		}
+		return r, ready
 	}
 	sim.exchange(o, c.Request, c.Timeout, false, attempt, func(r filbertford.CallReply, sent time.Duration) {
 		o.pool.HandlePollReply(sim.now, c, r, sent, sim.now)
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -87,6 +87,11 @@
 	streamDown        bool
 	coordinatorPaused bool
 	coordinatorWaits  []func()
+	// breaks returns the time after which the connection of a call breaks, 0 for never.
+	breaks func() time.Duration
+	// writesLate reports whether a target writes its reply to a poll, with its clock, some time after
+	// it has read its runs.
+	writesLate func() bool
 	// keepLateCalls lets a late call reach another instance than it was sent to.
 	keepLateCalls bool
 	trace         func(format string, args ...any)
