A run is taken for ended only by lists that were asked for after a reply that shows it

Cause: of two lists, the one with the higher reading of the target's clock counted as newer. The reading says when the reply was written. A target that reads its runs first and its clock later lets an older list overtake the one that shows a run. Then the run counts as ended, and its task starts again.

Change: a run remembers when the last reply that shows it was received, be it the reply to its start or a list. Lists without it count only if their poll was sent no earlier. That needs no clock. With one poll at a time it holds for each list; if polls have crossed, the next one decides.

--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -205,6 +205,7 @@
 	}
 	if reply.Outcome() == filbertford.CallDone {
 		r.confirmedAt, r.startClock = received, reply.Clock()
+		r.shownAt = max(r.shownAt, received)
 		if r.state == runStarting || r.state == runUncertain && !r.stopWanted {
 			r.state, r.progressedAt = runWorking, now
 		}
--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -20,10 +20,10 @@
 }
 
 // applyRunning updates the runs from the list of running ones in the reply to a poll that
-// was sent at the given time. The ended runs of the reply have been applied.
+// was sent and received at the given times. The ended runs of the reply have been applied.
 //
 // If the target has not listed all of its ended runs, a run in neither list may be among them.
-func (p *Pool) applyRunning(now time.Duration, t *target, r filbertford.CallReply, sent time.Duration) {
+func (p *Pool) applyRunning(now time.Duration, t *target, r filbertford.CallReply, sent, received time.Duration) {
 	complete := len(r.Ended()) < maxListedEnds
 	if !t.listed && complete {
 		t.listed, t.listedAt, p.capacityChanged = true, now, true
@@ -32,7 +32,7 @@
 	listed := make(map[filbertford.TaskKey]bool, len(r.Running()))
 	for _, s := range r.Running() {
 		listed[s.Task()] = true
-		p.runListed(now, t, s)
+		p.runListed(now, t, s, received)
 	}
 	if !complete {
 		return
@@ -44,8 +44,9 @@
 	}
 }
 
-// runListed handles a run that the target lists as running.
-func (p *Pool) runListed(now time.Duration, t *target, s filbertford.RunStatus) {
+// runListed handles a run that the target lists as running, in a reply that was received at the given
+// time.
+func (p *Pool) runListed(now time.Duration, t *target, s filbertford.RunStatus, received time.Duration) {
 	r := t.runs[s.Task()]
 	if r != nil && r.number < s.Run() {
 		// The target rejects the lower run from now on, so that the task is free for this one.
@@ -61,7 +62,7 @@
 	if r.number != s.Run() {
 		return
 	}
-	r.state, r.listed = runWorking, true
+	r.state, r.listed, r.shownAt = runWorking, true, max(r.shownAt, received)
 	if s.Percent() > r.percent || r.progressedAt == 0 {
 		r.percent, r.progressedAt = s.Percent(), now
 	}
@@ -97,12 +98,15 @@
 	return r
 }
 
-// runMissing handles a run that is in neither list of the reply to a poll.
+// runMissing handles a run that is in neither list of the reply to a poll. The target's clock doesn't
+// show that lists are newer than a reply that shows the run: it may be read later than the runs. Those
+// of a poll that was sent after that reply are.
 func (p *Pool) runMissing(now time.Duration, t *target, r *run, sent time.Duration) {
 	switch {
+	case r.state == runWorking && sent < r.shownAt:
 	case r.listed:
 		p.discardRun(now, r, "target no longer lists the run")
-	case r.state == runWorking && sent > r.confirmedAt:
+	case r.state == runWorking:
 		p.discardRun(now, r, "target never listed the run")
 	case r.state != runUncertain:
 		// The target may have replied before it received the start.
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -136,7 +136,7 @@
 	}
 	if r.Outcome() == filbertford.CallDone && t.newerLists(r.Clock()) {
 		t.listClock, t.listsAt = r.Clock(), now
-		p.applyRunning(now, t, r, sent)
+		p.applyRunning(now, t, r, sent, received)
 	}
 	p.poll(now, t)
 	p.checkAllListed(now)
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -81,6 +81,7 @@
 	startedAt    time.Duration
 	confirmedAt  time.Duration // when the target answered the start
 	startClock   int64         // reading of the target's clock then, 0 if unknown
+	shownAt      time.Duration // when the last reply that shows the run was received
 	expected     time.Duration
 	leaseExpiry  int64 // of the lease sent with the start, on the target's clock
 	listed       bool
