Another target's reply at the address in an unconfirmed record doesn't show that a target has ended

Callers would see: two runs of one task (TWICE).

Cause: a pool that read a record of another instance of a target used its address at once, while it kept the instance that replies had shown. If another target replied there with 421, the known instance counted as ended: all its runs were freed, although it worked on at its own address. A record of an earlier instance may be read after that of the present one, since the store may carry a write out late; after the time of day was set back it isn't known as earlier.

Change: a target keeps the address at which it has replied. 421 from another address returns to that one, until the record changes; a start that got it is rejected. A reply that shows that a record is of an earlier instance undoes its address, too.

Evidence: TestLateRecordWithOtherAddressFreesNoRun failed before ("the task was started again on t01 beside its run") and passes.

--- a/calls.go
+++ b/calls.go
@@ -66,6 +66,12 @@
 	return r
 }
 
+// WithAddress returns a copy of r with the address, host:port.
+func (r TargetRecord) WithAddress(address string) TargetRecord {
+	r.address = address
+	return r
+}
+
 // Instance returns the instance of the target that wrote the record.
 func (r TargetRecord) Instance() TargetInstance { return r.instance }
 
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -182,11 +182,11 @@
 // the given times. It is called with CallUnknown when there is no reply within the
 // timeout, and again if the reply arrives late.
 func (p *Pool) HandleStartReply(now time.Duration, req filbertford.StartRunRequest, reply filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(now, req.Instance(), reply, sent)
+	t := p.targetOf(now, req.Instance(), req.Address(), reply, sent)
 	if t == nil {
 		return
 	}
-	replied := p.handleReply(now, t, reply, sent, received)
+	replied := p.handleReply(now, t, req.Address(), reply, sent, received)
 	if replied {
 		p.roundTrips.observe(received - sent)
 	}
@@ -195,6 +195,9 @@
 		return
 	}
 	if !replied {
+		if reply.Outcome() == filbertford.CallRestarted {
+			p.startRejected(now, t, r, reply)
+		}
 		if reply.Outcome() == filbertford.CallUnknown && r.state == runStarting {
 			r.state = runUncertain
 			p.emitEvent(Event{Kind: EventStartUnanswered, Task: r.key, Target: t.id(), Run: r.number, Reason: reply.Detail(), Age: now - r.startedAt})
--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -12,12 +12,12 @@
 // than the platform's targets are known to delay calls.
 const lateCallTimeout = 15 * time.Second
 
-// targetOf returns the target that a call was sent to, or nil if the reply is of no use. A
+// targetOf returns the target that a call was sent to, at the given address, or nil if the reply is of no use. A
 // target may start again under its ID; the start time in a reply shows it, possibly long
 // before the target's record does. The time of day may have been set back between two starts: a
 // reply to a call that was sent after the current instance had replied is of no earlier one. A
 // reply without a start time counts only if the call was sent to the current instance.
-func (p *Pool) targetOf(now time.Duration, called filbertford.TargetInstance, r filbertford.CallReply, sent time.Duration) *target {
+func (p *Pool) targetOf(now time.Duration, called filbertford.TargetInstance, address string, r filbertford.CallReply, sent time.Duration) *target {
 	t := p.targets[called.ID()]
 	if t == nil {
 		return nil
@@ -38,7 +38,7 @@
 		t = p.replaceInstance(now, t, t.rec.WithStartedAt(replied), "reply")
 		t.verifiedAt = sent
 	default:
-		t.verify(sent)
+		t.verify(sent, address)
 	}
 	return t
 }
@@ -55,14 +55,26 @@
 }
 
 // verify records that the reply to a call that was sent at the given time has shown the target's
-// start time.
-func (t *target) verify(sent time.Duration) {
+// start time. The record because of which it was asked is that of an earlier instance, and so is the
+// address in it.
+func (t *target) verify(sent time.Duration, address string) {
 	t.verifiedAt = max(t.verifiedAt, sent)
 	if t.askedFor != 0 && t.verified() {
 		t.earlier, t.askedFor = append(t.earlier, t.askedFor), 0
+		t.rec = t.rec.WithAddress(address)
 	}
 }
 
+// rejectAddress calls a target at the address at which it has replied again, since another target replied
+// at the one in its record: the record is late or wrong. That the other one replied there doesn't show
+// that the target has ended.
+func (p *Pool) rejectAddress(now time.Duration, t *target, address string) {
+	if t.rec.Address() == address {
+		t.rejected, t.rec = t.read, t.rec.WithAddress(t.address)
+	}
+	p.poll(now, t)
+}
+
 // verified reports whether the target has shown its start time since it was asked for it.
 func (t *target) verified() bool { return t.verifiedAt >= t.askedAt }
 
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -112,7 +112,7 @@
 // times. If another poll has replaced it, only its lists count; the list of running tasks
 // doesn't if a newer one has been applied.
 func (p *Pool) HandlePollReply(now time.Duration, c PollCall, r filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(now, c.Request.Instance(), r, sent)
+	t := p.targetOf(now, c.Request.Instance(), c.Request.Address(), r, sent)
 	if t == nil {
 		return
 	}
@@ -123,7 +123,7 @@
 	if current {
 		t.polling, t.polledAt = false, now
 	}
-	if !p.handleReply(now, t, r, sent, received) {
+	if !p.handleReply(now, t, c.Request.Address(), r, sent, received) {
 		return
 	}
 	if r.Outcome() == filbertford.CallDone {
@@ -158,9 +158,9 @@
 	}
 }
 
-// handleReply handles what the replies to all calls have in common. It reports whether
-// this instance of the target replied and did not reject the owner's fencing token.
-func (p *Pool) handleReply(now time.Duration, t *target, r filbertford.CallReply, sent, received time.Duration) bool {
+// handleReply handles what the replies to all calls, here one to the given address, have in common. It
+// reports whether this instance of the target replied and did not reject the owner's fencing token.
+func (p *Pool) handleReply(now time.Duration, t *target, address string, r filbertford.CallReply, sent, received time.Duration) bool {
 	switch r.Outcome() {
 	case filbertford.CallUnknown:
 		p.recordMiss(t, r.Detail())
@@ -170,9 +170,16 @@
 		p.emit(PoolLost{Pool: p.id})
 		return false
 	case filbertford.CallRestarted:
-		p.targetReplaced(now, t)
+		if t.address != "" && address != t.address {
+			p.rejectAddress(now, t, address)
+		} else {
+			p.targetReplaced(now, t)
+		}
 		return false
 	}
+	if r.Outcome() != filbertford.CallBusy { // a busy target may not have compared the ID
+		t.address = address
+	}
 	if t.misses >= maxMisses {
 		p.emitEvent(Event{Kind: EventTargetReachable, Target: t.id(), Age: now - t.lastReply})
 		p.capacityChanged = true
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -15,9 +15,12 @@
 // discarded them. misses counts calls without a reply since the last reply.
 type target struct {
 	rec             filbertford.TargetRecord
-	startedAt       int64         // in Unix milliseconds, by the record or the replies; 0 if unknown
-	verifiedAt      time.Duration // when the last call was sent whose reply has shown startedAt, 0 if none has
-	askedFor        int64         // start time in a record because of which the target was asked for its own
+	read            filbertford.TargetRecord // the last record as the store has it
+	rejected        filbertford.TargetRecord // the last record at whose address another target replied
+	address         string                   // at which the target has replied, empty if it has not
+	startedAt       int64                    // in Unix milliseconds, by the record or the replies; 0 if unknown
+	verifiedAt      time.Duration            // when the last call was sent whose reply has shown startedAt, 0 if none has
+	askedFor        int64                    // start time in a record because of which the target was asked for its own
 	askedAt         time.Duration
 	earlier         []int64 // start times of the earlier instances that the pool knows
 	restarted       bool    // it has started again since the pool knows it
@@ -151,6 +154,10 @@
 	id := rec.Instance().ID()
 	t := p.targets[id]
 	if t != nil {
+		t.read = rec
+		if rec.Instance() == t.rejected.Instance() && rec.Address() == t.rejected.Address() {
+			rec = rec.WithAddress(t.rec.Address())
+		}
 		switch startedAt := rec.Instance().StartedAt(); {
 		case startedAt == 0:
 			rec = rec.WithStartedAt(t.rec.Instance().StartedAt())
@@ -189,7 +196,7 @@
 
 func newTarget(now time.Duration, rec filbertford.TargetRecord) *target {
 	return &target{
-		rec: rec, startedAt: rec.Instance().StartedAt(), lastReply: now, coldUntil: now + rec.ColdFor(),
+		rec: rec, read: rec, startedAt: rec.Instance().StartedAt(), lastReply: now, coldUntil: now + rec.ColdFor(),
 		runs:        make(map[filbertford.TaskKey]*run),
 		unconfirmed: make(map[uint64]Confirm),
 		unclaimed:   make(map[uint64]unclaimedOutcome),
@@ -347,8 +354,8 @@
 // HandleStopReply handles the reply to a stop request that was sent and received at
 // the given times. Like a reply to a start, it may be called again with a late reply.
 func (p *Pool) HandleStopReply(now time.Duration, req filbertford.StopRunRequest, reply filbertford.CallReply, sent, received time.Duration) {
-	t := p.targetOf(now, req.Instance(), reply, sent)
-	if t == nil || !p.handleReply(now, t, reply, sent, received) {
+	t := p.targetOf(now, req.Instance(), req.Address(), reply, sent)
+	if t == nil || !p.handleReply(now, t, req.Address(), reply, sent, received) {
 		return
 	}
 	p.roundTrips.observe(received - sent)
