--- a/fbnode/fake_daemon_test.go
+++ b/fbnode/fake_daemon_test.go
@@ -364,6 +364,14 @@
 			}
 		})
 	})
+	s.resetCall(timeout, func() {
+		d.post("", func(d *simDaemon) {
+			if !answered && !closed {
+				answered, closed = true, true
+				pass(d, filbertford.NewCallReply(filbertford.CallUnknown, 0))
+			}
+		})
+	})
 	if late {
 		s.after(timeout+lateReplyTimeout, func() { d.post("", func(*simDaemon) { closed = true }) })
 	}
--- a/fbnode/fleet_simulation_test.go
+++ b/fbnode/fleet_simulation_test.go
@@ -81,6 +81,7 @@
 // runs.
 type fleetSim struct {
 	rand        *rand.Rand
+	resets      *rand.Rand // nil unless connections to targets break
 	now         time.Duration
 	events      simEvents
 	sequence    int
