--- a/fbsched/overlap_plan_test.go
+++ b/fbsched/overlap_plan_test.go
@@ -1,7 +1,10 @@
 package fbsched
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"testing"
 	"time"
 
 	"pgregory.net/rapid"
@@ -130,3 +133,29 @@
 	}
 	return p
 }
+
+// playScenarios plays randomised runs of each scenario.
+func playScenarios(t *testing.T, tests map[string]scenario) {
+	t.Helper()
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			counts := make(map[string]int)
+			rapid.Check(t, func(rt *rapid.T) {
+				p := drawPlan(rt, tt)
+				if violations := p.run(counts, nil); len(violations) > 0 {
+					p.run(make(map[string]int), func(format string, args ...any) { rt.Logf(format, args...) })
+					rt.Fatal(violations)
+				}
+			})
+			for _, what := range slices.Sorted(maps.Keys(counts)) {
+				t.Logf("%8d %s", counts[what], what)
+			}
+			for _, kind := range tt.kinds {
+				if counts[string(kind)] == 0 && !t.Failed() {
+					t.Errorf("never happened: %s", kind)
+				}
+			}
+		})
+	}
+}
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"github.com/filbertford/filbertford"
 )
 
@@ -425,29 +423,3 @@
 	}
 	playScenarios(t, tests)
 }
-
-// playScenarios plays randomised runs of each scenario.
-func playScenarios(t *testing.T, tests map[string]scenario) {
-	t.Helper()
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			counts := make(map[string]int)
-			rapid.Check(t, func(rt *rapid.T) {
-				p := drawPlan(rt, tt)
-				if violations := p.run(counts, nil); len(violations) > 0 {
-					p.run(make(map[string]int), func(format string, args ...any) { rt.Logf(format, args...) })
-					rt.Fatal(violations)
-				}
-			})
-			for _, what := range slices.Sorted(maps.Keys(counts)) {
-				t.Logf("%8d %s", counts[what], what)
-			}
-			for _, kind := range tt.kinds {
-				if counts[string(kind)] == 0 && !t.Failed() {
-					t.Errorf("never happened: %s", kind)
-				}
-			}
-		})
-	}
-}
