--- /dev/null
+++ b/review/runner/case_cancel.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/filbertford/filbertford/fbstandin"
+)
+
+// outage is the length of an outage of the store, as in the site file.
+const outage = 4500 * time.Millisecond
+
+// clientDeadline is the time budget of the small installations' clients.
+const clientDeadline = 1500 * time.Millisecond
+
+// setStoreDown lets the store turn all calls away, or serve them again.
+func (s *setting) setStoreDown(down bool) {
+	s.record.printf("the store turns all calls away: %v", down)
+	f := fbstandin.RowFaults{DelayMS: storeDelayMS}
+	if down {
+		f.Outage = "busy"
+	}
+	s.store.SetFaults(f)
+}
+
+// earlyCancel: while the store is down, a client hands a job in, gets no answer in time, and
+// cancels it. The cancelling is acknowledged, so that no task may start long after.
+func earlyCancel(ctx context.Context, s *setting) (bool, error) {
+	if err := s.threeZones(ctx); err != nil {
+		return false, err
+	}
+	if s.trouble {
+		s.setStoreDown(true)
+	}
+	up := s.record.now() + outage
+	j := job{
+		id: jobID(7, 1), spec: map[string]any{"run_ms": 4000, "run_ms_2": 3000},
+		steps: []step{
+			{Count: 1, taskDemand: taskDemand{CPU: 6800, Memory: 64}, EstimateMS: 4000},
+			{Count: 1, taskDemand: taskDemand{CPU: 6800, Memory: 64}, EstimateMS: 3000, After: []int{0}},
+		},
+	}
+	s.submit(ctx, s.nodes[0], j, clientDeadline)
+	r := s.cancelJob(ctx, s.nodes[1], j.id, clientDeadline)
+	if err := sleep(ctx, up-s.record.now()); err != nil {
+		return false, err
+	}
+	if s.trouble {
+		s.setStoreDown(false)
+	}
+	if !r.accepted() && r.status != http.StatusGone {
+		return false, fmt.Errorf("%w: the cancelling wasn't acknowledged", errPrecondition)
+	}
+	if err := sleep(ctx, 14*time.Second); err != nil {
+		return false, err
+	}
+	s.state(ctx, s.nodes[2], j.id, patience)
+	broken := false
+	for _, st := range startsOf(s.workers, "") {
+		if !strings.HasPrefix(st.task, j.id) {
+			continue
+		}
+		late := st.at > r.answeredAt+cancelTime && st.at > up+stableTime
+		s.record.printf("%s started %.2f s after the cancelling was acknowledged with %d and %.2f s after the store was back", st.task, (st.at - r.answeredAt).Seconds(), r.status, (st.at - up).Seconds())
+		broken = broken || late
+	}
+	return broken, nil
+}
