--- a/review/runner/case_cancel.go
+++ b/review/runner/case_cancel.go
@@ -29,7 +29,7 @@
 // earlyCancel: while the store is down, a client hands a job in, gets no answer in time, and
 // cancels it. The cancelling is acknowledged, so that no task may start long after.
 func earlyCancel(ctx context.Context, s *setting) (bool, error) {
-	if err := s.threeZones(ctx); err != nil {
+	if err := s.threeZones(ctx, 2); err != nil {
 		return false, err
 	}
 	if s.trouble {
--- a/review/runner/case_reply.go
+++ b/review/runner/case_reply.go
@@ -20,7 +20,7 @@
 // foreignReply: the store is down, and a daemon that passes requests on is killed and starts
 // again. Clients then ask it for the state of jobs that nobody has cancelled.
 func foreignReply(ctx context.Context, s *setting) (bool, error) {
-	if err := s.threeZones(ctx); err != nil {
+	if err := s.threeZones(ctx, 2); err != nil {
 		return false, err
 	}
 	var entry, other *node // the entry owns a shard, so that its jobs wait for another owner
--- a/review/runner/case_withdrawal.go
+++ b/review/runner/case_withdrawal.go
@@ -77,8 +77,8 @@
 	return 0, 0, ctx.Err()
 }
 
-// threeZones starts two daemons and four workers in each of three zones.
-func (s *setting) threeZones(ctx context.Context) error {
+// threeZones starts daemons, perZone in each of three zones, and four workers in each.
+func (s *setting) threeZones(ctx context.Context, perZone int) error {
 	if err := s.begin(ctx, defaultRoute()); err != nil {
 		return err
 	}
@@ -89,13 +89,17 @@
 			}
 		}
 	}
-	return s.startAll(ctx, "casa", "casa", "marrakech", "marrakech", "rabat", "rabat")
+	var zones []string
+	for _, zone := range zoneNames {
+		zones = append(zones, slices.Repeat([]string{zone}, perZone)...)
+	}
+	return s.startAll(ctx, zones...)
 }
 
 // lostWithdrawal: a zone is cut off for a second, and meanwhile a client cancels a job that
 // has tasks there. They must end once the cut has healed.
 func lostWithdrawal(ctx context.Context, s *setting) (bool, error) {
-	if err := s.threeZones(ctx); err != nil {
+	if err := s.threeZones(ctx, 2); err != nil {
 		return false, err
 	}
 	long, zone, err := s.submitWide(ctx, 20*time.Second)
@@ -123,7 +127,7 @@
 // blockedWorker: a zone is cut off for a second, and meanwhile a client cancels a job that
 // has tasks there. Afterwards jobs come as before, and must be done.
 func blockedWorker(ctx context.Context, s *setting) (bool, error) {
-	if err := s.threeZones(ctx); err != nil {
+	if err := s.threeZones(ctx, 2); err != nil {
 		return false, err
 	}
 	cancelled, zone, err := s.submitWide(ctx, 3*time.Second)
--- a/review/runner/client.go
+++ b/review/runner/client.go
@@ -52,6 +52,11 @@
 
 // request sends a request about a job to a daemon and records it with its answer.
 func (s *setting) request(ctx context.Context, n *node, method, id string, body any, timeout time.Duration) reply {
+	return s.requestWith(ctx, s.client, n, method, id, body, timeout)
+}
+
+// requestWith does the same over the channels of the given client.
+func (s *setting) requestWith(ctx context.Context, client *http.Client, n *node, method, id string, body any, timeout time.Duration) reply {
 	var data []byte
 	if body != nil {
 		data, _ = json.Marshal(body) // maps and texts only
@@ -67,7 +72,7 @@
 	req.Host = host
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
-	resp, err := s.client.Do(req)
+	resp, err := client.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
 		var text []byte
@@ -90,6 +95,11 @@
 
 // submit sends a job.
 func (s *setting) submit(ctx context.Context, n *node, j job, timeout time.Duration) reply {
+	return s.submitWith(ctx, s.client, n, j, timeout)
+}
+
+// submitWith does the same over the channels of the given client.
+func (s *setting) submitWith(ctx context.Context, client *http.Client, n *node, j job, timeout time.Duration) reply {
 	spec := map[string]any{"cpu": j.steps[0].CPU, "memMb": j.steps[0].Memory}
 	for k, v := range j.spec {
 		spec[k] = v
@@ -99,7 +109,7 @@
 	if j.bestEffort {
 		body["bestEffort"] = true
 	}
-	return s.request(ctx, n, http.MethodPost, j.id, body, timeout)
+	return s.requestWith(ctx, client, n, http.MethodPost, j.id, body, timeout)
 }
 
 // state asks for the state of a job.
--- a/review/runner/explore.go
+++ b/review/runner/explore.go
@@ -26,7 +26,7 @@
 func explore(ctx context.Context, s *setting) (bool, error) {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64) // 0 without one
 	random := rand.New(rand.NewPCG(seed, 1))
-	if err := s.threeZones(ctx); err != nil {
+	if err := s.threeZones(ctx, 2); err != nil {
 		return false, err
 	}
 	var g errgroup.Group
--- a/review/runner/main.go
+++ b/review/runner/main.go
@@ -27,6 +27,7 @@
 	"two-crashes":     twoCrashes,
 	"lost-withdrawal": lostWithdrawal,
 	"explore":         explore,
+	"thawed-entry":    thawedEntry,
 	"blocked-worker":  blockedWorker,
 	"foreign-reply":   foreignReply,
 	"early-cancel":    earlyCancel,
