--- a/review/runner/main.go
+++ b/review/runner/main.go
@@ -27,6 +27,7 @@
 	"two-crashes":     twoCrashes,
 	"lost-withdrawal": lostWithdrawal,
 	"explore":         explore,
+	"restart-all":     restartAll,
 	"thawed-entry":    thawedEntry,
 	"blocked-worker":  blockedWorker,
 	"foreign-reply":   foreignReply,
