--- a/review/runner/case_cancel.go
+++ b/review/runner/case_cancel.go
@@ -16,14 +16,11 @@
 // clientDeadline is the time budget of the small installations' clients.
 const clientDeadline = 1500 * time.Millisecond
 
-// setStoreDown lets the store turn all calls away, or serve them again.
-func (s *setting) setStoreDown(down bool) {
-	s.record.printf("the store turns all calls away: %v", down)
-	f := fbstandin.RowFaults{DelayMS: storeDelayMS}
-	if down {
-		f.Outage = "busy"
-	}
-	s.store.SetFaults(f)
+// setStore lets the store turn all calls away ("busy"), answer none ("silent") or serve them
+// again (empty).
+func (s *setting) setStore(outage string) {
+	s.record.printf("outage of the store: %q", outage)
+	s.store.SetFaults(fbstandin.RowFaults{DelayMS: storeDelayMS, Outage: outage})
 }
 
 // earlyCancel: while the store is down, a client hands a job in, gets no answer in time, and
@@ -33,7 +30,7 @@
 		return false, err
 	}
 	if s.trouble {
-		s.setStoreDown(true)
+		s.setStore("busy")
 	}
 	up := s.record.now() + outage
 	j := job{
@@ -49,7 +46,7 @@
 		return false, err
 	}
 	if s.trouble {
-		s.setStoreDown(false)
+		s.setStore("")
 	}
 	if !r.accepted() && r.status != http.StatusGone {
 		return false, fmt.Errorf("%w: the cancelling wasn't acknowledged", errPrecondition)
--- a/review/runner/case_reply.go
+++ b/review/runner/case_reply.go
@@ -10,6 +10,10 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// silence is the length of an outage of the store in which it answers nothing, as in the
+// site file.
+const silence = 4200 * time.Millisecond
+
 // shard returns the part of the stored jobs that a job belongs to, as daemons name it.
 func shard(id string) string {
 	h := fnv.New32a()
@@ -64,9 +68,9 @@
 		}
 	}
 	if s.trouble {
-		s.setStoreDown(true)
+		s.setStore("silent")
 	}
-	up := s.record.now() + outage
+	up := s.record.now() + silence
 	if err := sleep(ctx, 200*time.Millisecond); err != nil {
 		return false, err
 	}
@@ -114,7 +118,7 @@
 		return false, err
 	}
 	if s.trouble {
-		s.setStoreDown(false)
+		s.setStore("")
 	}
 	if err := g.Wait(); err != nil {
 		return false, err
