review: cases 1 and 5 within the doses of the site file

Case 5 sent one job in two that can't be done, for 7 s; the site file has a share of 0.0671 for 3.01 s.

--- a/review/runner/case_attempts.go
+++ b/review/runner/case_attempts.go
@@ -8,8 +8,19 @@
 	"time"
 )
 
-// extraAttempt: jobs come that can never be done, and the daemons that give orders to the
-// workers are killed one after the other. A task must not start again after as many runs as allowed have failed.
+// The doses of the disruptions are those of the site file: one job in fifteen can never be
+// done, for 3 s at a time, and one process is killed at a time.
+const (
+	poisonShare  = 15
+	poisonTime   = 3 * time.Second
+	poisonPeriod = 6 * time.Second
+	poisonTimes  = 8
+	killAfter    = 2300 * time.Millisecond // from the first job that can't be done
+)
+
+// extraAttempt: a share of the jobs can never be done, and the daemons that give orders to the
+// workers are killed one after the other. A task must not start again after as many of its
+// runs as allowed have failed.
 func extraAttempt(ctx context.Context, s *setting) (bool, error) {
 	const attempts = 2
 	route := defaultRoute()
@@ -27,21 +38,28 @@
 	if err := s.startAll(ctx, "casa", "casa", "marrakech", "marrakech", "rabat", "rabat"); err != nil {
 		return false, err
 	}
-	for i := range 240 {
-		fails := i%2 == 0
+	begun, kills := s.record.now(), 0
+	for i := 0; s.record.now()-begun < poisonTimes*poisonPeriod; i++ {
+		elapsed := s.record.now() - begun
 		j := job{
-			id: jobID(8, i), spec: map[string]any{"run_ms": 200 + i%7*10, "fail": fails, "spread_ms": 20},
-			steps: []step{{Count: 2, taskDemand: taskDemand{CPU: 1600, Memory: 64}, EstimateMS: 250}},
+			id: jobID(8, i), spec: map[string]any{"run_ms": 100},
+			steps: []step{{Count: 1, taskDemand: taskDemand{CPU: 800, Memory: 64}, EstimateMS: 100}},
+		}
+		if i%poisonShare == 0 && elapsed%poisonPeriod < poisonTime {
+			j.spec = map[string]any{"run_ms": 200, "fail": true, "spread_ms": 20}
+			j.steps = []step{{Count: 8, taskDemand: taskDemand{CPU: 1600, Memory: 64}, EstimateMS: 250}}
 		}
 		n := s.nodes[i%len(s.nodes)]
 		s.group.Go(func() error {
 			s.submit(s.ctx, n, j, patience)
 			return nil
 		})
-		if i%60 == 59 && i/60 < len(zoneNames) && s.trouble {
-			victim := s.ownerOf(zoneNames[i/60])
+		if s.trouble && elapsed >= time.Duration(kills)*poisonPeriod+killAfter {
+			zone := zoneNames[kills%len(zoneNames)]
+			kills++
+			victim := s.ownerOf(zone)
 			if victim == nil {
-				return false, fmt.Errorf("%w: no daemon owns the pool of %s", errPrecondition, zoneNames[i/60])
+				return false, fmt.Errorf("%w: no daemon owns the pool of %s", errPrecondition, zone)
 			}
 			victim.kill()
 			s.group.Go(func() error {
@@ -51,7 +69,7 @@
 				return victim.start()
 			})
 		}
-		if err := sleep(ctx, 30*time.Millisecond); err != nil {
+		if err := sleep(ctx, 7*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
--- a/review/runner/case_thaw.go
+++ b/review/runner/case_thaw.go
@@ -12,6 +12,12 @@
 const (
 	freezeFor  = 3500 * time.Millisecond
 	retransmit = 1300 * time.Millisecond
+	// freezes is how often the machine freezes, freezePeriod the time from one freeze to the next.
+	freezes      = 5
+	freezePeriod = 8 * time.Second
+	// frozenJobs are sent to the machine at the rate of the site's traffic of one zone.
+	frozenJobs   = 30
+	frozenJobGap = 22 * time.Millisecond
 )
 
 // thawedEntry: a machine freezes while clients send best-effort jobs to it. They get no
@@ -22,6 +28,21 @@
 		return false, err
 	}
 	frozen, other := s.nodes[0], s.nodes[len(s.nodes)-1]
+	for round := range freezes {
+		begun := s.record.now()
+		if err := s.sendToFrozen(ctx, frozen, other, round); err != nil {
+			return false, err
+		}
+		if err := sleep(ctx, begun+freezePeriod-s.record.now()); err != nil {
+			return false, err
+		}
+	}
+	return s.twice(), nil
+}
+
+// sendToFrozen freezes a daemon and sends jobs to it, and again to another one if there is no
+// answer.
+func (s *setting) sendToFrozen(ctx context.Context, frozen, other *node, round int) error {
 	if s.trouble {
 		frozen.signal(syscall.SIGSTOP)
 		s.group.Go(func() error {
@@ -30,9 +51,9 @@
 			return nil
 		})
 	}
-	for i := range 90 {
+	for i := range frozenJobs {
 		j := job{
-			id: jobID(21, i), spec: map[string]any{"run_ms": 900}, bestEffort: true,
+			id: jobID(21, round*frozenJobs+i), spec: map[string]any{"run_ms": 900}, bestEffort: true,
 			steps: []step{{Count: 4, taskDemand: taskDemand{CPU: 400, Memory: 64}, EstimateMS: 900}},
 		}
 		s.group.Go(func() error {
@@ -50,12 +71,9 @@
 			}
 			return nil
 		})
-		if err := sleep(ctx, 7*time.Millisecond); err != nil {
-			return false, err
+		if err := sleep(ctx, frozenJobGap); err != nil {
+			return err
 		}
 	}
-	if err := sleep(ctx, 10*time.Second); err != nil {
-		return false, err
-	}
-	return s.twice(), nil
+	return nil
 }
