A resumed daemon doesn't begin jobs whose callers have left

Cause: the daemon took a request's caller as present until the context of the request ended. An HTTP server reads the end of a connection in a goroutine of its own after it has passed the request on. It isn't needed that the control goroutine measures the gap late: FE7005 precedes the offers by 2 to 6 ms. Where the other attempt was in the same pool, the late offer took its task over, and that caller was answered 504.

The control goroutine now asks the kernel whether the caller has closed its connection, right before it submits the job, so that a pause at any point before doesn't matter (package fbconn). After a suspension of any length, requests whose callers have left are cancelled at once. A submission of a stored job is dropped in the same way: the job may have been cancelled elsewhere. FE7018 and callers_left count them.

Not covered: a request that the network holds back beyond its caller's time-out, when the end of the connection follows later.

--- /dev/null
+++ b/fbconn/doc.go
@@ -0,0 +1,2 @@
+// Package fbconn tells whether the other side of a TCP connection has closed it.
+package fbconn
--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -73,6 +73,7 @@
 	for _, p := range n.pools {
 		p.HandleSuspension(now, suspensionWait)
 	}
+	n.cancelDisconnected(now)
 	if gap <= abandonAfter {
 		return
 	}
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -108,7 +108,7 @@
 	coordinator      *fbsched.Coordinator
 	pools            map[filbertford.PoolID]*fbsched.Pool
 	targets          *targetCache
-	pendingAnswers   map[uint64]chan filbertford.WorkloadAnswer
+	pendingAnswers   map[uint64]pendingAnswer
 	ownedShards      map[filbertford.PoolID]*fbshard.Owner
 	pendingStored    map[uint64]*pendingStoredRequest
 	origins          map[uint64]origin // of the requests that wait for a reply of a shard
@@ -142,7 +142,7 @@
 		coordinator:    fbsched.NewCoordinator(dataCentrePool(opts.Member.DataCentre())),
 		pools:          make(map[filbertford.PoolID]*fbsched.Pool),
 		targets:        newTargetCache(deps.Decoder, deps.Log),
-		pendingAnswers: make(map[uint64]chan filbertford.WorkloadAnswer),
+		pendingAnswers: make(map[uint64]pendingAnswer),
 		ownedShards:    make(map[filbertford.PoolID]*fbshard.Owner),
 		pendingStored:  make(map[uint64]*pendingStoredRequest),
 		origins:        make(map[uint64]origin),
@@ -319,13 +319,6 @@
 	}
 }
 
-func (n *Node) deliverAnswer(a fbsched.Answer) {
-	if ch, ok := n.pendingAnswers[a.RequestID]; ok {
-		delete(n.pendingAnswers, a.RequestID)
-		ch <- a.Answer // does not block: the channel is buffered for the one answer
-	}
-}
-
 // Stop starts a graceful shutdown: it reports the daemon as not ready to the load
 // balancer and as draining to the fleet, and returns once the load balancer sends
 // no new connections or the context ends. Requests are still answered.
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -25,6 +25,7 @@
 	answerLatency   tally.Histogram
 	startWait       tally.Histogram
 	largeStartWait  tally.Histogram // of runs that need more than half of their target
+	callersLeft     tally.Counter   // requests that were not submitted, because their callers had left
 	limiter         *fblog.Limiter
 	lastOmissions   time.Duration
 	droppedLines    func() uint64 // number of lines dropped because the output was too slow
@@ -41,7 +42,7 @@
 	return &eventRecorder{
 		log: logger, scope: scope, counters: make(map[fbsched.EventKind]tally.Counter), admissions: make(map[admissionKey]tally.Counter), limiter: fblog.NewLimiter(), droppedLines: droppedLines,
 		answerLatency: scope.Histogram("answer_latency", latencyBuckets), startWait: scope.Histogram("start_wait", latencyBuckets),
-		largeStartWait: scope.Histogram("start_wait_large", latencyBuckets),
+		largeStartWait: scope.Histogram("start_wait_large", latencyBuckets), callersLeft: scope.Counter("callers_left"),
 	}
 }
 
@@ -181,6 +182,13 @@
 	fbevent.NodeSuspended.Log(r.log, "gap_ms", gap.Milliseconds())
 }
 
+func (r *eventRecorder) recordCallerLeft(now time.Duration, job filbertford.JobKey) {
+	r.callersLeft.Inc(1)
+	if r.limiter.Allow(fbevent.CallerLeft.ID(), now) {
+		fbevent.CallerLeft.Log(r.log, "job", job)
+	}
+}
+
 func (r *eventRecorder) recordRenewalFailure(now time.Duration, err error) {
 	if r.limiter.Allow(fbevent.RenewalFailed.ID(), now) {
 		fbevent.RenewalFailed.Log(r.log, "error", err)
--- a/fbnode/stored.go
+++ b/fbnode/stored.go
@@ -65,9 +65,10 @@
 	job       filbertford.JobKey
 }
 
-// Submit stores a job.
-func (n *Node) Submit(ctx context.Context, r filbertford.Route, w filbertford.Workload, timeout time.Duration) filbertford.WorkloadAnswer {
-	reply, sent, ok := n.callShardOwner(ctx, fblink.RequestSubmit, shardOf(w.Key()), r, w, timeout)
+// Submit stores a job. A request that is read after its caller has left is dropped, as in Execute:
+// the job may have been cancelled at another daemon.
+func (n *Node) Submit(ctx context.Context, c filbertford.Caller, r filbertford.Route, w filbertford.Workload, timeout time.Duration) filbertford.WorkloadAnswer {
+	reply, sent, ok := n.callShardOwner(ctx, c, fblink.RequestSubmit, shardOf(w.Key()), r, w, timeout)
 	switch {
 	case ok && reply.Accepted():
 		return filbertford.NewWorkloadAnswer(filbertford.AnswerAccepted, "")
@@ -79,13 +80,13 @@
 
 // State returns the state of a stored job.
 func (n *Node) State(ctx context.Context, r filbertford.Route, key filbertford.JobKey, timeout time.Duration) filbertford.WorkloadAnswer {
-	reply, _, ok := n.callShardOwner(ctx, fblink.RequestState, shardOf(key), r, filbertford.NewWorkload(key, ""), timeout)
+	reply, _, ok := n.callShardOwner(ctx, nil, fblink.RequestState, shardOf(key), r, filbertford.NewWorkload(key, ""), timeout)
 	return stateAnswer(reply, ok)
 }
 
 // Cancel cancels a stored job.
 func (n *Node) Cancel(ctx context.Context, r filbertford.Route, key filbertford.JobKey, timeout time.Duration) filbertford.WorkloadAnswer {
-	reply, _, ok := n.callShardOwner(ctx, fblink.RequestCancel, shardOf(key), r, filbertford.NewWorkload(key, ""), timeout)
+	reply, _, ok := n.callShardOwner(ctx, nil, fblink.RequestCancel, shardOf(key), r, filbertford.NewWorkload(key, ""), timeout)
 	return stateAnswer(reply, ok)
 }
 
@@ -108,7 +109,7 @@
 	var g errgroup.Group
 	for i := range shardCount {
 		g.Go(func() error {
-			reply, _, ok := n.callShardOwner(ctx, fblink.RequestWaiting, shardName(i), r, filbertford.Workload{}, waitingTimeout)
+			reply, _, ok := n.callShardOwner(ctx, nil, fblink.RequestWaiting, shardName(i), r, filbertford.Workload{}, waitingTimeout)
 			if !ok {
 				return eris.Errorf("no reply of the owner of shard %s", shardName(i))
 			}
@@ -128,8 +129,9 @@
 }
 
 // callShardOwner sends a request to the owner of a shard and waits for the reply. It
-// reports whether the request may have been sent, and whether a reply was received.
-func (n *Node) callShardOwner(ctx context.Context, kind fblink.RequestKind, shard filbertford.PoolID, r filbertford.Route, w filbertford.Workload, timeout time.Duration) (reply fblink.StoredJobReply, sent, ok bool) {
+// reports whether the request may have been sent, and whether a reply was received. If
+// the caller isn't nil, the request is sent only if it has not left.
+func (n *Node) callShardOwner(ctx context.Context, c filbertford.Caller, kind fblink.RequestKind, shard filbertford.PoolID, r filbertford.Route, w filbertford.Workload, timeout time.Duration) (reply fblink.StoredJobReply, sent, ok bool) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	if timeout <= 0 {
@@ -140,6 +142,11 @@
 	requestID := n.lastRequestID.Add(1)
 	pending := &pendingStoredRequest{request: fblink.NewStoredJobRequest(requestID, shard, kind, r, w), reply: make(chan fblink.StoredJobReply, 1)}
 	n.post(func(now time.Duration) {
+		if c != nil && c.Disconnected() {
+			n.recorder.recordCallerLeft(now, w.Key())
+			cancel()
+			return
+		}
 		n.pendingStored[requestID] = pending
 		n.sendStoredRequest(now, pending)
 	})
--- a/frontend.go
+++ b/frontend.go
@@ -64,6 +64,13 @@
 // Reason returns the reason of an answer that reports an error.
 func (a WorkloadAnswer) Reason() string { return a.reason }
 
+// Caller is the caller that waits for the answer to a request.
+type Caller interface {
+	// Disconnected reports whether the caller has closed its connection, at the latest when
+	// the daemon has received that from the network. The context of a request ends later.
+	Disconnected() bool
+}
+
 // Frontend answers the requests of callers.
 type Frontend interface {
 	// Routes returns the current routes, nil if none have been read yet.
@@ -78,12 +85,12 @@
 	// must be closed after their request.
 	Stopping() bool
 	// Execute runs a best-effort job and returns its outcome. The job is
-	// cancelled when the context ends. The timeout is how long the caller waits,
-	// 0 if unknown.
-	Execute(ctx context.Context, r Route, w Workload, timeout time.Duration) WorkloadAnswer
-	// Submit stores a job. From then on the job runs to its end, even if the
-	// caller disconnects or the daemon stops.
-	Submit(ctx context.Context, r Route, w Workload, timeout time.Duration) WorkloadAnswer
+	// cancelled when the context ends, and not begun if the caller has left. The
+	// timeout is how long the caller waits, 0 if unknown.
+	Execute(ctx context.Context, c Caller, r Route, w Workload, timeout time.Duration) WorkloadAnswer
+	// Submit stores a job, unless the caller has left before. From then on the job
+	// runs to its end, even if the caller disconnects or the daemon stops.
+	Submit(ctx context.Context, c Caller, r Route, w Workload, timeout time.Duration) WorkloadAnswer
 	// State returns a stored job's state.
 	State(ctx context.Context, r Route, key JobKey, timeout time.Duration) WorkloadAnswer
 	// Cancel cancels a stored job.
