Test of a resumed daemon: requests are sent after the daemon has stopped

The test failed once in six runs of the package beside five busy loops, with the mended code: SIGSTOP acts some milliseconds after it is sent, so that the daemon still took four requests and had them started. Their callers sent the jobs again at once, 0.3 s later, and not after 1.3 s, when the runs of a daemon that isn't heard have ended (the log has them stopped after 0.38 s: "coordinator unreachable").

The test now waits until all threads of the process are stopped.

--- a/cmd/filbertfordnode/resumed_test.go
+++ b/cmd/filbertfordnode/resumed_test.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -20,9 +24,7 @@
 	if f.owner("nordnes") == paused {
 		paused = f.nodes[1] // the pool's owner starts nothing for a while after a pause
 	}
-	if err := paused.command.Process.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
+	f.pause(paused)
 	body := jobBody(1, 1500, true)
 	var left, calls errgroup.Group
 	for i := range jobs {
@@ -48,6 +50,21 @@
 	f.checkNoOverlappingRuns()
 }
 
+// pause stops the process of a daemon and returns when none of its threads runs.
+func (f *fleet) pause(n *node) {
+	f.t.Helper()
+	if err := n.command.Process.Signal(syscall.SIGSTOP); err != nil {
+		f.t.Fatal(err)
+	}
+	f.waitFor("stop of the process", 5*time.Second, func() bool {
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", n.command.Process.Pid))
+		return err == nil && len(threads) > 0 && !slices.ContainsFunc(threads, func(path string) bool {
+			status, err := os.ReadFile(path)
+			return err != nil || !strings.Contains(string(status), "\nState:\tT")
+		})
+	})
+}
+
 // callAndLeave sends a job to a daemon that doesn't answer, and closes the connection.
 func (f *fleet) callAndLeave(n *node, key, body string, timeout time.Duration) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+n.ports["callers"]+"/jobs/"+key, strings.NewReader(body))
