fblink: messages that have waited for a second aren't sent

Found on the related paths of the requests of callers that have left: a daemon that is suspended between the queueing of an offer and its sending sends it when it is resumed, before its coordinator has abandoned the job, and the owner of the pool starts the tasks beside the runs of the daemon to which the caller has sent the job meanwhile.

A message that has waited for more than 1 s now ends the stream, as a full queue does: both sides learn that messages were lost, and what is still to be done is offered again. By then other daemons count the sender as unreachable (0.4 s), and the runs of its jobs end (1.2 s).

--- a/fblink/hub.go
+++ b/fblink/hub.go
@@ -20,6 +20,7 @@
 
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbfleet"
+	"github.com/filbertford/filbertford/fbtimer"
 	"github.com/filbertford/filbertford/fbwire"
 )
 
@@ -31,6 +32,11 @@
 	// the queue is full, the stream is closed, so that both sides are notified
 	// that messages were lost.
 	queueLength = 8192
+	// maxQueueDelay is the longest that a message may wait to be sent, for instance while the
+	// process is suspended. Later, the daemon that it is for may no longer act on it, so that
+	// the stream is closed as if the queue were full. Runs of a daemon that isn't heard last
+	// for 1.2 s.
+	maxQueueDelay = time.Second
 	// maxFrameMessages is the largest number of messages in a frame.
 	maxFrameMessages = 256
 	// dialTimeout is the time that a connection may take to be established.
@@ -73,11 +79,17 @@
 type link struct {
 	hub    *Hub
 	member fbfleet.Member
-	queue  chan Message
+	queue  chan queuedMessage
 	cancel context.CancelFunc
 	redial chan struct{}
 }
 
+// queuedMessage is a message that waits to be sent, and since when.
+type queuedMessage struct {
+	message Message
+	at      time.Duration
+}
+
 // NewHub returns a hub without links.
 func NewHub(self fbfleet.Member, r Receiver) *Hub {
 	return &Hub{self: self, receiver: r, links: make(map[filbertford.NodeID]*link)}
@@ -130,7 +142,7 @@
 // addLink starts a link; the caller holds the lock.
 func (h *Hub) addLink(m fbfleet.Member) {
 	ctx, cancel := context.WithCancel(h.ctx)
-	l := &link{hub: h, member: m, queue: make(chan Message, queueLength), cancel: cancel, redial: make(chan struct{}, 1)}
+	l := &link{hub: h, member: m, queue: make(chan queuedMessage, queueLength), cancel: cancel, redial: make(chan struct{}, 1)}
 	h.links[m.Node()] = l
 	h.group.Go(func() error {
 		l.run(ctx)
@@ -159,7 +171,7 @@
 		return
 	}
 	select {
-	case l.queue <- m:
+	case l.queue <- queuedMessage{message: m, at: fbtimer.SinceBoot()}:
 	default:
 		l.breakStream()
 	}
@@ -233,7 +245,8 @@
 	return err
 }
 
-// sendQueued opens a stream and sends the queued messages until the stream breaks.
+// sendQueued opens a stream and sends the queued messages until the stream breaks or a message
+// has waited for too long.
 func (l *link) sendQueued(ctx context.Context, raw net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -257,7 +270,10 @@
 		case <-l.redial:
 			return
 		case m := <-l.queue:
-			if err := stream.Send(l.nextFrame(m)); err != nil {
+			if fbtimer.SinceBoot()-m.at > maxQueueDelay {
+				return
+			}
+			if err := stream.Send(l.nextFrame(m.message)); err != nil {
 				return
 			}
 		}
@@ -267,8 +283,8 @@
 // nextFrame returns a frame with the message and others that are queued.
 func (l *link) nextFrame(first Message) *fbwire.Frame {
 	f := &fbwire.Frame{}
-	for m := first; ; {
-		w, err := toWire(m)
+	for m := (queuedMessage{message: first}); ; {
+		w, err := toWire(m.message)
 		if err != nil {
 			l.hub.receiver.Malformed(l.hub.self.Node(), err)
 		} else {
