A busy reply of another target ends no run

Reading what gives a run up so soon, one way was left: a target's record is late and names an address that another target has taken. A start that is sent there may be answered 503 or 429 before the target's ID is compared (the code assumed so in one place). The reply's start time then counted as a restart of the known target, its listed runs as ended with it, and their tasks were started again beside them. Its clock replaced that of the known target, so that leases were computed from it.

Such a reply now says only that the start was rejected, unless it comes from the address at which the target has replied before.

--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -177,8 +177,10 @@
 		}
 		return false
 	}
-	if r.Outcome() != filbertford.CallBusy { // a busy target may not have compared the ID
+	if r.Outcome() != filbertford.CallBusy {
 		t.address = address
+	} else if address != t.address {
+		return true // a busy target may not have compared the ID, so that it may be another one
 	}
 	if t.misses >= maxMisses {
 		p.emitEvent(Event{Kind: EventTargetReachable, Target: t.id(), Age: now - t.lastReply})
