A stored job that has ended is withdrawn until its pools know

Cause: the withdrawal of a stored job is sent once, and is lost with its stream. The pool repeats the outcome until it is confirmed, but the coordinator dropped reports about jobs that it didn't have any more.

Withdrawals of stored jobs that have ended in the last 10 s are now repeated to a pool whenever stored jobs are resumed there, on a new stream and at a new owner. A report about an outcome of a job that the coordinator doesn't have is answered with a withdrawal if this daemon owns the job's shard and the shard has no such job, or has recorded its end.

TestWithdrawalDuringCutIsRepeated failed before: six tasks ran 3 s after the cut, and two targets kept three ends each.

--- a/fbnode/fake_stored_test.go
+++ b/fbnode/fake_stored_test.go
@@ -310,6 +310,10 @@
 		if owner := d.shards[shardOf(v.Job)]; owner != nil {
 			owner.MarkStarted(v.Job)
 		}
+	case fbsched.UnknownOutcome:
+		if owner := d.shards[shardOf(v.Job)]; owner != nil && owner.Ended(v.Job) {
+			d.coordinator.HandleEnded(v.Pool, v.Job)
+		}
 	case fbsched.OwnerAccepted:
 		d.sim.logf("%s accepts an owner of %s that it had held", d.name(), v.Pool)
 		d.verifyShards(v.Pool)
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -269,6 +269,10 @@
 		if owner := n.ownedShards[shardOf(v.Job)]; owner != nil {
 			owner.MarkStarted(v.Job)
 		}
+	case fbsched.UnknownOutcome:
+		if owner := n.ownedShards[shardOf(v.Job)]; owner != nil && owner.Ended(v.Job) {
+			n.coordinator.HandleEnded(v.Pool, v.Job)
+		}
 	case fbsched.OwnerAccepted:
 		n.verifyShards(v.Pool)
 	case fbsched.PoolLost:
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -87,6 +87,13 @@
 // stored job.
 type JobStarted struct{ Job filbertford.JobKey }
 
+// UnknownOutcome reports that a pool has reported the outcome of a task of a job that the
+// coordinator doesn't have. If the job is stored and has ended, see Coordinator.HandleEnded.
+type UnknownOutcome struct {
+	Pool filbertford.PoolID
+	Job  filbertford.JobKey
+}
+
 // PoolLost reports that a newer owner of the pool has called one of its targets.
 type PoolLost struct{ Pool filbertford.PoolID }
 
@@ -173,5 +180,6 @@
 func (SendConfirm) action()    {}
 func (RecordOutcome) action()  {}
 func (JobStarted) action()     {}
+func (UnknownOutcome) action() {}
 func (OwnerAccepted) action()  {}
 func (Event) action()          {}
--- a/fbsched/answer.go
+++ b/fbsched/answer.go
@@ -99,6 +99,9 @@
 	delete(c.jobs, key)
 	c.untrackJob(key)
 	if j.stored {
+		if j.hasUndoneTask() {
+			c.recordEnded(key)
+		}
 		c.withdraw(j)
 		return
 	}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -51,8 +51,9 @@
 	queueSequence   float64 // see queueByWait
 	lastOfferNumber uint64
 	attempts        map[filbertford.JobKey]attempt
-	releasedJobs    []filbertford.JobKey // with tasks that evacuated pools have returned
-	releasedAt      time.Duration        // when the last of them was returned
+	endedJobs       map[filbertford.JobKey]time.Duration // until when their withdrawals are repeated
+	releasedJobs    []filbertford.JobKey                 // with tasks that evacuated pools have returned
+	releasedAt      time.Duration                        // when the last of them was returned
 	balancing
 	actions []Action
 }
@@ -142,6 +143,7 @@
 		byRequest: make(map[uint64]*job),
 		pools:     make(map[filbertford.PoolID]*poolView),
 		attempts:  make(map[filbertford.JobKey]attempt),
+		endedJobs: make(map[filbertford.JobKey]time.Duration),
 	}
 }
 
@@ -209,10 +211,11 @@
 	c.resume(now, pool, false)
 }
 
-// ResumeStored does the same as Resume for stored jobs. The daemon must be the owner
-// of their shard.
+// ResumeStored does the same as Resume for stored jobs, and withdraws those that have ended
+// lately again. The daemon must be the owner of their shard.
 func (c *Coordinator) ResumeStored(now time.Duration, pool filbertford.PoolID) {
 	c.resume(now, pool, true)
+	c.withdrawEnded(now, pool)
 }
 
 func (c *Coordinator) resume(now time.Duration, pool filbertford.PoolID, stored bool) {
@@ -255,6 +258,9 @@
 func (c *Coordinator) HandleReport(now time.Duration, r Report) {
 	key := r.Task()
 	j := c.jobs[key.Job()]
+	if j == nil && (r.Status() == StatusDone || r.Status() == StatusFailed) {
+		c.emit(UnknownOutcome{Pool: r.Pool(), Job: key.Job()})
+	}
 	if j == nil || key.Step() >= len(j.steps) || key.Index() >= len(j.steps[key.Step()].tasks) {
 		return
 	}
--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -123,6 +123,7 @@
 	owners := make(map[poolOwner]bool)
 	if j := c.jobs[job]; j != nil {
 		maps.Copy(owners, j.offered)
+		c.recordEnded(job)
 	}
 	delete(c.jobs, job)
 	c.untrackJob(job)
--- a/fbshard/owner.go
+++ b/fbshard/owner.go
@@ -163,6 +163,16 @@
 	}
 }
 
+// Ended reports whether the shard has no job of the key, or one that is recorded as ended. It
+// returns false while the jobs have not been read.
+func (o *Owner) Ended(key filbertford.JobKey) bool {
+	if o.phase != phaseServing || o.malformed[key] {
+		return false
+	}
+	j := o.jobs[key]
+	return j == nil || j.state == StateRemoved || j.state.final() && j.finalCommitted()
+}
+
 // RecordTask stores the progress of a task.
 func (o *Owner) RecordTask(task filbertford.TaskKey, p fbsched.Progress) {
 	j := o.jobs[task.Job()]
