Revert "fblink: messages that have waited for a second aren't sent"

A queue waits for a second where a daemon lacks processor time, too, and there a new stream and the tasks that are offered again on it add load.

--- a/fblink/hub.go
+++ b/fblink/hub.go
@@ -20,7 +20,6 @@
 
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbfleet"
-	"github.com/filbertford/filbertford/fbtimer"
 	"github.com/filbertford/filbertford/fbwire"
 )
 
@@ -32,11 +31,6 @@
 	// the queue is full, the stream is closed, so that both sides are notified
 	// that messages were lost.
 	queueLength = 8192
-	// maxQueueDelay is the longest that a message may wait to be sent, for instance while the
-	// process is suspended. Later, the daemon that it is for may no longer act on it, so that
-	// the stream is closed as if the queue were full. Runs of a daemon that isn't heard last
-	// for 1.2 s.
-	maxQueueDelay = time.Second
 	// maxFrameMessages is the largest number of messages in a frame.
 	maxFrameMessages = 256
 	// dialTimeout is the time that a connection may take to be established.
@@ -79,17 +73,11 @@
 type link struct {
 	hub    *Hub
 	member fbfleet.Member
-	queue  chan queuedMessage
+	queue  chan Message
 	cancel context.CancelFunc
 	redial chan struct{}
 }
 
-// queuedMessage is a message that waits to be sent, and since when.
-type queuedMessage struct {
-	message Message
-	at      time.Duration
-}
-
 // NewHub returns a hub without links.
 func NewHub(self fbfleet.Member, r Receiver) *Hub {
 	return &Hub{self: self, receiver: r, links: make(map[filbertford.NodeID]*link)}
@@ -142,7 +130,7 @@
 // addLink starts a link; the caller holds the lock.
 func (h *Hub) addLink(m fbfleet.Member) {
 	ctx, cancel := context.WithCancel(h.ctx)
-	l := &link{hub: h, member: m, queue: make(chan queuedMessage, queueLength), cancel: cancel, redial: make(chan struct{}, 1)}
+	l := &link{hub: h, member: m, queue: make(chan Message, queueLength), cancel: cancel, redial: make(chan struct{}, 1)}
 	h.links[m.Node()] = l
 	h.group.Go(func() error {
 		l.run(ctx)
@@ -171,7 +159,7 @@
 		return
 	}
 	select {
-	case l.queue <- queuedMessage{message: m, at: fbtimer.SinceBoot()}:
+	case l.queue <- m:
 	default:
 		l.breakStream()
 	}
@@ -245,8 +233,7 @@
 	return err
 }
 
-// sendQueued opens a stream and sends the queued messages until the stream breaks or a message
-// has waited for too long.
+// sendQueued opens a stream and sends the queued messages until the stream breaks.
 func (l *link) sendQueued(ctx context.Context, raw net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -270,10 +257,7 @@
 		case <-l.redial:
 			return
 		case m := <-l.queue:
-			if fbtimer.SinceBoot()-m.at > maxQueueDelay {
-				return
-			}
-			if err := stream.Send(l.nextFrame(m.message)); err != nil {
+			if err := stream.Send(l.nextFrame(m)); err != nil {
 				return
 			}
 		}
@@ -283,8 +267,8 @@
 // nextFrame returns a frame with the message and others that are queued.
 func (l *link) nextFrame(first Message) *fbwire.Frame {
 	f := &fbwire.Frame{}
-	for m := (queuedMessage{message: first}); ; {
-		w, err := toWire(m.message)
+	for m := first; ; {
+		w, err := toWire(m)
 		if err != nil {
 			l.hub.receiver.Malformed(l.hub.self.Node(), err)
 		} else {
