--- a/fbnode/earlier_life_test.go
+++ b/fbnode/earlier_incarnation_test.go
@@ -11,9 +11,9 @@
 	"github.com/filbertford/filbertford/fbshard"
 )
 
-// TestReplyToEarlierLifeAnswersNoRequest guards against the state of one job as the answer about
+// TestReplyToEarlierIncarnationAnswersNoRequest guards against the state of one job as the answer about
 // another: the owner of a shard replies to a request that a daemon sent before it started again.
-func TestReplyToEarlierLifeAnswersNoRequest(t *testing.T) {
+func TestReplyToEarlierIncarnationAnswersNoRequest(t *testing.T) {
 	earlier, later := newRoutesNode(t), newRoutesNode(t)
 	var calls errgroup.Group
 	calls.Go(func() error {
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -155,7 +155,7 @@
 		routes:         newRoutesState(deps.Metrics),
 		eventsWait:     deps.Metrics.Histogram("events_wait", latencyBuckets),
 	}
-	// A reply to a request of an earlier life of the daemon must match none of this one.
+	// A reply to a request of an earlier incarnation of the daemon must match none of this one.
 	n.lastRequestID.Store(rand.Uint64N(math.MaxInt64))
 	n.coordinator.SetScheduling(opts.Scheduling)
 	n.coordinator.SetBalancer(fbbalance.Share{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
--- a/fbnode/stored.go
+++ b/fbnode/stored.go
@@ -56,7 +56,7 @@
 }
 
 // origin is the daemon that sent a request to a shard of this daemon, and that
-// daemon's ID of the request. Earlier versions count their requests from 1 in each life.
+// daemon's ID of the request. Earlier versions count their requests from 1 in each incarnation.
 type origin struct {
 	node      filbertford.NodeID
 	requestID uint64
--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	switch replied := r.StartedAt(); {
-	case replied == 0, r.Outcome() == filbertford.CallRestarted, r.Outcome() == filbertford.CallBusy && address != t.address: // of another target
+	case replied == 0, r.Outcome() == filbertford.CallRestarted, r.Outcome() == filbertford.CallBusy && address != t.address: // of another target, or possibly so
 		if called != t.rec.Instance() && (called.StartedAt() != 0 || t.restarted) {
 			return nil
 		}
