A target whose time of day was set back is asked, not ignored

Cause: start times don't order the instances of a target if its time of day was set back. setTarget dropped each record with a start time below the known one as a late record. An idle target isn't polled, so that no reply showed the new instance either: the capacity (0 in the failing plan), labels and address of the earlier one stayed in force for ever.

Change: a record with another start time than that of the replies, higher or lower, is asked about unless it is known to be of an earlier instance. Until the reply only its address counts. Before, the capacity and labels in a record with a higher time counted at once, and stayed if the reply showed that it was late. If the reply shows the instance of the last read record, that record applies.

--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -35,17 +35,28 @@
 		p.askStartTime(now, t, replied)
 		return nil
 	case replied != t.startedAt:
-		t = p.replaceInstance(now, t, t.rec.WithStartedAt(replied), "reply")
-		t.verifiedAt = sent
+		read := t.read
+		t = p.replaceInstance(now, t, t.recordOf(replied), "reply")
+		t.read, t.verifiedAt = read, sent
 	default:
 		t.verify(sent, address)
 	}
 	return t
 }
 
-// askStartTime polls a target whose record has another start time than its replies. If the time
-// of day was set back between two starts, the record may be that of an earlier instance, so that
-// only a reply ends runs. The target gets no tasks until it replies.
+// recordOf returns the record of the target's instance with the start time, which has replied. If it
+// has not been read yet, that of the known instance stands in for it.
+func (t *target) recordOf(startedAt int64) filbertford.TargetRecord {
+	if t.read.Instance().StartedAt() == startedAt {
+		return t.read.WithAddress(t.rec.Address())
+	}
+	return t.rec.WithStartedAt(startedAt)
+}
+
+// askStartTime polls a target whose record has another start time than its replies. The time of
+// day may have been set back between two starts, so that the times don't show whether the record is
+// that of an earlier instance or a new one: only a reply ends runs. The target gets no tasks until it
+// replies, and nothing but the address in the record counts.
 func (p *Pool) askStartTime(now time.Duration, t *target, startedAt int64) {
 	if t.askedFor == startedAt {
 		return
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -164,15 +164,16 @@
 			rec = rec.WithStartedAt(t.rec.Instance().StartedAt())
 		case t.startedAt == 0:
 			t.startedAt = startedAt
-		case t.isEarlier(startedAt):
-			return // a late record of an earlier instance, or the store has no newer one yet
 		case startedAt == t.startedAt:
-		case t.verifiedAt == 0:
+		case slices.Contains(t.earlier, startedAt):
+			return // a late record of an earlier instance, or the store has no newer one yet
+		case t.verifiedAt == 0 && startedAt > t.startedAt:
 			p.poll(now, p.replaceInstance(now, t, rec, "record"))
 			return
 		default:
 			p.askStartTime(now, t, startedAt)
-			rec = rec.WithStartedAt(t.startedAt)
+			t.rec, t.removed = t.rec.WithAddress(rec.Address()), false
+			return
 		}
 		if rec.Draining() && !t.rec.Draining() {
 			p.emitEvent(Event{Kind: EventTargetDraining, Target: id})
