fbsched: randomised runs in which jobs are withdrawn and offered again within milliseconds

The randomised runs had one coordinator that knew of its own withdrawals only: the announcements to other daemons were dropped by the simulation, and a job came again at the same coordinator. Now a second coordinator hears the announcements, and a fault lets a caller lose its connection and send its job again 0 to 8 ms later to either one, possibly several times, while calls are slow, lost, reset or carried out late. Every 10 ms the runs check that each run that a pool keeps holds other starts of its task back.

--- a/fbsched/overlap_faults_test.go
+++ b/fbsched/overlap_faults_test.go
@@ -62,6 +62,8 @@
 			r.atCoordinator(func() { r.coordinator.CancelRequest(r.now, request) })
 			r.sendAgain(job)
 		}
+	case faultReturn:
+		r.returnJob(f)
 	case faultGiveUp:
 		request := uint64(1 + f.random.IntN(len(r.plan.jobs)))
 		r.atCoordinator(func() { r.coordinator.CancelRequest(r.now, request) })
@@ -189,6 +191,12 @@
 		r.coordinator.Resume(r.now, p.id)
 		r.coordinator.ResumeStored(r.now, p.id)
 	}
+	if r.plan.scenario.peer {
+		r.reconnect(peerNode)
+		for _, p := range r.pools {
+			r.others[peerNode].Resume(r.now, p.id)
+		}
+	}
 }
 
 // dropCoordinator lets the owners notice the loss of the coordinator.
--- a/fbsched/overlap_plan_test.go
+++ b/fbsched/overlap_plan_test.go
@@ -70,6 +70,8 @@
 	// resendAtOnce lets callers whose connection breaks send their jobs again within milliseconds.
 	resendAtOnce bool
 	pools        int
+	// peer adds a second coordinator, for jobs that are withdrawn and offered again.
+	peer bool
 	// unguarded targets start runs beyond their capacity.
 	unguarded bool
 	// stored jobs are kept by their coordinator's successor. Some of their tasks are deadly.
--- a/fbsched/overlap_test.go
+++ b/fbsched/overlap_test.go
@@ -56,6 +56,7 @@
 	jobs         map[uint64]int // by request
 	request      uint64
 	connections  connectionFaults
+	requestNodes map[uint64]filbertford.NodeID // coordinators of the requests, with a peer
 }
 
 // overlapPool is a pool with its newest owner.
@@ -272,6 +273,10 @@
 	}
 	r.flush()
 	r.delivery = r.draw
+	if p.scenario.peer {
+		r.addPeer()
+		r.checkTracked()
+	}
 	if p.prepare != nil {
 		p.prepare(r)
 	}
@@ -338,7 +343,10 @@
 func jobKey(job int) filbertford.JobKey { return filbertford.JobKey(fmt.Sprintf("%016x", job)) }
 
 // send sends a job to the coordinator.
-func (r *overlapRun) send(job int) {
+func (r *overlapRun) send(job int) { r.sendTo(r.node, job) }
+
+// sendTo sends a job to the coordinator or its peer.
+func (r *overlapRun) sendTo(node filbertford.NodeID, job int) {
 	r.request++
 	request, j, key := r.request, r.plan.jobs[job], jobKey(job)
 	r.jobs[request] = job
@@ -350,9 +358,12 @@
 		r.atCoordinator(func() { r.submitStored(key, workload, route) })
 		return
 	}
-	r.atCoordinator(func() {
-		r.tracef("coordinator: request %d of job %s", request, key)
-		r.coordinator.Submit(r.now, request, route, workload, j.timeout)
+	if r.plan.scenario.peer {
+		r.requestNodes[request] = node
+	}
+	r.at(node, func(c *Coordinator) {
+		r.tracef("%s: request %d of job %s", node, request, key)
+		c.Submit(r.now, request, route, workload, j.timeout)
 	})
 }
 
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -77,6 +77,8 @@
 	// linkDown reports whether requests to, or replies from, the target at the address are lost.
 	linkDown func(o *fakeOwner, address string) (request, reply bool)
 	answered func(request uint64, kind filbertford.AnswerKind)
+	// announced is called for the withdrawals that a coordinator announces to the others.
+	announced func(from filbertford.NodeID, w Withdrawal)
 	// fleetAnswered is called for the answers of all coordinators.
 	fleetAnswered func(from filbertford.NodeID, a Answer)
 	// linkDelay returns the delay of messages between a coordinator and an owner, nil for 1 ms.
@@ -399,6 +401,10 @@
 			sim.tracef("%s: withdrawal of %s", o.node, v.Withdrawal.Job())
 			o.pool.Withdraw(sim.now, from, v.Withdrawal.Job())
 		})
+	case AnnounceWithdrawal:
+		if sim.announced != nil {
+			sim.announced(from, v.Withdrawal)
+		}
 	case SendRecall:
 		sim.sendToOwner(from, v.To, func(o *fakeOwner) {
 			if o.pool.Fence() == v.Recall.Fence() {
