--- a/fbsched/late_return_test.go
+++ b/fbsched/late_return_test.go
@@ -50,3 +50,30 @@
 		t.Errorf("reports of the pool: %v, queued tasks: %d, want one return and one task", reports, p.Queued())
 	}
 }
+
+// TestLateExpiryOfEarlierAttemptDoesNotCount guards against a job that is given up because a task of an
+// earlier attempt at it has expired.
+func TestLateExpiryOfEarlierAttemptDoesNotCount(t *testing.T) {
+	c, now, key := NewCoordinator("home"), time.Minute, filbertford.JobKey("00000000000000aa")
+	c.SetOwner(now, "home", "a", 1)
+	c.SetCapacities("home", 1, freePool)
+	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), 3*time.Second)
+	route := filbertford.NewRoute("h", "/p/", "ordering").WithPolicy(0, 3).WithObjective(1.6, 60*time.Millisecond, 0)
+	w := filbertford.NewWorkload(key, "", step).WithBestEffort(true)
+	c.Submit(now, 1, route, w, 8*time.Second)
+	var first Batch
+	for _, a := range c.TakeActions() {
+		if v, ok := a.(SendBatch); ok {
+			first = v.Batch
+		}
+	}
+	c.CancelRequest(now, 1)
+	c.Submit(now, 2, route, w, 8*time.Second)
+	c.TakeActions()
+	c.HandleReport(now, NewReport("home", 1, first.key(0), StatusExpired, 0).WithOfferNumber(first.OfferNumber()))
+	for _, a := range c.TakeActions() {
+		if _, ok := a.(SendWithdrawal); ok {
+			t.Error("the job was withdrawn")
+		}
+	}
+}
