A new owner waits for the target that replied in place of another

A target starts again under its ID at the address of another one, which later takes the first one's old address, and the store carries out a late write of the first one's record. A new owner that reads that record gets a 421 from each of the two addresses and takes both targets for ended. It waited for the target that had replied under the ID that it had called, and dropped that entry when the called one was listed elsewhere. So all known targets counted as listed while nobody had asked the one that ran the task.

The owner now notes the address at which another target replied, until a target at that address is listed, for listTimeout at most. That replaces the entry under the called ID, and holds too where the called target is known elsewhere.

--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -28,6 +28,7 @@
 	if !t.listed && complete {
 		t.listed, t.listedAt, p.capacityChanged = true, now, true
 		delete(p.departed, t.id())
+		delete(p.unlistedAddresses, t.address)
 	}
 	listed := make(map[filbertford.TaskKey]bool, len(r.Running()))
 	for _, s := range r.Running() {
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -170,6 +170,7 @@
 		p.emit(PoolLost{Pool: p.id})
 		return false
 	case filbertford.CallRestarted:
+		p.noteUnlisted(now, t, address)
 		if t.address != "" && address != t.address {
 			p.rejectAddress(now, t, address)
 		} else {
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -90,6 +90,7 @@
 	silentTargets     map[filbertford.TargetID][]filbertford.TaskKey // tasks with a loss that the target's reply would refute
 	endedTargets      map[filbertford.TargetID]endedTarget
 	departed          map[filbertford.TargetID]filbertford.TargetRecord // left the pool before they were listed
+	unlistedAddresses map[string]bool                                   // see noteUnlisted
 	shardOwners       map[filbertford.JobKey]shardOwner                 // of stored jobs
 	queue             queue
 	backfill          *backfill
@@ -172,6 +173,7 @@
 		silentTargets:     make(map[filbertford.TargetID][]filbertford.TaskKey),
 		endedTargets:      make(map[filbertford.TargetID]endedTarget),
 		departed:          make(map[filbertford.TargetID]filbertford.TargetRecord),
+		unlistedAddresses: make(map[string]bool),
 		shardOwners:       make(map[filbertford.JobKey]shardOwner),
 		queue:             newQueue(filbertford.OrderByDeadline),
 		startedJobs:       make(map[filbertford.JobKey]time.Duration),
@@ -348,9 +350,9 @@
 // checkAllListed sets allListed when every target has been listed: from then on, a
 // task without a known run is not running. A target that can't be reached may still
 // execute runs of an earlier owner, even if its record has been removed, unless another
-// target replies at its address.
+// target replies at its address. So may that one.
 func (p *Pool) checkAllListed(now time.Duration) {
-	if p.allListed || len(p.sortedTargets) == 0 || p.departedMayRun(now) {
+	if p.allListed || len(p.sortedTargets) == 0 || p.unlistedMayRun(now) {
 		return
 	}
 	for _, t := range p.sortedTargets {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -114,13 +114,17 @@
 	}
 }
 
-// departedMayRun reports whether a target that left the pool before it was listed may still
-// execute runs: no target that started later has been listed at its address. After listTimeout
-// no task waits for it any more.
-func (p *Pool) departedMayRun(now time.Duration) bool {
+// unlistedMayRun reports whether a target that the pool doesn't know by a record may execute runs of an
+// earlier owner. One that left the pool before it was listed may: no target that started later has been
+// listed at its address. So may one that replied at an address and has not been listed. After
+// listTimeout no task waits for them any more.
+func (p *Pool) unlistedMayRun(now time.Duration) bool {
 	if now-p.createdAt >= listTimeout {
 		return false
 	}
+	if len(p.unlistedAddresses) > 0 {
+		return true
+	}
 	for _, rec := range p.departed {
 		startedAt := rec.Instance().StartedAt()
 		replaced := startedAt != 0 && slices.ContainsFunc(p.sortedTargets, func(t *target) bool {
@@ -133,6 +137,22 @@
 	return false
 }
 
+// noteUnlisted records that another target than the called one replied at the address. An earlier owner
+// may have used it, whatever the records say: one that the store has carried out late names the
+// address of an earlier instance.
+func (p *Pool) noteUnlisted(now time.Duration, called *target, address string) {
+	switch {
+	case now-p.createdAt >= listTimeout:
+	case called.listed && called.address == address: // the one that replied has started since
+	case slices.ContainsFunc(p.sortedTargets, func(t *target) bool { return t.listed && t.address == address }):
+	default:
+		p.unlistedAddresses[address] = true
+		if now-p.createdAt < earlierRunTimeout {
+			p.allListed = false
+		}
+	}
+}
+
 // SetTargets replaces the records of the pool's targets.
 func (p *Pool) SetTargets(now time.Duration, records []filbertford.TargetRecord) {
 	present := make(map[filbertford.TargetID]bool, len(records))
@@ -224,10 +244,7 @@
 	}
 	p.removeTarget(t)
 	p.targetEnded(now, t)
-	// If it was not listed, the one that replied may run tasks of an earlier owner, too.
-	if t.listed {
-		delete(p.departed, t.id())
-	}
+	delete(p.departed, t.id()) // the one that replied is waited for instead, see noteUnlisted
 	p.emitEvent(Event{Kind: EventTargetRemoved, Target: t.id(), Started: t.startedAt, Reason: "another target replied at its address"})
 }
 
