Stored tasks leave a pool that has no target for them any more

Cause: a pool never gave up a waiting task of a stored job that none of its targets could hold, and accepted offers of such tasks. A coordinator chooses pools by free CPU and backlog, and learned nothing from tasks that don't start.

Change: after a second a pool returns such tasks with the status "unfit", by the path of evacuated pools: no run of them can be executing, and the report counts only as the answer to the last offer. It returns further offers of such tasks at once. The coordinator offers the tasks to other pools, and one task with this requirement each two seconds to the pool that could hold none. If no pool can hold them, they wait at the coordinator. The pool checks every 250 ms, once for each requirement that waits. Reports of capacity don't change.

--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -31,7 +31,7 @@
 	EvacuationRejected    = errorEvent("FE7073", "row of an evacuation is malformed; ignoring it")
 	EvacuationUnknown     = errorEvent("FE7074", "evacuation of an unknown data centre; it has no effect")
 	EvacuationsUnanswered = warnEvent("FE7075", "neither the store nor another daemon tells of evacuations; starting tasks")
-	TaskReleased          = infoEvent("FE7076", "task returned to its coordinator, because its pool is evacuated")
+	TaskReleased          = infoEvent("FE7076", "task returned to its coordinator: its pool is evacuated, or no target there can hold it")
 	TargetAdded           = infoEvent("FE7041", "target added to a pool")
 	TargetRemoved         = infoEvent("FE7042", "target's record was removed, or the target restarted")
 	TargetDraining        = infoEvent("FE7043", "target accepts no new tasks")
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -52,7 +52,9 @@
 	lastOfferNumber uint64
 	attempts        map[filbertford.JobKey]attempt
 	endedJobs       map[filbertford.JobKey]time.Duration // until when their withdrawals are repeated
-	releasedJobs    []filbertford.JobKey                 // with tasks that evacuated pools have returned
+	unfit           map[poolRequirement]unfitPool        // pools that could not hold tasks
+	nextUnfitCheck  time.Duration                        // see forgetUnfit
+	releasedJobs    []filbertford.JobKey                 // with tasks that pools have released
 	releasedAt      time.Duration                        // when the last of them was returned
 	balancing
 	actions []Action
@@ -142,6 +144,7 @@
 		jobs:      make(map[filbertford.JobKey]*job),
 		byRequest: make(map[uint64]*job),
 		pools:     make(map[filbertford.PoolID]*poolView),
+		unfit:     make(map[poolRequirement]unfitPool),
 		attempts:  make(map[filbertford.JobKey]attempt),
 		endedJobs: make(map[filbertford.JobKey]time.Duration),
 	}
@@ -266,7 +269,7 @@
 	}
 	step := &j.steps[key.Step()]
 	t := &step.tasks[key.Index()]
-	if r.Status() == StatusReleased && t.search != nil {
+	if r.Status().releases() && t.search != nil {
 		return // the pool has been offered the task again since
 	}
 	if t.search != nil && !c.resolveSearch(now, j, t, r) {
@@ -297,6 +300,7 @@
 	switch r.Status() {
 	case StatusStarted:
 		t.target = r.Target()
+		c.taskFits(j, key.Step(), r.Pool())
 		if j.stored && !j.startReported && r.Target() != "" {
 			j.startReported = true
 			c.emit(JobStarted{Job: key.Job()})
@@ -339,6 +343,8 @@
 		c.abandon(now, j, "no target for a task in time")
 	case StatusReleased:
 		c.taskReleased(now, j, t)
+	case StatusUnfit:
+		c.taskUnfit(now, j, key.Step(), t)
 	case StatusReturned:
 		if t.resumed {
 			return // it answers an earlier offer: a pool keeps a task that may have been started
@@ -382,6 +388,7 @@
 		}
 	}
 	c.leaveQueues(now)
+	c.forgetUnfit(now)
 	c.placeWaiting(now)
 	c.endMoves(now)
 	c.Rebalance(now)
--- a/fbsched/evacuation.go
+++ b/fbsched/evacuation.go
@@ -39,10 +39,15 @@
 // releaseWaiting returns the waiting tasks of which no run can be executing. The others
 // follow when that is certain.
 func (p *Pool) releaseWaiting(now time.Duration) {
+	p.releaseWhere(now, StatusReleased, func(*task) bool { return true })
+}
+
+// releaseWhere returns the waiting tasks that match and of which no run can be executing, with the status.
+func (p *Pool) releaseWhere(now time.Duration, status Status, match func(*task) bool) {
 	released := false
 	for _, t := range slices.Clone(p.queue.tasks) {
-		if p.releasable(now, t) {
-			p.release(now, t)
+		if match(t) && p.releasable(now, t) {
+			p.release(now, t, status)
 			released = true
 		}
 	}
@@ -65,15 +70,15 @@
 	return p.earlierRunsEnded(now, t)
 }
 
-// release returns a waiting task to its coordinator.
-func (p *Pool) release(now time.Duration, t *task) {
+// release returns a waiting task to its coordinator with the status.
+func (p *Pool) release(now time.Duration, t *task, status Status) {
 	delete(p.tasks, t.key)
-	p.emitEvent(Event{Kind: EventTaskReleased, Task: t.key, Fence: p.fence, Age: now - t.queuedAt})
+	p.emitEvent(Event{Kind: EventTaskReleased, Task: t.key, Fence: p.fence, Reason: string(status), Age: now - t.queuedAt})
 	if t.batch.offerNumber == 0 {
 		p.returnTask(t, StatusReturned)
 		return
 	}
-	r := NewReport(p.id, p.fence, t.key, StatusReleased, t.failures).WithCrashes(p.crashesOf(t.key)).
+	r := NewReport(p.id, p.fence, t.key, status, t.failures).WithCrashes(p.crashesOf(t.key)).
 		WithStarted(t.started || t.resume).WithOfferNumber(t.batch.offerNumber)
 	p.emit(SendReport{To: t.coordinator, Report: r})
 }
@@ -113,23 +118,27 @@
 	return evacuated
 }
 
-// taskReleased handles that a pool has returned a task because it is evacuated. The task
-// is offered to another pool with the next actions, together with others that are
-// returned at the same time.
+// taskReleased handles that a pool has returned a task because it is evacuated.
 func (c *Coordinator) taskReleased(now time.Duration, j *job, t *taskState) {
+	c.pools[t.pool].releases = true
+	c.takeBack(now, j, t)
+}
+
+// takeBack takes a task from the pool that has released it. The task is offered to another pool with
+// the next actions, together with others that are returned at the same time.
+func (c *Coordinator) takeBack(now time.Duration, j *job, t *taskState) {
 	pool := t.pool
 	if j.stored && !slices.Contains(t.releasedBy, pool) {
 		t.releasedBy = append(t.releasedBy, pool)
 	}
 	t.pool, t.target, t.resumed = "", "", false
-	c.pools[pool].releases = true
 	c.releasedAt = now
 	if key := j.workload.Key(); !slices.Contains(c.releasedJobs, key) {
 		c.releasedJobs = append(c.releasedJobs, key)
 	}
 }
 
-// placeReleased offers the tasks of the jobs that evacuated pools have returned.
+// placeReleased offers the tasks of the jobs that pools have released.
 func (c *Coordinator) placeReleased() {
 	for _, key := range c.releasedJobs {
 		if j := c.jobs[key]; j != nil {
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -294,12 +294,18 @@
 	// the offer whose number the report has, and that no run of it can be executing. Unlike
 	// StatusReturned it holds for a task that was offered with resume.
 	StatusReleased Status = "released"
+	// StatusUnfit means the same as StatusReleased, and that none of the pool's targets could hold the
+	// task even if nothing else ran there.
+	StatusUnfit Status = "unfit"
 	// StatusAbsent means that the task, offered in a search, is not in the pool.
 	StatusAbsent Status = "absent"
 	// StatusReassigned means that another coordinator has since offered the task.
 	StatusReassigned Status = "taken"
 )
 
+// releases reports whether the status answers the offer whose number the report has.
+func (s Status) releases() bool { return s == StatusReleased || s == StatusUnfit }
+
 // Report is the status of a task, which a pool sends to the task's coordinator.
 type Report struct {
 	pool     filbertford.PoolID
@@ -349,8 +355,8 @@
 func (r Report) OfferNumber() uint64 { return r.offer }
 
 // answersOffer reports whether the report answers one offer only. Owners of an earlier version state
-// the number in StatusReleased only.
-func (r Report) answersOffer() bool { return r.status == StatusReleased || r.offer != 0 }
+// the number only if the status releases the task.
+func (r Report) answersOffer() bool { return r.status.releases() || r.offer != 0 }
 
 // Target returns the target of the run that was started or, in a report that the task is
 // retried, the one that has crashed under it. It is empty in other reports.
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -79,6 +79,10 @@
 		p.finishSearch(now, t)
 		return
 	}
+	if p.unfit(now, t) && p.releasable(now, t) {
+		p.release(now, t, StatusUnfit)
+		return
+	}
 	p.enqueue(t)
 }
 
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -114,10 +114,20 @@
 	step, service := j.workload.Steps()[number], j.route.Service()
 	cpu := max(1, step.Demand().CPU())
 	maxFactor := c.maxFactor(now, j, step)
+	required := requirementOf(service, step)
 	var candidates []candidate
+	var parts []part
 	for _, id := range c.poolIDs() {
 		v := c.pools[id]
-		if !v.accepts() || !c.mayUse(now, j, id) {
+		if n == 0 || !v.accepts() || !c.mayUse(now, j, id) {
+			continue
+		}
+		switch c.fitnessOf(now, id, required, j.stored) {
+		case fitNone:
+			continue
+		case fitProbe:
+			parts = append(parts, part{pool: id, tasks: 1})
+			n--
 			continue
 		}
 		capacity := v.capacities[service]
@@ -130,8 +140,8 @@
 		}
 		candidates = append(candidates, k)
 	}
-	if len(candidates) == 0 {
-		return nil
+	if n == 0 || len(candidates) == 0 {
+		return parts
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
@@ -140,7 +150,6 @@
 			cmp.Compare(b.fits, a.fits),
 		)
 	})
-	var parts []part
 	for _, k := range candidates {
 		fits := min(n, k.fits)
 		if fits == 0 {
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -105,6 +105,8 @@
 	surveyFrom        time.Duration // calls that were sent before don't count for the survey
 	dispatchDue       bool          // a queued task may be able to start
 	nextLossCheck     time.Duration // see tickLosses
+	unmet             map[requirement]unmetRequirement
+	nextUnmetCheck    time.Duration // see tickUnmet
 	startsHeldUntil   time.Duration
 	suspendedUntil    time.Duration // see HandleSuspension
 	capacityChanged   bool
@@ -176,6 +178,7 @@
 		unlistedAddresses: make(map[string]bool),
 		shardOwners:       make(map[filbertford.JobKey]shardOwner),
 		queue:             newQueue(filbertford.OrderByDeadline),
+		unmet:             make(map[requirement]unmetRequirement),
 		startedJobs:       make(map[filbertford.JobKey]time.Duration),
 		kindFactors:       newKindFactors(),
 		roundTrips:        newRoundTrips(),
@@ -340,6 +343,7 @@
 	p.checkSurveyed(now)
 	p.tickStored(now)
 	p.tickLosses(now)
+	p.tickUnmet(now)
 	p.forgetStartedJobs(now)
 	p.tickRamp(now)
 	p.dispatch(now)
