Failed runs of several owners are counted by run number

The next owner took the higher of the coordinator's number of failed runs and of the number of failed ends in its targets' lists, which are ends of different runs. Besides, it compared the number with the attempts only when a run of its own failed, a failed end that was found while its task waited didn't count, and failed ends that were found were acknowledged at once.

The number of failed runs now says up to which run number it goes, in reports, batches, confirmations and rows. A pool counts a found end with a higher number, and each run once. A task whose attempts are used up is reported as failed instead of started, and found failed ends of stored jobs are kept by their targets until they are recorded, for 20 s at most, as those of done runs are. Messages and rows of earlier versions have no run number; for them the earlier rule remains, which never counts a run twice.

--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -289,10 +289,10 @@
 		Fence: b.Fence(), OrphanedUs: uint64(max(0, b.OwnerSilence()).Microseconds()),
 		Durable: b.Stored(), Search: b.Search(), Keeper: b.ShardFence(), Step: stepToWire(s), Offer: b.OfferNumber(),
 	}
-	anyFailures, anyCrashes, anyTargets := false, false, false
+	anyFailures, anyRuns, anyCrashes, anyTargets := false, false, false, false
 	for _, i := range b.Items() {
 		w.Indexes = append(w.Indexes, uint32(i.Index()))
-		anyFailures = anyFailures || i.Failures() > 0
+		anyFailures, anyRuns = anyFailures || i.Failures() > 0, anyRuns || i.FailedRun() > 0
 		anyCrashes = anyCrashes || i.Crashes() > 0
 		anyTargets = anyTargets || i.Target() != ""
 	}
@@ -306,6 +306,11 @@
 			w.Failures = append(w.Failures, uint32(i.Failures()))
 		}
 	}
+	if anyRuns {
+		for _, i := range b.Items() {
+			w.FailedRuns = append(w.FailedRuns, i.FailedRun())
+		}
+	}
 	if anyCrashes {
 		for _, i := range b.Items() {
 			w.Crashes = append(w.Crashes, uint32(i.Crashes()))
@@ -323,6 +328,9 @@
 			failures = int(w.GetFailures()[i])
 		}
 		items[i] = fbsched.NewItem(int(index), failures)
+		if i < len(w.GetFailedRuns()) {
+			items[i] = items[i].WithFailedRun(w.GetFailedRuns()[i])
+		}
 		if i < len(w.GetCrashes()) {
 			items[i] = items[i].WithCrashes(int(w.GetCrashes()[i]))
 		}
@@ -346,14 +354,14 @@
 	return &fbwire.Report{
 		Pool: string(r.Pool()), Job: string(k.Job()), Occurrence: uint32(k.Occurrence()), Step: uint32(k.Step()),
 		Index: uint32(k.Index()), Verdict: string(r.Status()), Failures: uint32(r.Failures()), Fence: r.Fence(),
-		Started: r.Started(), Target: string(r.Target()), Crashes: uint32(r.Crashes()), Offer: r.OfferNumber(),
+		Started: r.Started(), Target: string(r.Target()), Crashes: uint32(r.Crashes()), Offer: r.OfferNumber(), FailedRun: r.FailedRun(),
 	}
 }
 
 func reportFromWire(w *fbwire.Report) fbsched.Report {
 	key := filbertford.NewTaskKey(filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetStep()), int(w.GetIndex()))
 	return fbsched.NewReport(filbertford.PoolID(w.GetPool()), w.GetFence(), key, fbsched.Status(w.GetVerdict()), int(w.GetFailures())).WithStarted(w.GetStarted()).
-		WithTarget(filbertford.TargetID(w.GetTarget())).WithCrashes(int(w.GetCrashes())).WithOfferNumber(w.GetOffer())
+		WithTarget(filbertford.TargetID(w.GetTarget())).WithCrashes(int(w.GetCrashes())).WithOfferNumber(w.GetOffer()).WithFailedRun(w.GetFailedRun())
 }
 
 func stepToWire(s filbertford.Step) *fbwire.Step {
@@ -382,13 +390,13 @@
 	k := c.Task()
 	return &fbwire.Confirm{
 		Pool: string(c.Pool()), Job: string(k.Job()), Occurrence: uint32(k.Occurrence()), Step: uint32(k.Step()), Index: uint32(k.Index()),
-		Done: c.Done(), Failures: uint32(c.Failures()), Crashes: uint32(c.Crashes()),
+		Done: c.Done(), Failures: uint32(c.Failures()), Crashes: uint32(c.Crashes()), FailedRun: c.FailedRun(),
 	}
 }
 
 func confirmFromWire(w *fbwire.Confirm) fbsched.Confirm {
 	key := filbertford.NewTaskKey(filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetStep()), int(w.GetIndex()))
-	return fbsched.NewConfirm(filbertford.PoolID(w.GetPool()), key, w.GetDone(), int(w.GetFailures())).WithCrashes(int(w.GetCrashes()))
+	return fbsched.NewConfirm(filbertford.PoolID(w.GetPool()), key, w.GetDone(), int(w.GetFailures())).WithCrashes(int(w.GetCrashes())).WithFailedRun(w.GetFailedRun())
 }
 
 func storedJobRequestToWire(r StoredJobRequest) *fbwire.StoredRequest {
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -122,7 +122,7 @@
 	}
 	for _, i := range b.Items() {
 		key := filbertford.NewTaskKey(b.Job(), b.Occurrence(), b.StepNumber(), i.Index())
-		r := fbsched.NewReport(b.Pool(), b.Fence(), key, fbsched.StatusReturned, i.Failures())
+		r := fbsched.NewReport(b.Pool(), b.Fence(), key, fbsched.StatusReturned, i.Failures()).WithFailedRun(i.FailedRun())
 		n.hub.Send(to, r.WithOfferNumber(b.OfferNumber()))
 	}
 }
--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -196,7 +196,7 @@
 	if t == nil || p.giveUp(now, t) || losses.excessive() {
 		return
 	}
-	r := NewReport(p.id, p.fence, key, StatusRetried, t.failures).WithCrashes(losses.crashes()).WithStarted(true)
+	r := NewReport(p.id, p.fence, key, StatusRetried, t.failures.failed.count).WithFailedRun(t.failures.failed.last).WithCrashes(losses.crashes()).WithStarted(true)
 	if l.state == lossCrashed {
 		r = r.WithTarget(l.target)
 	}
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -317,9 +317,9 @@
 
 // nextRunNumber returns the number of the next run of a task. Runs of stored jobs have
 // odd numbers, so that an owner can distinguish them from runs of best-effort jobs that it
-// finds on a target.
+// finds on a target. The number is above those of the failed runs, which are counted up to a number.
 func (p *Pool) nextRunNumber(now time.Duration, t *task) uint64 {
-	n := max(p.runNumbers[t.key]+1, 2*uint64(p.wallOffset+now.Milliseconds()))
+	n := max(p.runNumbers[t.key]+1, t.failures.failed.last+1, 2*uint64(p.wallOffset+now.Milliseconds()))
 	if isStoredRun(n) != t.batch.stored {
 		n++
 	}
--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -133,9 +133,6 @@
 	p.releaseRun(r)
 	task := r.task
 	p.emitEvent(Event{Kind: EventRunEnded, Task: e.Task(), Target: t.id(), Run: e.Run(), Reason: string(e.Outcome()), Age: now - r.startedAt})
-	if task != nil && task.batch.stored {
-		t.trackOutcome(e, task.failures)
-	}
 	if task == nil {
 		p.observeRun(now, t, r, e.Outcome(), listedClock)
 		if !r.stopWanted || isStoredRun(r.number) {
@@ -145,10 +142,11 @@
 	}
 	switch e.Outcome() {
 	case filbertford.RunDone:
+		t.trackOutcome(e, task)
 		p.observeRun(now, t, r, e.Outcome(), listedClock)
 		p.finishTask(now, task, StatusDone)
 	case filbertford.RunFailed:
-		p.taskFailed(now, t, task)
+		p.taskFailed(now, t, task, e)
 	default:
 		p.requeueTask(now, task, string(e.Outcome()))
 	}
@@ -160,7 +158,7 @@
 func (p *Pool) inheritedRunEnded(now time.Duration, t *target, e filbertford.EndedRun) {
 	p.runNumbers[e.Task()] = max(p.runNumbers[e.Task()], e.Run())
 	if e.Outcome() == filbertford.RunFailed {
-		p.inheritedFailures[e.Task()]++
+		p.inheritFailure(now, t, e)
 	}
 	if e.Outcome() != filbertford.RunDone {
 		return
@@ -176,9 +174,7 @@
 		return
 	}
 	if waiting.run == nil {
-		if waiting.batch.stored {
-			t.trackOutcome(e, 0)
-		}
+		t.trackOutcome(e, waiting)
 		p.dequeue(waiting)
 		p.emitEvent(Event{Kind: EventRunEnded, Task: e.Task(), Target: t.id(), Run: e.Run(), Reason: string(e.Outcome())})
 		p.finishTask(now, waiting, StatusDone)
@@ -186,27 +182,24 @@
 }
 
 // taskFailed handles a failed run of a task: it retries the task or ends it as failed.
-func (p *Pool) taskFailed(now time.Duration, t *target, task *task) {
-	task.failures++
+func (p *Pool) taskFailed(now time.Duration, t *target, task *task, e filbertford.EndedRun) {
+	task.failures.add(e.Run(), false)
+	t.trackOutcome(e, task)
 	p.attributeFailure(now, t, task)
 	task.avoid = append(task.avoid, t.id())
-	if task.failures >= task.batch.attempts {
+	if task.attemptsUsed() {
 		p.finishTask(now, task, StatusFailed)
 		return
 	}
-	if task.batch.stored {
-		p.report(task.coordinator, task.key, StatusRetried, task.failures)
-	}
+	p.reportFailures(task)
 	p.requeueTask(now, task, "failed")
 }
 
-// trackOutcome adds an outcome that must be recorded before the target may discard it.
-func (t *target) trackOutcome(e filbertford.EndedRun, failures int) {
-	switch e.Outcome() {
-	case filbertford.RunDone:
-		t.unconfirmed[e.Sequence()] = Confirm{task: e.Task(), done: true}
-	case filbertford.RunFailed:
-		t.unconfirmed[e.Sequence()] = Confirm{task: e.Task(), failures: failures + 1}
+// trackOutcome adds an outcome of a stored job's task that must be recorded before the target may discard it.
+// A failed run is counted.
+func (t *target) trackOutcome(e filbertford.EndedRun, task *task) {
+	if task.batch.stored {
+		t.unconfirmed[e.Sequence()] = Confirm{task: e.Task(), done: e.Outcome() == filbertford.RunDone, failed: task.failures.failed}
 	}
 }
 
@@ -214,11 +207,11 @@
 // any.
 func (t *target) confirm(c Confirm) bool {
 	n := len(t.unconfirmed) + len(t.unclaimed)
-	if c.done {
-		maps.DeleteFunc(t.unclaimed, func(_ uint64, o unclaimedOutcome) bool { return o.task == c.task })
-	}
+	maps.DeleteFunc(t.unclaimed, func(_ uint64, o unclaimedOutcome) bool {
+		return o.task == c.task && (c.done || o.failedRun != 0 && o.failedRun <= c.failed.last)
+	})
 	for sequence, u := range t.unconfirmed {
-		if u.task == c.task && (c.done || !u.done && u.failures <= c.failures) {
+		if u.task == c.task && (c.done || !u.done && u.failed.count <= c.failed.count) {
 			delete(t.unconfirmed, sequence)
 		}
 	}
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -8,14 +8,22 @@
 
 // Item is a task of a batch.
 type Item struct {
-	index    int
-	failures int
-	crashes  int
-	target   filbertford.TargetID
+	index   int
+	failed  failedRuns
+	crashes int
+	target  filbertford.TargetID
 }
 
 // NewItem returns the task with the given index and number of failed runs so far.
-func NewItem(index, failures int) Item { return Item{index: index, failures: failures} }
+func NewItem(index, failures int) Item {
+	return Item{index: index, failed: failedRuns{count: failures}}
+}
+
+// WithFailedRun returns a copy of i whose failed runs are those with numbers up to the given one.
+func (i Item) WithFailedRun(number uint64) Item {
+	i.failed.last = number
+	return i
+}
 
 // WithCrashes returns a copy of i for a task under which so many targets have crashed.
 func (i Item) WithCrashes(n int) Item {
@@ -40,7 +48,10 @@
 func (i Item) Index() int { return i.index }
 
 // Failures returns how many runs of the task have failed so far.
-func (i Item) Failures() int { return i.failures }
+func (i Item) Failures() int { return i.failed.count }
+
+// FailedRun returns the highest run number up to which failed runs are counted, 0 if unknown.
+func (i Item) FailedRun() uint64 { return i.failed.last }
 
 // Batch is a set of tasks of one step that a coordinator offers to a pool.
 type Batch struct {
@@ -236,17 +247,23 @@
 // Confirm is the confirmation, sent to a pool, that the outcome of a task of a stored
 // job, or the number of its failed runs, is recorded.
 type Confirm struct {
-	pool     filbertford.PoolID
-	task     filbertford.TaskKey
-	done     bool
-	failures int
-	crashes  int
+	pool    filbertford.PoolID
+	task    filbertford.TaskKey
+	done    bool
+	failed  failedRuns
+	crashes int
 }
 
 // NewConfirm returns the confirmation that a task is recorded as done, or with the
 // number of its failed runs so far.
 func NewConfirm(pool filbertford.PoolID, task filbertford.TaskKey, done bool, failures int) Confirm {
-	return Confirm{pool: pool, task: task, done: done, failures: failures}
+	return Confirm{pool: pool, task: task, done: done, failed: failedRuns{count: failures}}
+}
+
+// WithFailedRun returns a copy of c whose failed runs are those with numbers up to the given one.
+func (c Confirm) WithFailedRun(number uint64) Confirm {
+	c.failed.last = number
+	return c
 }
 
 // Pool returns the pool.
@@ -265,7 +282,10 @@
 }
 
 // Failures returns how many failed runs are recorded.
-func (c Confirm) Failures() int { return c.failures }
+func (c Confirm) Failures() int { return c.failed.count }
+
+// FailedRun returns the highest run number up to which failed runs are recorded, 0 if unknown.
+func (c Confirm) FailedRun() uint64 { return c.failed.last }
 
 // Crashes returns how many crashes of targets under the task are recorded.
 func (c Confirm) Crashes() int { return c.crashes }
@@ -308,21 +328,27 @@
 
 // Report is the status of a task, which a pool sends to the task's coordinator.
 type Report struct {
-	pool     filbertford.PoolID
-	fence    uint64
-	task     filbertford.TaskKey
-	status   Status
-	failures int
-	crashes  int
-	started  bool
-	target   filbertford.TargetID
-	offer    uint64
+	pool    filbertford.PoolID
+	fence   uint64
+	task    filbertford.TaskKey
+	status  Status
+	failed  failedRuns
+	crashes int
+	started bool
+	target  filbertford.TargetID
+	offer   uint64
 }
 
 // NewReport returns a report on the task from the pool's owner with the fencing
 // token.
 func NewReport(pool filbertford.PoolID, fence uint64, task filbertford.TaskKey, status Status, failures int) Report {
-	return Report{pool: pool, fence: fence, task: task, status: status, failures: failures}
+	return Report{pool: pool, fence: fence, task: task, status: status, failed: failedRuns{count: failures}}
+}
+
+// WithFailedRun returns a copy of r whose failed runs are those with numbers up to the given one.
+func (r Report) WithFailedRun(number uint64) Report {
+	r.failed.last = number
+	return r
 }
 
 // WithCrashes returns a copy of r for a task under which so many targets have crashed.
@@ -378,7 +404,10 @@
 func (r Report) Status() Status { return r.status }
 
 // Failures returns how many runs of the task have failed.
-func (r Report) Failures() int { return r.failures }
+func (r Report) Failures() int { return r.failed.count }
+
+// FailedRun returns the highest run number up to which failed runs are counted, 0 if unknown.
+func (r Report) FailedRun() uint64 { return r.failed.last }
 
 // Crashes returns how many targets have crashed under the task.
 func (r Report) Crashes() int { return r.crashes }
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -18,7 +18,8 @@
 	}
 	if p.rejectsDemand(&b) {
 		for _, item := range b.items {
-			p.emit(SendReport{To: from, Report: NewReport(p.id, p.fence, b.key(item.index), StatusReturned, item.failures).WithOfferNumber(b.offerNumber)})
+			r := NewReport(p.id, p.fence, b.key(item.index), StatusReturned, item.failed.count).WithFailedRun(item.failed.last)
+			p.emit(SendReport{To: from, Report: r.WithOfferNumber(b.offerNumber)})
 		}
 		return
 	}
@@ -53,7 +54,7 @@
 	if outcome, ok := p.outcomes[key]; ok && (b.resume || b.stored) {
 		outcome.coordinator = from
 		p.outcomes[key] = outcome
-		p.report(from, key, outcome.status, max(outcome.failures, item.failures))
+		p.report(from, key, outcome.status, outcome.failed.merge(item.failed))
 		return
 	}
 	if t, ok := p.tasks[key]; ok {
@@ -61,17 +62,29 @@
 		return
 	}
 	t := &task{
-		key: key, coordinator: from, batch: b, failures: item.failures,
+		key: key, coordinator: from, batch: b, failures: newFailureCounter(item.failed),
 		deadline: now + b.timeout, queuedAt: now, search: b.search,
 	}
 	if b.resume {
 		t.resumeFrom(now, b, item)
 	}
 	t.setDue(now + b.due)
-	t.failures = max(t.failures, p.inheritedFailures[key])
+	inherited := p.inheritedFailures[key].numbers
+	for _, number := range inherited {
+		t.failures.add(number, true)
+	}
 	p.inheritLosses(now, key, b.resume, item)
 	p.tasks[key] = t
-	if r, ok := p.activeRuns[key]; ok && r.adoptable() {
+	r, running := p.activeRuns[key]
+	running = running && r.adoptable()
+	if !running && t.attemptsUsed() {
+		p.finishTask(now, t, StatusFailed)
+		return
+	}
+	if len(inherited) > 0 {
+		p.reportFailures(t)
+	}
+	if running {
 		p.adopt(now, t, r)
 		return
 	}
@@ -90,7 +103,7 @@
 // it now.
 func (p *Pool) reassign(now time.Duration, t *task, from filbertford.NodeID, b *Batch, item Item) {
 	if t.coordinator != from && t.coordinatorUnreachableAt == 0 {
-		p.report(t.coordinator, t.key, StatusReassigned, t.failures)
+		p.report(t.coordinator, t.key, StatusReassigned, t.failures.failed)
 	}
 	t.coordinator, t.batch, t.coordinatorUnreachableAt, t.reofferBy = from, b, 0, 0
 	switch {
--- a/fbsched/outcome.go
+++ b/fbsched/outcome.go
@@ -39,7 +39,7 @@
 // HandleConfirm handles the confirmation that the outcome of a task, or the number of
 // its failed runs, is recorded.
 func (p *Pool) HandleConfirm(now time.Duration, c Confirm) {
-	if outcome, ok := p.outcomes[c.task]; ok && (c.done || c.failures >= outcome.failures && c.crashes >= outcome.crashes) {
+	if outcome, ok := p.outcomes[c.task]; ok && (c.done || c.failed.count >= outcome.failed.count && c.crashes >= outcome.crashes) {
 		outcome.nextReport, outcome.retention = 0, now-outcome.endedAt+outcomeRetention
 		p.outcomes[c.task] = outcome
 	}
@@ -64,7 +64,7 @@
 		outcome := p.outcomes[key]
 		outcome.nextReport = now + reportInterval
 		p.outcomes[key] = outcome
-		p.report(outcome.coordinator, key, outcome.status, outcome.failures)
+		p.report(outcome.coordinator, key, outcome.status, outcome.failed)
 	}
 }
 
@@ -84,12 +84,12 @@
 // finishTask ends a task with a status, and records and reports its outcome.
 func (p *Pool) finishTask(now time.Duration, t *task, status Status) {
 	delete(p.tasks, t.key)
-	outcome := taskOutcome{status: status, failures: t.failures, crashes: p.crashesOf(t.key), endedAt: now, retention: outcomeRetention, coordinator: t.coordinator}
+	outcome := taskOutcome{status: status, failed: t.failures.failed, crashes: p.crashesOf(t.key), endedAt: now, retention: outcomeRetention, coordinator: t.coordinator}
 	if t.batch.stored {
 		outcome.retention, outcome.nextReport = storedOutcomeRetention, now+reportInterval
 	}
 	p.outcomes[t.key] = outcome
-	p.report(t.coordinator, t.key, status, t.failures)
+	p.report(t.coordinator, t.key, status, t.failures.failed)
 	if status == StatusDone {
 		p.forgetLosses(t.key)
 	}
@@ -106,4 +106,5 @@
 			}
 		}
 	}
+	p.forgetInheritedFailures(now)
 }
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -85,7 +85,7 @@
 	secondRuns        map[filbertford.TaskKey]int // number of runs beside the active one
 	runNumbers        map[filbertford.TaskKey]uint64
 	outcomes          map[filbertford.TaskKey]taskOutcome
-	inheritedFailures map[filbertford.TaskKey]int // failed runs that earlier owners started
+	inheritedFailures map[filbertford.TaskKey]inheritedFailures
 	losses            map[filbertford.TaskKey]*taskLosses
 	silentTargets     map[filbertford.TargetID][]filbertford.TaskKey // tasks with a loss that the target's reply would refute
 	endedTargets      map[filbertford.TargetID]endedTarget
@@ -127,7 +127,7 @@
 	key                      filbertford.TaskKey
 	coordinator              filbertford.NodeID
 	batch                    *Batch
-	failures                 int
+	failures                 failureCounter
 	avoid                    []filbertford.TargetID
 	due                      time.Duration
 	latestStart              time.Duration // due less the estimate
@@ -150,7 +150,7 @@
 // taskOutcome is the outcome of a task that has ended.
 type taskOutcome struct {
 	status      Status
-	failures    int
+	failed      failedRuns
 	crashes     int
 	endedAt     time.Duration
 	retention   time.Duration // how long the outcome is kept
@@ -170,7 +170,7 @@
 		secondRuns:        make(map[filbertford.TaskKey]int),
 		runNumbers:        make(map[filbertford.TaskKey]uint64),
 		outcomes:          make(map[filbertford.TaskKey]taskOutcome),
-		inheritedFailures: make(map[filbertford.TaskKey]int),
+		inheritedFailures: make(map[filbertford.TaskKey]inheritedFailures),
 		losses:            make(map[filbertford.TaskKey]*taskLosses),
 		silentTargets:     make(map[filbertford.TargetID][]filbertford.TaskKey),
 		endedTargets:      make(map[filbertford.TargetID]endedTarget),
@@ -424,25 +424,29 @@
 	}
 	p.emitEvent(event)
 	t.run, t.resume, t.startedOn = nil, false, ""
+	if t.attemptsUsed() {
+		p.finishTask(now, t, StatusFailed)
+		return
+	}
 	if !p.giveUp(now, t) {
 		p.enqueue(t)
 	}
 }
 
-func (p *Pool) report(to filbertford.NodeID, key filbertford.TaskKey, status Status, failures int) {
-	p.emit(SendReport{To: to, Report: NewReport(p.id, p.fence, key, status, failures).WithCrashes(p.crashesOf(key)).WithStarted(true)})
+func (p *Pool) report(to filbertford.NodeID, key filbertford.TaskKey, status Status, failed failedRuns) {
+	p.emit(SendReport{To: to, Report: NewReport(p.id, p.fence, key, status, failed.count).WithFailedRun(failed.last).WithCrashes(p.crashesOf(key)).WithStarted(true)})
 }
 
 // reportStart reports to the coordinator which target runs a task. A later owner of the
 // pool receives the target from the coordinator and may have to read its lists before it
 // starts the task again.
 func (p *Pool) reportStart(t *task, target filbertford.TargetID) {
-	p.emit(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, StatusStarted, t.failures).WithCrashes(p.crashesOf(t.key)).WithStarted(true).WithTarget(target)})
+	p.emit(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, StatusStarted, t.failures.failed.count).WithFailedRun(t.failures.failed.last).WithCrashes(p.crashesOf(t.key)).WithStarted(true).WithTarget(target)})
 }
 
 // returnTask reports to the coordinator that the pool will not run a task any more.
 func (p *Pool) returnTask(t *task, status Status) {
-	r := NewReport(p.id, p.fence, t.key, status, t.failures).WithCrashes(p.crashesOf(t.key)).
+	r := NewReport(p.id, p.fence, t.key, status, t.failures.failed.count).WithFailedRun(t.failures.failed.last).WithCrashes(p.crashesOf(t.key)).
 		WithStarted(t.started || t.resume).WithOfferNumber(t.batch.offerNumber)
 	p.emit(SendReport{To: t.coordinator, Report: r})
 }
--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -20,15 +20,29 @@
 
 // Progress is the recorded progress of a task of a stored job.
 type Progress struct {
-	done     bool
-	failed   bool
-	failures int
-	crashes  int
+	done       bool
+	failed     bool // for good
+	failedRuns failedRuns
+	crashes    int
 }
 
 // NewProgress returns the progress of a task that is done or not, with the number of
 // its failed runs.
-func NewProgress(done bool, failures int) Progress { return Progress{done: done, failures: failures} }
+func NewProgress(done bool, failures int) Progress {
+	return Progress{done: done, failedRuns: failedRuns{count: failures}}
+}
+
+// WithFailedRun returns a copy of p whose failed runs are those with numbers up to the given one.
+func (p Progress) WithFailedRun(number uint64) Progress {
+	p.failedRuns.last = number
+	return p
+}
+
+// WithFailuresOf returns a copy of p with the failed runs of p or, if they were counted later, of o.
+func (p Progress) WithFailuresOf(o Progress) Progress {
+	p.failedRuns = p.failedRuns.merge(o.failedRuns)
+	return p
+}
 
 // WithDone returns a copy of p for a task that is done.
 func (p Progress) WithDone() Progress {
@@ -58,7 +72,10 @@
 func (p Progress) Done() bool { return p.done }
 
 // Failures returns how many runs have failed.
-func (p Progress) Failures() int { return p.failures }
+func (p Progress) Failures() int { return p.failedRuns.count }
+
+// FailedRun returns the highest run number up to which failed runs are counted, 0 if unknown.
+func (p Progress) FailedRun() uint64 { return p.failedRuns.last }
 
 // StartStored starts a stored job, or resumes one that an earlier coordinator
 // started. A resumed job first asks all pools for its tasks.
@@ -75,7 +92,7 @@
 		state := stepState{remaining: s.Count(), tasks: make([]taskState, s.Count())}
 		for index := range state.tasks {
 			p := progress(number, index)
-			state.tasks[index].done, state.tasks[index].failures, state.tasks[index].crashes = p.done, p.failures, p.crashes
+			state.tasks[index].done, state.tasks[index].failed, state.tasks[index].crashes = p.done, p.failedRuns, p.crashes
 			if p.done {
 				state.remaining--
 			} else if resumed {
@@ -156,12 +173,12 @@
 
 // progress returns the progress of a task as the coordinator knows it.
 func (t *taskState) progress() Progress {
-	return NewProgress(t.done, t.failures).WithCrashes(t.crashes)
+	return NewProgress(t.done, t.failed.count).WithFailedRun(t.failed.last).WithCrashes(t.crashes)
 }
 
 // failureReason returns why the task has failed for good.
 func (t *taskState) failureReason(j *job) string {
-	if t.failures < j.route.Attempts() && t.crashes > 0 {
+	if t.failed.count < j.route.Attempts() && t.crashes > 0 {
 		return fmt.Sprintf("%d targets have crashed under a task", t.crashes)
 	}
 	return "a task has failed as often as allowed"
@@ -169,7 +186,7 @@
 
 func (c *Coordinator) confirm(pool filbertford.PoolID, key filbertford.TaskKey, p Progress) {
 	if v := c.pools[pool]; v != nil && v.owner != "" {
-		c.emit(SendConfirm{To: v.owner, Confirm: NewConfirm(pool, key, p.done, p.failures).WithCrashes(p.crashes)})
+		c.emit(SendConfirm{To: v.owner, Confirm: NewConfirm(pool, key, p.done, p.failedRuns.count).WithFailedRun(p.failedRuns.last).WithCrashes(p.crashes)})
 	}
 }
 
@@ -182,7 +199,7 @@
 	var items []Item
 	for index, t := range j.steps[number].tasks {
 		if t.search != nil && !t.done {
-			items = append(items, NewItem(index, t.failures).WithCrashes(t.crashes))
+			items = append(items, NewItem(index, t.failed.count).WithFailedRun(t.failed.last).WithCrashes(t.crashes))
 		}
 	}
 	if len(items) == 0 {
@@ -204,11 +221,13 @@
 	if v == nil || v.fence != r.Fence() {
 		return false
 	}
-	t.failures, t.crashes = max(t.failures, r.Failures()), max(t.crashes, r.Crashes())
+	t.failed, t.crashes = t.failed.merge(r.failed), max(t.crashes, r.Crashes())
 	switch r.Status() {
 	case StatusStarted, StatusDone, StatusFailed:
 		t.pool, t.fence, t.offer, t.search = r.Pool(), r.Fence(), t.search.offers[r.Pool()], nil
 		return true
+	case StatusRetried:
+		c.emit(RecordOutcome{Task: r.Task(), Progress: t.progress()})
 	case StatusAbsent, StatusReturned:
 		t.search.absent[r.Pool()] = r.Fence()
 		if c.absentFromAll(now, t.search) {
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -59,8 +59,9 @@
 // unclaimedOutcome is the outcome of a run whose task no coordinator has offered to
 // this owner.
 type unclaimedOutcome struct {
-	task   filbertford.TaskKey
-	expiry time.Duration // when the target may discard it
+	task      filbertford.TaskKey
+	failedRun uint64        // number of the run, 0 if it is done
+	expiry    time.Duration // when the target may discard it
 }
 
 // runState is the state of a run.
--- a/fbshard/owner.go
+++ b/fbshard/owner.go
@@ -182,9 +182,7 @@
 	if p.Done() {
 		j.done[task.Step()][task.Index()] = true
 	}
-	if n := p.Failures(); n > 0 {
-		j.failures[task.String()] = max(j.failures[task.String()], n)
-	}
+	j.recordFailures(task, p)
 	if n := p.Crashes(); n > 0 {
 		j.crashes[task.String()] = max(j.crashes[task.String()], n)
 	}
--- a/fbshard/owner_test.go
+++ b/fbshard/owner_test.go
@@ -282,7 +282,7 @@
 func TestRowRoundTrip(t *testing.T) {
 	j := newJob(testRoute, testJob(3))
 	j.done[0][1] = true
-	j.failures["x"], j.crashes["x"] = 2, 1
+	j.failures["x"], j.failedRuns["x"], j.crashes["x"] = 2, 8, 1
 	j.state = StateRunning
 	value, err := encodeJob(j)
 	if err != nil {
@@ -292,7 +292,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if back.state != StateRunning || back.done[0][0] || !back.done[0][1] || back.failures["x"] != 2 || back.crashes["x"] != 1 || back.route.Attempts() != 2 {
+	if back.state != StateRunning || back.done[0][0] || !back.done[0][1] || back.failures["x"] != 2 || back.failedRuns["x"] != 8 || back.crashes["x"] != 1 || back.route.Attempts() != 2 {
 		t.Errorf("decoded job %+v differs from the encoded one", back)
 	}
 	for name, bad := range map[string]string{"not JSON": "{", "no steps": `{"state":"queued"}`, "task out of range": `{"steps":[{"count":1,"done":[4]}]}`} {
--- a/fbshard/row.go
+++ b/fbshard/row.go
@@ -11,6 +11,10 @@
 	"github.com/filbertford/filbertford/fbsched"
 )
 
+// maxRunNumber is the highest run number that is taken from a row: run numbers grow by two per millisecond,
+// and the next one must be higher.
+const maxRunNumber = math.MaxUint64 / 2
+
 // State is the state of a stored job.
 type State string
 
@@ -36,17 +40,20 @@
 	state    State
 	done     [][]bool
 	failures map[string]int // failed runs by task key
-	crashes  map[string]int // crashes of targets by task key
-	version  uint64         // of the row, 0 if not committed
-	started  bool           // a run was started; not stored
-	records  []taskRecord   // to report after the next commit
+	// failedRuns are the run numbers up to which failures counts them, by key of the tasks that aren't done.
+	// Rows of earlier versions have none.
+	failedRuns map[string]uint64
+	crashes    map[string]int // crashes of targets by task key
+	version    uint64         // of the row, 0 if not committed
+	started    bool           // a run was started; not stored
+	records    []taskRecord   // to report after the next commit
 	// finalUncommitted is set while the job's final state is not committed.
 	finalUncommitted bool
 	endedAt          time.Duration
 }
 
 func newJob(r filbertford.Route, w filbertford.Workload) *job {
-	j := &job{workload: w, route: r, state: StateQueued, failures: make(map[string]int), crashes: make(map[string]int)}
+	j := &job{workload: w, route: r, state: StateQueued, failures: make(map[string]int), failedRuns: make(map[string]uint64), crashes: make(map[string]int)}
 	for _, s := range w.Steps() {
 		j.done = append(j.done, make([]bool, s.Count()))
 	}
@@ -56,7 +63,8 @@
 // progress returns the recorded progress of a task.
 func (j *job) progress(step, index int) fbsched.Progress {
 	key := filbertford.NewTaskKey(j.workload.Key(), 0, step, index)
-	p := fbsched.NewProgress(j.done[step][index], j.failures[key.String()]).WithCrashes(j.crashes[key.String()])
+	name := key.String()
+	p := fbsched.NewProgress(j.done[step][index], j.failures[name]).WithFailedRun(j.failedRuns[name]).WithCrashes(j.crashes[name])
 	if j.state == StateFailed {
 		return p.WithFailed()
 	}
@@ -95,14 +103,16 @@
 	Spec     string         `json:"spec"`
 	Steps    []stepRow      `json:"steps"`
 	Failures map[string]int `json:"failures,omitempty"`
-	Crashes  map[string]int `json:"crashes,omitempty"`
+	// FailedRuns are the run numbers up to which the failed runs are counted.
+	FailedRuns map[string]uint64 `json:"failed_runs,omitempty"`
+	Crashes    map[string]int    `json:"crashes,omitempty"`
 }
 
 func encodeJob(j *job) ([]byte, error) {
 	r := j.route
 	row := jobRow{
 		State: j.state, Host: r.Host(), Prefix: r.Prefix(), Service: r.Service(), Priority: r.Priority(),
-		Attempts: r.Attempts(), Stretch: r.Stretch(), SlackUS: r.Slack().Microseconds(), Spec: j.workload.Spec(), Failures: j.failures, Crashes: j.crashes,
+		Attempts: r.Attempts(), Stretch: r.Stretch(), SlackUS: r.Slack().Microseconds(), Spec: j.workload.Spec(), Failures: j.failures, FailedRuns: j.failedRuns, Crashes: j.crashes,
 	}
 	for i, s := range j.workload.Steps() {
 		step := stepRow{
@@ -143,6 +153,11 @@
 	for name, n := range row.Failures {
 		j.failures[name] = max(0, n)
 	}
+	for name, number := range row.FailedRuns {
+		if number <= maxRunNumber {
+			j.failedRuns[name] = number
+		}
+	}
 	for name, n := range row.Crashes {
 		j.crashes[name] = max(0, n)
 	}
