A cancellation before the submission is stored holds

The owner of a shard keeps submissions until they are stored, but requests treated a job that isn't stored yet as unknown, and left it as it was.

A cancellation now marks such a job as cancelled, and it is stored as that. It is answered with 410 at once if no commit of the job is under way, and else after the commit's result, or once the rows were read again if that is unknown.

--- a/fbshard/commit.go
+++ b/fbshard/commit.go
@@ -139,6 +139,7 @@
 	case errors.Is(err, filbertford.ErrRefused):
 		o.requeue(p)
 		o.retryAt = now + retryDelay
+		o.handleRequests()
 	default:
 		o.requeue(p)
 		o.claimShard()
@@ -175,7 +176,7 @@
 		delete(o.jobs, key)
 		return
 	}
-	if uncommitted && written == StateQueued {
+	if uncommitted && written == StateQueued && !j.state.final() {
 		o.emit(StartJob{Route: j.route, Workload: j.workload, Progress: j.progress})
 	}
 	if written == StateCancelled && j.finalUncommitted {
--- a/fbshard/owner.go
+++ b/fbshard/owner.go
@@ -262,11 +262,14 @@
 	switch {
 	case r.submit != nil:
 		return o.handleSubmit(r, j)
-	case j == nil || j.version == 0 || j.state == StateRemoved:
+	case j == nil || j.state == StateRemoved:
 		o.emit(Reply{RequestID: r.id, State: StateRemoved})
 		return true
 	case r.cancel:
 		return o.handleCancel(r, j)
+	case j.version == 0:
+		o.emit(Reply{RequestID: r.id, State: StateRemoved})
+		return true
 	}
 	o.emit(Reply{RequestID: r.id, State: j.committedState()})
 	return true
@@ -301,12 +304,19 @@
 	return true
 }
 
+// handleCancel cancels a job. One that isn't stored will be stored as cancelled, so that another copy of its
+// submission doesn't store it again. The reply doesn't wait for that, but for the result of a commit under way,
+// which may store the job.
 func (o *Owner) handleCancel(r request, j *job) bool {
 	if !j.state.final() {
 		j.state = StateCancelled
 		j.finalUncommitted = true
 		o.markDirty(r.key)
 	}
+	if j.version == 0 && !o.committing(r.key) {
+		o.emit(Reply{RequestID: r.id, State: StateRemoved})
+		return true
+	}
 	if !j.finalCommitted() {
 		return false
 	}
@@ -314,6 +324,11 @@
 	return true
 }
 
+// committing reports whether a commit of the job's row is under way.
+func (o *Owner) committing(key filbertford.JobKey) bool {
+	return o.pending != nil && slices.Contains(o.pending.keys, key)
+}
+
 // JobKeys returns the keys of all jobs of the shard, sorted.
 func (o *Owner) JobKeys() []filbertford.JobKey {
 	return slices.SortedFunc(maps.Keys(o.jobs), cmp.Compare[filbertford.JobKey])
