A target that has started again gets no task before its record is read

Cause: a reply shows the new instance before its record does, and replaceInstance gave it the labels and capacity of the earlier one.

Change: an instance that a reply has shown gets no task before its own record has been read, for 20 s at most (a long outage of the store). Runs there are kept and polled as before.

--- a/fbsched/acknowledged_end_test.go
+++ b/fbsched/acknowledged_end_test.go
@@ -28,6 +28,7 @@
 	sim.advance(600 * time.Millisecond)
 	target.restart("t00", 2000)
 	sim.advance(100 * time.Millisecond)
+	o.pool.SetTargets(sim.now, sim.records())
 	sim.submit(2, "00000000000000bb", 4)
 	starts := sim.starts
 	sim.advance(2 * time.Second)
--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -160,7 +160,7 @@
 // usable reports whether tasks of the service may be started on the target.
 func (p *Pool) usable(now time.Duration, t *target, service string) bool {
 	return !p.evacuated && t.rec.Service() == service && t.listed && t.verified() && t.misses < maxMisses && t.clock.known && !t.rec.Draining() &&
-		!t.removed && now >= t.fullUntil && p.grantsLease(now, t)
+		!t.removed && now >= max(t.fullUntil, t.unreadUntil) && p.grantsLease(now, t)
 }
 
 // atTaskLimit reports whether the target runs as many tasks of the task's step as
--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -38,14 +38,21 @@
 		read := t.read
 		t = p.replaceInstance(now, t, t.recordOf(replied), "reply")
 		t.read, t.verifiedAt = read, sent
+		if of := read.Instance().StartedAt(); of != 0 && of != replied {
+			t.unreadUntil = now + unreadTimeout
+		}
 	default:
 		t.verify(sent, address)
 	}
 	return t
 }
 
+// unreadTimeout is how long an instance that has replied gets no tasks because its record hasn't been
+// read: it may be of another kind than the one before. Longer than outages of the store usually last.
+const unreadTimeout = 20 * time.Second
+
 // recordOf returns the record of the target's instance with the start time, which has replied. If it
-// has not been read yet, that of the known instance stands in for it.
+// has not been read yet, that of the known instance stands in for it; see unreadTimeout.
 func (t *target) recordOf(startedAt int64) filbertford.TargetRecord {
 	if t.read.Instance().StartedAt() == startedAt {
 		return t.read.WithAddress(t.rec.Address())
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -22,10 +22,11 @@
 	verifiedAt      time.Duration            // when the last call was sent whose reply has shown startedAt, 0 if none has
 	askedFor        int64                    // start time in a record because of which the target was asked for its own
 	askedAt         time.Duration
-	earlier         []int64 // start times of the earlier instances that the pool knows
-	restarted       bool    // it has started again since the pool knows it
-	removed         bool    // the record has been removed
-	listed          bool    // its lists were read with the pool's fencing token
+	earlier         []int64       // start times of the earlier instances that the pool knows
+	restarted       bool          // it has started again since the pool knows it
+	unreadUntil     time.Duration // when it gets tasks although its record hasn't been read, 0 if that has
+	removed         bool          // the record has been removed
+	listed          bool          // its lists were read with the pool's fencing token
 	listedAt        time.Duration
 	clock           targetClock
 	leaseExpiry     int64         // the latest that was sent, on the target's clock
@@ -186,6 +187,7 @@
 		case t.startedAt == 0:
 			t.startedAt = startedAt
 		case startedAt == t.startedAt:
+			t.unreadUntil = 0
 		case slices.Contains(t.earlier, startedAt):
 			return // a late record of an earlier instance, or the store has no newer one yet
 		case t.verifiedAt == 0 && startedAt > t.startedAt:
--- a/fbsched/unread_instance_test.go
+++ b/fbsched/unread_instance_test.go
@@ -18,6 +18,7 @@
 	answerLists(p, now, "t01", 1, 500_000)
 	now += 600 * time.Millisecond
 	answerLists(p, now, "t00", current, 100)
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", current), recordOf("t01", 1)})
 	p.targets["t01"].fullUntil = now + 30*time.Millisecond // so that t00 gets the task
 	p.TakeActions(now)
 	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), time.Second)
