fbsched: an absence answers one search

Callers could see two runs of a stored task: the owner of a shard loses it and gets it again, while a pool's answer to its first search is under way. The answer ("absent") counts for the second search, so that the task is offered to any pool, though the shard's owner in between may have had it started.

Evidence: found by reading. TestLateAbsenceOfEarlierSearchDoesNotCount failed before ("the task is offered to home before the pool has answered the later search"). It hasn't been seen in a run of several daemons.

Change: such a report counts only if it has the number of the last search in that pool. Reports without a number, of owners of an earlier version, count as before (TestAbsenceWithoutOfferNumberCounts).

Result: both tests pass, with those of fbsched whose names contain Stored or Search.

--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -229,6 +229,9 @@
 	case StatusRetried:
 		c.emit(RecordOutcome{Task: r.Task(), Progress: t.progress()})
 	case StatusAbsent, StatusReturned:
+		if r.answersOffer() && r.OfferNumber() != t.search.offers[r.Pool()] {
+			return false // it answers an earlier search
+		}
 		t.search.absent[r.Pool()] = r.Fence()
 		if c.absentFromAll(now, t.search) {
 			t.search = nil
