fbnode: the return of a batch names the offer

Cause: a daemon that gets a batch of a pool that it doesn't own, or under another token, returns its tasks to the coordinator. These returns had no offer number, so that they counted as the answer to any offer under that token, like those of owners of an earlier version.

Change: they state the number of the batch. The simulation of the fleet uses the same function.

--- a/fbnode/fake_links_test.go
+++ b/fbnode/fake_links_test.go
@@ -97,12 +97,10 @@
 		p.Offer(d.sim.now, from, b)
 		return
 	}
-	if b.Resume() || from == d.name() {
+	if from == d.name() {
 		return
 	}
-	for _, i := range b.Items() {
-		key := filbertford.NewTaskKey(b.Job(), b.Occurrence(), b.StepNumber(), i.Index())
-		report := fbsched.NewReport(b.Pool(), b.Fence(), key, fbsched.StatusReturned, i.Failures())
+	for _, report := range returnsOf(b) {
 		d.send(from, func(r *simDaemon) { r.coordinator.HandleReport(r.sim.now, report) })
 	}
 }
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -117,12 +117,21 @@
 // this daemon does not own the pool. A batch whose tasks may have started is not
 // returned: the pool's next owner reports on them.
 func (n *Node) returnBatch(to filbertford.NodeID, b fbsched.Batch) {
+	for _, r := range returnsOf(b) {
+		n.hub.Send(to, r)
+	}
+}
+
+// returnsOf returns the reports on the tasks of a batch that is returned.
+func returnsOf(b fbsched.Batch) []fbsched.Report {
 	if b.Resume() {
-		return
+		return nil
 	}
+	var reports []fbsched.Report
 	for _, i := range b.Items() {
 		key := filbertford.NewTaskKey(b.Job(), b.Occurrence(), b.StepNumber(), i.Index())
 		r := fbsched.NewReport(b.Pool(), b.Fence(), key, fbsched.StatusReturned, i.Failures()).WithFailedRun(i.FailedRun())
-		n.hub.Send(to, r.WithOfferNumber(b.OfferNumber()))
+		reports = append(reports, r.WithOfferNumber(b.OfferNumber()))
 	}
+	return reports
 }
