fbsched: tests for the offer numbers of returns

TestLateReturnOfEarlierAttemptDoesNotCount passes without the check of the number since jobs that come again are offered with resume, and no test failed without the number in the pool's reports or with such a job recalled.

Measured by taking each product change back in a scratch copy: the check in HandleReport: TestLateExpiryOfEarlierAttemptDoesNotCount fails ("the job is given up because a task of its earlier attempt has expired"). The number in returnTask and rejected offers: TestReturnsNameTheirOffer fails in all five cases. mayHaveRun of a job that comes again: TestReturnedJobIsNotRecalled fails ("the job is recalled 1.09s after it came"). All pass with the changes.

--- a/fbsched/late_return_test.go
+++ b/fbsched/late_return_test.go
@@ -51,29 +51,39 @@
 	}
 }
 
-// TestLateExpiryOfEarlierAttemptDoesNotCount guards against a job that is given up because a task of an
-// earlier attempt at it has expired.
+// TestLateExpiryOfEarlierAttemptDoesNotCount guards against a job that is given up when it comes again, because
+// a task of its earlier attempt has expired.
 func TestLateExpiryOfEarlierAttemptDoesNotCount(t *testing.T) {
-	c, now, key := NewCoordinator("home"), time.Minute, filbertford.JobKey("00000000000000aa")
+	c, now := NewCoordinator("home"), time.Minute
 	c.SetOwner(now, "home", "a", 1)
 	c.SetCapacities("home", 1, freePool)
 	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), 3*time.Second)
 	route := filbertford.NewRoute("h", "/p/", "ordering").WithPolicy(0, 3).WithObjective(1.6, 60*time.Millisecond, 0)
-	w := filbertford.NewWorkload(key, "", step).WithBestEffort(true)
-	c.Submit(now, 1, route, w, 8*time.Second)
-	var first Batch
-	for _, a := range c.TakeActions() {
-		if v, ok := a.(SendBatch); ok {
-			first = v.Batch
+	w := filbertford.NewWorkload("00000000000000aa", "", step).WithBestEffort(true)
+	submit := func(request uint64) (offers []Batch) {
+		c.Submit(now, request, route, w, 8*time.Second)
+		for _, a := range c.TakeActions() {
+			if v, ok := a.(SendBatch); ok {
+				offers = append(offers, v.Batch)
+			}
 		}
+		return offers
 	}
+	first := submit(1)
 	c.CancelRequest(now, 1)
-	c.Submit(now, 2, route, w, 8*time.Second)
-	c.TakeActions()
-	c.HandleReport(now, NewReport("home", 1, first.key(0), StatusExpired, 0).WithOfferNumber(first.OfferNumber()))
-	for _, a := range c.TakeActions() {
-		if _, ok := a.(SendWithdrawal); ok {
-			t.Error("the job was withdrawn")
-		}
+	second := submit(2)
+	if len(first) != 1 || len(second) != 1 {
+		t.Fatalf("%d and %d offers, want one for each attempt", len(first), len(second))
+	}
+	expiry := func(b Batch) Report {
+		return NewReport("home", 1, b.key(0), StatusExpired, 0).WithOfferNumber(b.OfferNumber())
+	}
+	c.HandleReport(now, expiry(first[0]))
+	if c.TakeActions(); c.Jobs() != 1 || c.jobs[w.Key()].returnDeadline != 0 {
+		t.Error("the job is given up because a task of its earlier attempt has expired")
+	}
+	c.HandleReport(now, expiry(second[0]))
+	if c.Jobs() != 0 {
+		t.Error("the job goes on though its own task has expired")
 	}
 }
--- a/fbsched/returned_job_test.go
+++ b/fbsched/returned_job_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/filbertford/filbertford"
 )
 
 // TestReturnedJobWaitsForRunOfEarlierOwner guards against a job that comes again after its pool's owner
@@ -39,3 +41,27 @@
 		t.Errorf("%d starts, want 2; broken rules: %v", sim.starts, sim.violations)
 	}
 }
+
+// TestReturnedJobIsNotRecalled guards against recalls of a job that comes again: its tasks may be running, so that
+// its pool doesn't return them, and the job would wait for the answer.
+func TestReturnedJobIsNotRecalled(t *testing.T) {
+	c, now := NewCoordinator("home"), time.Minute
+	c.SetScheduling(filbertford.Scheduling{}.WithAdmission(filbertford.AdmitByObjective))
+	c.SetOwner(now, "home", "a", 1)
+	c.SetCapacities("home", 1, freePool)
+	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), 200*time.Millisecond)
+	route := filbertford.NewRoute("h", "/p/", "ordering").WithPolicy(0, 3).WithObjective(1.6, 60*time.Millisecond, 0)
+	w := filbertford.NewWorkload("00000000000000aa", "", step).WithBestEffort(true)
+	c.Submit(now, 1, route, w, 8*time.Second)
+	c.CancelRequest(now, 1)
+	c.Submit(now, 2, route, w, 8*time.Second)
+	c.TakeActions()
+	for end := now + lateFactor*route.Objective(200*time.Millisecond); now < end; now += 5 * time.Millisecond {
+		c.Tick(now)
+		for _, a := range c.TakeActions() {
+			if _, ok := a.(SendRecall); ok {
+				t.Fatalf("the job is recalled %v after it came", now-time.Minute)
+			}
+		}
+	}
+}
