Messages that a daemon queued before a suspension don't count

Callers would see two runs of one task: a coordinator is suspended with an offer in the queue of a stream, its caller sends the job to another daemon, and the resumed coordinator sends the offer before it handles the suspension.

A message counted as new when it arrived. The sender can't decide at all: it may be suspended between a look at the clock and the write.

Now the receiver decides. The owner of a pool that hears nothing of a daemon for the time after which it counts as unreachable (0.4 s, 0.8 s in large fleets) drops the next messages on the same stream and closes it; the sender opens another one, and what still holds is offered again. That needs no clock for a message, since the time of the event is known, and no field on the wire. A slow stream isn't silent, and the first message on a stream always counts, so that a daemon with little processor time is heard. The owner already replaced its own stream to such a daemon, and the daemon offered its tasks again.

What matters is that the owner doesn't act on it: TestOfferQueuedBeforeSuspensionStartsNothing does that after a silence of 0.45 s, and failed before: "2 tasks were started that were offered after a silence of 400ms". The link's part is TestQueuedMessageOfSuspendedDaemonDoesNotCount, and TestStreamEndsAfterSilenceOnly guards against streams that end over and over.

--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -70,6 +70,7 @@
 	n.lastTick = now
 	n.recorder.recordSuspension(gap)
 	n.fleet.HandleSuspension(now)
+	n.streams.handleSuspension(now)
 	for _, p := range n.pools {
 		p.HandleSuspension(now, suspensionWait)
 	}
