fbsched: a job that comes again doesn't wait for targets that its owner never used

Callers saw, since jobs that come again are offered with resume: while one target can't be reached since its pool's owner took over, a job that comes again waits up to 1.3 s, though this owner has started all runs of the first attempt and knows them.

Evidence, in a simulation of 88 targets of which one can't be reached, a job that comes again 0, 0.3 and 1 s after the withdrawal: its start follows after 1311, 1011 and 311 ms, with an owner of 0.3 s and one of 6 s alike; after 9, 2 and 2 ms without resume, or if all targets have been listed. TestReturnedJobDoesNotWaitForUnreachableTarget failed before ("1 starts, want 2 within 200 ms").

Change: if the coordinator has seen all of the earlier attempt itself, only an owner that it has lost can have started runs that the pool doesn't know, so that the time since then counts, as in Resume. An attempt that another coordinator has announced waits as before.

Result: the test and TestReturnedJobWaitsForRunOfEarlierOwner pass.

--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -89,7 +89,7 @@
 		b := c.batch(now, j, number, part.pool, batch)
 		if a, ok := c.earlierAttempt(now, j); ok {
 			j.mayHaveRun = true
-			b = b.WithResume(earlierRunTimeout - (a.until - now))
+			b = b.WithResume(c.ownerSilence(now, a, c.pools[part.pool]))
 		}
 		c.offer(c.pools[part.pool], b, j)
 		c.trackOffer(now, j, b.WithFence(c.pools[part.pool].fence))
--- a/fbsched/returned_job_test.go
+++ b/fbsched/returned_job_test.go
@@ -65,3 +65,29 @@
 		}
 	}
 }
+
+// TestReturnedJobDoesNotWaitForUnreachableTarget guards against a job that comes again and waits for a target
+// that can't be reached, though the pool's owner has started all runs of the first attempt itself.
+func TestReturnedJobDoesNotWaitForUnreachableTarget(t *testing.T) {
+	sim := newSimulation(3, 1)
+	sim.taskDuration = 3 * time.Second
+	sim.linkDown = func(_ *fakeOwner, address string) (request, reply bool) {
+		cut := strings.HasPrefix(address, "t02")
+		return cut, cut
+	}
+	owner := sim.addOwner("n1", 1)
+	sim.advance(50 * time.Millisecond)
+	sim.announceOwner(owner)
+	sim.advance(time.Second)
+	sim.submit(1, "00000000000000aa", 1)
+	sim.advance(100 * time.Millisecond)
+	if sim.starts != 1 {
+		t.Fatalf("%d starts, want 1", sim.starts)
+	}
+	sim.coordinator.CancelRequest(sim.now, 1)
+	sim.submit(2, "00000000000000aa", 1)
+	sim.advance(200 * time.Millisecond)
+	if sim.starts != 2 || len(sim.violations) > 0 {
+		t.Errorf("%d starts, want 2 within 200 ms; broken rules: %v", sim.starts, sim.violations)
+	}
+}
--- a/fbsched/withdrawn.go
+++ b/fbsched/withdrawn.go
@@ -18,11 +18,16 @@
 type attempt struct {
 	pools map[filbertford.PoolID]bool // that had tasks of the job
 	until time.Duration
+	// heard is whether another coordinator has announced it, so that it isn't known which owners it was offered to.
+	heard bool
 }
 
 // HandleWithdrawal handles the withdrawal of a job's tasks from a pool by another coordinator.
 func (c *Coordinator) HandleWithdrawal(now time.Duration, w Withdrawal) {
 	c.recordAttempt(now, w.Job(), w.Pool())
+	a := c.attempts[w.Job()]
+	a.heard = true
+	c.attempts[w.Job()] = a
 }
 
 func (c *Coordinator) recordAttempt(now time.Duration, job filbertford.JobKey, pools ...filbertford.PoolID) {
@@ -73,3 +78,13 @@
 	a, ok := c.earlierAttempt(now, j)
 	return !ok || a.pools[pool]
 }
+
+// ownerSilence returns how long ago contact was lost with the last owner that may have started runs of
+// the attempt, apart from the pool's present owner, which knows its own runs.
+func (c *Coordinator) ownerSilence(now time.Duration, a attempt, v *poolView) time.Duration {
+	silence := earlierRunTimeout - (a.until - now)
+	if !a.heard {
+		silence = max(silence, now-v.lostAt)
+	}
+	return silence
+}
