Revert "Messages that a daemon queued before a suspension don't count"

This reverts: the owner of a pool ended the stream of a daemon after a silence of 0.8 s. Daemons with little processor time are silent for that long too, and each end costs a connection and offers all of their tasks again.

--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -260,14 +260,6 @@
 	return max(f.heartbeatTimeout(), missedHeartbeats*p.period)
 }
 
-// PeerTimeout returns the time without a message after which a daemon counts as unreachable.
-func (f *Fleet) PeerTimeout(node filbertford.NodeID) time.Duration {
-	if p := f.peers[node]; p != nil {
-		return f.peerTimeout(p)
-	}
-	return missedHeartbeats * idlePeriod
-}
-
 // starting reports whether this daemon may not have received heartbeats of all
 // owners yet.
 func (f *Fleet) starting(now time.Duration) bool { return now-f.startedAt < startDelay }
--- a/fblink/hub.go
+++ b/fblink/hub.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,7 +62,6 @@
 type Hub struct {
 	self     fbfleet.Member
 	receiver Receiver
-	server   *server
 	group    *errgroup.Group
 	ctx      context.Context
 
@@ -82,14 +80,7 @@
 
 // NewHub returns a hub without links.
 func NewHub(self fbfleet.Member, r Receiver) *Hub {
-	h := &Hub{self: self, receiver: r, links: make(map[filbertford.NodeID]*link)}
-	h.server = &server{
-		hub:     h,
-		newest:  make(map[filbertford.NodeID]uint64),
-		streams: make(map[filbertford.NodeID]numberedConn),
-		ended:   make(map[filbertford.NodeID]uint64),
-	}
-	return h
+	return &Hub{self: self, receiver: r, links: make(map[filbertford.NodeID]*link)}
 }
 
 // Run accepts streams of other daemons and keeps the links open until the context
@@ -100,13 +91,11 @@
 	h.group, h.ctx = group, ctx
 	h.mu.Unlock()
 	mux := drpcmux.New()
-	if err := fbwire.DRPCRegisterNode(mux, h.server); err != nil {
+	if err := fbwire.DRPCRegisterNode(mux, &server{hub: h, newest: make(map[filbertford.NodeID]uint64)}); err != nil {
 		return eris.Wrap(err, "registering the node service")
 	}
 	opts := drpcserver.Options{Manager: managerOptions()}
-	group.Go(func() error {
-		return drpcserver.NewWithOptions(mux, opts).Serve(ctx, &numberedListener{Listener: l, accepted: &h.server.accepted})
-	})
+	group.Go(func() error { return drpcserver.NewWithOptions(mux, opts).Serve(ctx, &numberedListener{Listener: l}) })
 	return group.Wait()
 }
 
@@ -187,10 +176,6 @@
 	}
 }
 
-// EndStream ends the stream that a daemon has opened to this one. What it has sent and this daemon has
-// not received yet no longer counts. The other one opens a new stream.
-func (h *Hub) EndStream(node filbertford.NodeID) { h.server.end(node) }
-
 func (l *link) breakStream() {
 	select {
 	case l.redial <- struct{}{}:
@@ -304,16 +289,10 @@
 // when a newer one has begun, an earlier one may still hold messages that were delayed on the way,
 // and these no longer count.
 type server struct {
-	hub      *Hub
-	accepted atomic.Uint64 // number of the last connection
+	hub *Hub
 
 	mu     sync.Mutex
 	newest map[filbertford.NodeID]uint64 // number of the newest connection of each daemon
-
-	// endMu isn't held while messages are passed on, which waits for a receiver that may call end.
-	endMu   sync.Mutex
-	streams map[filbertford.NodeID]numberedConn // of the newest streams
-	ended   map[filbertford.NodeID]uint64       // number up to which a daemon's connections no longer count
 }
 
 var _ fbwire.DRPCNodeServer = (*server)(nil)
@@ -327,7 +306,7 @@
 	if first.GetSender().GetNode() == "" {
 		return eris.New("the stream names no sender")
 	}
-	sender, number := memberFromWire(first.GetSender()), s.begin(stream.Context(), filbertford.NodeID(first.GetSender().GetNode()))
+	sender, number := memberFromWire(first.GetSender()), connNumber(stream.Context())
 	if !s.receive(sender, number, first, true) {
 		return errReplaced
 	}
@@ -342,50 +321,14 @@
 	}
 }
 
-// errReplaced ends a stream whose sender has opened a newer one, or has to.
-var errReplaced = eris.New("the sender's messages count on a newer stream only")
-
-// begin records a stream of a daemon and returns the number of its connection.
-func (s *server) begin(ctx context.Context, sender filbertford.NodeID) uint64 {
-	transport, _ := drpcctx.Transport(ctx)
-	conn, ok := transport.(numberedConn)
-	if !ok {
-		return 0
-	}
-	s.endMu.Lock()
-	defer s.endMu.Unlock()
-	if conn.number > s.streams[sender].number {
-		s.streams[sender] = conn
-	}
-	return conn.number
-}
-
-// end ends the streams that a daemon has opened so far.
-func (s *server) end(sender filbertford.NodeID) {
-	s.endMu.Lock()
-	s.ended[sender] = s.accepted.Load()
-	conn, ok := s.streams[sender]
-	delete(s.streams, sender)
-	s.endMu.Unlock()
-	if ok {
-		_ = conn.Close() // the stream doesn't count any more, whether or not it could be closed
-	}
-}
+// errReplaced ends a stream whose sender has opened a newer one.
+var errReplaced = eris.New("the sender has opened a newer stream")
 
-// hasEnded reports whether the stream over a daemon's connection with the number was ended.
-func (s *server) hasEnded(sender filbertford.NodeID, number uint64) bool {
-	s.endMu.Lock()
-	defer s.endMu.Unlock()
-	last, ok := s.ended[sender]
-	return ok && number <= last
-}
-
-// receive passes a frame on, and returns false if the stream is not the sender's newest one or was
-// ended.
+// receive passes a frame on, and returns false if the stream is not the sender's newest one.
 func (s *server) receive(sender fbfleet.Member, number uint64, f *fbwire.Frame, newStream bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if number < s.newest[sender.Node()] || s.hasEnded(sender.Node(), number) {
+	if number < s.newest[sender.Node()] {
 		return false
 	}
 	s.newest[sender.Node()] = number
@@ -405,7 +348,7 @@
 // numberedListener numbers the connections that it accepts, in order.
 type numberedListener struct {
 	net.Listener
-	accepted *atomic.Uint64
+	accepted uint64
 }
 
 // numberedConn is an accepted connection.
@@ -420,5 +363,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return numberedConn{Conn: conn, number: l.accepted.Add(1)}, nil
+	l.accepted++
+	return numberedConn{Conn: conn, number: l.accepted}, nil
+}
+
+// connNumber returns the number of the connection that a stream came over.
+func connNumber(ctx context.Context) uint64 {
+	transport, _ := drpcctx.Transport(ctx)
+	conn, ok := transport.(numberedConn)
+	if !ok {
+		return 0
+	}
+	return conn.number
 }
--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -70,7 +70,6 @@
 	n.lastTick = now
 	n.recorder.recordSuspension(gap)
 	n.fleet.HandleSuspension(now)
-	n.streams.handleSuspension(now)
 	for _, p := range n.pools {
 		p.HandleSuspension(now, suspensionWait)
 	}
--- a/fbnode/fake_daemon_test.go
+++ b/fbnode/fake_daemon_test.go
@@ -32,7 +32,6 @@
 	lastHeartbeat  time.Duration
 	lastRoster     time.Duration
 	sentHeartbeats map[filbertford.NodeID]sentHeartbeat
-	streams        *streamWatch
 	claimsRenewed  time.Duration
 	claimsRead     time.Duration
 	claimsSeen     map[filbertford.PoolID]seenClaim
@@ -112,7 +111,6 @@
 	d.lastTick = now
 	d.sim.logf("%s was suspended for %v", d.name(), gap)
 	d.fleet.HandleSuspension(now)
-	d.streams.handleSuspension(now)
 	for _, id := range d.poolIDs() {
 		d.pools[id].HandleSuspension(now, suspensionWait)
 	}
--- a/fbnode/fake_network_test.go
+++ b/fbnode/fake_network_test.go
@@ -59,7 +59,7 @@
 			}
 			l.open, l.delay, l.unackedSince, l.stalled = true, simMinRedialDelay, 0, nil
 			l.epoch++
-			l.deliver(true, func(d *simDaemon) {
+			l.deliver(func(d *simDaemon) {
 				for _, id := range d.poolIDs() {
 					d.pools[id].CoordinatorConnected(s.now, l.from.name())
 				}
@@ -85,7 +85,7 @@
 		l.stalled = append(l.stalled, m)
 		return
 	}
-	l.deliver(false, m)
+	l.deliver(m)
 }
 
 // retransmit delivers what could not be delivered once that is possible, and breaks the
@@ -98,7 +98,7 @@
 		from, to := string(l.from.name()), string(l.to.Node())
 		if !l.sim.blocked(from, to) {
 			for _, m := range l.stalled {
-				l.deliver(false, m)
+				l.deliver(m)
 			}
 			l.stalled = nil
 			if !l.sim.blocked(to, from) {
@@ -114,26 +114,13 @@
 	})
 }
 
-// deliver delivers a message unless the receiver has ended the stream, as Node does. The first one on a
-// stream has newStream set.
-func (l *simLink) deliver(newStream bool, m func(*simDaemon)) {
+func (l *simLink) deliver(m func(*simDaemon)) {
 	from, to := string(l.from.name()), string(l.to.Node())
 	epoch, receiver := l.epoch, l.sim.daemons[l.to.Node()]
 	l.lastArrival = max(l.sim.now+l.sim.oneWay(from, to), l.lastArrival)
 	l.sim.at(l.lastArrival, func() {
 		if l.open && l.epoch == epoch {
 			receiver.post(from, func(d *simDaemon) {
-				switch d.streams.check(l.sim.now, l.from.name(), newStream, streamTimeout(d.fleet, d.pools, l.from.name())) {
-				case streamSilent:
-					l.sim.after(l.sim.oneWay(to, from), func() {
-						if l.epoch == epoch {
-							l.breakStream()
-						}
-					})
-					return
-				case streamEnded:
-					return
-				}
 				for _, id := range d.poolIDs() {
 					d.pools[id].CoordinatorHeard(l.sim.now, l.from.name())
 				}
--- a/fbnode/fleet_simulation_test.go
+++ b/fbnode/fleet_simulation_test.go
@@ -287,7 +287,6 @@
 			coordinator: fbsched.NewCoordinator(dataCentrePool(m.DataCentre())),
 			pools:       make(map[filbertford.PoolID]*fbsched.Pool),
 			links:       make(map[filbertford.NodeID]*simLink),
-			streams:     newStreamWatch(),
 			requests:    make(map[uint64]func(filbertford.WorkloadAnswer)), broken: make(map[uint64]func()),
 			lastTick: s.now, sentHeartbeats: make(map[filbertford.NodeID]sentHeartbeat),
 		}
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -120,7 +120,6 @@
 	lastRoster       time.Duration
 	nextRosterMember int // index of the next member to get a roster in a large fleet
 	sentHeartbeats   map[filbertford.NodeID]sentHeartbeat
-	streams          *streamWatch
 	specs            []fbfleet.PoolSpec // of all known pools
 	recorder         *eventRecorder
 	evacuations      *evacuationState
@@ -150,7 +149,6 @@
 		queuedOrigins:  make(map[origin]bool),
 		wakeTargets:    make(chan struct{}, 1),
 		sentHeartbeats: make(map[filbertford.NodeID]sentHeartbeat),
-		streams:        newStreamWatch(),
 		lastTick:       now,
 		recorder:       newEventRecorder(deps.Log, deps.Metrics, deps.DroppedLines),
 		evacuations:    newEvacuationState(deps.Metrics),
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -14,13 +14,6 @@
 func (n *Node) Receive(from fbfleet.Member, messages []fblink.Message, newStream bool) {
 	messages = n.receiveRoutes(from.Node(), messages)
 	n.post(func(now time.Duration) {
-		switch n.streams.check(now, from.Node(), newStream, streamTimeout(n.fleet, n.pools, from.Node())) {
-		case streamSilent:
-			n.hub.EndStream(from.Node())
-			return
-		case streamEnded:
-			return
-		}
 		if newStream {
 			for _, p := range n.pools {
 				p.CoordinatorConnected(now, from.Node())
