--- a/fbnode/fake_target_test.go
+++ b/fbnode/fake_target_test.go
@@ -77,9 +77,13 @@
 	}
 }
 
-func (t *simTarget) extendLease(lease int64) {
+func (t *simTarget) extendLease(daemon string, lease int64) {
 	limit := t.clock() + time.Second
+	earlier := t.lease
 	t.lease = max(t.lease, min(time.Duration(lease)*time.Millisecond, limit))
+	if t.lease > earlier && len(t.runs) > 0 {
+		t.sim.logf("lease: %s extends %s to %v", daemon, t.id(), t.lease-t.clock())
+	}
 }
 
 func (t *simTarget) reply(o filbertford.CallOutcome) filbertford.CallReply {
@@ -126,17 +130,17 @@
 		return t.reply(filbertford.CallDone)
 	}
 	if req.Run() <= t.highest[key] {
-		t.extendLease(req.Lease())
+		t.extendLease(daemon, req.Lease())
 		return t.reply(filbertford.CallStale)
 	}
 	if time.Duration(req.Lease())*time.Millisecond < t.clock() {
 		return t.reply(filbertford.CallLeaseExpired)
 	}
 	if len(t.runs) >= t.rec.Capacity().CPU()/1000 {
-		t.extendLease(req.Lease())
+		t.extendLease(daemon, req.Lease())
 		return t.reply(filbertford.CallFull)
 	}
-	t.extendLease(req.Lease())
+	t.extendLease(daemon, req.Lease())
 	duration, outcome := t.sim.taskDuration(key), filbertford.RunDone
 	if t.sim.chance(0.01) {
 		duration, outcome = duration/3, filbertford.RunFailed
@@ -169,7 +173,7 @@
 		return r
 	}
 	if req.Lease() > 0 {
-		t.extendLease(req.Lease())
+		t.extendLease(daemon, req.Lease())
 	}
 	t.ended = slices.DeleteFunc(t.ended, func(e filbertford.EndedRun) bool { return e.Sequence() <= req.Acked() })
 	var running []filbertford.RunStatus
