Leases: a new stream doesn't prolong the runs of a silent coordinator

A withdrawal can be lost with the stream that it is sent on, as early as just after the coordinator's last message. When the coordinator connects again, the pool waited reofferTimeout for its offers from then on and granted its runs leases of up to 1 s, and the first message on the new stream ended the bound of silentLease. Both counted from the new stream and not from the last message before, so that the silence came on top: with a stream that is back after 0.7 s, which is before a large fleet notices a loss, a run of the withdrawn job goes on 1.3 s after its caller has gone, when the job is sent again. After 0.4 s it does if its stops are lost.

A run now ends silentLease after the last message before the new stream, unless the coordinator offers its task again, and it is stopped stopTimeout earlier, so that the leases of its neighbours aren't shortened. Waiting tasks are kept for reofferTimeout as before.

--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -297,20 +297,6 @@
 	p.dispatchDue = true
 }
 
-// CoordinatorConnected handles a new connection of a coordinator, which offers its tasks of
-// best-effort jobs again. The others are dropped after reofferTimeout: a withdrawal may have
-// been lost with the earlier connection.
-func (p *Pool) CoordinatorConnected(now time.Duration, node filbertford.NodeID) {
-	for _, t := range p.tasks {
-		if t.coordinator == node && !t.batch.stored && t.reofferBy == 0 {
-			t.reofferBy = now + reofferTimeout
-			if t.run != nil {
-				t.run.endBy(now + leaseDuration + stopTimeout)
-			}
-		}
-	}
-}
-
 func (p *Pool) dropTasks(now time.Duration, match func(*task) bool, reason string) {
 	var stopped []*run
 	for key, t := range p.tasks {
--- /dev/null
+++ b/fbsched/reconnect.go
@@ -0,0 +1,29 @@
+package fbsched
+
+import (
+	"time"
+
+	"github.com/filbertford/filbertford"
+)
+
+// CoordinatorConnected handles a new connection of a coordinator, which offers its tasks of
+// best-effort jobs again. The others are dropped after reofferTimeout: a withdrawal may have
+// been lost with the earlier connection, as early as after its last message. Runs end silentLease
+// after that message, as if the coordinator had not connected again.
+func (p *Pool) CoordinatorConnected(now time.Duration, node filbertford.NodeID) {
+	for _, t := range p.tasks {
+		if t.coordinator != node || t.batch.stored || t.reofferBy != 0 {
+			continue
+		}
+		t.reofferBy = now + reofferTimeout
+		if t.run == nil {
+			continue
+		}
+		limit := now + reofferTimeout + stopTimeout
+		if silent, limited := p.silenceLimit(t); limited {
+			limit = min(limit, silent)
+		}
+		t.run.endBy(limit)
+		t.reofferBy = limit - stopTimeout
+	}
+}
