Stored jobs: a repeated search doesn't wait anew for runs of earlier owners

A new owner of a shard searches the pools for the tasks of its jobs and repeats the search on each new stream to a pool's owner. Each repetition said that contact with earlier owners had been lost just now, so that the pool waited earlierRunTimeout (2 s) again before it could report a task as absent while one of its targets wasn't listed. With streams that break more often than that the search never ended and the task was not started, even beyond listTimeout.

The offer of a search now states the time since contact with the pool's last owner was lost or, if that is later, since the search began: owners that an earlier coordinator used have been lost by then as far as the first offer could tell.

--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -197,15 +197,17 @@
 		return
 	}
 	var items []Item
+	since := v.lostAt // earlier owners may have started the tasks until then, or until the search began
 	for index, t := range j.steps[number].tasks {
 		if t.search != nil && !t.done {
+			since = max(since, t.search.startedAt)
 			items = append(items, NewItem(index, t.failed.count).WithFailedRun(t.failed.last).WithCrashes(t.crashes))
 		}
 	}
 	if len(items) == 0 {
 		return
 	}
-	b := c.batch(now, j, number, pool, items).WithStored(true, true).WithResume(0)
+	b := c.batch(now, j, number, pool, items).WithStored(true, true).WithResume(now - since)
 	for _, i := range items {
 		j.steps[number].tasks[i.index].search.offers[pool] = b.offerNumber
 	}
