Stored jobs: a pool obeys the end of a job from whichever daemon owns its shard

A pool accepted a withdrawal only from the coordinator that had last offered the task, or of tasks whose coordinator is unreachable. If a shard has moved and the new owner's offer of a job was lost with its stream, or the owner finds the job as ended when it takes the shard over and offers nothing, the pool still names the earlier owner as the coordinator. It ignored the withdrawal and its repetitions: a cancelled job's runs went on, and its waiting tasks were started, for as long as the earlier owner could be heard.

A stored job is withdrawn only after its end has been committed under the shard's claim, so that the withdrawal holds whoever sends it, and the pool now obeys it. TestCancelledJobOfEarlierShardOwnerEnds, where another daemon withdraws a job with four runs and five waiting tasks, stopped none and kept all before; it passes, and the mutation that restores the old condition is caught by it.

--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -262,9 +262,10 @@
 	p.dispatchDue = true
 }
 
-// mayBeWithdrawnBy reports whether the coordinator may withdraw the task.
+// mayBeWithdrawnBy reports whether the coordinator may withdraw the task. A stored job is withdrawn
+// only after its end was stored, by whichever daemon owns its shard then.
 func (t *task) mayBeWithdrawnBy(coordinator filbertford.NodeID) bool {
-	return t.coordinator == coordinator || t.coordinatorUnreachableAt != 0
+	return t.coordinator == coordinator || t.coordinatorUnreachableAt != 0 || t.batch.stored
 }
 
 // tasksOf returns the tasks of a job that the coordinator may withdraw, ordered by
