A pool goes to a daemon that knows its targets

Cause: a daemon that starts while the store can't be reached claims the pool of its data centre by rank, although it knows no target and a neighbour knows all. Its data centre's callers are refused until the store replies.

Change: heartbeats state whether the sender knows the targets' records, and as of which version of the store (Beat.targets, Beat.without_targets; an earlier version sets neither and counts as before). A daemon without them leaves a pool of targets to one that knows them and can claim it, for claimDelay at most, so that a pool that the other doesn't claim is still taken over. A daemon that knows them doesn't wait for one that doesn't. A working owner without targets is replaced by a daemon of the pool's data centre that has them, after claimDelay and once; daemons of other data centres don't take such a pool, and one that doesn't know the targets takes no pool from a working owner.

--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -26,6 +26,7 @@
 	PoolFenced            = warnEvent("FE7034", "target has received a newer owner's fencing token")
 	PoolSettled           = infoEvent("FE7035", "all targets of a pool have listed their runs, or their leases have expired")
 	WaitingUnknown        = warnEvent("FE7036", "number of waiting jobs is unknown: the owner of a shard did not reply")
+	PoolLeft              = infoEvent("FE7037", "pool left to a daemon that knows its targets; this daemon does not")
 	EvacuationBegun       = warnEvent("FE7071", "evacuation of a data centre has begun; nothing is started there")
 	EvacuationEnded       = infoEvent("FE7072", "evacuation of a data centre has ended")
 	EvacuationRejected    = errorEvent("FE7073", "row of an evacuation is malformed; ignoring it")
--- a/fbfleet/claim.go
+++ b/fbfleet/claim.go
@@ -61,7 +61,7 @@
 		return
 	}
 	for _, s := range f.pools {
-		if _, ok := f.owned[s.id]; ok || !f.ranksFirst(now, s) || !f.mayClaim(now, s) {
+		if _, ok := f.owned[s.id]; ok || !f.ranksFirst(now, s) || !f.mayClaim(now, s) || f.leavesToOther(now, s) {
 			continue
 		}
 		f.acquire(now, s.id)
@@ -78,7 +78,7 @@
 	}
 	self := f.rank(f.self, s)
 	for id, p := range f.peers {
-		if !f.mayCompete(now, p, s) || p.draining || id == owner.node && !ownerStays {
+		if !f.mayCompete(now, p, s) || p.draining || id == owner.node && !ownerStays || f.isOutdone(p, s) {
 			continue
 		}
 		if p.starting && s.dataCentre != "" && (p.member.dataCentre != s.dataCentre || f.self.dataCentre == s.dataCentre) {
@@ -103,9 +103,16 @@
 
 // mayTakeOver reports whether this daemon may take a pool over from a working
 // owner. A pool moves only back to its own data centre or to a much stronger
-// daemon, and only after returnDelay.
+// daemon, and only after returnDelay, or from an owner that doesn't know its targets to a
+// daemon that does.
 func (f *Fleet) mayTakeOver(now time.Duration, s PoolSpec, owner filbertford.NodeID) bool {
 	p := f.peers[owner]
+	if p != nil && f.ownerLacksTargets(now, s, p) {
+		return true
+	}
+	if s.dataCentre != "" && f.targets == TargetsUnknown {
+		return false
+	}
 	if p == nil || now-f.startedAt < returnDelay || now-p.joinedAt < returnDelay {
 		return false
 	}
--- a/fbfleet/event.go
+++ b/fbfleet/event.go
@@ -19,6 +19,9 @@
 	EventPeerUnreachable EventKind = "peer-lost"
 	// EventProbe requests a probe of whether any target of a pool can be reached.
 	EventProbe EventKind = "probe"
+	// EventLeft means that this daemon, which doesn't know a pool's targets, leaves the
+	// pool to the named daemon.
+	EventLeft EventKind = "left"
 	// EventPeerReachable means that a daemon was reached, for the first time or
 	// again.
 	EventPeerReachable EventKind = "peer-met"
--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -77,6 +77,9 @@
 	unownedSince map[filbertford.PoolID]time.Duration // when the pool lost its owner
 	fencedAt     map[filbertford.PoolID]time.Duration
 	probes       map[filbertford.PoolID]probe
+	targets      TargetKnowledge                      // of this daemon
+	leftSince    map[filbertford.PoolID]time.Duration // see leavesToOther
+	lackedSince  map[filbertford.PoolID]time.Duration // see ownerLacksTargets
 	candidates   map[filbertford.NodeID]bool
 	candidatesAt time.Duration // when the candidates were last updated
 	draining     bool
@@ -99,7 +102,7 @@
 // Owner returns the pool's new owner.
 func (e Event) Owner() Owner { return e.owner }
 
-// Node returns the daemon that has become reachable or unreachable.
+// Node returns the daemon that has become reachable or unreachable, or that a pool is left to.
 func (e Event) Node() filbertford.NodeID { return e.node }
 
 // New returns the view of a daemon that has not learned of any other daemon yet.
@@ -116,6 +119,8 @@
 		unownedSince: make(map[filbertford.PoolID]time.Duration),
 		fencedAt:     make(map[filbertford.PoolID]time.Duration),
 		probes:       make(map[filbertford.PoolID]probe),
+		leftSince:    make(map[filbertford.PoolID]time.Duration),
+		lackedSince:  make(map[filbertford.PoolID]time.Duration),
 		candidates:   make(map[filbertford.NodeID]bool),
 	}
 }
@@ -175,7 +180,7 @@
 			receivesFrom[id] = true
 		}
 	}
-	return NewHeartbeat(f.self, f.draining, receivesFrom, f.Claims()).WithStarting(f.starting(now))
+	return NewHeartbeat(f.self, f.draining, receivesFrom, f.Claims()).WithStarting(f.starting(now)).WithTargets(f.targets)
 }
 
 // PeriodFactor returns the factor by which the heartbeat period grows with the
@@ -287,7 +292,7 @@
 		p.joinedAt, changed = now, true
 	}
 	p.member, p.seen, p.down, p.lastHeartbeat, p.draining, p.claims = m, true, false, now, h.draining, h.claims
-	p.starting, p.period = h.starting, min(h.period, idlePeriod)
+	p.starting, p.period, p.targets = h.starting, min(h.period, idlePeriod), h.targets
 	if p.acked = h.receivesFrom[f.self.node]; p.acked {
 		p.lastAcked = now
 	}
@@ -424,6 +429,7 @@
 		} else {
 			delete(f.staleClaims, s.id)
 		}
+		f.ownerChanged(s.id, next)
 		f.owners[s.id] = next
 		f.emit(Event{kind: EventOwner, pool: s.id, owner: next})
 	}
--- a/fbfleet/member.go
+++ b/fbfleet/member.go
@@ -59,6 +59,7 @@
 	receivesFrom map[filbertford.NodeID]bool
 	claims       []Claim
 	period       time.Duration
+	targets      TargetKnowledge
 }
 
 // NewHeartbeat returns a heartbeat of the daemon, with the daemons whose heartbeats
@@ -141,4 +142,5 @@
 	period        time.Duration // announced time to its next heartbeat, 0 for the normal period
 	down          bool          // it counts as unreachable
 	joinedAt      time.Duration
+	targets       TargetKnowledge
 }
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -131,6 +131,7 @@
 	w := &fbwire.Beat{
 		Starting: h.heartbeat.Starting(), Draining: h.heartbeat.Draining(), Routes: h.routesVersion,
 		PeriodMs: uint32(h.heartbeat.Period().Milliseconds()), Evacuations: h.evacuationsVersion,
+		Targets: h.targetsVersion, WithoutTargets: h.heartbeat.Targets() == fbfleet.TargetsUnknown,
 	}
 	for n := range h.heartbeat.ReceivesFrom() {
 		w.Heard = append(w.Heard, nameHash(n))
@@ -165,8 +166,19 @@
 		}
 	}
 	heartbeat := fbfleet.NewHeartbeat(sender, w.GetDraining(), receivesFrom, claims).WithStarting(w.GetStarting()).
-		WithPeriod(time.Duration(w.GetPeriodMs()) * time.Millisecond)
-	return NewHeartbeat(heartbeat, capacities, w.GetRoutes()).WithEvacuationsVersion(w.GetEvacuations())
+		WithPeriod(time.Duration(w.GetPeriodMs()) * time.Millisecond).WithTargets(targetKnowledge(w))
+	return NewHeartbeat(heartbeat, capacities, w.GetRoutes()).WithEvacuationsVersion(w.GetEvacuations()).
+		WithTargetsVersion(w.GetTargets())
+}
+
+func targetKnowledge(w *fbwire.Beat) fbfleet.TargetKnowledge {
+	switch {
+	case w.GetWithoutTargets():
+		return fbfleet.TargetsUnknown
+	case w.GetTargets() > 0:
+		return fbfleet.TargetsKnown
+	}
+	return fbfleet.TargetsUnstated
 }
 
 func capacityToWire(c fbsched.Capacity) *fbwire.Room {
--- a/fblink/convert_test.go
+++ b/fblink/convert_test.go
@@ -35,6 +35,8 @@
 	}}
 	tests := map[string]Message{
 		"beat":        NewHeartbeat(fbfleet.NewHeartbeat(sender, true, map[filbertford.NodeID]bool{self: true}, claims).WithStarting(true).WithPeriod(time.Second), capacities, 4).WithEvacuationsVersion(8),
+		"without":     NewHeartbeat(fbfleet.NewHeartbeat(sender, false, map[filbertford.NodeID]bool{}, nil).WithTargets(fbfleet.TargetsUnknown), map[filbertford.PoolID][]fbsched.Capacity{}, 0),
+		"with":        NewHeartbeat(fbfleet.NewHeartbeat(sender, false, map[filbertford.NodeID]bool{}, nil).WithTargets(fbfleet.TargetsKnown), map[filbertford.PoolID][]fbsched.Capacity{}, 0).WithTargetsVersion(9),
 		"roster":      NewRoster([]fbfleet.Member{sender}),
 		"batch":       batch,
 		"resumed":     batch.WithResume(300 * time.Millisecond),
--- a/fblink/message.go
+++ b/fblink/message.go
@@ -12,12 +12,13 @@
 type Message any
 
 // Heartbeat is a heartbeat with the free capacity of the sender's pools and the
-// versions of its routes and of the evacuations that it knows.
+// versions of its routes, of the evacuations and of the targets' records that it knows.
 type Heartbeat struct {
 	heartbeat          fbfleet.Heartbeat
 	capacities         map[filbertford.PoolID][]fbsched.Capacity
 	routesVersion      uint64
 	evacuationsVersion uint64
+	targetsVersion     uint64
 }
 
 // NewHeartbeat returns a heartbeat with the free capacities of the claimed pools and
@@ -46,6 +47,17 @@
 // none.
 func (h Heartbeat) EvacuationsVersion() uint64 { return h.evacuationsVersion }
 
+// WithTargetsVersion returns a copy of h with the version of the targets' records that the
+// sender knows, 0 for none.
+func (h Heartbeat) WithTargetsVersion(version uint64) Heartbeat {
+	h.targetsVersion = version
+	return h
+}
+
+// TargetsVersion returns the version of the targets' records that the sender knows, 0 for
+// none.
+func (h Heartbeat) TargetsVersion() uint64 { return h.targetsVersion }
+
 // Roster lists the daemons that the sender knows.
 type Roster struct{ members []fbfleet.Member }
 
--- a/fbnode/heartbeat.go
+++ b/fbnode/heartbeat.go
@@ -58,7 +58,7 @@
 		}
 		n.sentHeartbeats[member.Node()] = sentHeartbeat{sentAt: now, period: period}
 		n.hub.Send(member.Node(), fblink.NewHeartbeat(heartbeat.ForReceiver(member.Node()).WithPeriod(period), capacities, n.routes.version()).
-			WithEvacuationsVersion(n.evacuations.state.Version()))
+			WithEvacuationsVersion(n.evacuations.state.Version()).WithTargetsVersion(n.targets.version))
 	}
 }
 
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -157,6 +157,7 @@
 	}
 	// A reply to a request of an earlier incarnation of the daemon must match none of this one.
 	n.lastRequestID.Store(rand.Uint64N(math.MaxInt64))
+	n.fleet.SetTargetsKnown(false)
 	n.coordinator.SetScheduling(opts.Scheduling)
 	n.coordinator.SetBalancer(fbbalance.Share{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.hub = fblink.NewHub(opts.Member, n)
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -32,7 +32,8 @@
 // Connected implements fblink.Receiver.
 func (n *Node) Connected(node filbertford.NodeID) {
 	n.post(func(now time.Duration) {
-		n.hub.Send(node, fblink.NewHeartbeat(n.fleet.Heartbeat(now), nil, n.routes.version()).WithEvacuationsVersion(n.evacuations.state.Version()))
+		n.hub.Send(node, fblink.NewHeartbeat(n.fleet.Heartbeat(now), nil, n.routes.version()).
+			WithEvacuationsVersion(n.evacuations.state.Version()).WithTargetsVersion(n.targets.version))
 		n.hub.Send(node, fblink.NewRoster(append(n.fleet.Members(), n.fleet.Self())))
 		n.resumeTasks(now, node)
 	})
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -171,6 +171,9 @@
 		fbevent.PoolReleased.Log(r.log, "pool", e.Pool(), "reason", e.Reason())
 	case fbfleet.EventOwner:
 		fbevent.PoolOwner.Log(r.log, "pool", e.Pool(), "owner", e.Owner().Node(), "fence", e.Owner().Fence())
+	case fbfleet.EventLeft:
+		r.scope.Counter("pools_left").Inc(1)
+		fbevent.PoolLeft.Log(r.log, "pool", e.Pool(), "node", e.Node())
 	case fbfleet.EventPeerUnreachable:
 		fbevent.PeerUnreachable.Log(r.log, "node", e.Node(), "reason", e.Reason())
 	case fbfleet.EventPeerReachable:
--- a/fbnode/targets.go
+++ b/fbnode/targets.go
@@ -20,6 +20,7 @@
 	records         map[string]filbertford.TargetRecord
 	decodedVersions map[string]uint64
 	readAt          time.Duration // when the records were last read, 0 if never
+	version         uint64        // of the store as of which the records are known, 0 for none
 	// removedAt holds the times at which rows were removed or became malformed. Their
 	// records are kept for removalDelay.
 	removedAt map[string]time.Duration
