A daemon that can't reach the store gets the targets from another daemon

Cause: members, claims, routes and evacuations come from other daemons when the store doesn't reply, the targets' records don't. A daemon that starts then owns pools without a target until the store replies.

Change: until the store's table of targets has been read once, a daemon requests it from the daemon that states the newest version (TargetsPull, TargetsPush), in parts of at most 64 kB and 512 rows, 16,384 rows in all, and again after 2 s or 1 ms for each row if a newer version is stated. A table counts once it is complete: an owner that knew some targets only would miss runs on the others. Others are sent 256 kB in a tick. The first read of the store replaces what other daemons have told, whatever the versions. Rows that no target writes, older ones, too many and messages that weren't requested are counted (targets_ignored) and logged once (FE7020). Only daemons that state a version are asked, so that an earlier one gets no message that it doesn't know. A pool whose targets become known late surveys them from then on; before, it counted as surveyed at once after surveyTimeout.

Result: two daemons without a store, joined over TCP: the second knows the 1,025 targets of the first within the 3 s of the test, and owns the pool with all of them after the first has ended. TestLateTargetsAreSurveyed fails without its change.

--- a/fbevent/node.go
+++ b/fbevent/node.go
@@ -17,6 +17,8 @@
 	RecordMalformed       = warnEvent("FE7016", "record in the store is malformed; ignoring it")
 	RenewalFailed         = warnEvent("FE7017", "could not renew the claims of this daemon's pools in the store")
 	CallerLeft            = infoEvent("FE7018", "request not submitted: its caller had left when the daemon got to it")
+	TargetsReceived       = infoEvent("FE7019", "target records received from another daemon, because the store has not been read yet")
+	TargetsIgnored        = warnEvent("FE7020", "target records from another daemon ignored")
 	PeerReachable         = infoEvent("FE7021", "another daemon is reachable")
 	PeerUnreachable       = warnEvent("FE7022", "another daemon is unreachable")
 	MessageMalformed      = errorEvent("FE7023", "malformed message from another daemon")
--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -75,6 +75,8 @@
 		return &fbwire.Message{Kind: &fbwire.Message_RoutesPush{RoutesPush: p}}, nil
 	case EvacuationsPull:
 		return &fbwire.Message{Kind: &fbwire.Message_EvacuationsPull{EvacuationsPull: &fbwire.EvacuationsPull{Have: v.have}}}, nil
+	case TargetsPull, TargetsPush:
+		return targetsToWire(v), nil
 	case EvacuationsPush:
 		p := &fbwire.EvacuationsPush{Version: v.version}
 		for _, d := range v.dataCentres {
@@ -117,6 +119,10 @@
 		return NewRoutesPush(v.RoutesPush.GetVersion(), v.RoutesPush.GetValue()), nil
 	case *fbwire.Message_EvacuationsPull:
 		return NewEvacuationsPull(v.EvacuationsPull.GetHave()), nil
+	case *fbwire.Message_TargetsPull:
+		return NewTargetsPull(v.TargetsPull.GetAfter()), nil
+	case *fbwire.Message_TargetsPush:
+		return targetsPushFromWire(v.TargetsPush), nil
 	case *fbwire.Message_EvacuationsPush:
 		var dataCentres []filbertford.DataCentre
 		for _, name := range v.EvacuationsPush.GetZones() {
@@ -171,16 +177,6 @@
 		WithTargetsVersion(w.GetTargets())
 }
 
-func targetKnowledge(w *fbwire.Beat) fbfleet.TargetKnowledge {
-	switch {
-	case w.GetWithoutTargets():
-		return fbfleet.TargetsUnknown
-	case w.GetTargets() > 0:
-		return fbfleet.TargetsKnown
-	}
-	return fbfleet.TargetsUnstated
-}
-
 func capacityToWire(c fbsched.Capacity) *fbwire.Room {
 	w := &fbwire.Room{Service: c.Service(), Total: clamp32(c.Total()), BacklogUs: clamp32(c.Backlog().Microseconds()), Rate: clamp32(c.Rate())}
 	for _, waiting := range c.Waiting() {
--- a/fblink/convert_test.go
+++ b/fblink/convert_test.go
@@ -50,6 +50,8 @@
 		"routes":      NewRoutesPush(4, []byte("x")),
 		"recall":      fbsched.NewRecall("p", "00000000000000aa", 9),
 		"evac pull":   NewEvacuationsPull(3),
+		"pull":        NewTargetsPull("t00"),
+		"targets":     NewTargetsPush(5, "t00", true, filbertford.NewRow("t01", []byte("x"), 4), filbertford.NewRow("t02", []byte("y"), 5)),
 		"evacuations": NewEvacuationsPush(4, "z", "y"),
 	}
 	for name, m := range tests {
--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -103,6 +103,7 @@
 	n.tickStored(now)
 	n.tickClaims(now)
 	n.tickEvacuations(now)
+	n.tickTargets(now)
 	n.pullRoutes()
 	n.ready.Store(n.Routes() != nil && !n.stopping.Load() && n.hasPoolOwner())
 	n.recorder.logOmissions(now)
@@ -166,6 +167,7 @@
 			n.verifyShards(e.Pool())
 		case fbfleet.EventPeerUnreachable:
 			n.routesNodeUnreachable(e.Node())
+			n.targetExchange.unreachable(e.Node())
 			n.dropCoordinator(now, e.Node())
 		case fbfleet.EventProbe:
 			n.probePool(e.Pool())
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -108,6 +108,7 @@
 	coordinator      *fbsched.Coordinator
 	pools            map[filbertford.PoolID]*fbsched.Pool
 	targets          *targetCache
+	targetExchange   *targetExchange
 	pendingAnswers   map[uint64]pendingAnswer
 	ownedShards      map[filbertford.PoolID]*fbshard.Owner
 	pendingStored    map[uint64]*pendingStoredRequest
@@ -142,6 +143,7 @@
 		coordinator:    fbsched.NewCoordinator(dataCentrePool(opts.Member.DataCentre())),
 		pools:          make(map[filbertford.PoolID]*fbsched.Pool),
 		targets:        newTargetCache(deps.Decoder, deps.Log),
+		targetExchange: newTargetExchange(now, deps.Metrics),
 		pendingAnswers: make(map[uint64]pendingAnswer),
 		ownedShards:    make(map[filbertford.PoolID]*fbshard.Owner),
 		pendingStored:  make(map[uint64]*pendingStoredRequest),
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -86,6 +86,10 @@
 		n.sendEvacuations(from.Node(), v)
 	case fblink.EvacuationsPush:
 		n.receiveEvacuations(now, from.Node(), v)
+	case fblink.TargetsPull:
+		n.targetExchange.request(from.Node(), v.After())
+	case fblink.TargetsPush:
+		n.receiveTargets(now, from.Node(), v)
 	}
 }
 
@@ -99,6 +103,7 @@
 	}
 	n.coordinator.Rebalance(now)
 	n.reportNewerClaims(from.Node(), h.Heartbeat().Claims())
+	n.targetExchange.versionNamed(from.Node(), h.TargetsVersion())
 	if version := n.evacuations.state.Version(); h.EvacuationsVersion() > version {
 		n.hub.Send(from.Node(), fblink.NewEvacuationsPull(version))
 	}
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -68,6 +68,7 @@
 func (n *Node) targetsChanged(now time.Duration, full bool, s filbertford.Snapshot) {
 	n.targets.readAt, n.targets.version = now, max(1, s.Version())
 	n.fleet.SetTargetsKnown(true)
+	n.targets.distrustDaemons()
 	if n.targets.apply(now, full, s) {
 		n.updatePoolTargets(now)
 	}
--- a/fbnode/targets.go
+++ b/fbnode/targets.go
@@ -21,6 +21,8 @@
 	decodedVersions map[string]uint64
 	readAt          time.Duration // when the records were last read, 0 if never
 	version         uint64        // of the store as of which the records are known, 0 for none
+	fromDaemon      bool          // the rows are those of another daemon
+	sortedKeys      []string      // of the rows, nil if they have changed
 	// removedAt holds the times at which rows were removed or became malformed. Their
 	// records are kept for removalDelay.
 	removedAt map[string]time.Duration
@@ -64,6 +66,7 @@
 	if !t.rows.apply(full, s) {
 		return false
 	}
+	t.sortedKeys = nil
 	for key := range t.records {
 		if _, ok := t.rows.byKey[key]; !ok && t.removedAt[key] == 0 {
 			t.removedAt[key] = now
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -157,6 +157,9 @@
 
 // SetTargets replaces the records of the pool's targets.
 func (p *Pool) SetTargets(now time.Duration, records []filbertford.TargetRecord) {
+	if len(p.sortedTargets) == 0 && !p.surveyed {
+		p.surveyFrom = max(p.surveyFrom, now) // the survey begins with the first targets
+	}
 	present := make(map[filbertford.TargetID]bool, len(records))
 	for _, rec := range records {
 		id := rec.Instance().ID()
