fbsched: a lease is extended only for a coordinator that has offered the task

Callers saw two runs of one task: all daemons are killed, the pool has two owners in short succession, and the caller, which sends its job again after 1.3 s, gets a second run in another pool while the first one goes on. It also happens without resets of connections ( with kill-all only).

Cause: each new owner kept the runs that it found for 0.3 s, in case a coordinator claimed them, and extended the leases of their targets until 0.45 s after it had found them. That bound assumed that the last extension before was for a living coordinator. After an owner that had extended them without one, the waits add up beyond 1.3 s.

Change: a new owner extends no lease of a target on which it has found runs of best-effort jobs, until each of them is claimed or has ended. However many owners follow, such a run ends by the lease that was last extended for its coordinator. Two things keep the cost low. A claim extends the lease at once, instead of with the next poll. And coordinators tell a new owner when they have offered it all of their tasks: once those that may run have done so, unclaimed runs are stopped at once, which frees their capacity and the leases beside them. Runs of stored jobs keep their 0.3 s and their lease, since their coordinators read them first and no caller sends them again meanwhile. Starts go only to targets whose lease may be extended, as before.

--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -398,6 +398,13 @@
 	return f.alive(now, p), f.connected(now, p)
 }
 
+// MayRun reports whether a daemon is heard, or may run without having been heard yet: its address has refused
+// no connection.
+func (f *Fleet) MayRun(now time.Duration, node filbertford.NodeID) bool {
+	p := f.peers[node]
+	return p != nil && (f.alive(now, p) || !p.seen && p.refusedAt == 0)
+}
+
 // HasMember reports whether a daemon is part of the fleet.
 func (f *Fleet) HasMember(node filbertford.NodeID) bool { return f.peers[node] != nil }
 
--- a/fbnode/fake_daemon_test.go
+++ b/fbnode/fake_daemon_test.go
@@ -232,6 +232,7 @@
 func (d *simDaemon) addPool(id filbertford.PoolID, fence uint64) {
 	p := fbsched.NewPool(id, fence, simWallOffset, d.sim.now)
 	d.holdStarts(p)
+	p.AwaitOffers(runningDaemons(d.sim.now, d.fleet))
 	d.pools[id] = p
 	p.SetTargets(d.sim.now, d.records(id))
 	d.sim.after(d.sim.between(5*time.Millisecond, 50*time.Millisecond), d.readRecords)
@@ -299,6 +300,8 @@
 			return
 		}
 		d.send(v.To, func(r *simDaemon) { r.handleBatch(self, v.Batch) })
+	case fbsched.SendOffersComplete:
+		d.doAction(fbsched.SendBatch{To: v.To, Batch: v.Batch()})
 	case fbsched.SendWithdrawal:
 		withdraw := func(r *simDaemon) {
 			if p := r.pools[v.Withdrawal.Pool()]; p != nil {
--- a/fbnode/fleet_resets_test.go
+++ b/fbnode/fleet_resets_test.go
@@ -19,11 +19,17 @@
 func TestFleetRunsNoTaskTwiceUnderResets(t *testing.T) {
 	for seed := *fleetSeed; seed < *fleetSeed+*fleetSeeds; seed++ {
 		play := func(trace bool) *fleetSim {
-			s := newFleetSim(seed, trace)
-			s.resets = rand.New(rand.NewPCG(seed, 9))
+			s := newResetSim(seed, trace)
 			s.advance(simRuntime)
 			return s
 		}
 		reportViolations(t, seed, play(*fleetTrace), play)
 	}
 }
+
+// newResetSim returns a fleet as newFleetSim does, with connections to targets that break.
+func newResetSim(seed uint64, trace bool) *fleetSim {
+	s := newFleetSim(seed, trace)
+	s.resets = rand.New(rand.NewPCG(seed, 9))
+	return s
+}
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -248,6 +248,8 @@
 		n.hub.Send(v.To, v.Report)
 	case fbsched.SendBatch:
 		n.sendBatch(now, v)
+	case fbsched.SendOffersComplete:
+		n.sendBatch(now, fbsched.SendBatch{To: v.To, Batch: v.Batch()})
 	case fbsched.SendWithdrawal:
 		if v.To != n.opts.Member.Node() {
 			n.hub.Send(v.To, v.Withdrawal)
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -9,6 +9,7 @@
 
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fbfleet"
 	"github.com/filbertford/filbertford/fbsched"
 	"github.com/filbertford/filbertford/fbtimer"
 )
@@ -86,6 +87,7 @@
 		p.HoldStarts(now + recordsTimeout)
 	}
 	n.evacuateNewPool(now, p)
+	p.AwaitOffers(runningDaemons(now, n.fleet))
 	n.pools[id] = p
 	n.ownsPool.Store(true)
 	n.wakeTargetWatcher()
@@ -93,6 +95,17 @@
 	p.SetTargets(now, n.targets.inPool(id))
 }
 
+// runningDaemons returns the daemons that may run, with this one.
+func runningDaemons(now time.Duration, f *fbfleet.Fleet) []filbertford.NodeID {
+	out := []filbertford.NodeID{f.Self().Node()}
+	for _, m := range f.Members() {
+		if f.MayRun(now, m.Node()) {
+			out = append(out, m.Node())
+		}
+	}
+	return out
+}
+
 // updatePoolTargets updates the known pools and passes the target records to the
 // pools that this daemon owns.
 func (n *Node) updatePoolTargets(now time.Duration) {
--- a/fbsched/action.go
+++ b/fbsched/action.go
@@ -43,6 +43,19 @@
 	Batch Batch
 }
 
+// SendOffersComplete tells the owner of a pool that the coordinator has offered it all tasks of its
+// best-effort jobs in the pool.
+type SendOffersComplete struct {
+	To    filbertford.NodeID
+	Pool  filbertford.PoolID
+	Fence uint64
+}
+
+// Batch returns the message to the owner: a batch without tasks.
+func (s SendOffersComplete) Batch() Batch {
+	return NewBatch(s.Pool, "", 0, 0, filbertford.Step{}, nil).WithFence(s.Fence)
+}
+
 // AnnounceWithdrawal tells the other daemons of the data centre, to which the caller may send the job
 // again, that a job's tasks are withdrawn from a pool.
 type AnnounceWithdrawal struct {
@@ -173,6 +186,8 @@
 func (SendBatch) action()          {}
 func (AnnounceWithdrawal) action() {}
 
+func (SendOffersComplete) action() {}
+
 func (SendWithdrawal) action() {}
 func (SendRecall) action()     {}
 func (Answer) action()         {}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -212,6 +212,9 @@
 // batches to the owner or reports from it may have been lost.
 func (c *Coordinator) Resume(now time.Duration, pool filbertford.PoolID) {
 	c.resume(now, pool, false)
+	if v := c.pools[pool]; v != nil && v.owner != "" {
+		c.emit(SendOffersComplete{To: v.owner, Pool: pool, Fence: v.fence})
+	}
 }
 
 // ResumeStored does the same as Resume for stored jobs, and withdraws those that have ended
--- a/fbsched/ending.go
+++ b/fbsched/ending.go
@@ -15,10 +15,9 @@
 	// stopTimeout is how long the lease of a run that is to be stopped may exceed
 	// leaseDuration: the time for a stop and two retries.
 	stopTimeout = 2 * retryInterval
-	// unclaimedMargin is how long the lease of an unclaimed run may last after it is to be
-	// stopped: the time for the stop, 50 ms as the platform specifies, and for the next poll,
-	// which extends the lease of the other runs there. The caller may have lost the job up to
-	// a lease before the run was found.
+	// unclaimedMargin is how long the lease of a stored job's unclaimed run may last after it is
+	// to be stopped: the time for the stop, 50 ms as the platform specifies, and for the next poll,
+	// which extends the lease of the other runs there.
 	unclaimedMargin = 150 * time.Millisecond
 	// silentLease is how long the lease of a run may last after its coordinator was last
 	// heard: the 1.3 s less the delay of the last message and the error of a target's clock.
--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -35,6 +35,7 @@
 		listed[s.Task()] = true
 		p.runListed(now, t, s, received)
 	}
+	p.stopUnclaimedRuns(now, t)
 	if !complete {
 		return
 	}
@@ -89,7 +90,7 @@
 		return r
 	}
 	p.emitEvent(Event{Kind: EventRunFound, Task: r.key, Target: t.id(), Started: t.rec.Instance().StartedAt(), Run: r.number, Fence: p.fence, Age: now - p.createdAt})
-	r.endBy(now + adoptionTimeout + unclaimedMargin)
+	r.limitUnclaimed(now)
 	t.runs[s.Task()] = r
 	p.activeRuns[s.Task()] = r
 	if waiting := p.tasks[s.Task()]; waiting != nil && waiting.run == nil {
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -8,8 +8,12 @@
 
 // Offer accepts the tasks of a batch from a coordinator. It drops a batch of an
 // earlier shard owner, which may arrive late: the pool has already reported its tasks
-// to a newer one.
+// to a newer one. A batch without tasks says that the coordinator has offered all of its own.
 func (p *Pool) Offer(now time.Duration, from filbertford.NodeID, b Batch) {
+	if len(b.items) == 0 {
+		p.offersComplete(now, from)
+		return
+	}
 	if b.stored {
 		if b.shardFence < p.shardOwners[b.job].fence {
 			return
@@ -86,6 +90,7 @@
 	}
 	if running {
 		p.adopt(now, t, r)
+		p.renewLease(now, r.target)
 		return
 	}
 	if t.search {
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -30,7 +30,7 @@
 	if t.listed && t.misses == 0 && len(t.runs) > 0 {
 		wait = t.nextPollWait(now)
 	}
-	t.polling, t.pollSent, t.pollWait = true, now, wait
+	t.polling, t.pollSent, t.pollWait, t.pollUnleased = true, now, wait, lease == 0
 	t.pollNumber++
 	p.emit(PollCall{
 		Number:  t.pollNumber,
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -116,6 +116,7 @@
 	heardAt             map[filbertford.NodeID]time.Duration
 	earliestHeard       time.Duration
 	messagesQueuedUntil time.Duration
+	awaitedOffers       map[filbertford.NodeID]bool // see AwaitOffers
 	scheduling          filbertford.Scheduling
 	poolEvacuation
 	actions []Action
@@ -281,23 +282,6 @@
 	return out
 }
 
-// CoordinatorUnreachable drops the tasks of best-effort jobs of a coordinator that can't
-// be reached. Tasks of stored jobs keep running for coordinatorTimeout, but no more of
-// them are started.
-func (p *Pool) CoordinatorUnreachable(now time.Duration, node filbertford.NodeID) {
-	for _, t := range p.tasks {
-		if t.coordinator == node && t.batch.stored && t.coordinatorUnreachableAt == 0 {
-			t.coordinatorUnreachableAt = now
-		}
-		if limit, limited := p.silenceLimit(t); limited && t.coordinator == node && t.run != nil {
-			t.run.endBy(limit)
-		}
-	}
-	delete(p.heardAt, node)
-	p.dropTasks(now, func(t *task) bool { return t.coordinator == node && t.coordinatorUnreachableAt == 0 }, "coordinator unreachable")
-	p.dispatchDue = true
-}
-
 func (p *Pool) dropTasks(now time.Duration, match func(*task) bool, reason string) {
 	var stopped []*run
 	for key, t := range p.tasks {
--- a/fbsched/simulation_calls_test.go
+++ b/fbsched/simulation_calls_test.go
@@ -321,3 +321,12 @@
 	}
 	sim.flush()
 }
+
+// submit submits a job of one step.
+func (sim *simulation) submit(requestID uint64, key filbertford.JobKey, tasks int) {
+	step := filbertford.NewStep(tasks, filbertford.NewResources(1000, 1, 0), sim.taskDuration)
+	job := filbertford.NewWorkload(key, "spec", step).WithBestEffort(true)
+	route := filbertford.NewRoute("host", "/jobs/", "ordering").WithPolicy(0, 3).WithObjective(1.6, 60*time.Millisecond, 0)
+	sim.coordinator.Submit(sim.now, requestID, route, job, 8*time.Second)
+	sim.flush()
+}
--- a/fbsched/simulation_test.go
+++ b/fbsched/simulation_test.go
@@ -259,6 +259,7 @@
 func (sim *simulation) addPoolOwner(node filbertford.NodeID, pool filbertford.PoolID, fence uint64, records []filbertford.TargetRecord) *fakeOwner {
 	o := &fakeOwner{node: node, pool: NewPool(pool, fence, testWallOffset, sim.now), wallOffset: testWallOffset}
 	sim.owners = append(sim.owners, o)
+	o.pool.AwaitOffers(append(slices.Collect(maps.Keys(sim.others)), sim.node))
 	o.pool.SetTargets(sim.now, records)
 	sim.scheduleTick(o)
 	sim.flush()
@@ -320,15 +321,6 @@
 	sim.flush()
 }
 
-// submit submits a job of one step.
-func (sim *simulation) submit(requestID uint64, key filbertford.JobKey, tasks int) {
-	step := filbertford.NewStep(tasks, filbertford.NewResources(1000, 1, 0), sim.taskDuration)
-	job := filbertford.NewWorkload(key, "spec", step).WithBestEffort(true)
-	route := filbertford.NewRoute("host", "/jobs/", "ordering").WithPolicy(0, 3).WithObjective(1.6, 60*time.Millisecond, 0)
-	sim.coordinator.Submit(sim.now, requestID, route, job, 8*time.Second)
-	sim.flush()
-}
-
 // flush carries out the actions of the coordinator and the owners until none is left.
 func (sim *simulation) flush() {
 	for progress := true; progress; {
@@ -396,6 +388,8 @@
 				o.pool.Offer(sim.now, from, v.Batch.WithShardFence(sim.jobFences[from]))
 			}
 		})
+	case SendOffersComplete:
+		sim.act(o, from, SendBatch{To: v.To, Batch: v.Batch()})
 	case SendWithdrawal:
 		sim.sendToOwner(from, v.To, func(o *fakeOwner) {
 			sim.tracef("%s: withdrawal of %s", o.node, v.Withdrawal.Job())
--- a/fbsched/target.go
+++ b/fbsched/target.go
@@ -40,6 +40,7 @@
 	pollNumber      uint64                      // of the last poll that was sent
 	pollSent        time.Duration
 	pollWait        time.Duration // how long the target may hold it
+	pollUnleased    bool          // it extends no lease
 	polledAt        time.Duration // when the last poll ended
 	listClock       int64         // the target's clock when it wrote the lists that were last applied
 	listsAt         time.Duration // when they were applied
@@ -315,17 +316,6 @@
 	return t.leaseSentAt + maxElapsed(maxLease) + p.roundTrips.callTimeout()
 }
 
-func (p *Pool) stopUnclaimedRuns(now time.Duration, t *target) {
-	if !t.listed || now-t.listedAt < adoptionTimeout {
-		return
-	}
-	for _, r := range sortedRuns(t.runs) {
-		if r.task == nil && !r.stopWanted {
-			p.stopRun(now, r, "run is unclaimed")
-		}
-	}
-}
-
 // discardRun removes a run that is certainly not executing and never will be, and
 // queues its task again.
 func (p *Pool) discardRun(now time.Duration, r *run, reason string) {
