fbsched: no poll extends the lease of a second run

An owner that finds a run of a task beside the task's own one stops it, but extended its lease until 1 s after it was found. If the stop was lost, the run went on for that long, whether or not a coordinator still wanted the task: the same class as runs that are unclaimed, by reading. Now the lease isn't extended until the second run has ended, which takes a stop (50 ms).

TestLeaseOfSecondRunIsNotExtended failed before ("a poll extends the lease of the second run to 1810").

--- a/fbsched/lists.go
+++ b/fbsched/lists.go
@@ -83,7 +83,7 @@
 			Reason: fmt.Sprintf("run %d is on %s", other.number, other.target.id()), Age: now - other.startedAt,
 		})
 		r.stopWanted, r.second = true, true
-		r.endBy(now + leaseDuration + stopTimeout)
+		r.endBy(now)
 		p.secondRuns[s.Task()]++
 		t.runs[s.Task()] = r
 		p.sendStop(now, r)
--- a/fbsched/second_test.go
+++ b/fbsched/second_test.go
@@ -69,3 +69,20 @@
 	}
 	return p, started[0]
 }
+
+// TestLeaseOfSecondRunIsNotExtended: the stop of a run of an earlier owner may be lost while polls arrive.
+func TestLeaseOfSecondRunIsNotExtended(t *testing.T) {
+	now := time.Minute
+	p, first := poolWithRun(t, now)
+	second := filbertford.NewRunStatus(first.Task(), 7, 10)
+	answerLists(p, now, "t01", 1, 1010, second)
+	for range 20 {
+		for _, a := range p.TakeActions(now) {
+			if c, ok := a.(PollCall); ok && c.Request.Instance().ID() == "t01" && c.Request.Lease() != 0 {
+				t.Fatalf("a poll extends the lease of the second run to %d", c.Request.Lease())
+			}
+		}
+		now += 50 * time.Millisecond
+		answerLists(p, now, "t01", 1, 1010+(now-time.Minute).Milliseconds(), second)
+	}
+}
