Jobs aren't offered to an owner that knows no targets

Cause: a coordinator accepts a job although the pool's owner has no target (FE7081, decision=unknown, rate 0), offers it, and withdraws it when its time is over (FE7082).

While a pool may get an owner, jobs wait at the coordinator.

--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -62,19 +62,20 @@
 
 // poolView is a coordinator's view of a pool.
 type poolView struct {
-	owner      filbertford.NodeID
-	fence      uint64
-	lastFence  uint64             // of the owner or, if there is none, of the previous one
-	lostAt     time.Duration      // when the previous owner was lost
-	heldOwner  filbertford.NodeID // an earlier owner that still claims the pool, see SetOwner
-	heldFence  uint64
-	capacities map[string]*capacityView
-	evacuated  bool          // this daemon knows of the evacuation
-	releases   bool          // the owner has returned a task because of one, and reported no capacity since
-	reported   bool          // a report of capacities has arrived since the last call of Rebalance
-	reportedAt time.Duration // when the last one arrived
-	draw       float64       // random number, drawn for each report
-	roundTrip  time.Duration // shortest time from an offer to the report of a start, 0 if unknown
+	owner        filbertford.NodeID
+	fence        uint64
+	lastFence    uint64             // of the owner or, if there is none, of the previous one
+	lostAt       time.Duration      // when the previous owner was lost
+	heldOwner    filbertford.NodeID // an earlier owner that still claims the pool, see SetOwner
+	heldFence    uint64
+	capacities   map[string]*capacityView
+	lackingFence uint64        // of the last owner that didn't know the targets, see SetOwnerTargets
+	evacuated    bool          // this daemon knows of the evacuation
+	releases     bool          // the owner has returned a task because of one, and reported no capacity since
+	reported     bool          // a report of capacities has arrived since the last call of Rebalance
+	reportedAt   time.Duration // when the last one arrived
+	draw         float64       // random number, drawn for each report
+	roundTrip    time.Duration // shortest time from an offer to the report of a start, 0 if unknown
 }
 
 // job is a job in progress. It misses its objective after due, and its callers stop
@@ -386,6 +387,8 @@
 			c.abandon(now, j, "out of time")
 		case now >= j.usefulUntil && c.hasWaitingTask(j), c.isolated(now) && c.hasWaitingTask(j):
 			c.abandon(now, j, "no pool for a task in time")
+		case !j.mayHaveRun && c.noTargets(now) && c.hasWaitingTask(j):
+			c.abandon(now, j, noTargetsReason)
 		default:
 			c.abandonIfEvacuated(now, j)
 		}
--- a/fbsched/evacuation.go
+++ b/fbsched/evacuation.go
@@ -100,7 +100,9 @@
 
 // accepts reports whether tasks may be offered to the pool: it has an owner and is not
 // known to be evacuated.
-func (v *poolView) accepts() bool { return v.owner != "" && !v.evacuated && !v.releases }
+func (v *poolView) accepts() bool {
+	return v.owner != "" && !v.evacuated && !v.releases && !v.lacksTargets()
+}
 
 // allEvacuated reports whether a pool is known to be evacuated and no other one has targets of
 // the service. A pool whose targets are not known counts as one that has.
--- a/fbsched/submit.go
+++ b/fbsched/submit.go
@@ -39,6 +39,10 @@
 		c.finish(now, j, filbertford.AnswerNotRun, allEvacuatedReason)
 		return
 	}
+	if c.noTargets(now) {
+		c.finish(now, j, filbertford.AnswerNotRun, noTargetsReason)
+		return
+	}
 	if a, _ := c.earlierAttempt(now, j); c.mustWait(now, j) && a.until >= j.usefulUntil {
 		c.finish(now, j, filbertford.AnswerNotRun, "runs of an earlier attempt may not end in time")
 		return
