Jobs wait for an owner that may be about to read its targets

A coordinator answered a job as not run as soon as the owners of all pools stated that they knew no targets. After a loss of all daemons that is so for the time between a claim and the first read of the store, tens of milliseconds, and callers would be refused although the job could start in time. The owners must now have lacked their targets for isolationTimeout (0.7 s), as a pool without an owner must.

--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -95,7 +95,7 @@
 
 func (n *Node) handleHeartbeat(now time.Duration, from fbfleet.Member, h fblink.Heartbeat) {
 	for _, c := range h.Heartbeat().Claims() {
-		n.coordinator.SetOwnerTargets(c.Pool(), c.Fence(), h.Heartbeat().Targets() != fbfleet.TargetsUnknown)
+		n.coordinator.SetOwnerTargets(now, c.Pool(), c.Fence(), h.Heartbeat().Targets() != fbfleet.TargetsUnknown)
 	}
 	n.fleet.HandleHeartbeat(now, h.Heartbeat())
 	n.handleFleetEvents(now)
--- a/fbnode/store.go
+++ b/fbnode/store.go
@@ -68,7 +68,7 @@
 
 func (n *Node) targetsChanged(now time.Duration, full bool, s filbertford.Snapshot) {
 	n.targets.readAt, n.targets.version = now, max(1, s.Version())
-	n.setTargetsKnown()
+	n.setTargetsKnown(now)
 	n.targets.distrustDaemons()
 	if n.targets.apply(now, full, s) {
 		n.updatePoolTargets(now)
@@ -86,7 +86,7 @@
 	if n.targets.readAt == 0 || now-n.targets.readAt > candidateReadPeriod {
 		p.HoldStarts(now + recordsTimeout)
 	}
-	n.coordinator.SetOwnerTargets(id, fence, n.targets.version != 0)
+	n.coordinator.SetOwnerTargets(now, id, fence, n.targets.version != 0)
 	n.evacuateNewPool(now, p)
 	p.AwaitOffers(runningDaemons(now, n.fleet))
 	n.pools[id] = p
@@ -108,10 +108,10 @@
 }
 
 // setTargetsKnown tells the fleet and the coordinator that the targets' records are known.
-func (n *Node) setTargetsKnown() {
+func (n *Node) setTargetsKnown(now time.Duration) {
 	n.fleet.SetTargetsKnown(true)
 	for id, p := range n.pools {
-		n.coordinator.SetOwnerTargets(id, p.Fence(), true)
+		n.coordinator.SetOwnerTargets(now, id, p.Fence(), true)
 	}
 }
 
--- a/fbnode/target_exchange.go
+++ b/fbnode/target_exchange.go
@@ -230,7 +230,7 @@
 	e.applied.Inc(int64(len(w.rows)))
 	known := n.targets.version != 0
 	changed := n.targets.applyFromDaemon(now, filbertford.NewSnapshot(w.version, 0, w.rows...))
-	n.setTargetsKnown()
+	n.setTargetsKnown(now)
 	if changed {
 		n.updatePoolTargets(now)
 	}
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -70,6 +70,7 @@
 	heldFence    uint64
 	capacities   map[string]*capacityView
 	lackingFence uint64        // of the last owner that didn't know the targets, see SetOwnerTargets
+	lackingSince time.Duration // when it was first heard to lack them
 	evacuated    bool          // this daemon knows of the evacuation
 	releases     bool          // the owner has returned a task because of one, and reported no capacity since
 	reported     bool          // a report of capacities has arrived since the last call of Rebalance
