--- a/fbnode/fleet_simulation_test.go
+++ b/fbnode/fleet_simulation_test.go
@@ -113,6 +113,8 @@
 	lines       []simLine
 	stored      *storedSim // nil without stored jobs
 	violations  []string
+
+	statesTargets bool // see stateTargets
 }
 
 func (s *fleetSim) logf(format string, args ...any) {
