Stored jobs: a task that another daemon withdraws isn't returned to its coordinator

A pool obeys the end of a stored job from whichever daemon owns its shard, but returned the tasks to the coordinator that had offered them. If that one has just lost the shard and doesn't know it yet, it placed them again at once, and another pool started a task of an ended job beside the first run while that was being stopped.

Such a task is dropped and its run stopped without a report. TestWithdrawnStoredTaskIsNotStartedElsewhere failed ("2 starts, want 1") and passes, and the mutation that returns the task is caught by it. A late batch of the earlier shard owner still starts the task, as before, until that daemon is told of its loss.

--- a/fbsched/cancelled_elsewhere_test.go
+++ b/fbsched/cancelled_elsewhere_test.go
@@ -34,3 +34,59 @@
 		t.Errorf("%d of %d runs are stopped and %d tasks wait, want all and none", stops, p.Running(), p.Queued())
 	}
 }
+
+// TestWithdrawnStoredTaskIsNotStartedElsewhere: the shard's earlier owner hasn't learned yet that it lost it.
+func TestWithdrawnStoredTaskIsNotStartedElsewhere(t *testing.T) {
+	const job = filbertford.JobKey("00000000000000aa")
+	now := time.Minute
+	pools := map[filbertford.PoolID]*Pool{"casa": NewPool("casa", 5, 1_000_000, now), "rabat": NewPool("rabat", 6, 1_000_000, now)}
+	for id, target := range map[filbertford.PoolID]filbertford.TargetID{"casa": "t00", "rabat": "t01"} {
+		pools[id].SetTargets(now, []filbertford.TargetRecord{recordOf(target, 1)})
+		answerLists(pools[id], now, target, 1, 1000)
+		pools[id].TakeActions(now)
+	}
+	s1 := NewCoordinator("casa")
+	s1.SetOwner(now, "casa", "p", 5)
+	s1.SetOwner(now, "rabat", "q", 6)
+	s1.SetCapacities("casa", 5, pools["casa"].Capacities(now))
+	s1.SetCapacities("rabat", 6, pools["rabat"].Capacities(now))
+	route := filbertford.NewRoute("host", "/jobs/", "ordering").WithPolicy(0, 3).WithObjective(1.6, 60*time.Millisecond, 0)
+	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), time.Second)
+	s1.StartStored(now, route, filbertford.NewWorkload(job, "spec", step), func(_, _ int) Progress { return Progress{} }, false)
+	starts := 0
+	exchange := func() {
+		for range 5 {
+			for _, a := range s1.TakeActions() {
+				if b, ok := a.(SendBatch); ok {
+					pools[b.Batch.Pool()].Offer(now, "s1", b.Batch)
+				}
+			}
+			for _, p := range pools {
+				for _, a := range p.TakeActions(now) {
+					switch v := a.(type) {
+					case SendReport:
+						if v.To == "s1" {
+							s1.HandleReport(now, v.Report)
+						}
+					case StartCall:
+						starts++
+						p.HandleStartReply(now, v.Request, filbertford.NewCallReply(filbertford.CallDone, 1000), now, now)
+					}
+				}
+			}
+		}
+	}
+	exchange()
+	if starts != 1 {
+		t.Fatalf("%d starts", starts)
+	}
+	now += 100 * time.Millisecond
+	s1.SetCapacities("casa", 5, []Capacity{NewCapacity("ordering", nil, 4000, 10*time.Second)})
+	for _, p := range pools {
+		p.Withdraw(now, "s2", job) // the job's end is stored
+	}
+	exchange()
+	if starts != 1 {
+		t.Errorf("%d starts, want 1: the job has ended, and its first run is still being stopped", starts)
+	}
+}
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -253,10 +253,13 @@
 }
 
 // Withdraw returns the job's tasks to the coordinator. It drops queued tasks and stops
-// runs.
+// runs. A stored job whose end another daemon has stored isn't returned: its coordinator would
+// place it elsewhere if it hasn't learned of the end yet.
 func (p *Pool) Withdraw(now time.Duration, from filbertford.NodeID, job filbertford.JobKey) {
 	for _, t := range p.tasksOf(from, job) {
-		p.returnTask(t, StatusReturned)
+		if t.coordinator == from || t.coordinatorUnreachableAt != 0 {
+			p.returnTask(t, StatusReturned)
+		}
 	}
 	p.dropTasks(now, func(t *task) bool { return t.key.Job() == job && t.mayBeWithdrawnBy(from) }, "withdrawn")
 	p.releaseOutcomes(now, job)
