Leases: a run found after its coordinator has connected again ends in time

A run of a task that its coordinator has yet to offer again, after a new stream, must end silentLease after the last message before. Only runs that were known when the stream came were limited: if the owner found the run of a resumed task after that, it went on until 1 s after the new stream, 1.7 s after the last message in the test, and a caller sends its job again after 1.3 s.

The task keeps the limit, and a run that is assigned to it gets it. TestRunFoundAfterReconnectEndsInTime failed for a run that is found after the reconnect and passes; the mutation that leaves it out is caught.

--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -151,6 +151,7 @@
 func (p *Pool) adopt(now time.Duration, t *task, r *run) {
 	t.run, r.task, t.started, t.search = r, t, true, false
 	r.unlimit()
+	t.limitRun()
 	if r.demand == (filbertford.Resources{}) {
 		r.demand = t.batch.step.Demand()
 		r.target.used = r.target.used.Add(r.demand)
--- a/fbsched/reachable.go
+++ b/fbsched/reachable.go
@@ -37,14 +37,20 @@
 			continue
 		}
 		t.reofferBy = now + reofferTimeout
-		if t.run == nil {
-			continue
+		if t.run == nil && !t.resume {
+			continue // no run of it may be found
 		}
-		limit := now + reofferTimeout + stopTimeout
 		if silent, limited := p.silenceLimit(t); limited {
-			limit = min(limit, silent)
+			t.reofferBy = min(t.reofferBy, silent-stopTimeout)
 		}
-		t.run.endBy(limit)
-		t.reofferBy = limit - stopTimeout
+		t.limitRun()
+	}
+}
+
+// limitRun limits the lease of the task's run, if it has one, while its coordinator has yet to offer the
+// task again.
+func (t *task) limitRun() {
+	if t.run != nil && t.reofferBy != 0 {
+		t.run.endBy(t.reofferBy + stopTimeout)
 	}
 }
