fbfleet: a daemon that is silent but refuses no connection may still offer tasks

A new owner stops unclaimed runs at once when all coordinators that may run have offered their tasks.

--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -398,11 +398,11 @@
 	return f.alive(now, p), f.connected(now, p)
 }
 
-// MayRun reports whether a daemon is heard, or may run without having been heard yet: its address has refused
-// no connection.
+// MayRun reports whether a daemon is heard, or may run without being heard: its address hasn't just refused a
+// connection.
 func (f *Fleet) MayRun(now time.Duration, node filbertford.NodeID) bool {
 	p := f.peers[node]
-	return p != nil && (f.alive(now, p) || !p.seen && p.refusedAt == 0)
+	return p != nil && (f.alive(now, p) || p.refusedAt == 0 || now-p.refusedAt > refusalTTL)
 }
 
 // HasMember reports whether a daemon is part of the fleet.
