fbsched: the first poll of a new instance extends no lease

If the reply to a stop or a start showed that a target had started again, the poll that followed extended the lease of the new instance before its lists were read, so that a run there which nobody knew of could go on. Now a lease is extended only after the first lists of an instance.

--- a/fbsched/instance_test.go
+++ b/fbsched/instance_test.go
@@ -265,3 +265,22 @@
 		t.Error("the target isn't usable after it has shown its start time")
 	}
 }
+
+// TestLeaseOfNewInstanceWaitsForItsLists: the reply to a stop shows that the target has started again.
+func TestLeaseOfNewInstanceWaitsForItsLists(t *testing.T) {
+	now := time.Minute
+	p, first := poolWithRun(t, now)
+	p.HandleStartReply(now, first, filbertford.NewCallReply(filbertford.CallUnknown, 0), now, now)
+	p.Withdraw(now, "c", "00000000000000aa")
+	for _, a := range p.TakeActions(now) {
+		if stop, ok := a.(StopCall); ok {
+			now += 20 * time.Millisecond
+			p.HandleStopReply(now, stop.Request, filbertford.NewCallReply(filbertford.CallDone, 50).WithStartedAt(9), now, now)
+		}
+	}
+	for _, a := range p.TakeActions(now) {
+		if c, ok := a.(PollCall); ok && c.Request.Lease() > 0 {
+			t.Errorf("the first poll of an instance extends its leases to %d; its clock is at 50", c.Request.Lease())
+		}
+	}
+}
--- a/fbsched/poll.go
+++ b/fbsched/poll.go
@@ -21,7 +21,7 @@
 func (p *Pool) sendPoll(now time.Duration, t *target) {
 	var lease int64
 	var wait time.Duration
-	if t.clock.known && len(t.runs) > 0 && t.misses == 0 {
+	if t.clock.known && t.listClock != 0 && len(t.runs) > 0 && t.misses == 0 {
 		lease = p.nextLease(now, t)
 	}
 	if lease != 0 {
