Target records of another daemon count as of their oldest part

A table that is read in parts counted as of the version of its newest part. A target added between two parts, before the keys that were read then, was missing, and the sender wasn't asked again until it had a still newer version. The table now counts as of the oldest part.

--- a/fbnode/target_exchange.go
+++ b/fbnode/target_exchange.go
@@ -64,7 +64,7 @@
 	after     string // the key that was requested last
 	askedAt   time.Duration
 	startedAt time.Duration
-	version   uint64 // the highest of the parts
+	version   uint64 // the lowest of the parts: a part shows no rows that were added before its first key later
 	rows      []filbertford.Change
 }
 
@@ -147,7 +147,9 @@
 		e.walk = targetWalk{}
 		return false
 	}
-	w.version = max(w.version, p.Version())
+	if w.version == 0 || p.Version() < w.version {
+		w.version = p.Version()
+	}
 	for _, r := range p.Rows() {
 		if r.Key() <= w.after || len(r.Key()) > maxText || len(r.Value()) > maxRowBytes || r.Version() == 0 || r.Version() > p.Version() {
 			ignore("odd")
--- a/fbnode/target_exchange_test.go
+++ b/fbnode/target_exchange_test.go
@@ -315,3 +315,18 @@
 		t.Errorf("%d rows are sent in a tick and %d requests wait, want %d and %d", sent, len(n.targetExchange.requests), perTick*len(part), 20-perTick)
 	}
 }
+
+// TestTargetAddedBetweenPartsIsReadAgain: the sender's table changes between two parts.
+func TestTargetAddedBetweenPartsIsReadAgain(t *testing.T) {
+	n := newExchangeNode(t)
+	now := n.ask(t, 1, 5)
+	from := routesPeer(1)
+	row := func(key string, v uint64) filbertford.Row { return filbertford.NewRow(key, []byte(testDataCentre), v) }
+	n.handleMessage(now, from, fblink.NewTargetsPush(5, "", true, row("t1", 4)))
+	// Target t0 is added at version 6.
+	n.handleMessage(now, from, fblink.NewTargetsPush(6, "t1", false, row("t2", 5)))
+	n.targetExchange.versionNamed(from.Node(), 6)
+	if _, ok := n.targetExchange.next(n.targetExchange.nextWalk, n.targets.version); !ok {
+		t.Errorf("%d of 3 targets are known as of version %d, and the sender, which has version 6, isn't asked again", len(n.targets.records), n.targets.version)
+	}
+}
