fbnode: the test of a start without the store uses few large records

The number served only to fill three parts of the table.

Nine records of 16 kB fill three parts, too; the decoder of the tests ignores their padding. That a part has 512 rows at most, and that parts follow each other without a gap, is checked by TestTableIsSentInPartsOfLimitedRows.

--- a/fbnode/target_exchange_test.go
+++ b/fbnode/target_exchange_test.go
@@ -72,11 +72,16 @@
 // reached and knows no target until it can be, although its neighbour knows all. When the
 // neighbour ends, the daemon owns the pool and uses all targets.
 func TestDaemonWithoutStoreServesAsOwner(t *testing.T) {
-	const targets = 2*maxPartRows + 1
+	const targets = 9 // three parts, since four rows of this size fill one
+	rows := targetRows(targets)
+	for i, r := range rows {
+		value := fmt.Sprintf("%*s", maxPartBytes/4-64, r.Value())
+		rows[i] = filbertford.NewRow(r.Key(), []byte(value), r.Version())
+	}
 	first, address, end := runDaemon(t, "a")
 	inControl(first, func() bool {
 		first.readEvacuations(fbtimer.SinceBoot(), true, filbertford.NewSnapshot(1, 0))
-		first.targetsChanged(fbtimer.SinceBoot(), true, snapshotOf(targets, targetRows(targets)...))
+		first.targetsChanged(fbtimer.SinceBoot(), true, snapshotOf(targets, rows...))
 		return true
 	})
 	second, _, _ := runDaemon(t, "b", address)
@@ -290,6 +295,24 @@
 	}
 }
 
+// TestTableIsSentInPartsOfLimitedRows checks that parts follow each other without a gap.
+func TestTableIsSentInPartsOfLimitedRows(t *testing.T) {
+	n := newExchangeNode(t)
+	rows := targetRows(2*maxPartRows + 1)
+	n.targets.rows.apply(true, snapshotOf(uint64(len(rows)), rows...))
+	sent, after := 0, ""
+	for _, want := range []int{maxPartRows, maxPartRows, 1} {
+		part, more, _ := n.targets.part(after)
+		if len(part) != want || part[0].Key() != rows[sent].Key() {
+			t.Fatalf("after %q: %d rows from %q, want %d from %q", after, len(part), part[0].Key(), want, rows[sent].Key())
+		}
+		sent, after = sent+len(part), part[len(part)-1].Key()
+		if more != (sent < len(rows)) {
+			t.Errorf("after %q: more is %v", after, more)
+		}
+	}
+}
+
 // TestTargetsAreSentAtALimitedRate checks that many requests at once are answered over several
 // ticks, each with a message of limited size, and that a repeated request replaces the last one.
 func TestTargetsAreSentAtALimitedRate(t *testing.T) {
--- a/fbnode/targets_test.go
+++ b/fbnode/targets_test.go
@@ -71,5 +71,5 @@
 		return filbertford.TargetRecord{}, eris.New("malformed")
 	}
 	instance := filbertford.NewTargetInstance(filbertford.TargetID(id), 1)
-	return filbertford.NewTargetRecord(instance, "ordering", id+":80", filbertford.DataCentre(value), filbertford.NewResources(4000, 1000, 0)), nil
+	return filbertford.NewTargetRecord(instance, "ordering", id+":80", filbertford.DataCentre(strings.TrimSpace(string(value))), filbertford.NewResources(4000, 1000, 0)), nil
 }
