Simulated fleet: a failing seed prints the timelines of its tasks

A seed of TestFleetRunsNoTaskTwice, TestFleetRunsNoTaskTwiceUnderResets or TestStoredJobsOfFleetEnd that fails is played again with its events logged, and prints what happened to two of the tasks concerned: the events that name them, the faults, and the other events of the daemons and targets that those events name. Tests that script a fleet print the timelines of all their jobs. Until now the events had to be asked for by a flag, which one of the tests didn't read, and came for all tasks. Cuts are logged, too.

--- a/fbnode/cancelled_in_cut_test.go
+++ b/fbnode/cancelled_in_cut_test.go
@@ -20,7 +20,7 @@
 	)
 	for name, duration := range map[string]time.Duration{"tasks that run on": time.Minute, "tasks that end during the cut": 1100 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
-			s := newQuietStoredFleet("casa", "rabat", "marrakech")
+			s := newQuietStoredFleet(t, "casa", "rabat", "marrakech")
 			w := filbertford.NewWorkload(job, "spec", filbertford.NewStep(24, filbertford.NewResources(1000, 1, 0), duration))
 			s.submitStored(w, duration)
 			s.advance(time.Second)
@@ -68,8 +68,10 @@
 
 // newQuietStoredFleet returns a fleet for stored jobs, with three daemons and three targets in each
 // data centre.
-func newQuietStoredFleet(dataCentres ...filbertford.DataCentre) *fleetSim {
+func newQuietStoredFleet(t *testing.T, dataCentres ...filbertford.DataCentre) *fleetSim {
+	t.Helper()
 	s := newEmptySim(rand.New(rand.NewPCG(1, 1)), false)
+	s.printTimelinesOnFailure(t)
 	s.prepareStored()
 	s.dataCentres = dataCentres
 	for _, dc := range dataCentres {
--- a/fbnode/fleet_resets_test.go
+++ b/fbnode/fleet_resets_test.go
@@ -18,11 +18,12 @@
 // after a call was sent, beside the other faults.
 func TestFleetRunsNoTaskTwiceUnderResets(t *testing.T) {
 	for seed := *fleetSeed; seed < *fleetSeed+*fleetSeeds; seed++ {
-		s := newFleetSim(seed, *fleetTrace)
-		s.resets = rand.New(rand.NewPCG(seed, 9))
-		s.advance(simRuntime)
-		for _, v := range s.violations {
-			t.Errorf("seed %d: %s", seed, v)
+		play := func(trace bool) *fleetSim {
+			s := newFleetSim(seed, trace)
+			s.resets = rand.New(rand.NewPCG(seed, 9))
+			s.advance(simRuntime)
+			return s
 		}
+		reportViolations(t, seed, play(*fleetTrace), play)
 	}
 }
--- a/fbnode/fleet_script_test.go
+++ b/fbnode/fleet_script_test.go
@@ -16,6 +16,7 @@
 func newQuietFleet(t *testing.T, daemons, targets, slots int, dataCentres ...filbertford.DataCentre) *fleetSim {
 	t.Helper()
 	s := newEmptySim(rand.New(rand.NewPCG(1, 1)), false)
+	s.printTimelinesOnFailure(t)
 	s.dataCentres = dataCentres
 	for _, dc := range dataCentres {
 		for i := range daemons {
--- a/fbnode/fleet_simulation_test.go
+++ b/fbnode/fleet_simulation_test.go
@@ -110,14 +110,14 @@
 	resends     int
 	tickLast    bool // a daemon that resumes handles its tick after all that waits
 	trace       bool
-	lines       []string
+	lines       []simLine
 	stored      *storedSim // nil without stored jobs
 	violations  []string
 }
 
 func (s *fleetSim) logf(format string, args ...any) {
 	if s.trace {
-		s.lines = append(s.lines, fmt.Sprintf("%v ", s.now-simStart)+fmt.Sprintf(format, args...))
+		s.lines = append(s.lines, simLine{at: s.now - simStart, text: fmt.Sprintf(format, args...)})
 	}
 }
 
@@ -156,6 +156,7 @@
 func (s *fleetSim) cut(from, to string, d time.Duration) {
 	key := [2]string{from, to}
 	s.cuts[key] = max(s.cuts[key], s.now+d)
+	s.logf("cut from %s to %s for %v", from, to, d)
 }
 
 // fate returns what happens to a call. The packets of a call over a cut link may be sent again
@@ -371,18 +372,17 @@
 	var jobs, runs, resends int
 	answers := make(map[filbertford.AnswerKind]int)
 	for seed := *fleetSeed; seed < *fleetSeed+*fleetSeeds; seed++ {
-		s := newFleetSim(seed, *fleetTrace)
-		s.advance(simRuntime)
+		play := func(trace bool) *fleetSim {
+			s := newFleetSim(seed, trace)
+			s.advance(simRuntime)
+			return s
+		}
+		s := play(*fleetTrace)
 		jobs, runs, resends = jobs+s.jobs, runs+s.runs, resends+s.resends
 		for kind, n := range s.answers {
 			answers[kind] += n
 		}
-		for _, line := range s.lines {
-			fmt.Println(line)
-		}
-		for _, v := range s.violations {
-			t.Errorf("seed %d: %s", seed, v)
-		}
+		reportViolations(t, seed, s, play)
 	}
 	t.Logf("%d jobs, %d runs, %d sent again, answers %v", jobs, runs, resends, answers)
 }
--- a/fbnode/fleet_stored_test.go
+++ b/fbnode/fleet_stored_test.go
@@ -166,21 +166,22 @@
 // for longer than the bound, and each accepted job must end.
 func TestStoredJobsOfFleetEnd(t *testing.T) {
 	for seed := *storedSeed; seed < *storedSeed+*storedSeeds; seed++ {
-		s := newStoredFleet(seed, *fleetTrace)
-		s.advance(s.faultsEnd() - s.now)
-		idle := s.longestIdle(s.now + 20*time.Second)
-		s.advance(20 * time.Second)
-		for _, line := range s.lines {
-			fmt.Println(line)
-		}
-		for _, v := range append(s.violations, s.unendedJobs()...) {
-			t.Errorf("seed %d: %s", seed, v)
-		}
-		for _, key := range slices.Sorted(maps.Keys(idle)) {
-			if idle[key] > idleBound {
-				t.Errorf("seed %d: job %s had nothing running for %v", seed, key, idle[key])
+		var idle map[filbertford.JobKey]time.Duration
+		play := func(trace bool) *fleetSim {
+			s := newStoredFleet(seed, trace)
+			s.advance(s.faultsEnd() - s.now)
+			idle = s.longestIdle(s.now + 20*time.Second)
+			s.advance(20 * time.Second)
+			s.violations = append(s.violations, s.unendedJobs()...)
+			for _, key := range slices.Sorted(maps.Keys(idle)) {
+				if idle[key] > idleBound {
+					s.violations = append(s.violations, fmt.Sprintf("job %s had nothing running for %v", key, idle[key]))
+				}
 			}
+			return s
 		}
+		s := play(*fleetTrace)
+		reportViolations(t, seed, s, play)
 		t.Logf("seed %d: %d daemons, %d jobs, %d runs, longest idle %v", seed, len(s.names), s.jobs, s.runs, slices.Max(slices.Collect(maps.Values(idle))))
 	}
 }
--- a/fbnode/pair_cut_test.go
+++ b/fbnode/pair_cut_test.go
@@ -23,7 +23,7 @@
 			s.advance(length)
 			claims := 0
 			for _, line := range s.lines[from:] {
-				if strings.Contains(line, "fleet: acquired") {
+				if strings.Contains(line.text, "fleet: acquired") {
 					claims++
 				}
 			}
