Simulated fleet: targets that are slow, hang, fail, or start again as or beside others

New faults of TestFleetUnderFurtherFaults: slow-target (late replies, longer runs), hanging-target (calls wait, runs stand still), failing-target (starts refused, runs that fail at once), reborn-target (the target starts again under its ID while replies of its first life are under way; its record follows up to 3 s later, and its start time may lie before that of its first life) and swapped-addresses (two targets start again at each other's address, with their IDs or with new ones).

--- a/fbnode/fleet_further_faults_test.go
+++ b/fbnode/fleet_further_faults_test.go
@@ -11,6 +11,19 @@
 // furtherFaults are the faults that TestFleetUnderFurtherFaults draws beside simFaults.
 var furtherFaults = []simFault{
 	{"caller-moves-later", func(s *fleetSim) { s.moveCallers(false) }},
+	{"slow-target", func(s *fleetSim) {
+		t, length := s.anyTarget(), s.between(500*time.Millisecond, 5*time.Second)
+		t.slowUntil, t.slowBy = s.now+length, s.between(50*time.Millisecond, 2*time.Second)
+		s.extendFurther(length)
+	}},
+	{"hanging-target", func(s *fleetSim) { s.hangTarget(s.anyTarget(), s.between(50*time.Millisecond, 5*time.Second)) }},
+	{"failing-target", func(s *fleetSim) {
+		t, length := s.anyTarget(), s.between(500*time.Millisecond, 5*time.Second)
+		t.failsUntil = s.now + length
+		s.extendFurther(length)
+	}},
+	{"reborn-target", func(s *fleetSim) { s.restartTarget(s.anyTarget()) }},
+	{"swapped-addresses", func(s *fleetSim) { s.swapAddresses(s.chance(0.5)) }},
 }
 
 // failingFaults are drawn only by -fleet.only, since they lead to failures that KNOWN-RED.txt lists.
@@ -57,6 +70,88 @@
 	s.extendFurther(length + 10*time.Second)
 }
 
+func (s *fleetSim) anyTarget() *simTarget { return s.targets[s.rand.IntN(len(s.targets))] }
+
+// hangTarget suspends a target: calls wait, and its tasks stand still.
+func (s *fleetSim) hangTarget(t *simTarget, length time.Duration) {
+	s.logf("target %s hangs for %v", t.id(), length)
+	t.hangsUntil = s.now + length
+	for _, r := range t.runs {
+		r.endsAt += length
+	}
+	s.extendFurther(length)
+}
+
+// restartTarget restarts a target under its ID and address, while replies of its first life are under
+// way. The clock that its start time is taken from may have been set back. Its record follows.
+func (s *fleetSim) restartTarget(t *simTarget) {
+	t.slowUntil, t.slowBy = s.now+time.Second, 1500*time.Millisecond
+	s.after(s.between(0, 300*time.Millisecond), func() {
+		if t.down {
+			return
+		}
+		for _, key := range t.runningTasks() {
+			t.endRun(key, filbertford.RunStopped)
+		}
+		t.down = true
+		s.after(s.between(10*time.Millisecond, time.Second), func() {
+			t.down = false
+			t.restart()
+			if s.chance(0.3) {
+				t.rec = t.rec.WithStartedAt(t.rec.Instance().StartedAt() - int64(s.rand.IntN(120_000)))
+			}
+			s.logf("target %s has restarted at %d", t.id(), t.rec.Instance().StartedAt())
+			s.publish(t, s.between(0, 3*time.Second))
+		})
+	})
+	s.extendFurther(5 * time.Second)
+}
+
+// publish writes the record of a target to the store after the delay.
+func (s *fleetSim) publish(t *simTarget, delay time.Duration) {
+	rec := t.rec
+	s.after(delay, func() {
+		if t.rec.Instance() != rec.Instance() || t.down {
+			return
+		}
+		s.store.targets = slices.DeleteFunc(s.store.targets, func(r filbertford.TargetRecord) bool { return r.Instance().ID() == rec.Instance().ID() })
+		s.store.targets = append(s.store.targets, rec)
+	})
+}
+
+// swapAddresses restarts two targets at each other's address, under their IDs or under others.
+func (s *fleetSim) swapAddresses(keepIDs bool) {
+	a, b := s.anyTarget(), s.anyTarget()
+	if a == b || a.down || b.down {
+		return
+	}
+	addresses := [2]string{a.rec.Address(), b.rec.Address()}
+	for i, t := range []*simTarget{a, b} {
+		s.after(s.between(0, 200*time.Millisecond), func() {
+			if t.down {
+				return
+			}
+			away := s.between(20*time.Millisecond, 2*time.Second)
+			if !keepIDs {
+				s.crashTargetTo(t, away, addresses[1-i])
+				return
+			}
+			for _, key := range t.runningTasks() {
+				t.endRun(key, filbertford.RunStopped)
+			}
+			t.down = true
+			s.after(away, func() {
+				t.down = false
+				t.restart()
+				t.rec = t.rec.WithAddress(addresses[1-i])
+				s.logf("target %s has restarted at %s", t.id(), t.rec.Address())
+				s.publish(t, s.between(0, 1500*time.Millisecond))
+			})
+		})
+	}
+	s.extendFurther(8 * time.Second)
+}
+
 // targetAt returns the target at an address, if there is one that runs.
 func (s *fleetSim) targetAt(address string) *simTarget {
 	var found *simTarget
