Simulated fleet: a store that is late, loses answers or turns daemons away

New faults of TestFleetUnderFurtherFaults: store-late (answers and renewals of claims up to 3 s late, so that calls time out and records are read late), store-loses-answers (a share of the calls gets no answer; a commit is applied at once or up to 4 s later, under its conditions) and store-rejects-some (some daemons are turned away at once, the others are served). A store that forgets its history isn't drawn: the simulated daemons read whole tables and no changes.

--- a/fbnode/fleet_further_faults_test.go
+++ b/fbnode/fleet_further_faults_test.go
@@ -22,6 +22,9 @@
 		t.failsUntil = s.now + length
 		s.extendFurther(length)
 	}},
+	{"store-late", func(s *fleetSim) { s.disturbStore(s.between(100*time.Millisecond, 3*time.Second), 0, 0) }},
+	{"store-loses-answers", func(s *fleetSim) { s.disturbStore(10*time.Millisecond, 0.1+0.8*s.rand.Float64(), 0) }},
+	{"store-rejects-some", func(s *fleetSim) { s.disturbStore(0, 0, s.rand.Float64()) }},
 	{"reborn-target", func(s *fleetSim) { s.restartTarget(s.anyTarget()) }},
 	{"swapped-addresses", func(s *fleetSim) { s.swapAddresses(s.chance(0.5)) }},
 }
@@ -82,6 +85,19 @@
 	s.extendFurther(length)
 }
 
+// disturbStore delays the store's answers by up to the given time, loses a share of them, and turns a
+// share of the daemons away.
+func (s *fleetSim) disturbStore(delay time.Duration, loss, rejected float64) {
+	length := s.between(500*time.Millisecond, 6*time.Second)
+	s.further.storeUntil, s.further.storeDelay, s.further.storeLoss = s.now+length, delay, loss
+	s.further.storeRejected = make(map[filbertford.NodeID]bool)
+	for _, name := range s.names {
+		s.further.storeRejected[name] = s.chance(rejected)
+	}
+	s.logf("the store is late by up to %v, loses %.2f of its answers and rejects %v", delay, loss, s.further.storeRejected)
+	s.extendFurther(length + delay)
+}
+
 // restartTarget restarts a target under its ID and address, while replies of its first life are under
 // way. The clock that its start time is taken from may have been set back. Its record follows.
 func (s *fleetSim) restartTarget(t *simTarget) {
