Simulated fleet: second lives of daemons, clocks that step, loss of power under a queue

With waiting tasks that aren't moved (the default), power-loss leaves jobs waiting in one pool for over 3 s while less than half of the whole capacity is in use; the check counts each data centre for itself unless -fleet.rebalance is set.

--- a/fbnode/fleet_further_faults_test.go
+++ b/fbnode/fleet_further_faults_test.go
@@ -1,6 +1,7 @@
 package fbnode
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -25,8 +26,23 @@
 	{"store-late", func(s *fleetSim) { s.disturbStore(s.between(100*time.Millisecond, 3*time.Second), 0, 0) }},
 	{"store-loses-answers", func(s *fleetSim) { s.disturbStore(10*time.Millisecond, 0.1+0.8*s.rand.Float64(), 0) }},
 	{"store-rejects-some", func(s *fleetSim) { s.disturbStore(0, 0, s.rand.Float64()) }},
+	{"second-life", func(s *fleetSim) { s.restartAtOnce(s.anyDaemon(), 1+s.rand.IntN(3)) }},
+	{"second-owner-life", func(s *fleetSim) { s.restartAtOnce(s.anyOwner(), 1+s.rand.IntN(3)) }},
 	{"reborn-target", func(s *fleetSim) { s.restartTarget(s.anyTarget()) }},
 	{"swapped-addresses", func(s *fleetSim) { s.swapAddresses(s.chance(0.5)) }},
+	{"stepping-clocks", func(s *fleetSim) {
+		for _, name := range s.names {
+			if s.chance(0.5) {
+				step := s.between(0, time.Minute) - 30*time.Second
+				if s.chance(0.5) {
+					step /= 100
+				}
+				s.further.wall[name] += step
+				s.logf("the clock of %s steps by %v", name, step)
+			}
+		}
+	}},
+	{"power-loss", (*fleetSim).losePower},
 }
 
 // failingFaults are drawn only by -fleet.only, since they lead to failures that KNOWN-RED.txt lists.
@@ -98,6 +114,16 @@
 	s.extendFurther(length + delay)
 }
 
+// restartAtOnce kills a daemon and starts it again while messages to its first life are under way, so
+// many times.
+func (s *fleetSim) restartAtOnce(name filbertford.NodeID, times int) {
+	s.killDaemon(name)
+	s.startDaemon(name, s.between(time.Millisecond, 20*time.Millisecond))
+	if times > 1 {
+		s.after(s.between(30*time.Millisecond, time.Second), func() { s.restartAtOnce(name, times-1) })
+	}
+}
+
 // restartTarget restarts a target under its ID and address, while replies of its first life are under
 // way. The clock that its start time is taken from may have been set back. Its record follows.
 func (s *fleetSim) restartTarget(t *simTarget) {
@@ -168,6 +194,32 @@
 	s.extendFurther(8 * time.Second)
 }
 
+// losePower submits many jobs and then kills all daemons.
+func (s *fleetSim) losePower() {
+	for range 10 + s.rand.IntN(20) {
+		s.after(s.between(0, 300*time.Millisecond), s.submitAnyStored)
+	}
+	for range 10 + s.rand.IntN(40) {
+		s.jobs++
+		key := filbertford.JobKey(fmt.Sprintf("%016x", s.jobs))
+		s.durations[key] = s.between(30*time.Millisecond, 1500*time.Millisecond)
+		step := filbertford.NewStep(1+s.rand.IntN(3), filbertford.NewResources(1000, 1, 0), s.durations[key])
+		c := &simCaller{
+			sim: s, job: filbertford.NewWorkload(key, "spec", step).WithBestEffort(true),
+			dataCentre: s.dataCentres[s.rand.IntN(len(s.dataCentres))], timeout: s.between(3*time.Second, 9*time.Second),
+		}
+		s.after(s.between(0, 300*time.Millisecond), c.send)
+	}
+	s.after(s.between(200*time.Millisecond, time.Second), func() {
+		back := s.between(20*time.Millisecond, time.Second)
+		for _, name := range s.names {
+			s.killDaemon(name)
+			s.startDaemon(name, back+s.between(0, 300*time.Millisecond))
+		}
+	})
+	s.extendFurther(3 * time.Second)
+}
+
 // targetAt returns the target at an address, if there is one that runs.
 func (s *fleetSim) targetAt(address string) *simTarget {
 	var found *simTarget
