Simulated fleet: evacuations and changes of the configuration

New faults of TestFleetUnderFurtherFaults: evacuation (a data centre is evacuated for up to 5 s; daemons learn of it from the store within 0.3 s, those that can't reach it later, and a new owner that doesn't know the evacuations starts nothing) and configuration (priority, attempts and objective of the best-effort jobs change, on each daemon at another time within 3 s).

--- a/fbnode/fleet_further_faults_test.go
+++ b/fbnode/fleet_further_faults_test.go
@@ -42,6 +42,20 @@
 			}
 		}
 	}},
+	{"evacuation", func(s *fleetSim) {
+		dc, length := s.dataCentres[s.rand.IntN(len(s.dataCentres))], s.between(500*time.Millisecond, 5*time.Second)
+		s.setEvacuated(dc, true)
+		s.after(length, func() { s.setEvacuated(dc, false) })
+		s.extendFurther(length)
+	}},
+	{"configuration", func(s *fleetSim) {
+		r := filbertford.NewRoute("host", "/jobs/", simService).WithPolicy(s.rand.IntN(3), 1+s.rand.IntN(4)).
+			WithObjective(1.2+2*s.rand.Float64(), s.between(20*time.Millisecond, time.Second), 0)
+		for _, name := range s.names {
+			s.after(s.between(0, 3*time.Second), func() { s.further.routes[name] = r })
+		}
+		s.extendFurther(3 * time.Second)
+	}},
 	{"power-loss", (*fleetSim).losePower},
 }
 
@@ -194,6 +208,19 @@
 	s.extendFurther(8 * time.Second)
 }
 
+// setEvacuated begins or ends the evacuation of a data centre. Daemons that reach the store learn of it
+// within a third of a second, the others when they reach it again.
+func (s *fleetSim) setEvacuated(dc filbertford.DataCentre, evacuated bool) {
+	s.store.evacuated = slices.DeleteFunc(slices.Clone(s.store.evacuated), func(other filbertford.DataCentre) bool { return other == dc })
+	if evacuated {
+		s.store.evacuated = append(s.store.evacuated, dc)
+	}
+	s.logf("evacuated: %v", s.store.evacuated)
+	for _, name := range s.names {
+		s.after(s.between(0, 300*time.Millisecond), s.daemons[name].readRecords)
+	}
+}
+
 // losePower submits many jobs and then kills all daemons.
 func (s *fleetSim) losePower() {
 	for range 10 + s.rand.IntN(20) {
