Simulated fleet: no start in a data centre that the daemon knows as evacuated

TestFleetUnderFurtherFaults reports the first start of a run that an owner sends to a target of a data centre that it has read as evacuated.

--- a/fbnode/fake_calls_test.go
+++ b/fbnode/fake_calls_test.go
@@ -37,6 +37,7 @@
 	switch v := a.(type) {
 	case fbsched.StartCall:
 		req := v.Request
+		d.checkEvacuated(req)
 		d.callTarget("start", req.Instance(), req.Address(), req.Fence(), v.Timeout, 0, true,
 			func(t *simTarget) filbertford.CallReply { return t.start(name, req) },
 			func(p *fbsched.Pool, r filbertford.CallReply, sent, received time.Duration) {
--- a/fbnode/fleet_further_test.go
+++ b/fbnode/fleet_further_test.go
@@ -44,6 +44,7 @@
 	idleSince    map[filbertford.JobKey]time.Duration // since when stored jobs have nothing running
 	idleReported bool
 	ends         map[filbertford.TaskKey]*storedEnds
+	called       map[simCall]bool // runs of which a start was sent
 }
 
 // newFurtherSim returns a fleet with best-effort and stored jobs whose size and faults are drawn from
@@ -55,7 +56,7 @@
 	s.further = furtherSim{
 		enabled: true,
 		wall:    make(map[filbertford.NodeID]time.Duration), routes: make(map[filbertford.NodeID]filbertford.Route),
-		idleSince: make(map[filbertford.JobKey]time.Duration), ends: make(map[filbertford.TaskKey]*storedEnds),
+		idleSince: make(map[filbertford.JobKey]time.Duration), ends: make(map[filbertford.TaskKey]*storedEnds), called: make(map[simCall]bool),
 	}
 	for i, t := range s.targets {
 		t.unguarded = seed%2 == 0
@@ -283,6 +284,24 @@
 	return s.between(0, 8*time.Second) // half of it passes before the call is carried out
 }
 
+// simCall identifies the starts of a run.
+type simCall struct {
+	task filbertford.TaskKey
+	run  uint64
+}
+
+// checkEvacuated reports the first start of a run in a data centre that the daemon knows as evacuated.
+func (d *simDaemon) checkEvacuated(req filbertford.StartRunRequest) {
+	s, call := d.sim, simCall{task: req.Task(), run: req.Run()}
+	if !s.further.enabled || s.further.called[call] {
+		return
+	}
+	s.further.called[call] = true
+	if t := s.targetByID(req.Instance().ID()); slices.Contains(d.evacuated, t.rec.DataCentre()) {
+		s.violation("EVACUATED", "%s starts %s on %s, whose data centre it knows as evacuated", d.name(), req.Task(), t.id())
+	}
+}
+
 // applyEvacuations does what Node.applyEvacuations does.
 func (d *simDaemon) applyEvacuations(evacuated []filbertford.DataCentre) {
 	if !d.sim.further.enabled {
