Simulated fleet: an end whose target's lease has lapsed doesn't count at its acknowledgement

The check of starts after an acknowledged end done noticed a lapsed lease only when a call extended it.

--- a/fbnode/fake_target_test.go
+++ b/fbnode/fake_target_test.go
@@ -98,9 +98,7 @@
 }
 
 func (t *simTarget) extendLease(lease int64) {
-	if t.clock() > t.lease {
-		t.unnoted = nil
-	}
+	t.forgetAfterLapse()
 	limit := t.clock() + time.Second
 	t.lease = max(t.lease, min(time.Duration(lease)*time.Millisecond, limit))
 }
--- a/fbnode/fleet_ends_test.go
+++ b/fbnode/fleet_ends_test.go
@@ -35,8 +35,16 @@
 	return s.further.ends[key]
 }
 
+// forgetAfterLapse drops the ends of runs that don't count when they are acknowledged.
+func (t *simTarget) forgetAfterLapse() {
+	if t.clock() > t.lease {
+		t.unnoted = nil
+	}
+}
+
 // acknowledge counts the ends up to a sequence number as known to the daemons.
 func (t *simTarget) acknowledge(daemon string, upTo uint64) {
+	t.forgetAfterLapse()
 	for len(t.unnoted) > 0 && t.unnoted[0].Sequence() <= upTo {
 		e := t.unnoted[0]
 		t.unnoted = t.unnoted[1:]
