--- a/fbnode/fleet_faults_test.go
+++ b/fbnode/fleet_faults_test.go
@@ -208,6 +208,9 @@
 	kinds := slices.DeleteFunc(slices.Clone(faults), func(f simFault) bool {
 		return *fleetOnly != "" && !slices.ContainsFunc(strings.Split(*fleetOnly, ","), func(name string) bool { return strings.Contains(f.name, name) })
 	})
+	if len(kinds) == 0 {
+		panic("no fault has a name of -fleet.only")
+	}
 	s.rand.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 	kinds = kinds[:min(len(kinds), 1+s.rand.IntN(4))]
 	for range 2 + s.rand.IntN(8) {
