Names and comments of the claims by knowledge and of batches without tasks

Two names of fbfleet didn't say what they compare, a batch without tasks has two meanings that only its token tells apart, and a comparison used a map literal. Renamed, said at both places, and written as a switch; nothing else changes. Tests of fbfleet and those of fbnode on targets and the store pass.

--- a/fbfleet/claim.go
+++ b/fbfleet/claim.go
@@ -61,7 +61,7 @@
 		return
 	}
 	for _, s := range f.pools {
-		if _, ok := f.owned[s.id]; ok || !f.ranksFirst(now, s) || !f.mayClaim(now, s) || f.leavesToOther(now, s) {
+		if _, ok := f.owned[s.id]; ok || !f.ranksFirst(now, s) || !f.mayClaim(now, s) || f.defersClaim(now, s) {
 			continue
 		}
 		f.acquire(now, s.id)
@@ -78,7 +78,7 @@
 	}
 	self := f.rank(f.self, s)
 	for id, p := range f.peers {
-		if !f.mayCompete(now, p, s) || p.draining || id == owner.node && !ownerStays || f.isOutdone(p, s) {
+		if !f.mayCompete(now, p, s) || p.draining || id == owner.node && !ownerStays || f.lacksKnownTargets(p, s) {
 			continue
 		}
 		if p.starting && s.dataCentre != "" && (p.member.dataCentre != s.dataCentre || f.self.dataCentre == s.dataCentre) {
--- a/fbfleet/fleet.go
+++ b/fbfleet/fleet.go
@@ -78,7 +78,7 @@
 	fencedAt     map[filbertford.PoolID]time.Duration
 	probes       map[filbertford.PoolID]probe
 	targets      TargetKnowledge                      // of this daemon
-	leftSince    map[filbertford.PoolID]time.Duration // see leavesToOther
+	leftSince    map[filbertford.PoolID]time.Duration // see defersClaim
 	lackedSince  map[filbertford.PoolID]time.Duration // see ownerLacksTargets
 	candidates   map[filbertford.NodeID]bool
 	candidatesAt time.Duration // when the candidates were last updated
--- a/fbfleet/knowledge.go
+++ b/fbfleet/knowledge.go
@@ -37,15 +37,15 @@
 	}
 }
 
-// isOutdone reports whether the peer doesn't know the targets of a pool while this daemon
+// lacksKnownTargets reports whether the peer doesn't know the targets of a pool while this daemon
 // does, so that it leaves the pool to this daemon.
-func (f *Fleet) isOutdone(p *peer, s PoolSpec) bool {
+func (f *Fleet) lacksKnownTargets(p *peer, s PoolSpec) bool {
 	return s.dataCentre != "" && f.targets == TargetsKnown && p.targets == TargetsUnknown
 }
 
-// leavesToOther reports whether this daemon, which doesn't know the targets of a pool, leaves
+// defersClaim reports whether this daemon, which doesn't know the targets of a pool, leaves
 // the pool to one that does. If none of those has claimed it after claimDelay, they can't.
-func (f *Fleet) leavesToOther(now time.Duration, s PoolSpec) bool {
+func (f *Fleet) defersClaim(now time.Duration, s PoolSpec) bool {
 	if s.dataCentre == "" || f.targets != TargetsUnknown {
 		return false
 	}
@@ -82,7 +82,7 @@
 // ownerLacksTargets reports whether the owner of a pool of this daemon's data centre has not
 // known its targets for claimDelay, while this daemon does. Such an owner starts nothing.
 func (f *Fleet) ownerLacksTargets(now time.Duration, s PoolSpec, owner *peer) bool {
-	if f.self.dataCentre != s.dataCentre || !f.isOutdone(owner, s) {
+	if f.self.dataCentre != s.dataCentre || !f.lacksKnownTargets(owner, s) {
 		delete(f.lackedSince, s.id)
 		return false
 	}
--- a/fbnode/receive.go
+++ b/fbnode/receive.go
@@ -113,7 +113,8 @@
 }
 
 // reportNewerClaims tells a daemon of the pools that it claims although another one claims them
-// with a higher fencing token: the two may not hear each other. A batch without tasks says so.
+// with a higher fencing token: the two may not hear each other. A batch without tasks under that token
+// says so; one under the daemon's own token says that all tasks have been offered.
 func (n *Node) reportNewerClaims(to filbertford.NodeID, claims []fbfleet.Claim) {
 	for _, c := range claims {
 		if owner := n.fleet.Owner(c.Pool()); owner.Node() != to && owner.Fence() > c.Fence() {
--- a/fbnode/target_exchange.go
+++ b/fbnode/target_exchange.go
@@ -115,8 +115,12 @@
 		return "", false
 	}
 	node := slices.MinFunc(newer, func(a, b filbertford.NodeID) int {
-		if e.sources[a].asked != e.sources[b].asked {
-			return map[bool]int{false: -1, true: 1}[e.sources[a].asked]
+		switch {
+		case e.sources[a].asked == e.sources[b].asked:
+		case e.sources[a].asked:
+			return 1
+		default:
+			return -1
 		}
 		return cmp.Compare(e.sources[b].version, e.sources[a].version)
 	})
--- a/fbsched/offer.go
+++ b/fbsched/offer.go
@@ -8,7 +8,7 @@
 
 // Offer accepts the tasks of a batch from a coordinator. It drops a batch of an
 // earlier shard owner, which may arrive late: the pool has already reported its tasks
-// to a newer one. A batch without tasks says that the coordinator has offered all of its own.
+// to a newer one. A batch without tasks says that the coordinator has offered all of its own, see SendOffersComplete.
 func (p *Pool) Offer(now time.Duration, from filbertford.NodeID, b Batch) {
 	if len(b.items) == 0 {
 		p.offersComplete(now, from)
