--- a/review/lab2/case_best_effort.go
+++ b/review/lab2/case_best_effort.go
@@ -22,7 +22,7 @@
 	j.BestEffort = true
 	answered := make(chan struct{})
 	l.tasks.Go(func() {
-		l.call(ctx, l.daemons[0], http.MethodPost, queuePrefix+id, j, 20*time.Second)
+		l.call(ctx, l.daemons[0], http.MethodPost, queuePrefix+id, j, routeTimeout)
 		close(answered)
 	})
 	if err := sleep(ctx, 500*time.Millisecond); err != nil {
--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -29,17 +29,17 @@
 )
 
 // configure writes the configuration as the operator does.
-func (l *lab) configure(attempts int) {
+func (l *lab) configure(attempts int, timeout time.Duration) {
 	l.store.put("op", "config", map[string]any{
 		"version": 7,
 		"routes": []map[string]any{{
-			"name": "r-3hwrr6x", "host": queueHost, "prefix": queuePrefix, "kind": "non_idempotent", "timeoutMs": 1500, "targetDurationMs": 60,
+			"name": "r-3hwrr6x", "host": queueHost, "prefix": queuePrefix, "kind": "non_idempotent", "timeoutMs": timeout.Milliseconds(), "targetDurationMs": 60,
 			"priority": 0, "service": serviceName, "attempts": attempts, "stretch": 1.6,
 		}},
 		"services": []map[string]any{{"name": serviceName, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "rejectsOverload": true, "spare": false}},
 		"limits":   map[string]int{"headerBytes": 16384, "bodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
-	l.note("the operator writes the configuration, attempts %d", attempts)
+	l.note("the operator writes the configuration, attempts %d, timeout %v", attempts, timeout)
 }
 
 // step is a step of a client's job. work is how long its tasks take.
--- a/review/lab2/zones.go
+++ b/review/lab2/zones.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Sizes of the deployment of all cases: those of akp-sched, smaller.
@@ -19,9 +20,12 @@
 // kinds are the kinds of the workers, in turn.
 var kinds = []string{"a", "a", "b"}
 
+// routeTimeout is the timeout of the queue: longer than that of the site file, for jobs of several steps.
+const routeTimeout = 20 * time.Second
+
 // deploy writes a configuration, and starts the given number of workers in each zone and a daemon.
 func (l *lab) deploy(ctx context.Context, attempts int, workers [3]int, proxied bool) error {
-	l.configure(attempts)
+	l.configure(attempts, routeTimeout)
 	for z, n := range workers {
 		for i := range n {
 			id := fmt.Sprintf("i-%s-%d", zones[z], i)
