--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -31,7 +31,6 @@
 var scenarios = map[string]scenario{
 	"labelled":    runLabelled,
 	"zone":        runZone,
-	"crash":       runCrash,
 	"best-effort": runBestEffort,
 	"waiting":     runWaiting,
 	"foreign":     runForeign,
