--- a/fbconfig/key.go
+++ b/fbconfig/key.go
@@ -56,6 +56,15 @@
 	intKey("node", "memory-mb", "256", 16, 65536, "the maximum memory of the process in megabytes"),
 	intKey("node", "owner-gc-percent", "100", 50, 1000, "by how many percent the heap may grow between two garbage collections while the daemon owns a pool; a higher value takes more memory, up to memory-mb, and less processor time"),
 	durationKey("node", "grace", "6s", 0, time.Minute, "the time from the stop request until the process is killed"),
+
+	intKey("limits", "max-header", "16384", 1024, 1<<20, "the maximum size of a request's headers in bytes"),
+	maxConnectionsKey,
+	maxDescriptorsKey,
+	memoryPercentKey,
+	bodyTimeoutKey,
+	bodyRateKey,
+	writeTimeoutKey,
+
 	choiceKey("scheduling", "admission", "backlog", []string{"backlog", "objective"}, "which jobs are accepted: all but those that the shortest queue makes useless, or only those that are expected to meet their objective or to end late without delaying others"),
 	choiceKey("scheduling", "order", "deadline", []string{"deadline", "priority"}, "the order in which a pool starts waiting tasks: by the latest start that meets the objective, or by the priority of the route first"),
 	choiceKey("scheduling", "placement", "fastest", []string{"fastest", "in-time"}, "the target of a task: the one on which it ends first or, while capacity is scarce, the slowest one on which it meets its objective"),
@@ -64,6 +73,16 @@
 	choiceKey("log", "format", "logfmt", []string{"logfmt", "json"}, "the format of log lines"),
 }
 
+// Keys of the limits on callers, which both daemons have.
+var (
+	maxConnectionsKey = intKey("limits", "max-connections", "4096", 1, 1<<20, "the maximum number of open connections of callers; it is never more than half of the descriptors, or than the memory for callers allows")
+	maxDescriptorsKey = intKey("limits", "max-descriptors", "0", 0, 1<<20, "the maximum number of descriptors of the process, if it is lower than that of the operating system; 0 for that one")
+	memoryPercentKey  = intKey("limits", "memory-percent", "20", 1, 75, "the part of the memory of the process that connections and requests of callers may take together, in percent")
+	bodyTimeoutKey    = durationKey("limits", "body-timeout", "10s", 100*time.Millisecond, 10*time.Minute, "the longest time by which the body of a request may be behind body-rate")
+	bodyRateKey       = intKey("limits", "body-rate", "1024", 1, 1<<30, "the number of bytes of a body that a caller must send in a second")
+	writeTimeoutKey   = durationKey("limits", "write-timeout", "10s", 100*time.Millisecond, 10*time.Minute, "the longest time that a caller may take to read 16 KB of an answer")
+)
+
 var daemonKeys = []Key{
 	textKey("daemon", "vm", "entry-1", "the name of the VM in the platform's list"),
 	textKey("daemon", "data-centre", "nordnes", "the data centre that the VM runs in"),
@@ -77,8 +96,13 @@
 
 	intKey("limits", "max-body", "1048576", 1024, 64<<20, "the maximum size of a request body in bytes"),
 	intKey("limits", "max-header", "16384", 1024, 1<<20, "the maximum size of a request's headers in bytes"),
-	intKey("limits", "max-connections", "4096", 1, 1<<20, "the maximum number of open connections of callers"),
-	durationKey("limits", "read-timeout", "10s", time.Millisecond, time.Minute, "the timeout for reading a request from a caller"),
+	maxConnectionsKey,
+	maxDescriptorsKey,
+	memoryPercentKey,
+	bodyTimeoutKey,
+	bodyRateKey,
+	writeTimeoutKey,
+	durationKey("limits", "read-timeout", "10s", time.Millisecond, time.Minute, "the timeout for reading the header of a caller's request"),
 	durationKey("limits", "idle-timeout", "2m", time.Second, time.Hour, "the time after which an idle connection is closed"),
 	intKey("limits", "max-submissions", "120000", 1, 10_000_000, "the maximum number of submission IDs remembered in full"),
 	intKey("limits", "max-answers", "16777216", 0, 1<<30, "the maximum size of the results kept for resubmissions in bytes"),
--- a/job.go
+++ b/job.go
@@ -72,6 +72,16 @@
 // Tasks returns the tasks. The caller must not change them.
 func (j Job) Tasks() []Task { return j.tasks }
 
+// MemoryBytes returns an estimate of the memory that a daemon needs for the job while it is in
+// progress, in bytes.
+func (j Job) MemoryBytes() int {
+	n := jobBytes
+	for _, t := range j.tasks {
+		n += taskBytes + len(t.args)
+	}
+	return n
+}
+
 // Timeout returns the time that the job may take from its arrival at the owner,
 // zero for the timeout in the settings.
 func (j Job) Timeout() time.Duration { return j.timeout }
--- a/workload.go
+++ b/workload.go
@@ -230,6 +230,22 @@
 	MaxEstimate = 366 * 24 * time.Hour
 )
 
+// Memory that a daemon needs for a job in progress, in bytes: in all, and for each of its tasks.
+const (
+	jobBytes  = 8 << 10
+	taskBytes = 512
+)
+
+// MemoryBytes returns an estimate of the memory that a daemon needs for the job while it is in
+// progress, in bytes.
+func (w Workload) MemoryBytes() int {
+	n := jobBytes + len(w.spec)
+	for _, s := range w.steps {
+		n += s.count * taskBytes
+	}
+	return n
+}
+
 // Validate returns an error that describes the first invalid property of the
 // workload, or nil.
 func (w Workload) Validate() error {
