filbertfordnode: the limits of fblimit on its callers

Callers that don't finish their requests could use all memory and all descriptors of a daemon of a fleet. The daemon held each body until its caller left, as many of them as there were.

The listener for callers, the reading of bodies and the waiting of jobs use the account of fblimit.

--- a/cmd/filbertfordnode/main.go
+++ b/cmd/filbertfordnode/main.go
@@ -61,6 +61,10 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
+	if _, err := callerLimits(cfg); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
 	if opts.check {
 		fmt.Fprintln(stderr, "the settings are valid")
 		return exitOK
--- a/cmd/filbertfordnode/serve.go
+++ b/cmd/filbertfordnode/serve.go
@@ -17,6 +17,7 @@
 	"github.com/filbertford/filbertford/fbconfig"
 	"github.com/filbertford/filbertford/fbevent"
 	"github.com/filbertford/filbertford/fbfleet"
+	"github.com/filbertford/filbertford/fblimit"
 	"github.com/filbertford/filbertford/fblog"
 	"github.com/filbertford/filbertford/fbmetrics"
 	"github.com/filbertford/filbertford/fbnode"
@@ -51,6 +52,10 @@
 // serve runs a daemon until the context ends and then shuts it down gracefully.
 func serve(ctx context.Context, cfg *fbconfig.Config, opts options, l *log.Logger, logWriter *fblog.Writer) error {
 	debug.SetMemoryLimit(int64(float64(cfg.Int("node", "memory-mb")) * memoryShare * (1 << 20)))
+	limits, err := callerLimits(cfg)
+	if err != nil {
+		return err
+	}
 	ls, err := listen(cfg)
 	if err != nil {
 		return err
@@ -69,6 +74,9 @@
 		"callers", ls.callers.Addr(), "peers", ls.peers.Addr(), "store", cfg.Text("node", "store"))
 
 	callers := platform.NewIngress(node)
+	callers.MaxHeaderBytes = cfg.Int("limits", "max-header")
+	limiter := fblimit.New(limits, l, scope)
+	limiter.Attach(callers)
 	var g run.Group
 	addActor(&g, timer.Run)
 	addActor(&g, func(ctx context.Context) error { return node.Run(ctx, ls.peers) })
@@ -78,7 +86,7 @@
 	})
 	addServer(&g, platform.NewReadiness(node), ls.readiness)
 	addServer(&g, metricsServer(reporter, node), ls.metrics)
-	addServer(&g, callers, ls.callers)
+	addServer(&g, callers, limiter.Limit(ls.callers))
 	addShutdown(ctx, &g, node, callers, cfg.Duration("node", "grace")-graceMargin)
 	if err := g.Run(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
@@ -111,6 +119,11 @@
 	}
 }
 
+// callerLimits returns the limits on callers.
+func callerLimits(cfg *fbconfig.Config) (fblimit.Options, error) {
+	return fblimit.NewOptions(cfg, cfg.Int("node", "memory-mb")<<20, platform.DefaultBodyLimit)
+}
+
 func nodeOptions(cfg *fbconfig.Config) fbnode.Options {
 	address := cfg.Text("node", "peers")
 	if advertised := cfg.Text("node", "advertise"); advertised != "" {
@@ -144,7 +157,11 @@
 	for key, l := range map[string]*net.Listener{
 		"callers": &ls.callers, "readiness": &ls.readiness, "peers": &ls.peers, "metrics": &ls.metrics,
 	} {
-		listener, err := net.Listen("tcp", cfg.Text("node", key))
+		open := listenTCP
+		if l == &ls.callers {
+			open = fblimit.Listen
+		}
+		listener, err := open(cfg.Text("node", key))
 		if err != nil {
 			return ls, eris.Wrapf(err, "opening the listener for %s", key)
 		}
@@ -153,6 +170,8 @@
 	return ls, nil
 }
 
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 func metricsServer(r *fbmetrics.Reporter, n *fbnode.Node) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
--- a/fbcrowd/crowd_test.go
+++ b/fbcrowd/crowd_test.go
@@ -115,6 +115,16 @@
 	return err
 }
 
+// fields sends a header of short fields, within the users' limit, and a body without its end.
+func fields(d *daemon, c net.Conn, i int) error {
+	var h strings.Builder
+	for n := 0; h.Len() < 15_000; n++ {
+		fmt.Fprintf(&h, "%x:\r\n", n)
+	}
+	_, err := fmt.Fprintf(c, "%sContent-Length: 2\r\n%s\r\n{", d.head(i), h.String())
+	return err
+}
+
 // repeated returns the behaviour of a caller that sends a whole body of the given element,
 // repeated up to the size and separated by commas, between the other two texts.
 func repeated(size int, before, element, after string) func(*daemon, net.Conn, int) error {
--- a/fbcrowd/daemon_test.go
+++ b/fbcrowd/daemon_test.go
@@ -80,7 +80,7 @@
 		_ = c.Process.Kill() // fails if the process has ended, which the test reports
 		_ = c.Wait()
 		_ = output.Close()
-		if t.Failed() {
+		if t.Failed() || os.Getenv("CROWD_LOG") != "" {
 			text, _ := os.ReadFile(output.Name())
 			t.Logf("%s:\n%s", strings.Join(c.Args, " "), text[max(0, len(text)-8000):])
 		}
@@ -208,7 +208,9 @@
 // as on the users' machines.
 func (d *daemon) checkLimits(highest usage) {
 	d.t.Helper()
-	if peak := max(d.statusBytes("VmHWM:"), highest.memory); peak > d.memory {
+	peak := max(d.statusBytes("VmHWM:"), highest.memory)
+	d.t.Logf("highest: %d MB of memory, %d descriptors", peak>>20, highest.descriptors)
+	if peak > d.memory {
 		d.t.Errorf("the process used %d MB of memory, its limit is %d MB", peak>>20, d.memory>>20)
 	}
 	if limit := d.descriptors * 3 / 4; highest.descriptors > limit {
--- a/fbcrowd/limits_test.go
+++ b/fbcrowd/limits_test.go
@@ -20,6 +20,7 @@
 		"one chunk":    {crowd{400, oneChunk(nodeBody)}, manyDescriptors},
 		"small chunks": {crowd{400, smallChunks(nodeBody)}, manyDescriptors},
 		"headers":      {crowd{1500, header}, manyDescriptors},
+		"fields":       {crowd{600, fields}, manyDescriptors},
 		"many steps":   {crowd{60, repeated(nodeBody, `{"spec":"","bestEffort":true,"steps":[`, `{}`, `]}`)}, manyDescriptors},
 		"many tasks":   {crowd{20, repeated(2700, `{"spec":"","bestEffort":true,"steps":[`, `{"count":4096,"cpu":100,"estimateMs":9}`, `]}`)}, manyDescriptors},
 		"unread":       {crowd{400, unread}, manyDescriptors},
