filbertfordd: the limits of fblimit on its callers

Callers that don't finish their requests could use all memory and all descriptors of a stand-alone daemon, too. It read each body to its end before it looked at anything else, for up to 10 s and as many as there were connections; at limits.max-connections it stopped accepting, so that idle connections kept all others out.

The listener, the reading of bodies and the waiting of jobs use the account of fblimit. A request that doesn't fit is answered FB4008 with Retry-After, one that needs more than the whole account FB4003. limits.read-timeout now is for the header; a body has body-timeout and body-rate. A key can't be checked before the body, which names the team: teams without keys take any.

Shown by TestCrowdAtEntryDaemon (memory of at most 64 MB): before, on, whole 204, pieces 213, one chunk 203, small chunks 106, headers 77, unread 94 and, a new case, fields 146 MB; descriptors and idle had all 256 open. Now 26 to 51 MB and at most 150 of 256 descriptors. many_tasks is still a known failure, with 69 MB.

--- a/cmd/filbertfordd/main.go
+++ b/cmd/filbertfordd/main.go
@@ -66,6 +66,10 @@
 		fbevent.SettingsRejected.Log(logger, "problem", err.Error())
 		return exitUsage
 	}
+	if _, err := callerLimits(cfg); err != nil {
+		fbevent.SettingsRejected.Log(logger, "problem", err.Error())
+		return exitUsage
+	}
 	if opts.check {
 		fmt.Fprintln(stderr, "the settings are valid")
 		return exitOK
--- a/cmd/filbertfordd/serve.go
+++ b/cmd/filbertfordd/serve.go
@@ -11,12 +11,12 @@
 	"github.com/charmbracelet/log"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
 
 	"github.com/filbertford/filbertford/fbapi"
 	"github.com/filbertford/filbertford/fbconfig"
 	"github.com/filbertford/filbertford/fbdaemon"
 	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fblimit"
 	"github.com/filbertford/filbertford/fbmetrics"
 	"github.com/filbertford/filbertford/fbops"
 	"github.com/filbertford/filbertford/fbpeer"
@@ -39,6 +39,10 @@
 // serve runs a daemon until the context is done, and then stops it gracefully.
 func serve(ctx context.Context, cfg *fbconfig.Config, logger *log.Logger) error {
 	debug.SetMemoryLimit(int64(cfg.Int("limits", "memory")))
+	limits, err := callerLimits(cfg)
+	if err != nil {
+		return err
+	}
 	ls, err := listen(cfg)
 	if err != nil {
 		return err
@@ -68,6 +72,8 @@
 		return err
 	}
 	api := fbapi.NewServer(d, apiLimits(cfg), logger)
+	limiter := fblimit.New(limits, logger, scope)
+	limiter.Attach(api)
 	ops, _ := fbops.NewServer(d, reporter, cfg.Text("daemon", "operator-key"))
 	fbevent.DaemonStarting.Log(logger,
 		"vm", cfg.Text("daemon", "vm"), "incarnation", d.Incarnation(), "callers", ls.callers.Addr(),
@@ -77,7 +83,7 @@
 	addRun(&g, timer.Run)
 	d.Attach(&g, ls.peers)
 	addHTTP(&g, ops, ls.operations)
-	addHTTP(&g, api, netutil.LimitListener(ls.callers, cfg.Int("limits", "max-connections")))
+	addHTTP(&g, api, limiter.Limit(ls.callers))
 	addStop(ctx, &g, d, api)
 	err = g.Run()
 	if closeErr := d.Close(); err == nil {
@@ -89,7 +95,11 @@
 func listen(cfg *fbconfig.Config) (listeners, error) {
 	var ls listeners
 	for key, l := range map[string]*net.Listener{"callers": &ls.callers, "peers": &ls.peers, "operations": &ls.operations} {
-		opened, err := net.Listen("tcp", cfg.Text("daemon", key))
+		open := listenTCP
+		if l == &ls.callers {
+			open = fblimit.Listen
+		}
+		opened, err := open(cfg.Text("daemon", key))
 		if err != nil {
 			return ls, eris.Wrapf(err, "opening the listener for %s", key)
 		}
@@ -98,6 +108,13 @@
 	return ls, nil
 }
 
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// callerLimits returns the limits on callers.
+func callerLimits(cfg *fbconfig.Config) (fblimit.Options, error) {
+	return fblimit.NewOptions(cfg, cfg.Int("limits", "memory"), cfg.Int("limits", "max-body"))
+}
+
 func apiLimits(cfg *fbconfig.Config) fbapi.Limits {
 	return fbapi.Limits{
 		MaxBody:     cfg.Int("limits", "max-body"),
--- a/fbapi/server.go
+++ b/fbapi/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/filbertford/filbertford"
 	"github.com/filbertford/filbertford/fbevent"
+	"github.com/filbertford/filbertford/fblimit"
 )
 
 // Headers of the interface.
@@ -101,7 +102,10 @@
 		return err
 	}
 	if !h.dispatcher.Authenticate(job.Team(), bearerKey(c)) {
-		return requestError{filbertford.CodeUnauthorized, ""}
+		return requestError{code: filbertford.CodeUnauthorized}
+	}
+	if err := fblimit.Hold(c.Request().Context(), job.MemoryBytes()); err != nil {
+		return limitError(err)
 	}
 	id, err := h.submissionID(c)
 	if err != nil {
@@ -112,18 +116,31 @@
 }
 
 // readBody returns the body of a request. It fails if the body is larger than
-// maxBody.
+// maxBody, or if callers hold too much memory for it.
 func (h *handler) readBody(c echo.Context) ([]byte, error) {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, int64(h.maxBody))
-	data, err := readAll(body, c.Request().ContentLength)
-	var tooLarge *http.MaxBytesError
+	data, err := fblimit.ReadBody(c.Request(), h.maxBody)
+	if err != nil {
+		fblimit.Refuse(c.Response())
+	}
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, requestError{filbertford.CodeTooLarge, "the body is larger than " + strconv.Itoa(h.maxBody) + " bytes"}
-	case err != nil:
-		return nil, malformedError("the body could not be read")
+	case err == nil:
+		return data, nil
+	case errors.Is(err, fblimit.ErrBodyTooLarge):
+		return nil, requestError{code: filbertford.CodeTooLarge, detail: "the body is larger than " + strconv.Itoa(h.maxBody) + " bytes"}
+	case errors.Is(err, fblimit.ErrExhausted), errors.Is(err, fblimit.ErrTooLarge):
+		return nil, limitError(err)
+	case errors.Is(err, fblimit.ErrStalled):
+		return nil, malformedError("%v", err)
+	}
+	return nil, malformedError("the body could not be read")
+}
+
+// limitError returns the refusal of a request that needs more memory than is left for callers.
+func limitError(err error) error {
+	if errors.Is(err, fblimit.ErrTooLarge) {
+		return requestError{code: filbertford.CodeTooLarge, detail: err.Error()}
 	}
-	return data, nil
+	return requestError{code: filbertford.CodeBusy, detail: err.Error(), retryAfter: fblimit.RetryAfter()}
 }
 
 // submissionID returns the submission ID of a request, or a new one if the caller
@@ -133,7 +150,7 @@
 	if text == "" {
 		token, err := filbertford.ParseToken(h.dispatcher.Token())
 		if err != nil {
-			return filbertford.SubmissionID{}, requestError{filbertford.CodeNotReady, "the daemon issues no token"}
+			return filbertford.SubmissionID{}, requestError{code: filbertford.CodeNotReady, detail: "the daemon issues no token"}
 		}
 		return filbertford.MintID(token, rand.Text())
 	}
@@ -175,7 +192,7 @@
 func (h *handler) requestedSubmission(c echo.Context) (filbertford.SubmissionID, string, error) {
 	team, ok := h.dispatcher.TeamOf(bearerKey(c))
 	if !ok {
-		return filbertford.SubmissionID{}, "", requestError{filbertford.CodeUnauthorized, ""}
+		return filbertford.SubmissionID{}, "", requestError{code: filbertford.CodeUnauthorized}
 	}
 	id, err := parseID(c.Param("id"))
 	return id, team, err
@@ -184,7 +201,7 @@
 func (h *handler) token(c echo.Context) error {
 	token := h.dispatcher.Token()
 	if token == "" {
-		return requestError{filbertford.CodeNotReady, "the daemon issues no token"}
+		return requestError{code: filbertford.CodeNotReady, detail: "the daemon issues no token"}
 	}
 	return c.JSON(http.StatusOK, tokenReply{Token: token})
 }
@@ -223,7 +240,7 @@
 	a := filbertford.NewRefusal(filbertford.CodeOutcomeUnknown, "the daemon failed")
 	switch {
 	case errors.As(err, &reqErr):
-		a = filbertford.NewRefusal(reqErr.code, reqErr.detail)
+		a = filbertford.NewRefusal(reqErr.code, reqErr.detail).WithRetryAfter(reqErr.retryAfter)
 	case errors.As(err, &httpErr) && httpErr.Code == http.StatusNotFound:
 		a = filbertford.NewRefusal(filbertford.CodeNotFound, "no such path")
 	case errors.As(err, &httpErr) && httpErr.Code < http.StatusInternalServerError:
--- a/fbapi/wire.go
+++ b/fbapi/wire.go
@@ -63,14 +63,15 @@
 
 // requestError says why a request is refused.
 type requestError struct {
-	code   filbertford.Code
-	detail string
+	code       filbertford.Code
+	detail     string
+	retryAfter time.Duration
 }
 
 func (e requestError) Error() string { return string(e.code) + ": " + e.detail }
 
 func malformedError(format string, args ...any) error {
-	return requestError{filbertford.CodeMalformed, fmt.Sprintf(format, args...)}
+	return requestError{code: filbertford.CodeMalformed, detail: fmt.Sprintf(format, args...)}
 }
 
 // decodeJob decodes and checks the body of a submission.
@@ -98,7 +99,7 @@
 		}
 	}
 	if len(r.Tasks) > maxTasks {
-		return filbertford.Job{}, requestError{filbertford.CodeTooLarge, fmt.Sprintf("%d tasks are more than %d", len(r.Tasks), maxTasks)}
+		return filbertford.Job{}, requestError{code: filbertford.CodeTooLarge, detail: fmt.Sprintf("%d tasks are more than %d", len(r.Tasks), maxTasks)}
 	}
 	timeout, ok := parseMillis(r.TimeoutMS)
 	if !ok {
--- a/fbcrowd/limits_test.go
+++ b/fbcrowd/limits_test.go
@@ -43,6 +43,7 @@
 		"one chunk":    {crowd{150, oneChunk(entryBody)}, manyDescriptors},
 		"small chunks": {crowd{150, smallChunks(entryBody)}, manyDescriptors},
 		"headers":      {crowd{1500, header}, manyDescriptors},
+		"fields":       {crowd{600, fields}, manyDescriptors},
 		"many tasks":   {crowd{60, repeated(entryBody, `{"team":"depot","service":"ordering","tasks":[`, `{}`, `]}`)}, manyDescriptors},
 		"unread":       {crowd{400, unread}, manyDescriptors},
 		"descriptors":  {crowd{400, body(4096, 4096, 0)}, 256},
