filbertfordd: the limit of the Go runtime leaves room for other memory

The resident memory of a stand-alone daemon could exceed limits.memory: the whole of it was the limit of the Go runtime, which doesn't count the program itself and what the kernel holds.

The runtime's limit is 70 % of the setting, as in filbertfordnode.

--- a/cmd/filbertfordd/serve.go
+++ b/cmd/filbertfordd/serve.go
@@ -25,6 +25,11 @@
 	"github.com/filbertford/filbertford/fbtimer"
 )
 
+// memoryShare is the share of the process's memory that is set as the limit of the Go
+// runtime. The program itself and what the kernel holds for its connections are not part
+// of that limit.
+const memoryShare = 0.7
+
 // shutdownTimeout is the time that callers' requests in flight have to end after
 // the daemon has stopped.
 const shutdownTimeout = 10 * time.Second
@@ -38,7 +43,7 @@
 
 // serve runs a daemon until the context is done, and then stops it gracefully.
 func serve(ctx context.Context, cfg *fbconfig.Config, logger *log.Logger) error {
-	debug.SetMemoryLimit(int64(cfg.Int("limits", "memory")))
+	debug.SetMemoryLimit(int64(float64(cfg.Int("limits", "memory")) * memoryShare))
 	limits, err := callerLimits(cfg)
 	if err != nil {
 		return err
