Decode no more steps and tasks than a job may have

A body of legal size could take 100 times its length: each step that is written as {} becomes a structure of 100 bytes, and the number of steps was checked after all had been decoded. So with tasks at filbertfordd, and with the list of steps that a step comes after, which had no limit.

The lists are decoded item by item and end with an error at the first item beyond their limit (64 steps, 64 entries of after, 4,096 tasks).

--- a/cmd/filbertfordnode/fleet_test.go
+++ b/cmd/filbertfordnode/fleet_test.go
@@ -34,10 +34,12 @@
 		path, body string
 		want       int
 	}{
-		"route":     {path: "/other/0000000000000001", body: jobBody(1, 1, true), want: http.StatusNotFound},
-		"key":       {path: "/jobs/1", body: jobBody(1, 1, true), want: http.StatusNotFound},
-		"malformed": {path: "/jobs/0000000000000001", body: `{"steps":`, want: http.StatusBadRequest},
-		"no steps":  {path: "/jobs/0000000000000001", body: `{"spec":""}`, want: http.StatusBadRequest},
+		"route":      {path: "/other/0000000000000001", body: jobBody(1, 1, true), want: http.StatusNotFound},
+		"key":        {path: "/jobs/1", body: jobBody(1, 1, true), want: http.StatusNotFound},
+		"malformed":  {path: "/jobs/0000000000000001", body: `{"steps":`, want: http.StatusBadRequest},
+		"no steps":   {path: "/jobs/0000000000000001", body: `{"spec":""}`, want: http.StatusBadRequest},
+		"many steps": {path: "/jobs/0000000000000001", body: `{"steps":[` + strings.Repeat(`{"count":1},`, 64) + `{"count":1}]}`, want: http.StatusBadRequest},
+		"many tasks": {path: "/jobs/0000000000000001", body: `{"steps":[` + strings.Repeat(`{"count":4096},`, 63) + `{"count":4096}],"bestEffort":true}`, want: http.StatusRequestEntityTooLarge},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/fbapi/wire.go
+++ b/fbapi/wire.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"time"
 	"unicode/utf8"
 
 	"github.com/filbertford/filbertford"
+	"github.com/filbertford/filbertford/fblimit"
 )
 
 // maxTasks is the maximum number of tasks in a request, whatever the settings
@@ -20,12 +22,23 @@
 
 // jobRequest is the body of a submission.
 type jobRequest struct {
-	Team       string        `json:"team"`
-	Service    string        `json:"service"`
-	Kind       string        `json:"kind"`
-	TimeoutMS  int64         `json:"timeout_ms"`
-	Idempotent bool          `json:"idempotent"`
-	Tasks      []taskRequest `json:"tasks"`
+	Team       string   `json:"team"`
+	Service    string   `json:"service"`
+	Kind       string   `json:"kind"`
+	TimeoutMS  int64    `json:"timeout_ms"`
+	Idempotent bool     `json:"idempotent"`
+	Tasks      taskList `json:"tasks"`
+}
+
+// taskList is a list of at most maxTasks tasks. A longer one isn't decoded, since the decoded
+// form of a task is far larger than the shortest text of one.
+type taskList []taskRequest
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *taskList) UnmarshalJSON(data []byte) error {
+	tasks, err := fblimit.DecodeList[taskRequest](data, maxTasks, true)
+	*l = tasks
+	return err
 }
 
 type taskRequest struct {
@@ -82,7 +95,9 @@
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	var r jobRequest
-	if err := dec.Decode(&r); err != nil {
+	if err := dec.Decode(&r); errors.Is(err, fblimit.ErrTooManyItems) {
+		return filbertford.Job{}, requestError{code: filbertford.CodeTooLarge, detail: fmt.Sprintf("there are more than %d tasks", maxTasks)}
+	} else if err != nil {
 		return filbertford.Job{}, malformedError("the body is not a job: %v", err)
 	}
 	if _, err := dec.Token(); err != io.EOF {
@@ -98,9 +113,6 @@
 			return filbertford.Job{}, malformedError("%s is longer than %d bytes", field, maxNameBytes)
 		}
 	}
-	if len(r.Tasks) > maxTasks {
-		return filbertford.Job{}, requestError{code: filbertford.CodeTooLarge, detail: fmt.Sprintf("%d tasks are more than %d", len(r.Tasks), maxTasks)}
-	}
 	timeout, ok := parseMillis(r.TimeoutMS)
 	if !ok {
 		return filbertford.Job{}, malformedError("timeout_ms is %d, not within 0 to %d", r.TimeoutMS, maxMillis)
