A stored job that the store would refuse for its size is rejected

Callers of stored jobs could get no answer from an eighth of all jobs: the value of a row has at most 64 KB, a body 256 KB and more, and labels have no limit. The store refuses the transaction with the large row, and the shard's owner sends the same one again and again, with all jobs that come after it.

A job whose row doesn't fit, with all tasks done, is rejected at once with 413. The stand-in of the store refuses values above 64 KB as the platform's page says. The row also grows by failed runs, about 100 bytes for a task; jobs of several hundred tasks that all fail are not covered.

Shown by TestOversizedStoredJobDoesNotBlockOthers: before, with the stand-in's limit, the large jobs were answered 504 after 8.0 s; now 413, and the ordinary jobs of all shards are accepted.

--- a/cmd/filbertfordnode/fleet_test.go
+++ b/cmd/filbertfordnode/fleet_test.go
@@ -60,6 +60,23 @@
 	}
 }
 
+// TestOversizedStoredJobDoesNotBlockOthers guards against a job that the store refuses for its
+// size, and with it all jobs of its shard that come after it.
+func TestOversizedStoredJobDoesNotBlockOthers(t *testing.T) {
+	f := newFleet(t, 1, "nordnes")
+	large := strings.Replace(jobBody(1, 1, false), `"count"`, `"requiredLabel":"`+strings.Repeat("x", 100_000)+`","count"`, 1)
+	for i := range 16 { // in all shards
+		if r, err := f.call(f.nodes[0], http.MethodPost, jobKey(1000+i), large); err != nil || r.status != http.StatusRequestEntityTooLarge {
+			t.Errorf("job with a label of 100,000 bytes: got reply %+v and error %v, want status 413", r, err)
+		}
+	}
+	for i, r := range f.submitAll(0, 16, jobBody(1, 1, false), f.nodes[0]) {
+		if r.status != http.StatusOK {
+			t.Errorf("job %d: got reply %+v, want status 200", i, r)
+		}
+	}
+}
+
 // TestJobsCompleteWhenOwnersAreKilled kills two of three daemons, one after the
 // other, while jobs are submitted to the third. All jobs must complete, and none may
 // take as long as if the successor had to read the claims from the store first.
--- a/fbnode/stored.go
+++ b/fbnode/stored.go
@@ -68,6 +68,9 @@
 // Submit stores a job. A request that is read after its caller has left is dropped, as in Execute:
 // the job may have been cancelled at another daemon.
 func (n *Node) Submit(ctx context.Context, c filbertford.Caller, r filbertford.Route, w filbertford.Workload, timeout time.Duration) filbertford.WorkloadAnswer {
+	if !fbshard.FitsRow(r, w) {
+		return filbertford.NewWorkloadAnswer(filbertford.AnswerTooLarge, "the job is too large for the store")
+	}
 	reply, sent, ok := n.callShardOwner(ctx, c, fblink.RequestSubmit, shardOf(w.Key()), r, w, timeout)
 	switch {
 	case ok && reply.Accepted():
--- a/fbshard/row.go
+++ b/fbshard/row.go
@@ -129,6 +129,27 @@
 	return json.Marshal(row)
 }
 
+const (
+	// maxRowBytes is the largest value of a row that the platform's store takes.
+	maxRowBytes = 64 << 10
+	// doneBytes is the size in a row of a task that is done.
+	doneBytes = 5
+)
+
+// FitsRow reports whether the row of a job fits into the store, with all its tasks done. The
+// store refuses a transaction with a larger one, and with it all other jobs of the shard.
+func FitsRow(r filbertford.Route, w filbertford.Workload) bool {
+	value, err := encodeJob(newJob(r, w))
+	if err != nil {
+		return false
+	}
+	size := len(value)
+	for _, s := range w.Steps() {
+		size += s.Count() * doneBytes
+	}
+	return size <= maxRowBytes
+}
+
 func decodeJob(key filbertford.JobKey, value []byte) (*job, error) {
 	var row jobRow
 	if err := json.Unmarshal(value, &row); err != nil {
--- a/fbstandin/rows.go
+++ b/fbstandin/rows.go
@@ -11,6 +11,7 @@
 const (
 	maxTransactionEntries = 100
 	maxPageSize           = 500
+	maxValueBytes         = 64 << 10
 )
 
 // RowFaults are the faults that a RowStore simulates.
--- a/fbstandin/rows_http.go
+++ b/fbstandin/rows_http.go
@@ -103,6 +103,9 @@
 		expected[row.id()] = row.Version
 	}
 	for _, row := range r.Puts {
+		if len(row.Value) > maxValueBytes {
+			return echo.NewHTTPError(http.StatusBadRequest, "a value is too large")
+		}
 		puts[row.id()] = row.Value
 	}
 	for _, row := range r.Remove {
--- a/frontend.go
+++ b/frontend.go
@@ -16,6 +16,8 @@
 	AnswerFailed AnswerKind = "failed"
 	// AnswerNotRun means that the job was rejected and will not run.
 	AnswerNotRun AnswerKind = "not-run"
+	// AnswerTooLarge means that the job was rejected and can never be accepted.
+	AnswerTooLarge AnswerKind = "too-large"
 	// AnswerUnknown means that the job's outcome is not known.
 	AnswerUnknown AnswerKind = "unknown"
 	// AnswerAccepted means that the job is stored.
