filbertfordd: the jobs that have not ended have a limit of memory

Callers that submit jobs with large arguments and leave could use all memory of a stand-alone daemon: jobs run on when their callers have left, and only their number was limited.

An owner refuses a job (FB4008, Retry-After of 1 s) while those that have not ended take limits.memory-percent of limits.memory, a second time the same part as the requests of callers.

--- a/fbcore/core.go
+++ b/fbcore/core.go
@@ -40,6 +40,9 @@
 	// MaxAnswerBytes is the maximum size of the results that are retained for
 	// resubmissions.
 	MaxAnswerBytes int
+	// MaxJobBytes is the maximum memory of the jobs that have not ended, in bytes, 0 for no
+	// limit. Callers of some of them may have left.
+	MaxJobBytes int
 }
 
 // Core is the state machine of an entry daemon.
@@ -62,6 +65,7 @@
 	deadlines *jobHeap
 
 	activeJobs    int // jobs that have not ended
+	jobBytes      int // their memory
 	waitingTasks  int
 	teamTasks     map[string]int
 	peerTeamTasks map[string]int
--- a/fbcore/job.go
+++ b/fbcore/job.go
@@ -93,6 +93,7 @@
 	j := c.newJob(now, s, spec, r)
 	s.job = j
 	c.activeJobs++
+	c.jobBytes += spec.MemoryBytes()
 	c.stats.Accepted++
 	c.waitingTasks += j.unfinished
 	c.teamTasks[spec.Team()] += j.unfinished
@@ -296,6 +297,7 @@
 	s.job = nil
 	s.answer = a
 	c.activeJobs--
+	c.jobBytes -= j.spec.MemoryBytes()
 	c.waitingTasks -= len(j.pending)
 	c.subtractTeamTasks(j.spec.Team(), j.unfinished)
 	c.waiting.remove(j)
--- a/fbcore/submit.go
+++ b/fbcore/submit.go
@@ -113,6 +113,9 @@
 	if c.table.len() >= c.cfg.MaxSubmissions || len(c.table.refusals) >= refusalsPerSubmission*c.cfg.MaxSubmissions {
 		return filbertford.NewRefusal(filbertford.CodeBusy, "").WithRetryAfter(c.cfg.EpochLength), false
 	}
+	if c.cfg.MaxJobBytes > 0 && c.jobBytes+e.Delivery.Job().MemoryBytes() > c.cfg.MaxJobBytes {
+		return filbertford.NewRefusal(filbertford.CodeBusy, "the jobs that have not ended take too much memory").WithRetryAfter(jobMemoryRetryDelay), false
+	}
 	switch e.Claim {
 	case ClaimPinned, ClaimOwned:
 	case ClaimTooOld:
@@ -130,6 +133,10 @@
 	return filbertford.Answer{}, true
 }
 
+// jobMemoryRetryDelay is the time after which a caller may retry a job for which there was no
+// memory.
+const jobMemoryRetryDelay = time.Second
+
 // refusalsPerSubmission is the ratio of the maximum number of retained refusals to
 // MaxSubmissions. A refusal takes about a tenth of the memory of a submission.
 const refusalsPerSubmission = 4
--- a/fbcrowd/crowd_test.go
+++ b/fbcrowd/crowd_test.go
@@ -148,6 +148,16 @@
 	return nil
 }
 
+// leave sends a whole job with large arguments that runs for long, and leaves.
+func leave(d *daemon, c net.Conn, i int) error {
+	arguments := fmt.Sprintf(`"args":{"pad":"%s","run_ms":4000,"x":`, strings.Repeat("x", entryBody-1000))
+	data := strings.Replace(d.job, `"args":{"run_ms":`, arguments, 1)
+	if _, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", d.head(i), len(data), data); err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // idle sends nothing.
 func idle(*daemon, net.Conn, int) error { return nil }
 
--- a/fbcrowd/limits_test.go
+++ b/fbcrowd/limits_test.go
@@ -46,6 +46,7 @@
 		"fields":       {crowd{600, fields}, manyDescriptors},
 		"many tasks":   {crowd{60, repeated(entryBody, `{"team":"depot","service":"ordering","tasks":[`, `{}`, `]}`)}, manyDescriptors},
 		"unread":       {crowd{400, unread}, manyDescriptors},
+		"leave":        {crowd{400, leave}, manyDescriptors},
 		"descriptors":  {crowd{400, body(4096, 4096, 0)}, 256},
 		"idle":         {crowd{400, idle}, 256},
 	}
--- a/fbdaemon/daemon.go
+++ b/fbdaemon/daemon.go
@@ -178,6 +178,7 @@
 		FingerprintEpochs: filbertford.Epoch(cfg.Int("ownership", "opaque-horizon")),
 		MaxSubmissions:    cfg.Int("limits", "max-submissions"),
 		MaxAnswerBytes:    cfg.Int("limits", "max-answers"),
+		MaxJobBytes:       cfg.Int("limits", "memory") / 100 * cfg.Int("limits", "memory-percent"),
 	}, policy)
 	return &controlLoop{
 		d:            d,
