filbertfordnode: the stored jobs of a daemon's shards have a limit of memory

Callers that submit stored jobs faster than they end could use all memory of the daemons that own their shards: a stored job stays in memory until 130 s after its end, and nothing limits how many there are. Labels of a job, of up to the size of a body, weren't counted while it waits, either.

An owner counts the jobs of all its shards: an unfinished one with its texts, 8 KB and 512 bytes a task, an ended one with its texts and 1 KB. Beyond limits.stored-percent (new, 20 % of the memory) a new job is answered 503 with Retry-After, unless the request was sent to the owner more than once: a copy of it could be accepted later, and the answer is 504 then. Jobs that are stored already are never refused. New: FE8003, filbertford_stored_jobs_bytes, filbertford_stored_jobs_refused.

--- a/cmd/filbertfordnode/serve.go
+++ b/cmd/filbertfordnode/serve.go
@@ -121,9 +121,11 @@
 
 // callerLimits returns the limits on callers.
 func callerLimits(cfg *fbconfig.Config) (fblimit.Options, error) {
-	return fblimit.NewOptions(cfg, cfg.Int("node", "memory-mb")<<20, platform.DefaultBodyLimit)
+	return fblimit.NewOptions(cfg, memoryBytes(cfg), platform.DefaultBodyLimit)
 }
 
+func memoryBytes(cfg *fbconfig.Config) int { return cfg.Int("node", "memory-mb") << 20 }
+
 func nodeOptions(cfg *fbconfig.Config) fbnode.Options {
 	address := cfg.Text("node", "peers")
 	if advertised := cfg.Text("node", "advertise"); advertised != "" {
@@ -141,8 +143,9 @@
 			filbertford.DataCentre(cfg.Text("node", "data-centre")),
 			int(cfg.Float("node", "processor")*weightPerCore),
 		),
-		Seeds:       cfg.List("node", "seeds"),
-		DataCentres: dataCentres,
+		Seeds:        cfg.List("node", "seeds"),
+		DataCentres:  dataCentres,
+		StoredMemory: memoryBytes(cfg) / 100 * cfg.Int("limits", "stored-percent"),
 		Scheduling: filbertford.Scheduling{}.
 			WithAdmission(filbertford.AdmissionRule(cfg.Text("scheduling", "admission"))).
 			WithOrder(filbertford.QueueOrder(cfg.Text("scheduling", "order"))).
--- a/fbconfig/key.go
+++ b/fbconfig/key.go
@@ -61,6 +61,7 @@
 	maxConnectionsKey,
 	maxDescriptorsKey,
 	memoryPercentKey,
+	intKey("limits", "stored-percent", "20", 1, 75, "the part of the memory of the process that the stored jobs of its shards may take, in percent; further ones are refused"),
 	bodyTimeoutKey,
 	bodyRateKey,
 	writeTimeoutKey,
--- a/fbcrowd/crowd_test.go
+++ b/fbcrowd/crowd_test.go
@@ -1,11 +1,13 @@
 package fbcrowd
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -148,6 +150,30 @@
 	return nil
 }
 
+// labelled returns the behaviour of a caller that submits jobs one after the other, whose tasks
+// require a label of the given size that no target has.
+func labelled(jobs, size int, bestEffort bool) func(*daemon, net.Conn, int) error {
+	return func(d *daemon, c net.Conn, i int) error {
+		label := strings.Repeat("x", size)
+		data := strings.Replace(d.job, `"count":1`, `"count":1,"requiredLabel":"`+label+`"`, 1)
+		data = strings.Replace(data, `"bestEffort":true`, fmt.Sprintf(`"bestEffort":%t`, bestEffort), 1)
+		answers := bufio.NewReader(c)
+		for n := range jobs {
+			if _, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", d.head(i+n<<16), len(data), data); err != nil {
+				return err
+			}
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				return err
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 // leave sends a whole job with large arguments that runs for long, and leaves.
 func leave(d *daemon, c net.Conn, i int) error {
 	arguments := fmt.Sprintf(`"args":{"pad":"%s","run_ms":4000,"x":`, strings.Repeat("x", entryBody-1000))
--- a/fbcrowd/limits_test.go
+++ b/fbcrowd/limits_test.go
@@ -23,6 +23,8 @@
 		"fields":       {crowd{600, fields}, manyDescriptors},
 		"many steps":   {crowd{60, repeated(nodeBody, `{"spec":"","bestEffort":true,"steps":[`, `{}`, `]}`)}, manyDescriptors},
 		"many tasks":   {crowd{20, repeated(2700, `{"spec":"","bestEffort":true,"steps":[`, `{"count":4096,"cpu":100,"estimateMs":9}`, `]}`)}, manyDescriptors},
+		"labels":       {crowd{400, labelled(1, 250_000, true)}, manyDescriptors},
+		"stored":       {crowd{200, labelled(20, 50_000, false)}, manyDescriptors},
 		"unread":       {crowd{400, unread}, manyDescriptors},
 		"descriptors":  {crowd{400, body(4096, 4096, 0)}, 256},
 		"idle":         {crowd{400, idle}, 256},
--- a/fbnode/control.go
+++ b/fbnode/control.go
@@ -150,7 +150,7 @@
 		switch e.Kind() {
 		case fbfleet.EventAcquired:
 			if isShard(e.Pool()) {
-				n.ownedShards[e.Pool()] = fbshard.New(e.Pool(), n.opts.Member.Node(), e.Owner().Fence())
+				n.ownedShards[e.Pool()] = fbshard.New(e.Pool(), n.opts.Member.Node(), e.Owner().Fence()).WithMemory(n.storedMemory)
 				continue
 			}
 			n.addPool(now, e.Pool(), e.Owner().Fence())
--- a/fbnode/node.go
+++ b/fbnode/node.go
@@ -1,6 +1,7 @@
 package fbnode
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -82,6 +83,9 @@
 	DataCentres []filbertford.DataCentre
 	// Scheduling are the settings that apply under contention.
 	Scheduling filbertford.Scheduling
+	// StoredMemory is the maximum memory of the stored jobs of the daemon's shards in bytes, 0
+	// for no limit.
+	StoredMemory int
 }
 
 // Node is a daemon of the fleet.
@@ -111,6 +115,7 @@
 	targetExchange   *targetExchange
 	pendingAnswers   map[uint64]pendingAnswer
 	ownedShards      map[filbertford.PoolID]*fbshard.Owner
+	storedMemory     *fbshard.Memory
 	pendingStored    map[uint64]*pendingStoredRequest
 	origins          map[uint64]origin // of the requests that wait for a reply of a shard
 	queuedOrigins    map[origin]bool   // the same
@@ -146,6 +151,7 @@
 		targetExchange: newTargetExchange(now, deps.Metrics),
 		pendingAnswers: make(map[uint64]pendingAnswer),
 		ownedShards:    make(map[filbertford.PoolID]*fbshard.Owner),
+		storedMemory:   fbshard.NewMemory(cmp.Or(opts.StoredMemory, math.MaxInt)),
 		pendingStored:  make(map[uint64]*pendingStoredRequest),
 		origins:        make(map[uint64]origin),
 		queuedOrigins:  make(map[origin]bool),
--- a/fbnode/recorder.go
+++ b/fbnode/recorder.go
@@ -26,6 +26,8 @@
 	startWait       tally.Histogram
 	largeStartWait  tally.Histogram // of runs that need more than half of their target
 	callersLeft     tally.Counter   // requests that were not submitted, because their callers had left
+	storedRefused   tally.Counter   // stored jobs that were refused for lack of memory
+	storedBytes     tally.Gauge     // memory of the stored jobs of this daemon's shards
 	limiter         *fblog.Limiter
 	lastOmissions   time.Duration
 	droppedLines    func() uint64 // number of lines dropped because the output was too slow
@@ -43,6 +45,7 @@
 		log: logger, scope: scope, counters: make(map[fbsched.EventKind]tally.Counter), admissions: make(map[admissionKey]tally.Counter), limiter: fblog.NewLimiter(), droppedLines: droppedLines,
 		answerLatency: scope.Histogram("answer_latency", latencyBuckets), startWait: scope.Histogram("start_wait", latencyBuckets),
 		largeStartWait: scope.Histogram("start_wait_large", latencyBuckets), callersLeft: scope.Counter("callers_left"),
+		storedRefused: scope.Counter("stored_jobs_refused"), storedBytes: scope.Gauge("stored_jobs_bytes"),
 	}
 }
 
@@ -192,6 +195,13 @@
 	}
 }
 
+func (r *eventRecorder) recordStoredRefusal(now time.Duration, job filbertford.JobKey, used int) {
+	r.storedRefused.Inc(1)
+	if r.limiter.Allow(fbevent.StoredJobRefused.ID(), now) {
+		fbevent.StoredJobRefused.Log(r.log, "job", job, "held_bytes", used)
+	}
+}
+
 func (r *eventRecorder) recordRenewalFailure(now time.Duration, err error) {
 	if r.limiter.Allow(fbevent.RenewalFailed.ID(), now) {
 		fbevent.RenewalFailed.Log(r.log, "error", err)
--- a/fbnode/stored.go
+++ b/fbnode/stored.go
@@ -28,6 +28,9 @@
 	// resendPeriod is the time without a reply after which a request is sent to the
 	// shard owner again.
 	resendPeriod = 400 * time.Millisecond
+	// refusedRetryDelay is the time after which a caller may retry a job that was refused
+	// for lack of memory.
+	refusedRetryDelay = 2 * time.Second
 	// defaultStoredTimeout is the timeout of requests whose caller sets none.
 	defaultStoredTimeout = 3 * time.Second
 	// waitingTimeout is the time that shard owners have to return the number of
@@ -53,6 +56,7 @@
 	reply   chan fblink.StoredJobReply
 	sentTo  filbertford.NodeID
 	sentAt  time.Duration
+	sends   int
 }
 
 // origin is the daemon that sent a request to a shard of this daemon, and that
@@ -75,6 +79,8 @@
 	switch {
 	case ok && reply.Accepted():
 		return filbertford.NewWorkloadAnswer(filbertford.AnswerAccepted, "")
+	case ok && reply.State() == string(fbshard.StateRefused):
+		return filbertford.NewWorkloadAnswer(filbertford.AnswerNotRun, "the stored jobs take too much memory").WithRetryAfter(refusedRetryDelay)
 	case !ok && !sent:
 		return filbertford.NewWorkloadAnswer(filbertford.AnswerNotRun, "no keeper of the job can be reached").WithRetryAfter(time.Second)
 	}
@@ -180,6 +186,7 @@
 		return
 	}
 	pending.sentTo, pending.sentAt = owner, now
+	pending.sends++
 	if owner == n.opts.Member.Node() {
 		n.handleStoredRequest(owner, pending.request)
 		return
@@ -206,6 +213,7 @@
 	for _, owner := range n.ownedShards {
 		owner.Tick(now)
 	}
+	n.recorder.storedBytes.Update(float64(n.storedMemory.Used()))
 }
 
 // handleStoredRequest passes a request to the shard, if this daemon owns it. If not,
@@ -249,6 +257,10 @@
 func (n *Node) handleStoredReply(r fblink.StoredJobReply) {
 	if pending, ok := n.pendingStored[r.RequestID()]; ok {
 		delete(n.pendingStored, r.RequestID())
+		if pending.sends > 1 && r.State() == string(fbshard.StateRefused) {
+			// A copy of the request may arrive later and be accepted.
+			r = fblink.NewStoredJobReply(r.RequestID(), "", false, 0)
+		}
 		pending.reply <- r // does not block: the channel is buffered for the one reply
 	}
 }
@@ -271,6 +283,7 @@
 		return
 	}
 	delete(n.ownedShards, shard)
+	owner.Release()
 	maps.DeleteFunc(n.origins, func(_ uint64, o origin) bool { return o.shard == shard })
 	maps.DeleteFunc(n.queuedOrigins, func(o origin, _ bool) bool { return o.shard == shard })
 	for _, key := range owner.JobKeys() {
@@ -299,6 +312,9 @@
 		to, ok := n.origins[v.RequestID]
 		delete(n.origins, v.RequestID)
 		delete(n.queuedOrigins, to)
+		if v.State == fbshard.StateRefused {
+			n.recorder.recordStoredRefusal(now, to.job, n.storedMemory.Used())
+		}
 		if ok {
 			n.sendStoredReply(to, fblink.NewStoredJobReply(to.requestID, string(v.State), v.Accepted, 0))
 		}
--- a/fbshard/commit.go
+++ b/fbshard/commit.go
@@ -173,7 +173,7 @@
 	uncommitted := j.version == 0
 	j.version = version
 	if written == StateRemoved {
-		delete(o.jobs, key)
+		o.removeJob(j)
 		return
 	}
 	if uncommitted && written == StateQueued && !j.state.final() {
@@ -215,7 +215,7 @@
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(o.jobs), cmp.Compare[filbertford.JobKey]) {
 		if !seen[key] && o.jobs[key].version != 0 {
-			delete(o.jobs, key)
+			o.removeJob(o.jobs[key])
 		}
 	}
 	o.phase = phaseServing
@@ -233,7 +233,7 @@
 		return
 	}
 	o.malformed[key] = true
-	delete(o.jobs, key)
+	o.removeJob(o.jobs[key])
 }
 
 // loadJob adds the job of a row that was read. If this owner already has the job,
@@ -241,7 +241,7 @@
 func (o *Owner) loadJob(key filbertford.JobKey, stored *job) {
 	j := o.jobs[key]
 	if j == nil {
-		o.jobs[key] = stored
+		o.putJob(stored)
 		if stored.state.final() {
 			o.emit(CancelJob{Job: key}) // an earlier owner may have stopped before it withdrew the tasks
 		} else {
--- a/fbshard/owner.go
+++ b/fbshard/owner.go
@@ -55,6 +55,7 @@
 	dirty        []filbertford.JobKey // jobs whose rows are to be written
 	pending      *pendingCommit
 	retryAt      time.Duration // when a call is to be tried again, 0 for none
+	memory       *Memory       // nil for no limit
 
 	verification verification
 	actions      []Action
@@ -191,6 +192,7 @@
 	} else if !p.Done() && (p.Failed() || p.Failures() >= j.route.Attempts()) {
 		j.state = StateFailed
 	}
+	o.count(j, j.memory())
 	j.addRecord(task)
 	o.markDirty(task.Job())
 	o.commit()
@@ -293,7 +295,11 @@
 		return true
 	}
 	if j == nil {
-		o.jobs[r.key] = r.submit
+		if !o.memory.hasRoom(r.submit) {
+			o.emit(Reply{RequestID: r.id, State: StateRefused})
+			return true
+		}
+		o.putJob(r.submit)
 		o.markDirty(r.key)
 		return false
 	}
@@ -311,6 +317,7 @@
 	if !j.state.final() {
 		j.state = StateCancelled
 		j.finalUncommitted = true
+		o.count(j, j.memory())
 		o.markDirty(r.key)
 	}
 	if j.version == 0 && !o.committing(r.key) {
--- a/fbshard/row.go
+++ b/fbshard/row.go
@@ -26,6 +26,8 @@
 	StateFailed    State = "failed"
 	StateCancelled State = "cancelled"
 	StateRemoved   State = "gone"
+	// StateRefused is the reply to a job that is not stored for lack of memory.
+	StateRefused State = "refused"
 )
 
 // final reports whether a job in the state has ended.
@@ -50,6 +52,7 @@
 	// finalUncommitted is set while the job's final state is not committed.
 	finalUncommitted bool
 	endedAt          time.Duration
+	counted          int // memory with which the job is counted, in bytes
 }
 
 func newJob(r filbertford.Route, w filbertford.Workload) *job {
--- a/workload.go
+++ b/workload.go
@@ -239,13 +239,22 @@
 // MemoryBytes returns an estimate of the memory that a daemon needs for the job while it is in
 // progress, in bytes.
 func (w Workload) MemoryBytes() int {
-	n := jobBytes + len(w.spec)
+	n := jobBytes + w.TextBytes()
 	for _, s := range w.steps {
 		n += s.count * taskBytes
 	}
 	return n
 }
 
+// TextBytes returns the size of the job's texts in bytes.
+func (w Workload) TextBytes() int {
+	n := len(w.spec)
+	for _, s := range w.steps {
+		n += len(s.label) + len(s.rack)
+	}
+	return n
+}
+
 // Validate returns an error that describes the first invalid property of the
 // workload, or nil.
 func (w Workload) Validate() error {
