fbshard: a row that doesn't fit into the store stops no other job

Callers of stored jobs could get no answer from a whole shard: a row also grows by the failed runs of its tasks, about 100 bytes a task. Once it has more than 64 KB, the store refuses each transaction with it, and with it all jobs that come after.

--- a/fbshard/commit.go
+++ b/fbshard/commit.go
@@ -28,7 +28,12 @@
 		if j == nil {
 			continue
 		}
-		size += o.addRow(t, j)
+		value, err := encodeRow(j)
+		if err != nil { // the other jobs of the shard are stored all the same
+			o.emit(RowMalformed{Key: string(key), Cause: err})
+			continue
+		}
+		size += addRow(t, j, value)
 		p.keys = append(p.keys, key)
 		p.states[key] = j.state
 		p.records[key] = j.takeRecords()
@@ -40,19 +45,33 @@
 	o.emit(StoreCall{Kind: CallCommit, Transaction: t})
 }
 
+// encodeRow returns the value of a job's row, nil if the row is to be removed. A job whose tasks
+// have failed so often that the row doesn't fit into the store is written without the failures:
+// the next owner may start some of its tasks once more. It fails if the row is too large even so.
+func encodeRow(j *job) ([]byte, error) {
+	if j.state == StateRemoved {
+		return nil, nil
+	}
+	value, err := encodeJob(j)
+	if err == nil && len(value) > maxRowBytes {
+		bare := *j
+		bare.failures, bare.failedRuns, bare.crashes = nil, nil, nil
+		value, err = encodeJob(&bare)
+	}
+	if err == nil && len(value) > maxRowBytes {
+		err = eris.Errorf("the row has %d bytes, at most %d are stored", len(value), maxRowBytes)
+	}
+	return value, err
+}
+
 // addRow adds a job's row to a transaction and returns its size.
-func (o *Owner) addRow(t *filbertford.Transaction, j *job) int {
+func addRow(t *filbertford.Transaction, j *job, value []byte) int {
 	key := string(j.workload.Key())
 	t.Expect(filbertford.TableJobs, key, j.version)
-	if j.state == StateRemoved {
+	if value == nil {
 		t.Remove(filbertford.TableJobs, key)
 		return 0
 	}
-	value, err := encodeJob(j)
-	if err != nil {
-		o.emit(RowMalformed{Key: key, Cause: err})
-		return 0
-	}
 	t.Put(filbertford.TableJobs, key, value)
 	return len(value)
 }
