A task that has failed on each target that can hold it is started there again

A stored job with a label was never finished: its task had failed once on each of the two targets of its pool with the label, and was not started again although two attempts were left. A task returns to a target on which it has failed only when it has tried all targets, and all those of the pool counted, not those that could hold it.

Only targets count that meet what the task needs (service, label, capacity) and accept tasks.

--- a/fbsched/dispatch.go
+++ b/fbsched/dispatch.go
@@ -153,9 +153,14 @@
 // the platform specifies.
 const offRackFactor = 1.5
 
-// triedAllTargets reports whether the task has failed on as many targets as the pool
-// has, so that it may return to one of them.
-func (p *Pool) triedAllTargets(t *task) bool { return len(t.avoid) >= len(p.sortedTargets) }
+// triedAllTargets reports whether the task has failed on all targets of the pool that could hold
+// it, so that it may return to one of them.
+func (p *Pool) triedAllTargets(t *task) bool {
+	r := requirementOf(t.batch.service, t.batch.step)
+	return !slices.ContainsFunc(p.sortedTargets, func(other *target) bool {
+		return other.meets(r) && !slices.Contains(t.avoid, other.id())
+	})
+}
 
 // usable reports whether tasks of the service may be started on the target.
 func (p *Pool) usable(now time.Duration, t *target, service string) bool {
--- a/fbsched/unfit_test.go
+++ b/fbsched/unfit_test.go
@@ -180,3 +180,35 @@
 		t.Errorf("the task is offered to %s although its pool has been offered it again", b[0].To)
 	}
 }
+
+// TestTaskReturnsToTargetsWhereItFailed guards against a stored task that is never started again
+// after it has failed once on each target that can hold it, while the pool has others.
+func TestTaskReturnsToTargetsWhereItFailed(t *testing.T) {
+	now := time.Minute
+	p := NewPool(testPool, 1, 1_000_000, now)
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", 1), recordOf("t01", 1), rareRecord("t02"), rareRecord("t03")})
+	for _, id := range []filbertford.TargetID{"t00", "t01", "t02", "t03"} {
+		answerLists(p, now, id, 1, 1000)
+	}
+	p.Tick(now, 1_000_000)
+	batch := rareBatch("00000000000000aa", 7, NewItem(0, 0)).WithWork("", "ordering", 4)
+	p.Offer(now, "c", batch)
+	starts := make(map[filbertford.TargetID]int)
+	for end := now + 20*time.Second; now < end; now += 20 * time.Millisecond {
+		for _, c := range startCalls(p.TakeActions(now)) {
+			id := c.Instance().ID()
+			starts[id]++
+			p.HandleStartReply(now, c, filbertford.NewCallReply(filbertford.CallDone, now.Milliseconds()), now, now)
+			ended := filbertford.NewEndedRun(uint64(starts[id]), c.Task(), c.Run(), filbertford.RunFailed)
+			reply := filbertford.NewCallReply(filbertford.CallDone, now.Milliseconds()).WithStartedAt(1)
+			answerPoll(p, now, pollOf(p, id), reply.WithRuns(nil, []filbertford.EndedRun{ended}))
+		}
+		for id := range p.targets {
+			answerPoll(p, now, pollOf(p, id), filbertford.NewCallReply(filbertford.CallDone, now.Milliseconds()).WithStartedAt(1))
+		}
+		p.Tick(now, 1_000_000)
+	}
+	if starts["t02"]+starts["t03"] != 4 || starts["t03"] == 0 {
+		t.Errorf("the task was started %v times, want its 4 attempts on t02 and t03", starts)
+	}
+}
