--- a/fbcore/core.go
+++ b/fbcore/core.go
@@ -90,6 +90,8 @@
 	Accepted uint64
 	// Refused is the number of jobs refused as not run.
 	Refused uint64
+	// OutOfMemory is the number of jobs refused because of MaxJobBytes.
+	OutOfMemory uint64
 	// Repeated is the number of deliveries of an ID that had been delivered before.
 	Repeated uint64
 	// Starts is the number of starts sent to targets. NotStarted counts the starts
--- a/fbcore/submit.go
+++ b/fbcore/submit.go
@@ -114,6 +114,7 @@
 		return filbertford.NewRefusal(filbertford.CodeBusy, "").WithRetryAfter(c.cfg.EpochLength), false
 	}
 	if c.cfg.MaxJobBytes > 0 && c.jobBytes+e.Delivery.Job().MemoryBytes() > c.cfg.MaxJobBytes {
+		c.stats.OutOfMemory++
 		return filbertford.NewRefusal(filbertford.CodeBusy, "the jobs that have not ended take too much memory").WithRetryAfter(jobMemoryRetryDelay), false
 	}
 	switch e.Claim {
@@ -133,6 +134,9 @@
 	return filbertford.Answer{}, true
 }
 
+// JobBytes returns the memory of the jobs that have not ended, in bytes.
+func (c *Core) JobBytes() int { return c.jobBytes }
+
 // jobMemoryRetryDelay is the time after which a caller may retry a job for which there was no
 // memory.
 const jobMemoryRetryDelay = time.Second
--- a/fbdaemon/metrics.go
+++ b/fbdaemon/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/filbertford/filbertford/fbcore"
+	"github.com/filbertford/filbertford/fbevent"
 )
 
 // metricsPeriod is the time between two reports of the core's counters and the
@@ -72,6 +73,7 @@
 }{
 	{"jobs_accepted", "jobs accepted", func(s fbcore.Stats) uint64 { return s.Accepted }},
 	{"jobs_refused", "jobs rejected as not run", func(s fbcore.Stats) uint64 { return s.Refused }},
+	{"jobs_out_of_memory", "jobs refused because those that have not ended take too much memory", func(s fbcore.Stats) uint64 { return s.OutOfMemory }},
 	{"deliveries_repeated", "repeated deliveries of a known ID", func(s fbcore.Stats) uint64 { return s.Repeated }},
 	{"starts", "start requests sent to targets", func(s fbcore.Stats) uint64 { return s.Starts }},
 	{"no_slot", "starts that certainly did not happen, because no slot or connection was available", func(s fbcore.Stats) uint64 { return s.NotStarted }},
@@ -91,6 +93,7 @@
 	{"tasks_running", "running tasks", func(c *controlLoop) float64 { return float64(c.core.Load().Running()) }},
 	{"slots", "slots at the targets that are sent new tasks", func(c *controlLoop) float64 { return float64(c.core.Load().Slots()) }},
 	{"submissions_remembered", "submission IDs retained in full", func(c *controlLoop) float64 { ids, _ := c.core.Retained(); return float64(ids) }},
+	{"job_bytes", "memory of the jobs that have not ended", func(c *controlLoop) float64 { return float64(c.core.JobBytes()) }},
 	{"answer_bytes", "bytes of results retained for resubmissions", func(c *controlLoop) float64 { _, n := c.core.Retained(); return float64(n) }},
 	{"settings_version", "version of the current settings", func(c *controlLoop) float64 { return float64(c.d.settings.Load().Version()) }},
 	{"members", "other daemons that are reachable", func(c *controlLoop) float64 { return float64(len(c.dir.Reachable(c.d.timer.Now()))) }},
@@ -133,5 +136,8 @@
 	for i, def := range gaugeMetrics {
 		m.gauges[i].Update(def.value(c))
 	}
+	if n := now.OutOfMemory - m.lastReported.OutOfMemory; n > 0 {
+		fbevent.JobsRefused.Log(c.d.log, "count", n, "held_bytes", c.core.JobBytes())
+	}
 	m.lastReported = now
 }
