filbertfordd: more of limits.memory is left to what the Go runtime's limit leaves out

The account counted these arguments once.

The runtime's limit is 60 % of the setting, and arguments count twice, since a start sends a copy.

--- a/cmd/filbertfordd/serve.go
+++ b/cmd/filbertfordd/serve.go
@@ -28,7 +28,7 @@
 // memoryShare is the share of the process's memory that is set as the limit of the Go
 // runtime. The program itself and what the kernel holds for its connections are not part
 // of that limit.
-const memoryShare = 0.7
+const memoryShare = 0.6
 
 // shutdownTimeout is the time that callers' requests in flight have to end after
 // the daemon has stopped.
--- a/job.go
+++ b/job.go
@@ -73,11 +73,11 @@
 func (j Job) Tasks() []Task { return j.tasks }
 
 // MemoryBytes returns an estimate of the memory that a daemon needs for the job while it is in
-// progress, in bytes.
+// progress, in bytes. Arguments count twice: a start sends a copy.
 func (j Job) MemoryBytes() int {
 	n := jobBytes
 	for _, t := range j.tasks {
-		n += taskBytes + len(t.args)
+		n += taskBytes + 2*len(t.args)
 	}
 	return n
 }
