--- a/review/lab3/waiting.go
+++ b/review/lab3/waiting.go
@@ -122,7 +122,7 @@
 	if err := l.begin(8); err != nil {
 		return failed, err
 	}
-	const n, tasks = 1200, 32
+	const n, tasks = 1600, 32
 	body := jobBody(spec{RunMS: []int{300}, CPU: 1000}, []step{{Count: tasks, CPU: 1000, MemMB: 16, EstimateMS: 300}})
 	if !l.submitWaiting(n, body) {
 		return failed, errors.New("not all jobs are accepted")
