--- a/review/lab3/alone.go
+++ b/review/lab3/alone.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// crashTime is how long a crashed worker is down.
+const crashTime = 4 * time.Second
+
 // alone crashes one worker of eight for 4 s, while jobs of one task run, and starts it again.
 func alone(l *lab) (int, error) {
 	if err := l.begin(8); err != nil {
--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -68,6 +68,9 @@
 	f.configure(1)
 	for i := range workers {
 		w := newWorker(rec, f.store, fmt.Sprintf("w%d", i), zones[i%len(zones)], fmt.Sprintf("r%d", i))
+		if w.zone == zones[0] {
+			w.kind = "b"
+		}
 		if w.addr, err = freeAddress("127.0.0.1"); err != nil {
 			return f, err
 		}
@@ -237,17 +240,6 @@
 	return nil
 }
 
-// others returns all machines but the named one.
-func (f *fleet) others(name string) []*machine {
-	var out []*machine
-	for _, m := range f.machines {
-		if m.name != name {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 func (f *fleet) awaitReady(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	for _, m := range f.machines {
@@ -346,3 +338,15 @@
 	}
 	return out
 }
+
+// workerOf returns the worker that runs a task of the job, nil if none does for 12 s.
+func (f *fleet) workerOf(job string) *worker {
+	for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, w := range f.workers {
+			if len(w.runsOf(job)) > 0 {
+				return w
+			}
+		}
+	}
+	return nil
+}
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -23,10 +23,10 @@
 
 // cases are the cases by their names. Each returns the exit code.
 var cases = map[string]func(*lab) (int, error){
-	"alone":        alone,
-	"crashes":      crashes,
-	"frozen-owner": frozenOwner,
-	"waiting":      waiting,
+	"alone":     alone,
+	"backlog":   backlog,
+	"bystander": bystander,
+	"waiting":   waiting,
 }
 
 // lab is a run of a case.
--- a/review/lab3/store.go
+++ b/review/lab3/store.go
@@ -58,6 +58,17 @@
 	return s.lastConditional
 }
 
+// owner returns the machine that has last claimed the tasks of a zone, as its row says.
+func (s *store) owner(zone string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var row struct {
+		Node string `json:"node"`
+	}
+	_ = json.Unmarshal(s.rows[rowID{"claims", "", zone}].value, &row) // without a row there is no machine
+	return row.Node
+}
+
 // put writes a row as the operator and the workers do.
 func (s *store) put(table, key string, value []byte) {
 	s.mu.Lock()
--- a/review/lab3/waiting.go
+++ b/review/lab3/waiting.go
@@ -12,6 +12,7 @@
 	idleBound   = 3 * time.Second
 	sampleEvery = 50 * time.Millisecond
 	watchTime   = 20 * time.Second
+	askEvery    = 4 * time.Second
 	// restartDelay is the time after which a killed process starts again.
 	restartDelay = time.Second
 )
@@ -147,7 +148,13 @@
 	l.sleep(finishTime)
 	l.say("%d of %d tasks are done, %.1f s after the last job was handed in", l.done(n), n*tasks, (2*time.Second + restartDelay + finishTime).Seconds())
 	silent := make(chan int, 1)
-	go func() { silent <- l.askAll(n) }()
+	go func() {
+		most := 0
+		for end := time.Now().Add(watchTime - askEvery); time.Now().Before(end); l.sleep(askEvery) {
+			most = max(most, l.askAll(n))
+		}
+		silent <- most
+	}()
 	result := l.checkIdle(l.watchIdle(n, tasks, time.Now().Add(watchTime)))
 	if s := <-silent; s > 0 {
 		l.say("LOST: %d of %d jobs got no answer to a GET in time, at three machines one after the other", s, n)
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -27,8 +27,13 @@
 type spec struct {
 	RunMS []int `json:"run_ms"`
 	CPU   int   `json:"cpu"`
+	// FailFirst makes the first run of each task end failed.
+	FailFirst bool `json:"fail_first,omitempty"`
 }
 
+// begun are the names of the tasks that any worker has begun.
+var begun sync.Map
+
 // start is a task that a worker has begun.
 type start struct {
 	task    string
@@ -71,6 +76,7 @@
 	cpu    int
 	began  time.Duration
 	length time.Duration
+	fails  bool
 	start  *start
 }
 
@@ -207,7 +213,11 @@
 	for task, r := range w.runs {
 		switch {
 		case now >= r.began+r.length && r.began+r.length <= w.lease:
-			w.finish(task, "done")
+			how := "done"
+			if r.fails {
+				how = "failed"
+			}
+			w.finish(task, how)
 		case now > w.lease:
 			w.finish(task, "lapsed")
 		}
@@ -322,7 +332,8 @@
 		}
 		st := &start{task: b.Task, run: b.Run, worker: w.id, at: time.Now()}
 		w.starts = append(w.starts, st)
-		w.runs[b.Task] = &taskRun{number: b.Run, cpu: s.CPU, began: w.clock(), length: time.Duration(s.RunMS[min(step, len(s.RunMS)-1)]) * time.Millisecond, start: st}
+		_, again := begun.LoadOrStore(b.Task, true)
+		w.runs[b.Task] = &taskRun{fails: s.FailFirst && !again, number: b.Run, cpu: s.CPU, began: w.clock(), length: time.Duration(s.RunMS[min(step, len(s.RunMS)-1)]) * time.Millisecond, start: st}
 		w.rec.printf("worker %s: %s run %d starts (fence %d)", w.id, b.Task, b.Run, b.Fence)
 	}
 	writeJSON(rw, http.StatusOK, w.reply(""))
