fbsched: log why a crash of a target counts under a task

Cause of this change: FE7063 named the task and the target, but not whether the pool had lost a run there or had counted the crash because of what the coordinator told it of an earlier owner, so that the log could not tell these two apart.

--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -37,11 +37,20 @@
 	lossCrashed lossState = "crashed" // another instance of it has replied
 )
 
+// lossSource is why a pool takes a target for one on which a task ran.
+type lossSource string
+
+const (
+	sourceRun      lossSource = "its run was lost"
+	sourceReported lossSource = "the coordinator names it as the target of the last start"
+)
+
 // loss is the loss of a target under a task.
 type loss struct {
 	target    filbertford.TargetID
 	startedAt int64 // of the target, in Unix milliseconds; 0 if unknown
 	state     lossState
+	source    lossSource
 	alone     bool // no other task ran there
 	unsure    bool // the target may have crashed before the task was started; not counted as a crash
 	at        time.Duration
@@ -128,7 +137,7 @@
 	// A draining target ends with its runs. One that has confirmed a stop had not crashed.
 	if !t.rec.Draining() && r.stopConfirmedAt == 0 {
 		p.addLoss(now, r.key, loss{
-			target: t.id(), startedAt: t.startedAt, state: state, alone: others == 0, at: now,
+			target: t.id(), startedAt: t.startedAt, state: state, source: sourceRun, alone: others == 0, at: now,
 			unsure: !r.listed && r.confirmedAt == 0 && (!r.onLiveTarget || others > 0),
 		})
 	}
@@ -170,7 +179,7 @@
 	if !resume || item.target == "" || p.targets[item.target] != nil {
 		return
 	}
-	added := loss{target: item.target, state: lossCrashed, at: now}
+	added := loss{target: item.target, state: lossCrashed, source: sourceReported, at: now}
 	if ended, ok := p.endedTargets[item.target]; ok {
 		if !ended.draining {
 			p.addLoss(now, key, added)
@@ -190,7 +199,7 @@
 	}
 	p.emitEvent(Event{
 		Kind: EventTargetCrashed, Task: key, Target: l.target, Started: l.startedAt, Fence: p.fence,
-		Reason: fmt.Sprintf("%s; %d targets have crashed under the task; ran alone: %v", l.state, losses.crashes(), l.alone), Age: now - l.at,
+		Reason: fmt.Sprintf("%s; %s; %d targets have crashed under the task; ran alone: %v", l.state, l.source, losses.crashes(), l.alone), Age: now - l.at,
 	})
 	t := p.tasks[key]
 	if t == nil || p.giveUp(now, t) || losses.excessive() {
@@ -294,7 +303,7 @@
 	}
 	for _, waiting := range resumed {
 		waiting.startedOn = "" // the target counts once
-		p.addLoss(now, waiting.key, loss{target: id, startedAt: t.startedAt, state: lossCrashed, at: now})
+		p.addLoss(now, waiting.key, loss{target: id, startedAt: t.startedAt, state: lossCrashed, source: sourceReported, at: now})
 	}
 }
 
