fbsched: a waiting task that is offered again keeps the target of its last start

What callers saw: nothing yet; a case of TestCrashUnderRunIsCountedByNextOwner, "stream broken when the lease has expired/stored". A target crashes under a task of a stored job. Before the target is back, the stream between coordinator and owner breaks, and then the owner is lost. The next owner doesn't count the crash, so that a deadly task is started once more than need be.

Cause: an owner that is offered a task that it has answers "started", without a target if the task waits. The coordinator took the empty target over, though the run there may still turn out to be lost in a crash.

Change: a report without a target doesn't change the one that the coordinator knows.

--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -304,7 +304,9 @@
 	}
 	switch r.Status() {
 	case StatusStarted:
-		t.target = r.Target()
+		if r.Target() != "" {
+			t.target = r.Target()
+		}
 		c.taskFits(j, key.Step(), r.Pool())
 		if j.stored && !j.startReported && r.Target() != "" {
 			j.startReported = true
--- a/fbsched/crash_after_run_test.go
+++ b/fbsched/crash_after_run_test.go
@@ -152,6 +152,15 @@
 			sim.takeOver(stored)
 			sim.crashAndRestart(target)
 		},
+		"stream broken when the lease has expired": func(sim *simulation, target *fakeTarget, stored bool) {
+			target.crash()
+			sim.advance(1500 * time.Millisecond)
+			sim.coordinator.Resume(sim.now, testPool)
+			sim.coordinator.ResumeStored(sim.now, testPool)
+			sim.advance(100 * time.Millisecond)
+			sim.takeOver(stored)
+			sim.crashAndRestart(target)
+		},
 		"two owners lost": func(sim *simulation, target *fakeTarget, stored bool) {
 			sim.takeOver(stored)
 			sim.advance(200 * time.Millisecond)
