fbsched: the simulated rows of stored jobs keep a task that is done

Cause: in the simulation, not in the product. The owner n6 is cut off from the coordinator, and its report "done" arrives 3 s late, 2 ms before one of the owner after it that a target has crashed under the task ("retried"). Both are recorded. The simulated row kept only what was written last, so that it held a task that isn't done and one crash, while the coordinator had the task as done and therefore started and offered it no more. Owner.RecordTask of fbshard keeps "done", the higher count of failed runs and that of crashes.

The count itself: the target was started again before n7 could list it, and n7 knew of no end of the run.

Change: simulated rows merge what they are given as those of fbshard do. The checks on them are as they were: a job must be done, or failed if it has a deadly task.

--- a/fbsched/crash_simulation_test.go
+++ b/fbsched/crash_simulation_test.go
@@ -101,13 +101,22 @@
 		if sim.crashes.recorded == nil {
 			return
 		}
-		sim.crashes.recorded[r.Task] = r.Progress
+		sim.crashes.recorded[r.Task] = sim.crashes.recorded[r.Task].recordedWith(r.Progress)
 		if from == sim.node {
 			sim.atCoordinator(func() { sim.coordinator.HandleRecorded(sim.now, r.Task, r.Progress) })
 		}
 	})
 }
 
+// recordedWith returns the progress that a row has which held p and to which a report adds o: what has ended
+// stays so, as in the rows of package fbshard.
+func (p Progress) recordedWith(o Progress) Progress {
+	crashes := max(p.crashes, o.crashes)
+	merged := p.WithFailuresOf(o).WithCrashes(crashes)
+	merged.done, merged.failed = p.done || o.done, p.failed || o.failed
+	return merged
+}
+
 // crashRoute is the route of stored jobs.
 var crashRoute = filbertford.NewRoute("host", "/jobs/", "ordering").WithPolicy(0, 3).WithObjective(1.6, 60*time.Millisecond, 0)
 
