fbsched, fbshard: a crash that turns out not to be one isn't passed on

A target is cut off, with a run on it, for so long that its record is removed, which counts as a crash under the task. It comes back, and the pool takes the crash back. After a takeover of the pool one real crash ends the job: "2 targets have crashed under a task", shown as failed.

Cause: reports, offers and the job's row have the number of crashes, of which the highest is kept, since reports of several owners may overtake each other. So a number that has become lower was never passed on: the next owner inherited the crash that wasn't one.

Evidence: TestRefutedCrashIsNotInherited.

Change: how many of the counted crashes were refuted is a number of its own, which only grows too, in reports, offers and the row. A refuted crash is reported also while the task runs elsewhere.

Targets that are gone for good count as before (TestTaskThatCrashesItsTargetsIsGivenUp).

--- a/fblink/convert.go
+++ b/fblink/convert.go
@@ -297,11 +297,11 @@
 		Fence: b.Fence(), OrphanedUs: uint64(max(0, b.OwnerSilence()).Microseconds()),
 		Durable: b.Stored(), Search: b.Search(), Keeper: b.ShardFence(), Step: stepToWire(s), Offer: b.OfferNumber(),
 	}
-	anyFailures, anyRuns, anyCrashes, anyTargets := false, false, false, false
+	anyFailures, anyRuns, anyCrashes, anyRefuted, anyTargets := false, false, false, false, false
 	for _, i := range b.Items() {
 		w.Indexes = append(w.Indexes, uint32(i.Index()))
 		anyFailures, anyRuns = anyFailures || i.Failures() > 0, anyRuns || i.FailedRun() > 0
-		anyCrashes = anyCrashes || i.Crashes() > 0
+		anyCrashes, anyRefuted = anyCrashes || i.Crashes() > 0, anyRefuted || i.RefutedCrashes() > 0
 		anyTargets = anyTargets || i.Target() != ""
 	}
 	if anyTargets {
@@ -324,6 +324,11 @@
 			w.Crashes = append(w.Crashes, uint32(i.Crashes()))
 		}
 	}
+	if anyRefuted {
+		for _, i := range b.Items() {
+			w.RefutedCrashes = append(w.RefutedCrashes, uint32(i.RefutedCrashes()))
+		}
+	}
 	return w
 }
 
@@ -342,6 +347,9 @@
 		if i < len(w.GetCrashes()) {
 			items[i] = items[i].WithCrashes(int(w.GetCrashes()[i]))
 		}
+		if i < len(w.GetRefutedCrashes()) {
+			items[i] = items[i].WithRefutedCrashes(int(w.GetRefutedCrashes()[i]))
+		}
 		if i < len(w.GetTargets()) {
 			items[i] = items[i].WithTarget(filbertford.TargetID(w.GetTargets()[i]))
 		}
@@ -363,13 +371,15 @@
 		Pool: string(r.Pool()), Job: string(k.Job()), Occurrence: uint32(k.Occurrence()), Step: uint32(k.Step()),
 		Index: uint32(k.Index()), Verdict: string(r.Status()), Failures: uint32(r.Failures()), Fence: r.Fence(),
 		Started: r.Started(), Target: string(r.Target()), Crashes: uint32(r.Crashes()), Offer: r.OfferNumber(), FailedRun: r.FailedRun(),
+		RefutedCrashes: uint32(r.RefutedCrashes()),
 	}
 }
 
 func reportFromWire(w *fbwire.Report) fbsched.Report {
 	key := filbertford.NewTaskKey(filbertford.JobKey(w.GetJob()), int(w.GetOccurrence()), int(w.GetStep()), int(w.GetIndex()))
 	return fbsched.NewReport(filbertford.PoolID(w.GetPool()), w.GetFence(), key, fbsched.Status(w.GetVerdict()), int(w.GetFailures())).WithStarted(w.GetStarted()).
-		WithTarget(filbertford.TargetID(w.GetTarget())).WithCrashes(int(w.GetCrashes())).WithOfferNumber(w.GetOffer()).WithFailedRun(w.GetFailedRun())
+		WithTarget(filbertford.TargetID(w.GetTarget())).WithCrashes(int(w.GetCrashes())).WithRefutedCrashes(int(w.GetRefutedCrashes())).
+		WithOfferNumber(w.GetOffer()).WithFailedRun(w.GetFailedRun())
 }
 
 func stepToWire(s filbertford.Step) *fbwire.Step {
--- a/fblink/convert_test.go
+++ b/fblink/convert_test.go
@@ -25,7 +25,7 @@
 	sender := fbfleet.NewMember("n1", 7, "127.0.0.1:1", "z", 400)
 	key := filbertford.NewTaskKey("00000000000000aa", 1, 2, 3)
 	step := filbertford.NewStep(4, filbertford.NewResources(5, 6, 7), 8*time.Millisecond).WithPlacement("a", "r1", 2).WithAfter(0, 1)
-	items := []fbsched.Item{fbsched.NewItem(0, 0), fbsched.NewItem(1, 2).WithFailedRun(13).WithCrashes(1).WithTarget("t1")}
+	items := []fbsched.Item{fbsched.NewItem(0, 0), fbsched.NewItem(1, 2).WithFailedRun(13).WithCrashes(2).WithRefutedCrashes(1).WithTarget("t1")}
 	batch := fbsched.NewBatch("p", "00000000000000aa", 1, 2, step, items).WithWork("spec", "svc", 3).WithPriority(1).
 		WithTimes(-5*time.Millisecond, time.Second).WithFence(9).WithOfferNumber(11)
 	route := filbertford.NewRoute("h", "/p/", "svc").WithPolicy(2, 3).WithObjective(1.6, 60*time.Millisecond, 0)
@@ -42,7 +42,7 @@
 		"resumed":     batch.WithResume(300 * time.Millisecond),
 		"stored":      batch.WithStored(true, true).WithShardFence(11),
 		"withdrawal":  fbsched.NewWithdrawal("p", "00000000000000aa"),
-		"report":      fbsched.NewReport("p", 9, key, fbsched.StatusStarted, 2).WithFailedRun(13).WithCrashes(1).WithOfferNumber(11).WithStarted(true).WithTarget("t1"),
+		"report":      fbsched.NewReport("p", 9, key, fbsched.StatusStarted, 2).WithFailedRun(13).WithCrashes(2).WithRefutedCrashes(1).WithOfferNumber(11).WithStarted(true).WithTarget("t1"),
 		"confirm":     fbsched.NewConfirm("p", key, true, 2).WithFailedRun(13).WithCrashes(1),
 		"request":     NewStoredJobRequest(5, "jobs/1", RequestSubmit, route, filbertford.NewWorkload("00000000000000aa", "spec", step)),
 		"reply":       NewStoredJobReply(5, "running", true, 6),
--- a/fbsched/coordinator.go
+++ b/fbsched/coordinator.go
@@ -122,7 +122,7 @@
 	target     filbertford.TargetID // that the task was last started on, empty if that run has ended
 	done       bool
 	failed     failedRuns
-	crashes    int // of targets under the task
+	crashes    crashCount
 	returns    int
 	waitsSince time.Duration // when it was offered to its pool, 0 once it may have been started
 	recalled   bool          // its pool was asked to return it, to move it
@@ -249,7 +249,7 @@
 	var items []Item
 	for index, t := range j.steps[number].tasks {
 		if t.pool == pool && !t.done {
-			items = append(items, NewItem(index, t.failed.count).WithFailedRun(t.failed.last).WithCrashes(t.crashes).WithTarget(t.target))
+			items = append(items, NewItem(index, t.failed.count).WithFailedRun(t.failed.last).withCrashCount(t.crashes).WithTarget(t.target))
 			c.untrackResumed(j, &j.steps[number].tasks[index])
 		}
 	}
@@ -286,7 +286,7 @@
 	if t.done || t.pool != r.Pool() || t.fence != r.Fence() && r.Status() != StatusDone {
 		return
 	}
-	t.failed, t.crashes = t.failed.merge(r.failed), max(t.crashes, r.Crashes())
+	t.failed, t.crashes = t.failed.merge(r.failed), t.crashes.merge(r.crashes)
 	j.mayHaveRun = j.mayHaveRun || r.Started()
 	if r.answersOffer() && r.OfferNumber() != t.offer {
 		return // the pool has been offered the task again since
--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -61,27 +61,33 @@
 	return l.target == id && (l.startedAt == startedAt || l.startedAt == 0 || startedAt == 0)
 }
 
+// counts reports whether the loss counts as a crash.
+func (l loss) counts() bool { return l.state != lossSilent && !l.unsure }
+
 // taskLosses are the targets that were lost under a task.
 type taskLosses struct {
 	losses    []loss
-	inherited int // crashes that other owners have counted
+	other     crashCount // crashes that other owners have counted, and those of this one that were refuted
 	updatedAt time.Duration
 }
 
 // count returns the number of targets that were lost under the task.
-func (l *taskLosses) count() int { return l.inherited + len(l.losses) }
+func (l *taskLosses) count() int { return l.other.crashes() + len(l.losses) }
 
-// crashes returns the number of targets that count as crashed.
-func (l *taskLosses) crashes() int {
-	n := l.inherited
+// crashCount returns how many targets have counted as crashed, and how many of them were refuted.
+func (l *taskLosses) crashCount() crashCount {
+	c := l.other
 	for _, lost := range l.losses {
-		if lost.state != lossSilent && !lost.unsure {
-			n++
+		if lost.counts() {
+			c.counted++
 		}
 	}
-	return n
+	return c
 }
 
+// crashes returns the number of targets that count as crashed.
+func (l *taskLosses) crashes() int { return l.crashCount().crashes() }
+
 // silent returns the number of targets that may have crashed under the task.
 func (l *taskLosses) silent() int {
 	n := 0
@@ -119,12 +125,17 @@
 	return l != nil && (l.unclear() || l.excessive())
 }
 
-// crashesOf returns the number of targets that have crashed under the task.
-func (p *Pool) crashesOf(key filbertford.TaskKey) int {
+// crashCountOf returns the crashes of targets under the task.
+func (p *Pool) crashCountOf(key filbertford.TaskKey) crashCount {
 	if l := p.losses[key]; l != nil {
-		return l.crashes()
+		return l.crashCount()
 	}
-	return 0
+	return crashCount{}
+}
+
+// crashesOf returns the number of targets that have crashed under the task.
+func (p *Pool) crashesOf(key filbertford.TaskKey) int {
+	return p.crashCountOf(key).crashes()
 }
 
 // runLost handles the loss of a run with its target, on which others ran beside it.
@@ -173,8 +184,12 @@
 
 // inheritCrashes adds the crashes under a task that its coordinator knows of.
 func (p *Pool) inheritCrashes(now time.Duration, key filbertford.TaskKey, item Item) {
-	if known := p.crashesOf(key); item.crashes > known {
-		p.lossesOf(now, key).inherited += item.crashes - known
+	known := p.crashCountOf(key)
+	if added := item.crashes.counted - known.counted; added > 0 {
+		p.lossesOf(now, key).other.counted += added
+	}
+	if added := item.crashes.refuted - known.refuted; added > 0 {
+		p.lossesOf(now, key).other.refuted += added
 	}
 }
 
@@ -242,7 +257,7 @@
 // reportRunEnded tells the coordinator of a waiting task that no run of it is on the target, so that a later
 // owner of the pool doesn't count a crash of the target under the task.
 func (p *Pool) reportRunEnded(t *task, id filbertford.TargetID) {
-	r := NewReport(p.id, p.fence, t.key, StatusRetried, t.failures.failed.count).WithFailedRun(t.failures.failed.last).WithCrashes(p.crashesOf(t.key))
+	r := NewReport(p.id, p.fence, t.key, StatusRetried, t.failures.failed.count).WithFailedRun(t.failures.failed.last).withCrashCount(p.crashCountOf(t.key))
 	p.emit(SendReport{To: t.coordinator, Report: r.WithStarted(true).WithTarget(id)})
 }
 
@@ -300,24 +315,33 @@
 // refuteLosses forgets the losses, before the given time, of a target's instance.
 func (p *Pool) refuteLosses(now time.Duration, t *target, before time.Duration) {
 	for _, key := range p.tasksLostAt(t.id()) {
-		l := p.losses[key]
+		l, known := p.losses[key], p.crashesOf(key)
 		l.losses = slices.DeleteFunc(l.losses, func(lost loss) bool {
 			if !lost.isOf(t.id(), t.startedAt) || lost.state == lossCrashed || lost.at > before {
 				return false
 			}
+			if lost.counts() {
+				l.other.counted++ // it stays counted, as other daemons may have it so
+				l.other.refuted++
+			}
 			p.forgetSilent(t.id(), key)
 			p.emitEvent(Event{Kind: EventTargetNotCrashed, Task: key, Target: t.id(), Started: t.startedAt, Age: now - lost.at})
 			return true
 		})
-		p.reportNotCrashed(key, t.id())
+		p.reportNotCrashed(key, t.id(), p.crashesOf(key) < known)
 	}
 	p.dispatchDue = true
 }
 
-// reportNotCrashed tells the coordinator of a task, if it waits, that the target has not crashed under it.
-func (p *Pool) reportNotCrashed(key filbertford.TaskKey, id filbertford.TargetID) {
-	if t := p.tasks[key]; t != nil && t.run == nil && !p.mayHaveCrashed(key, id) {
+// reportNotCrashed tells the coordinator of a task that the target has not crashed under it, if the task waits
+// or if the crash had been counted.
+func (p *Pool) reportNotCrashed(key filbertford.TaskKey, id filbertford.TargetID, counted bool) {
+	switch t := p.tasks[key]; {
+	case t == nil:
+	case t.run == nil && !p.mayHaveCrashed(key, id):
 		p.reportRunEnded(t, id)
+	case counted:
+		p.report(t.coordinator, key, StatusRetried, t.failures.failed)
 	}
 }
 
@@ -388,7 +412,7 @@
 				p.losses[key].losses[i].unsure, p.dispatchDue = true, true
 			}
 		}
-		p.reportNotCrashed(key, t.id())
+		p.reportNotCrashed(key, t.id(), false)
 	}
 }
 
--- a/fbsched/crash_after_run_test.go
+++ b/fbsched/crash_after_run_test.go
@@ -219,3 +219,71 @@
 		t.Error("the job isn't answered when its task is returned")
 	}
 }
+
+// TestRefutedCrashIsNotInherited guards against a job that is given up after one crash under it: its first target was only cut
+// off for so long that its record was removed, and the next owner of the pool or of the job is still told of a crash.
+func TestRefutedCrashIsNotInherited(t *testing.T) {
+	successions := map[string]func(*simulation){
+		"no owner lost":     func(*simulation) {},
+		"pool's owner lost": func(sim *simulation) { sim.loseOwner() },
+		"stream broken":     func(sim *simulation) { sim.coordinator.ResumeStored(sim.now, testPool) },
+		"job's owner lost":  func(sim *simulation) { sim.replaceJobsOwner(map[filbertford.JobKey]int{deadlyJob: 1}) },
+		"both lost in a row": func(sim *simulation) {
+			sim.loseOwner()
+			sim.advance(time.Second)
+			sim.replaceJobsOwner(map[filbertford.JobKey]int{deadlyJob: 1})
+		},
+		"job's owner, pool's": func(sim *simulation) {
+			sim.replaceJobsOwner(map[filbertford.JobKey]int{deadlyJob: 1})
+			sim.advance(time.Second)
+			sim.loseOwner()
+		},
+	}
+	for name, succeed := range successions {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(2, 1)
+			sim.crashUnder(func(filbertford.TaskKey) bool { return false })
+			sim.taskDuration = 10 * time.Second
+			sim.announceOwner(sim.addOwner("n1", 1))
+			sim.advance(100 * time.Millisecond)
+			sim.startStored(deadlyJob, 1, false)
+			sim.advance(500 * time.Millisecond)
+			cut := runningTarget(t, sim)
+			sim.linkDown = func(_ *fakeOwner, address string) (request, reply bool) {
+				down := address == cut.rec.Address()
+				return down, down
+			}
+			delete(sim.targets, cut.rec.Instance().ID())
+			sim.updateRecords()
+			sim.advance(3 * time.Second)
+			if n := sim.countEvents(EventTargetCrashed); n != 1 {
+				t.Fatalf("%d crashes are counted while the target is cut off, want 1", n)
+			}
+			sim.targets[cut.rec.Instance().ID()], sim.linkDown = cut, nil
+			sim.updateRecords()
+			sim.advance(500 * time.Millisecond)
+			if n := sim.countEvents(EventTargetNotCrashed); n != 1 {
+				t.Fatalf("%d crashes are refuted when the target is back, want 1", n)
+			}
+			succeed(sim)
+			sim.advance(time.Second)
+			sim.crashAndRestart(runningTarget(t, sim))
+			sim.advance(15 * time.Second)
+			if sim.done[deadlyTask] == 0 || sim.jobFailed(deadlyJob, 1) {
+				t.Errorf("the task is done %d times, recorded as %+v; want it done", sim.done[deadlyTask], sim.crashes.recorded)
+			}
+		})
+	}
+}
+
+// runningTarget returns the target that runs deadlyTask.
+func runningTarget(t *testing.T, sim *simulation) *fakeTarget {
+	t.Helper()
+	for _, target := range sim.targets {
+		if target.runs[deadlyTask] != nil {
+			return target
+		}
+	}
+	t.Fatal("no target runs the task")
+	return nil
+}
--- a/fbsched/crash_simulation_test.go
+++ b/fbsched/crash_simulation_test.go
@@ -111,9 +111,8 @@
 // recordedWith returns the progress that a row has which held p and to which a report adds o: what has ended
 // stays so, as in the rows of package fbshard.
 func (p Progress) recordedWith(o Progress) Progress {
-	crashes := max(p.crashes, o.crashes)
-	merged := p.WithFailuresOf(o).WithCrashes(crashes)
-	merged.done, merged.failed = p.done || o.done, p.failed || o.failed
+	merged := p.WithFailuresOf(o)
+	merged.done, merged.failed, merged.crashes = p.done || o.done, p.failed || o.failed, p.crashes.merge(o.crashes)
 	return merged
 }
 
--- a/fbsched/evacuation.go
+++ b/fbsched/evacuation.go
@@ -78,7 +78,7 @@
 		p.returnTask(t, StatusReturned)
 		return
 	}
-	r := NewReport(p.id, p.fence, t.key, status, t.failures.failed.count).WithFailedRun(t.failures.failed.last).WithCrashes(p.crashesOf(t.key)).
+	r := NewReport(p.id, p.fence, t.key, status, t.failures.failed.count).WithFailedRun(t.failures.failed.last).withCrashCount(p.crashCountOf(t.key)).
 		WithStarted(t.started || t.resume).WithOfferNumber(t.batch.offerNumber)
 	p.emit(SendReport{To: t.coordinator, Report: r})
 }
--- a/fbsched/message.go
+++ b/fbsched/message.go
@@ -10,7 +10,7 @@
 type Item struct {
 	index   int
 	failed  failedRuns
-	crashes int
+	crashes crashCount
 	target  filbertford.TargetID
 }
 
@@ -25,15 +25,6 @@
 	return i
 }
 
-// WithCrashes returns a copy of i for a task under which so many targets have crashed.
-func (i Item) WithCrashes(n int) Item {
-	i.crashes = n
-	return i
-}
-
-// Crashes returns how many targets have crashed under the task.
-func (i Item) Crashes() int { return i.crashes }
-
 // WithTarget returns a copy of i for a task that an earlier owner started on the
 // target.
 func (i Item) WithTarget(id filbertford.TargetID) Item {
@@ -333,7 +324,7 @@
 	task    filbertford.TaskKey
 	status  Status
 	failed  failedRuns
-	crashes int
+	crashes crashCount
 	started bool
 	target  filbertford.TargetID
 	offer   uint64
@@ -351,12 +342,6 @@
 	return r
 }
 
-// WithCrashes returns a copy of r for a task under which so many targets have crashed.
-func (r Report) WithCrashes(n int) Report {
-	r.crashes = n
-	return r
-}
-
 // WithStarted returns a copy of r that states whether a run of the task may have
 // started in the pool.
 func (r Report) WithStarted(started bool) Report {
@@ -390,7 +375,7 @@
 func (r Report) Target() filbertford.TargetID { return r.target }
 
 // hasProgress reports whether there is something to record for a task that is retried.
-func (r Report) hasProgress() bool { return r.failed.count > 0 || r.crashes > 0 }
+func (r Report) hasProgress() bool { return r.failed.count > 0 || r.crashes.counted > 0 }
 
 // Started reports whether a run of the task may have started in the pool.
 func (r Report) Started() bool { return r.started }
@@ -412,6 +397,3 @@
 
 // FailedRun returns the highest run number up to which failed runs are counted, 0 if unknown.
 func (r Report) FailedRun() uint64 { return r.failed.last }
-
-// Crashes returns how many targets have crashed under the task.
-func (r Report) Crashes() int { return r.crashes }
--- a/fbsched/outcome.go
+++ b/fbsched/outcome.go
@@ -84,7 +84,7 @@
 // finishTask ends a task with a status, and records and reports its outcome.
 func (p *Pool) finishTask(now time.Duration, t *task, status Status) {
 	delete(p.tasks, t.key)
-	outcome := taskOutcome{status: status, failed: t.failures.failed, crashes: p.crashesOf(t.key), endedAt: now, retention: outcomeRetention, coordinator: t.coordinator}
+	outcome := taskOutcome{status: status, failed: t.failures.failed, crashes: p.crashCountOf(t.key).counted, endedAt: now, retention: outcomeRetention, coordinator: t.coordinator}
 	if t.batch.stored {
 		outcome.retention, outcome.nextReport = storedOutcomeRetention, now+reportInterval
 	}
--- a/fbsched/place.go
+++ b/fbsched/place.go
@@ -58,7 +58,7 @@
 	var items []Item
 	for index, t := range j.steps[number].tasks {
 		if !t.done && t.pool == "" && t.search == nil {
-			items = append(items, NewItem(index, t.failed.count).WithFailedRun(t.failed.last).WithCrashes(t.crashes))
+			items = append(items, NewItem(index, t.failed.count).WithFailedRun(t.failed.last).withCrashCount(t.crashes))
 		}
 	}
 	if len(items) == 0 {
--- a/fbsched/pool.go
+++ b/fbsched/pool.go
@@ -413,19 +413,19 @@
 }
 
 func (p *Pool) report(to filbertford.NodeID, key filbertford.TaskKey, status Status, failed failedRuns) {
-	p.emit(SendReport{To: to, Report: NewReport(p.id, p.fence, key, status, failed.count).WithFailedRun(failed.last).WithCrashes(p.crashesOf(key)).WithStarted(true)})
+	p.emit(SendReport{To: to, Report: NewReport(p.id, p.fence, key, status, failed.count).WithFailedRun(failed.last).withCrashCount(p.crashCountOf(key)).WithStarted(true)})
 }
 
 // reportStart reports to the coordinator which target runs a task. A later owner of the
 // pool receives the target from the coordinator and may have to read its lists before it
 // starts the task again.
 func (p *Pool) reportStart(t *task, target filbertford.TargetID) {
-	p.emit(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, StatusStarted, t.failures.failed.count).WithFailedRun(t.failures.failed.last).WithCrashes(p.crashesOf(t.key)).WithStarted(true).WithTarget(target)})
+	p.emit(SendReport{To: t.coordinator, Report: NewReport(p.id, p.fence, t.key, StatusStarted, t.failures.failed.count).WithFailedRun(t.failures.failed.last).withCrashCount(p.crashCountOf(t.key)).WithStarted(true).WithTarget(target)})
 }
 
 // returnTask reports to the coordinator that the pool will not run a task any more.
 func (p *Pool) returnTask(t *task, status Status) {
-	r := NewReport(p.id, p.fence, t.key, status, t.failures.failed.count).WithFailedRun(t.failures.failed.last).WithCrashes(p.crashesOf(t.key)).
+	r := NewReport(p.id, p.fence, t.key, status, t.failures.failed.count).WithFailedRun(t.failures.failed.last).withCrashCount(p.crashCountOf(t.key)).
 		WithStarted(t.started || t.resume).WithOfferNumber(t.batch.offerNumber)
 	p.emit(SendReport{To: t.coordinator, Report: r})
 }
--- a/fbsched/recall_test.go
+++ b/fbsched/recall_test.go
@@ -120,7 +120,7 @@
 		"searched for":                   {change: func(_ *Pool, t *task) { t.search = true }},
 		"withdrawn run has not ended":    {change: func(p *Pool, t *task) { p.activeRuns[t.key] = &run{key: t.key, stopWanted: true} }},
 		"second run has not ended":       {change: func(p *Pool, t *task) { p.secondRuns[t.key] = 1 }},
-		"target was lost under it":       {change: func(p *Pool, t *task) { p.lossesOf(0, t.key).inherited = 1 }},
+		"target was lost under it":       {change: func(p *Pool, t *task) { p.lossesOf(0, t.key).other.counted = 1 }},
 		"coordinator is unreachable":     {change: func(_ *Pool, t *task) { t.coordinatorUnreachableAt = 1 }},
 		"coordinator must offer again":   {change: func(_ *Pool, t *task) { t.reofferBy = 1 }},
 		"another coordinator offered it": {change: func(_ *Pool, t *task) { t.coordinator = "d" }},
--- a/fbsched/stored.go
+++ b/fbsched/stored.go
@@ -23,7 +23,7 @@
 	done       bool
 	failed     bool // for good
 	failedRuns failedRuns
-	crashes    int
+	crashes    crashCount
 }
 
 // NewProgress returns the progress of a task that is done or not, with the number of
@@ -56,15 +56,6 @@
 	return p
 }
 
-// WithCrashes returns a copy of p for a task under which so many targets have crashed.
-func (p Progress) WithCrashes(n int) Progress {
-	p.crashes = n
-	return p
-}
-
-// Crashes returns how many targets have crashed under the task.
-func (p Progress) Crashes() int { return p.crashes }
-
 // Failed reports whether the task has failed for good.
 func (p Progress) Failed() bool { return p.failed }
 
@@ -173,20 +164,22 @@
 
 // progress returns the progress of a task as the coordinator knows it.
 func (t *taskState) progress() Progress {
-	return NewProgress(t.done, t.failed.count).WithFailedRun(t.failed.last).WithCrashes(t.crashes)
+	p := NewProgress(t.done, t.failed.count).WithFailedRun(t.failed.last)
+	p.crashes = t.crashes
+	return p
 }
 
 // failureReason returns why the task has failed for good.
 func (t *taskState) failureReason(j *job) string {
-	if t.failed.count < j.route.Attempts() && t.crashes > 0 {
-		return fmt.Sprintf("%d targets have crashed under a task", t.crashes)
+	if n := t.crashes.crashes(); t.failed.count < j.route.Attempts() && n > 0 {
+		return fmt.Sprintf("%d targets have crashed under a task", n)
 	}
 	return "a task has failed as often as allowed"
 }
 
 func (c *Coordinator) confirm(pool filbertford.PoolID, key filbertford.TaskKey, p Progress) {
 	if v := c.pools[pool]; v != nil && v.owner != "" {
-		c.emit(SendConfirm{To: v.owner, Confirm: NewConfirm(pool, key, p.done, p.failedRuns.count).WithFailedRun(p.failedRuns.last).WithCrashes(p.crashes)})
+		c.emit(SendConfirm{To: v.owner, Confirm: NewConfirm(pool, key, p.done, p.failedRuns.count).WithFailedRun(p.failedRuns.last).WithCrashes(p.crashes.counted)})
 	}
 }
 
@@ -201,7 +194,7 @@
 	for index, t := range j.steps[number].tasks {
 		if t.search != nil && !t.done {
 			since = max(since, t.search.startedAt)
-			items = append(items, NewItem(index, t.failed.count).WithFailedRun(t.failed.last).WithCrashes(t.crashes))
+			items = append(items, NewItem(index, t.failed.count).WithFailedRun(t.failed.last).withCrashCount(t.crashes))
 		}
 	}
 	if len(items) == 0 {
@@ -223,7 +216,7 @@
 	if v == nil || v.fence != r.Fence() {
 		return false
 	}
-	t.failed, t.crashes = t.failed.merge(r.failed), max(t.crashes, r.Crashes())
+	t.failed, t.crashes = t.failed.merge(r.failed), t.crashes.merge(r.crashes)
 	switch r.Status() {
 	case StatusStarted, StatusDone, StatusFailed:
 		t.pool, t.fence, t.offer, t.search = r.Pool(), r.Fence(), t.search.offers[r.Pool()], nil
--- a/fbshard/commit.go
+++ b/fbshard/commit.go
@@ -55,7 +55,7 @@
 	value, err := encodeJob(j)
 	if err == nil && len(value) > maxRowBytes {
 		bare := *j
-		bare.failures, bare.failedRuns, bare.crashes = nil, nil, nil
+		bare.failures, bare.failedRuns, bare.crashes, bare.refuted = nil, nil, nil, nil
 		value, err = encodeJob(&bare)
 	}
 	if err == nil && len(value) > maxRowBytes {
--- a/fbshard/crash_test.go
+++ b/fbshard/crash_test.go
@@ -16,8 +16,9 @@
 		state    State
 		resumed  bool
 	}{
-		"one crash": {progress: fbsched.NewProgress(false, 0).WithCrashes(1), state: StateQueued, resumed: true},
-		"given up":  {progress: fbsched.NewProgress(false, 0).WithCrashes(2).WithFailed(), state: StateFailed},
+		"one crash":     {progress: fbsched.NewProgress(false, 0).WithCrashes(1), state: StateQueued, resumed: true},
+		"refuted crash": {progress: fbsched.NewProgress(false, 0).WithCrashes(1).WithRefutedCrashes(1), state: StateQueued, resumed: true},
+		"given up":      {progress: fbsched.NewProgress(false, 0).WithCrashes(2).WithFailed(), state: StateFailed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			first := New("jobs/0", "a", 1)
@@ -41,7 +42,8 @@
 			for _, a := range next.TakeActions() {
 				switch v := a.(type) {
 				case StartJob:
-					resumed = v.MayBeRunning && v.Progress(0, 0).Crashes() == tt.progress.Crashes()
+					p := v.Progress(0, 0)
+					resumed = v.MayBeRunning && p.Crashes() == tt.progress.Crashes() && p.RefutedCrashes() == tt.progress.RefutedCrashes()
 				case CancelJob:
 					ended = true
 				}
--- a/fbshard/owner.go
+++ b/fbshard/owner.go
@@ -187,6 +187,9 @@
 	if n := p.Crashes(); n > 0 {
 		j.crashes[task.String()] = max(j.crashes[task.String()], n)
 	}
+	if n := p.RefutedCrashes(); n > 0 {
+		j.refuted[task.String()] = max(j.refuted[task.String()], n)
+	}
 	if j.complete() {
 		j.state = StateCompleted
 	} else if !p.Done() && (p.Failed() || p.Failures() >= j.route.Attempts()) {
--- a/fbshard/row.go
+++ b/fbshard/row.go
@@ -45,7 +45,8 @@
 	// failedRuns are the run numbers up to which failures counts them, by key of the tasks that aren't done.
 	// Rows of earlier versions have none.
 	failedRuns map[string]uint64
-	crashes    map[string]int // crashes of targets by task key
+	crashes    map[string]int // targets that have counted as crashed, by task key
+	refuted    map[string]int // those that have turned out not to have crashed
 	version    uint64         // of the row, 0 if not committed
 	started    bool           // a run was started; not stored
 	records    []taskRecord   // to report after the next commit
@@ -56,7 +57,7 @@
 }
 
 func newJob(r filbertford.Route, w filbertford.Workload) *job {
-	j := &job{workload: w, route: r, state: StateQueued, failures: make(map[string]int), failedRuns: make(map[string]uint64), crashes: make(map[string]int)}
+	j := &job{workload: w, route: r, state: StateQueued, failures: make(map[string]int), failedRuns: make(map[string]uint64), crashes: make(map[string]int), refuted: make(map[string]int)}
 	for _, s := range w.Steps() {
 		j.done = append(j.done, make([]bool, s.Count()))
 	}
@@ -67,7 +68,8 @@
 func (j *job) progress(step, index int) fbsched.Progress {
 	key := filbertford.NewTaskKey(j.workload.Key(), 0, step, index)
 	name := key.String()
-	p := fbsched.NewProgress(j.done[step][index], j.failures[name]).WithFailedRun(j.failedRuns[name]).WithCrashes(j.crashes[name])
+	p := fbsched.NewProgress(j.done[step][index], j.failures[name]).WithFailedRun(j.failedRuns[name]).
+		WithCrashes(j.crashes[name]).WithRefutedCrashes(j.refuted[name])
 	if j.state == StateFailed {
 		return p.WithFailed()
 	}
@@ -109,6 +111,8 @@
 	// FailedRuns are the run numbers up to which the failed runs are counted.
 	FailedRuns map[string]uint64 `json:"failed_runs,omitempty"`
 	Crashes    map[string]int    `json:"crashes,omitempty"`
+	// RefutedCrashes are how many of the crashes have turned out not to be any.
+	RefutedCrashes map[string]int `json:"refuted_crashes,omitempty"`
 }
 
 func encodeJob(j *job) ([]byte, error) {
@@ -116,6 +120,7 @@
 	row := jobRow{
 		State: j.state, Host: r.Host(), Prefix: r.Prefix(), Service: r.Service(), Priority: r.Priority(),
 		Attempts: r.Attempts(), Stretch: r.Stretch(), SlackUS: r.Slack().Microseconds(), Spec: j.workload.Spec(), Failures: j.failures, FailedRuns: j.failedRuns, Crashes: j.crashes,
+		RefutedCrashes: j.refuted,
 	}
 	for i, s := range j.workload.Steps() {
 		step := stepRow{
@@ -185,6 +190,9 @@
 	for name, n := range row.Crashes {
 		j.crashes[name] = max(0, n)
 	}
+	for name, n := range row.RefutedCrashes {
+		j.refuted[name] = max(0, n)
+	}
 	for i, s := range row.Steps {
 		for _, index := range s.Done {
 			if index < 0 || index >= len(j.done[i]) {
