fbsched: a failed run on the next instance of a target is reported

A start without an answer is carried out by the next instance of a target, after a loss with the one before has been counted under the task. Its run fails there, and the job's row doesn't get the failed run.

Cause: leaves the report of an end out if the run's loss is kept, and the run that moved to the next instance kept that mark. The report of the end is the one that carries the failed run. Besides, a target that replied without a start time caused a report with each reply.

Evidence: TestFailedRunOnNextInstanceIsReported fails on the commit before.

Change: the mark ends with the instance; losses that a reply leaves as they are cause no report.

Measured: the test passes, as do the other tests of fbsched on crashes and silent targets.

--- a/fbsched/crash.go
+++ b/fbsched/crash.go
@@ -236,7 +236,7 @@
 // refuteLosses forgets the losses, before the given time, of a target's instance.
 func (p *Pool) refuteLosses(now time.Duration, t *target, before time.Duration) {
 	for _, key := range p.tasksLostAt(t.id()) {
-		l, known := p.losses[key], p.crashesOf(key)
+		l, known, n := p.losses[key], p.crashesOf(key), len(p.losses[key].losses)
 		l.losses = slices.DeleteFunc(l.losses, func(lost loss) bool {
 			if !lost.isOf(t.id(), t.startedAt) || lost.state == lossCrashed || lost.at > before {
 				return false
@@ -249,7 +249,9 @@
 			p.emitEvent(Event{Kind: EventTargetNotCrashed, Task: key, Target: t.id(), Started: t.startedAt, Age: now - lost.at})
 			return true
 		})
-		p.reportNotCrashed(key, t.id(), p.crashesOf(key) < known)
+		if len(l.losses) < n {
+			p.reportNotCrashed(key, t.id(), p.crashesOf(key) < known)
+		}
 	}
 	p.dispatchDue = true
 }
@@ -329,11 +331,11 @@
 func (p *Pool) doubtLosses(t *target, before time.Duration) {
 	for _, key := range p.tasksLostAt(t.id()) {
 		for i, lost := range p.losses[key].losses {
-			if lost.isOf(t.id(), t.startedAt) && lost.state == lossSilent && lost.at <= before {
+			if lost.isOf(t.id(), t.startedAt) && lost.state == lossSilent && lost.at <= before && !lost.unsure {
 				p.losses[key].losses[i].unsure, p.dispatchDue = true, true
+				p.reportNotCrashed(key, t.id(), false)
 			}
 		}
-		p.reportNotCrashed(key, t.id(), false)
 	}
 }
 
--- a/fbsched/crash_after_run_test.go
+++ b/fbsched/crash_after_run_test.go
@@ -287,3 +287,28 @@
 	t.Fatal("no target runs the task")
 	return nil
 }
+
+// TestFailedRunOnNextInstanceIsReported guards against a failed run of a stored job that isn't recorded: its start was carried
+// out by the next instance of the target, after a loss with the one before had been counted.
+func TestFailedRunOnNextInstanceIsReported(t *testing.T) {
+	now := time.Minute
+	p := NewPool(testPool, 1, 1_000_000, now)
+	p.SetTargets(now, []filbertford.TargetRecord{recordOf("t00", 1)})
+	answerLists(p, now, "t00", 1, 10)
+	step := filbertford.NewStep(1, filbertford.NewResources(1000, 1, 0), 100*time.Millisecond)
+	p.Offer(now, "c", NewBatch(testPool, deadlyJob, 0, 0, step, []Item{NewItem(0, 0)}).
+		WithWork("", "ordering", 3).WithTimes(time.Second, time.Hour).WithFence(1).WithStored(true, false))
+	start := startCalls(p.TakeActions(now))[0]
+	now += 50 * time.Millisecond
+	answerLists(p, now, "t00", 2, 5, filbertford.NewRunStatus(deadlyTask, start.Run(), 10))
+	now += 50 * time.Millisecond
+	p.TakeActions(now)
+	answerPoll(p, now, pollOf(p, "t00"), filbertford.NewCallReply(filbertford.CallDone, 60).WithStartedAt(2).
+		WithRuns(nil, []filbertford.EndedRun{filbertford.NewEndedRun(1, deadlyTask, start.Run(), filbertford.RunFailed)}))
+	for _, a := range p.TakeActions(now) {
+		if r, ok := a.(SendReport); ok && r.Report.Status() == StatusRetried && r.Report.Failures() == 1 {
+			return
+		}
+	}
+	t.Error("the failed run isn't reported")
+}
--- a/fbsched/instance.go
+++ b/fbsched/instance.go
@@ -140,6 +140,7 @@
 			r.state = runUncertain
 		}
 		r.stopSentAt, r.stopConfirmedAt = 0, 0 // the new instance doesn't know of stops
+		r.lossKept = false                     // it was lost with the earlier instance only
 	}
 	p.capacityChanged = true
 	return t
