fbsched: test of a crash after the run has ended, with the owner suspended meanwhile

One more history of TestCrashAfterRunHasEndedIsNotCounted: the owner of the run is suspended when the run ends, another one takes over and lists the target, the target crashes, and the first owner is resumed and reports.

--- a/fbsched/crash_after_run_test.go
+++ b/fbsched/crash_after_run_test.go
@@ -106,6 +106,17 @@
 			sim.takeOver(stored)
 			sim.crashAndRestart(target)
 		}},
+		"end not reported, owner suspended": {isolated: true, disturb: func(sim *simulation, target *fakeTarget, stored bool) {
+			suspended := sim.owners[0]
+			sim.takeOver(stored)
+			suspended.stopped, suspended.paused = false, true
+			sim.advance(200 * time.Millisecond)
+			sim.crashAndRestart(target)
+			suspended.isolated = false
+			sim.resume(suspended)
+			sim.scheduleTick(suspended)
+			sim.advance(time.Second)
+		}},
 		"end not reported, offered again after the crash": {isolated: true, disturb: func(sim *simulation, target *fakeTarget, stored bool) {
 			old := sim.owners[0]
 			old.stopped = true
